Begin: names, error kinds, text types, outside protocols

Lays down what all packages share before they are written side by side: named ids and units, the closed list of error kinds with its answer table, the types of the operators' text, and the protocols towards outside systems.

--- /dev/null
+++ b/core/fault/error.go
@@ -0,0 +1,78 @@
+package fault
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Error is an error with a kind, and with what is known about whether the
+// request ran.
+type Error struct {
+	Kind       Kind
+	Ran        Ran
+	Message    string    // For the caller or operator; holds no secrets.
+	RetryAfter time.Time // Zero when unknown.
+	cause      error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.cause != nil {
+		return fmt.Sprintf("%s: %s: %v", e.Kind, e.Message, e.cause)
+	}
+	return fmt.Sprintf("%s: %s", e.Kind, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// New returns an error of the given kind, with the kind's usual Ran.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Ran: AnswerFor(k).Ran, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error of the given kind that keeps err as its cause.
+func Wrap(err error, k Kind, format string, args ...any) *Error {
+	e := New(k, format, args...)
+	e.cause = errors.WithStackDepth(err, 1)
+	return e
+}
+
+// WithRan returns a copy of e that says ran.
+func (e *Error) WithRan(ran Ran) *Error {
+	c := *e
+	c.Ran = ran
+	return &c
+}
+
+// WithRetryAfter returns a copy of e with the time from which a retry may work.
+func (e *Error) WithRetryAfter(at time.Time) *Error {
+	c := *e
+	c.RetryAfter = at
+	return &c
+}
+
+// From returns err as an *Error. Context errors and unknown errors get the
+// kinds DeadlineExceeded, CallerGone and Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return Wrap(err, DeadlineExceeded, "deadline exceeded")
+	}
+	if errors.Is(err, context.Canceled) {
+		return Wrap(err, CallerGone, "cancelled")
+	}
+	return Wrap(err, Internal, "internal error")
+}
+
+// KindOf returns the kind of err.
+func KindOf(err error) Kind { return From(err).Kind }
+
+// Is reports whether err has kind k.
+func Is(err error, k Kind) bool { return err != nil && KindOf(err) == k }
--- /dev/null
+++ b/core/fault/table_test.go
@@ -0,0 +1,19 @@
+package fault
+
+import "testing"
+
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	for _, k := range Kinds() {
+		a, ok := answers[k]
+		if !ok {
+			t.Errorf("kind %v has no answer", k)
+			continue
+		}
+		if a.Status < 400 || a.Type == "" {
+			t.Errorf("kind %v: answer %+v is not an error answer", k, a)
+		}
+	}
+	if len(answers) != len(Kinds()) {
+		t.Errorf("table has %d rows for %d kinds", len(answers), len(Kinds()))
+	}
+}
--- /dev/null
+++ b/core/text/text.go
@@ -0,0 +1,168 @@
+// Package text holds the configuration text that operators write: its types,
+// its decoding and its checks.
+package text
+
+import "monsoonfork/core/ident"
+
+// Text is the whole configuration that operators keep in version control.
+type Text struct {
+	Domains       []ident.DomainID `yaml:"Domains"`       // All failure domains.
+	Models        []Model          `yaml:"Models"`        // Models that engines serve.
+	Engines       []Engine         `yaml:"Engines"`       // Model engines.
+	Services      []Service        `yaml:"Services"`      // Model services and plain services.
+	Routes        []Route          `yaml:"Routes"`        // What callers may call.
+	Organisations []Organisation   `yaml:"Organisations"` // Customers and their shares.
+	Keys          []Key            `yaml:"Keys"`          // Callers' keys, as digests.
+	Policy        Policy           `yaml:"Policy"`        // Fleet-wide choices, all optional.
+}
+
+// Model is a model that engines can load.
+type Model struct {
+	Name             ident.ModelID `yaml:"Name"`
+	Version          string        `yaml:"Version"`          // Wanted version of the weights.
+	Adapters         []string      `yaml:"Adapters"`         // Adapters that engines load besides.
+	MinBytesPerToken int           `yaml:"MinBytesPerToken"` // Lowest number of bytes that one token of text has.
+	BytesPerKVToken  ident.Bytes   `yaml:"BytesPerKVToken"`  // Size of the KV cache of one token.
+	MaxTokens        ident.Tokens  `yaml:"MaxTokens"`        // Longest prompt and answer together.
+}
+
+// EngineRole says which phase an engine serves.
+type EngineRole int
+
+//go:generate stringer -type=EngineRole,Access,Priority,EndpointState,ServiceKind,PlacementPolicy,CutOffKeys -output=text_string.go
+
+// The engine roles.
+const (
+	Prefill EngineRole = iota
+	Decode
+)
+
+// EndpointState says whether an endpoint may get new work.
+type EndpointState int
+
+// The endpoint states.
+const (
+	Serving EndpointState = iota
+	Leaving
+)
+
+// Engine is one model engine.
+type Engine struct {
+	Name           ident.EndpointID `yaml:"Name"`
+	Domain         ident.DomainID   `yaml:"Domain"`
+	Address        ident.Address    `yaml:"Address"`
+	Role           EngineRole       `yaml:"Role"`
+	Models         []ident.ModelID  `yaml:"Models"`
+	Slots          int              `yaml:"Slots"`              // Requests that it runs at once.
+	MemoryPieces   ident.Pieces     `yaml:"MemoryPieces"`       // Size of its KV memory.
+	TokensPerPiece ident.Tokens     `yaml:"TokensPerPiece"`     // Tokens that one piece holds.
+	LinkBytes      ident.Bytes      `yaml:"LinkBytesPerSecond"` // Rate limit of its transfer link.
+	PrefillRate    float64          `yaml:"PrefillTokensPerSecond"`
+	ChecksFencing  bool             `yaml:"ChecksFencing"` // Whether it refuses orders with an old fencing number.
+	State          EndpointState    `yaml:"State"`
+	OrderTimeoutMS int64            `yaml:"OrderTimeoutMS"` // Longest time that an order may be under way.
+}
+
+// ServiceKind tells model services from plain services.
+type ServiceKind int
+
+// The service kinds.
+const (
+	ModelService ServiceKind = iota
+	PlainService
+)
+
+// Service is something that routes lead to.
+type Service struct {
+	Name      ident.ServiceID   `yaml:"Name"`
+	Kind      ServiceKind       `yaml:"Kind"`
+	Models    []ident.ModelID   `yaml:"Models"`    // Of a model service.
+	Endpoints []Endpoint        `yaml:"Endpoints"` // Of a plain service.
+	DependsOn []ident.ServiceID `yaml:"DependsOn"`
+}
+
+// Endpoint is one endpoint of a plain service.
+type Endpoint struct {
+	Name    ident.EndpointID `yaml:"Name"`
+	Domain  ident.DomainID   `yaml:"Domain"`
+	Address ident.Address    `yaml:"Address"`
+	State   EndpointState    `yaml:"State"`
+}
+
+// Access says who may use a route.
+type Access int
+
+// The kinds of access.
+const (
+	Keyed Access = iota // A valid key is needed.
+	Open                // Open to all.
+)
+
+// Priority orders requests that wait for the same engines.
+type Priority int
+
+// The priorities, lowest first.
+const (
+	Normal Priority = iota
+	High
+)
+
+// Route leads requests with a path and method to a service.
+type Route struct {
+	Name          string                 `yaml:"Name"`
+	Path          string                 `yaml:"Path"`   // A path; a "/" at the end matches all below it.
+	Method        string                 `yaml:"Method"` // An HTTP method; empty means any.
+	Service       ident.ServiceID        `yaml:"Service"`
+	Access        Access                 `yaml:"Access"`
+	Idempotent    bool                   `yaml:"Idempotent"` // Whether a call may be repeated.
+	Priority      Priority               `yaml:"Priority"`
+	Organisations []ident.OrganisationID `yaml:"Organisations"` // Empty means all.
+	TimeoutMS     int64                  `yaml:"TimeoutMS"`     // From the request's arrival to its last byte.
+	FirstTokenMS  int64                  `yaml:"FirstTokenMS"`  // Target for the first token.
+	CostTokens    ident.Tokens           `yaml:"CostTokens"`    // Cost of one plain call against the rate.
+}
+
+// Organisation is a customer with its share of the fleet.
+type Organisation struct {
+	Name  ident.OrganisationID  `yaml:"Name"`
+	Rate  ident.TokensPerSecond `yaml:"RateTokensPerSecond"`
+	Burst ident.Tokens          `yaml:"BurstTokens"`
+}
+
+// Key is a caller's key. The text holds only its digest.
+type Key struct {
+	Name         ident.KeyID          `yaml:"Name"`
+	Organisation ident.OrganisationID `yaml:"Organisation"`
+	Salt         string               `yaml:"Salt"`   // Hex.
+	Digest       string               `yaml:"Digest"` // Hex of HMAC-SHA-256 of the key under the salt.
+	Withdrawn    bool                 `yaml:"Withdrawn"`
+}
+
+// PlacementPolicy selects how engines are chosen.
+type PlacementPolicy int
+
+// The placement policies. All but Paired are baselines for comparison.
+const (
+	Paired PlacementPolicy = iota
+	RoundRobin
+	LeastLoad
+	TwoChoices
+)
+
+// CutOffKeys says what a failure domain does with keys while it hears of no
+// newer configuration.
+type CutOffKeys int
+
+// The choices for keys in a cut-off domain.
+const (
+	ServeLastKnown CutOffKeys = iota
+	RefuseKeyed
+)
+
+// Policy holds fleet-wide choices.
+type Policy struct {
+	Placement             PlacementPolicy `yaml:"Placement"`
+	CutOffKeys            CutOffKeys      `yaml:"CutOffKeys"`
+	BudgetSlotsPerDomain  int             `yaml:"BudgetSlotsPerDomain"`
+	ClaimRetentionSeconds int64           `yaml:"ClaimRetentionSeconds"`
+}
