Text: decode with problems by line and path, checks, look-up index

Interface: text.Parse(raw) (*Text, strictyaml.Problems), since the name Decode is the engine role; text.ParseValid(raw) returns an error of kind BadText. t.Index() gives Route(method, path), Service, Organisation, Key, Model, Engine, Engines(domain, model, role); Route.Admits(org), Service.Serves(model). Settings: strictyaml.Decode(raw, &s) (doc, Problems), then strictyaml.NewChecker(doc, problems) with Add/Addf/Failed/Has/Problems; a field that checks itself has UnmarshalText and returns *strictyaml.ValueError. Enums implement TextMarshaler and TextUnmarshaler.

--- /dev/null
+++ b/core/text/check_keys.go
@@ -0,0 +1,28 @@
+package text
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// minSaltBytes is the shortest salt of a key digest.
+const minSaltBytes = 16
+
+// checkKeys checks the callers' keys.
+func (c *checker) checkKeys() {
+	organisations := c.text.organisationNames()
+	for i, k := range c.text.Keys {
+		path := at("Keys[%d]", i)
+		c.name(path+".Name", string(k.Name), namePattern)
+		reference(c, path+".Organisation", k.Organisation, organisations, "Organisations")
+		salt, err := hex.DecodeString(k.Salt)
+		if err != nil || len(salt) < minSaltBytes {
+			c.Addf(path+".Salt", "take the entry that `monsoonfork key new` prints", "the salt is not %d bytes or more in hex", minSaltBytes)
+		}
+		digest, err := hex.DecodeString(k.Digest)
+		if err != nil || len(digest) != sha256.Size {
+			c.Addf(path+".Digest", "take the entry that `monsoonfork key new` prints", "the digest is not %d bytes in hex", sha256.Size)
+		}
+	}
+	unique(c, c.text.keyNames(), func(i int) string { return at("Keys[%d].Name", i) })
+}
--- a/core/text/text.go
+++ b/core/text/text.go
@@ -14,6 +14,8 @@
 	Organisations []Organisation   `yaml:"Organisations"` // Customers and their shares.
 	Keys          []Key            `yaml:"Keys"`          // Callers' keys, as digests.
 	Policy        Policy           `yaml:"Policy"`        // Fleet-wide choices, all optional.
+
+	index *Index // Built by Parse; nil in a text made in another way.
 }
 
 // Model is a model that engines can load.
