--- /dev/null
+++ b/core/invariant/invariant.go
@@ -0,0 +1,44 @@
+// Package invariant asserts inside the running program what must always hold.
+package invariant
+
+import (
+	"os"
+	"sync/atomic"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/rcrowley/go-metrics"
+)
+
+// FatalEnv is the environment variable that makes every violation end the
+// process. Tests set it to "1".
+const FatalEnv = "MONSOONFORK_FATAL_INVARIANTS"
+
+// exitCode is the exit status of a process that a violation ends.
+const exitCode = 70
+
+var (
+	violations atomic.Int64
+	fatal      = os.Getenv(FatalEnv) == "1"
+	counter    = metrics.GetOrRegisterCounter("Invariant.Violations", metrics.DefaultRegistry)
+	exit       = os.Exit
+)
+
+// Check counts and logs a violation of the named invariant unless ok holds.
+// keyvals say what the state was. It returns ok.
+func Check(logger log.Logger, name string, ok bool, keyvals ...any) bool {
+	if ok {
+		return true
+	}
+	violations.Add(1)
+	counter.Inc(1)
+	fields := append([]any{"msg", "invariant violated", "invariant", name}, keyvals...)
+	_ = level.Error(logger).Log(fields...)
+	if fatal {
+		exit(exitCode)
+	}
+	return false
+}
+
+// Violations returns the number of violations in this process.
+func Violations() int64 { return violations.Load() }
--- /dev/null
+++ b/io/peer/generate.go
@@ -0,0 +1,3 @@
+package peer
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative peer.proto
--- /dev/null
+++ b/io/peer/serve.go
@@ -0,0 +1,124 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/hashicorp/yamux"
+	"google.golang.org/protobuf/proto"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+)
+
+// Handle registers h for a method, such as "Budget.Take". Methods are
+// registered while roles start.
+func Handle[Req any, ReqPtr interface {
+	*Req
+	proto.Message
+}](l *Links, method string, h func(ctx context.Context, from ident.InstanceID, req ReqPtr) (proto.Message, error),
+) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.handlers[method] = func(ctx context.Context, from ident.InstanceID, payload []byte) (proto.Message, error) {
+		req := ReqPtr(new(Req))
+		if err := proto.Unmarshal(payload, req); err != nil {
+			return nil, fault.Wrap(err, fault.BadRequest, "malformed %s", method)
+		}
+		return h(ctx, from, req)
+	}
+}
+
+// handler returns the handler of a method, or nil.
+func (l *Links) handler(method string) Handler {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.handlers[method]
+}
+
+// serveSession serves calls until the session ends.
+func (l *Links) serveSession(session *yamux.Session, from ident.InstanceID) {
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			l.serveStream(stream, from, session.CloseChan())
+		}()
+	}
+}
+
+// serveStream reads one call, runs its handler and writes the reply. The
+// handler's context ends when the caller's deadline passes, or when the
+// caller closes the stream or its session.
+func (l *Links) serveStream(stream net.Conn, from ident.InstanceID, sessionEnded <-chan struct{}) {
+	defer func() { _ = stream.Close() }()
+	header := &CallHeader{}
+	r := streamReader(stream)
+	if err := readMessage(r, header); err != nil {
+		return
+	}
+	timeout := time.Duration(header.GetTimeoutUs()) * time.Microsecond
+	ctx, cancel := context.WithTimeout(l.ctx, timeout)
+	defer cancel()
+	go func() {
+		// A read returns when the caller closes the stream before the reply.
+		_, _ = r.ReadByte()
+		cancel()
+	}()
+	go func() {
+		select {
+		case <-sessionEnded:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	l.metrics.served.Inc(1)
+	reply := l.runHandler(ctx, from, header)
+	if err := writeMessage(stream, reply); err != nil {
+		_ = level.Debug(l.log).Log("msg", "reply not sent", "method", header.GetMethod(), "to", string(from), "err", err)
+	}
+}
+
+// runHandler runs the handler of a call and returns its reply.
+func (l *Links) runHandler(ctx context.Context, from ident.InstanceID, header *CallHeader) *Reply {
+	h := l.handler(header.GetMethod())
+	if h == nil {
+		return failureReply(fault.New(fault.NotFound, "no method %s", header.GetMethod()))
+	}
+	resp, err := h(ctx, from, header.GetPayload())
+	if err != nil {
+		return failureReply(err)
+	}
+	payload, err := proto.Marshal(resp)
+	if err != nil {
+		return failureReply(fault.Wrap(err, fault.Internal, "marshal reply of %s", header.GetMethod()))
+	}
+	return &Reply{Payload: payload}
+}
+
+// failureReply turns err into a reply.
+func failureReply(err error) *Reply {
+	e := fault.From(err)
+	f := &Failure{Kind: int32(e.Kind), Ran: int32(e.Ran), Message: e.Message}
+	if !e.RetryAfter.IsZero() {
+		f.RetryAfterUs = max(1, time.Until(e.RetryAfter).Microseconds())
+	}
+	return &Reply{Failure: f}
+}
+
+// failureError turns a failure of a reply into an error.
+func failureError(f *Failure) error {
+	kind := fault.Kind(f.GetKind())
+	e := fault.New(kind, "%s", f.GetMessage()).WithRan(fault.Ran(f.GetRan()))
+	if f.GetRetryAfterUs() > 0 {
+		after := time.Duration(f.GetRetryAfterUs()) * time.Microsecond
+		e = e.WithRetryAfter(time.Now().Add(after))
+	}
+	return e
+}
