Store client: reads, watches, compare-and-swap and leases over nbhttp

Outcomes of writes are Written, Conflict, NotWritten (proved: the dial failed, or the store refused with a 4xx status) and Unknown (the zero value).

Interface: store.New(addresses, WithMetrics, WithStageTimeout), Get, List, Watch, WatchPrefix -> Listing{Entries, Index}; CompareAndSwap, Put, Delete, Acquire, Release -> (Outcome, error); CreateLease, RenewLease, DestroyLease.

--- /dev/null
+++ b/io/store/client_test.go
@@ -0,0 +1,292 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+)
+
+func newTestClient(t *testing.T, addresses ...ident.Address) *Client {
+	t.Helper()
+	c, err := New(addresses, WithStageTimeout(300*time.Millisecond))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// mustSwap writes and wants the outcome.
+func mustSwap(t *testing.T, c *Client, key, value string, index Index, want Outcome) {
+	t.Helper()
+	got, err := c.CompareAndSwap(context.Background(), key, []byte(value), index)
+	if got != want {
+		t.Fatalf("CompareAndSwap(%s, %d) = %v, %v, want %v", key, index, got, err, want)
+	}
+}
+
+func mustGet(t *testing.T, c *Client, key string) (Entry, bool) {
+	t.Helper()
+	l, err := c.Get(context.Background(), key)
+	if err != nil {
+		t.Fatalf("Get(%s): %v", key, err)
+	}
+	return l.First()
+}
+
+func TestReadAndWrite(t *testing.T) {
+	f := newFakeStore(t)
+	c := newTestClient(t, f.address())
+	if _, found := mustGet(t, c, "a/b"); found {
+		t.Fatal("found a key that does not exist")
+	}
+	mustSwap(t, c, "a/b", "one", 0, Written)
+	mustSwap(t, c, "a/b", "two", 0, Conflict)
+	e, _ := mustGet(t, c, "a/b")
+	if string(e.Value) != "one" {
+		t.Errorf("value = %q", e.Value)
+	}
+	mustSwap(t, c, "a/b", "two", e.ModifyIndex, Written)
+	mustSwap(t, c, "a/c d", strings.Repeat("x", 600_000), 0, Written)
+	l, err := c.List(context.Background(), "a/")
+	if err != nil || len(l.Entries) != 2 {
+		t.Errorf("List = %d entries, %v", len(l.Entries), err)
+	}
+	e, _ = mustGet(t, c, "a/b")
+	if o, err := c.Delete(context.Background(), "a/b", e.ModifyIndex-1); o != Conflict {
+		t.Errorf("Delete with an old index = %v, %v", o, err)
+	}
+	if o, err := c.Delete(context.Background(), "a/b", e.ModifyIndex); o != Written {
+		t.Errorf("Delete = %v, %v", o, err)
+	}
+	if got := c.CallCounts()["CompareAndSwap"]; got != 4 {
+		t.Errorf("counted %d CompareAndSwap calls, want 4", got)
+	}
+}
+
+func TestWatch(t *testing.T) {
+	f := newFakeStore(t)
+	c := newTestClient(t, f.address())
+	mustSwap(t, c, "k", "one", 0, Written)
+	e, _ := mustGet(t, c, "k")
+	l, err := c.Watch(context.Background(), "k", e.ModifyIndex, 400*time.Millisecond)
+	if err != nil || l.Index != e.ModifyIndex {
+		t.Fatalf("Watch without a change = %v, %v", l.Index, err)
+	}
+	got := make(chan Listing, 1)
+	go func() {
+		l, _ := c.Watch(context.Background(), "k", e.ModifyIndex, 10*time.Second)
+		got <- l
+	}()
+	mustSwap(t, c, "k", "two", e.ModifyIndex, Written)
+	select {
+	case l := <-got:
+		if e, _ := l.First(); string(e.Value) != "two" {
+			t.Errorf("watched value = %q", e.Value)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the watch did not see the change")
+	}
+}
+
+func TestCancelledWatchEnds(t *testing.T) {
+	f := newFakeStore(t)
+	c := newTestClient(t, f.address())
+	mustSwap(t, c, "k", "one", 0, Written)
+	e, _ := mustGet(t, c, "k")
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err := c.Watch(ctx, "k", e.ModifyIndex, time.Minute)
+	if !fault.Is(err, fault.CallerGone) {
+		t.Errorf("error = %v, want kind CallerGone", err)
+	}
+}
+
+// TestLostAnswerIsUnknown loses the answer of a write that took effect.
+func TestLostAnswerIsUnknown(t *testing.T) {
+	f := newFakeStore(t)
+	c := newTestClient(t, f.address())
+	f.faults(nil, func(r *http.Request) bool { return r.Method == http.MethodPut })
+	mustSwap(t, c, "k", "one", 0, Unknown)
+	f.faults(nil, nil)
+	if e, found := mustGet(t, c, "k"); !found || string(e.Value) != "one" {
+		t.Errorf("entry = %+v, want the written value", e)
+	}
+	if f.index != 2 {
+		t.Errorf("store index = %d, want one write only", f.index)
+	}
+}
+
+func TestServerErrorIsUnknown(t *testing.T) {
+	f := newFakeStore(t)
+	c := newTestClient(t, f.address())
+	f.faults(func(*http.Request) bool { return true }, nil)
+	mustSwap(t, c, "k", "one", 0, Unknown)
+}
+
+// TestStalledStoreEndsAtStageLimit holds every call.
+func TestStalledStoreEndsAtStageLimit(t *testing.T) {
+	f := newFakeStore(t)
+	c := newTestClient(t, f.address())
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	f.faults(func(*http.Request) bool { <-release; return true }, nil)
+	mustSwap(t, c, "k", "one", 0, Unknown)
+	if _, err := c.Get(context.Background(), "k"); !fault.Is(err, fault.StoreUnavailable) {
+		t.Errorf("error = %v, want kind StoreUnavailable", err)
+	}
+}
+
+// TestRateLimitIsNotWritten answers 429, which says that nothing was tried.
+func TestRateLimitIsNotWritten(t *testing.T) {
+	server := httptestStatus(t, http.StatusTooManyRequests)
+	c := newTestClient(t, server)
+	mustSwap(t, c, "k", "one", 0, NotWritten)
+	if _, err := c.Get(context.Background(), "k"); !fault.Is(err, fault.StoreUnavailable) {
+		t.Errorf("error = %v, want kind StoreUnavailable", err)
+	}
+}
+
+func TestRefusedDialIsNotWritten(t *testing.T) {
+	c := newTestClient(t, closedAddress(t))
+	mustSwap(t, c, "k", "one", 0, NotWritten)
+}
+
+// TestSecondAddress has one address that refuses and one that answers.
+func TestSecondAddress(t *testing.T) {
+	f := newFakeStore(t)
+	c := newTestClient(t, closedAddress(t), f.address())
+	mustSwap(t, c, "k", "one", 0, Written)
+	if _, found := mustGet(t, c, "k"); !found {
+		t.Error("the written key was not found")
+	}
+}
+
+// TestSilentConnection makes pooled connections swallow what is sent, while
+// new ones work.
+func TestSilentConnection(t *testing.T) {
+	f := newFakeStore(t)
+	var accepted atomic.Int64
+	var silent atomic.Int64
+	proxy := forward(t, f.address(), func() func() bool {
+		number := accepted.Add(1)
+		return func() bool { return number <= silent.Load() }
+	})
+	c := newTestClient(t, proxy)
+	mustSwap(t, c, "k", "one", 0, Written)
+	if _, found := mustGet(t, c, "k"); !found {
+		t.Fatal("the written key was not found")
+	}
+	silent.Store(accepted.Load())
+	if _, found := mustGet(t, c, "k"); !found {
+		t.Error("a read after the connection fell silent did not find the key")
+	}
+	e, _ := mustGet(t, c, "k")
+	mustSwap(t, c, "k", "two", e.ModifyIndex, Written)
+}
+
+func TestLease(t *testing.T) {
+	f := newFakeStore(t)
+	start := time.Now()
+	c := newTestClient(t, f.address())
+	ctx := context.Background()
+	a, err := c.CreateLease(ctx, "orders", 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if limit := time.Now().Add(10 * time.Second); a.Deadline.After(limit) || a.Deadline.Before(start) {
+		t.Errorf("deadline %v is not within the lease", a.Deadline)
+	}
+	b, err := c.CreateLease(ctx, "orders", 10*time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o, err := c.Acquire(ctx, "lock", []byte("a"), a.ID); o != Written {
+		t.Fatalf("Acquire = %v, %v", o, err)
+	}
+	if o, err := c.Acquire(ctx, "lock", []byte("b"), b.ID); o != Conflict {
+		t.Fatalf("second Acquire = %v, %v", o, err)
+	}
+	if a, err = c.RenewLease(ctx, a); err != nil {
+		t.Errorf("RenewLease: %v", err)
+	}
+	if err := c.DestroyLease(ctx, a.ID); err != nil {
+		t.Errorf("DestroyLease: %v", err)
+	}
+	if err := c.DestroyLease(ctx, a.ID); err != nil {
+		t.Errorf("second DestroyLease: %v", err)
+	}
+	if _, err := c.RenewLease(ctx, a); !fault.Is(err, fault.NotHolder) {
+		t.Errorf("renewal after the end: %v, want kind NotHolder", err)
+	}
+	if o, err := c.Acquire(ctx, "lock", []byte("b"), b.ID); o != Written {
+		t.Errorf("Acquire after the end = %v, %v", o, err)
+	}
+}
+
+func TestMalformedAnswers(t *testing.T) {
+	for _, body := range []string{"", "maybe", "[{", strings.Repeat("[", 1000)} {
+		address := rawServer(t, "HTTP/1.1 200 OK\r\nX-Consul-Index: 7\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+		c := newTestClient(t, address)
+		mustSwap(t, c, "k", "one", 0, Unknown)
+		if _, err := c.Get(context.Background(), "k"); !fault.Is(err, fault.StoreUnavailable) {
+			t.Errorf("Get with answer %q: %v", body, err)
+		}
+	}
+	c := newTestClient(t, rawServer(t, "not http at all\r\n\r\n"))
+	mustSwap(t, c, "k", "one", 0, Unknown)
+}
+
+func TestCallsTogetherGetTheirOwnAnswers(t *testing.T) {
+	f := newFakeStore(t)
+	c := newTestClient(t, f.address())
+	var wg sync.WaitGroup
+	for i := range 30 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			key := "key-" + itoa(i)
+			mustSwap(t, c, key, key, 0, Written)
+			for range 10 {
+				if e, _ := mustGet(t, c, key); !bytes.Equal(e.Value, []byte(key)) {
+					t.Errorf("Get(%s) = %q", key, e.Value)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+func TestClosedClient(t *testing.T) {
+	f := newFakeStore(t)
+	c, err := New([]ident.Address{f.address()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	mustSwap(t, c, "k", "one", 0, NotWritten)
+	if _, err := New(nil); !fault.Is(err, fault.BadSettings) {
+		t.Errorf("New without addresses: %v", err)
+	}
+}
+
+// closedAddress returns an address where nothing listens.
+func closedAddress(t *testing.T) ident.Address {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ident.Address(ln.Addr().String())
+}
--- /dev/null
+++ b/io/store/fake_test.go
@@ -0,0 +1,161 @@
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"monsoonfork/core/ident"
+)
+
+// fakeStore is a store in the test process that can lose and delay answers.
+type fakeStore struct {
+	*httptest.Server
+
+	mu       sync.Mutex
+	index    Index
+	entries  map[string]Entry
+	sessions map[LeaseID]bool
+	changed  chan struct{}            // Closed at each write.
+	before   func(*http.Request) bool // Reports whether to answer 500 without trying; may block.
+	after    func(*http.Request) bool // Reports whether to lose the answer.
+	requests int
+}
+
+func newFakeStore(t *testing.T) *fakeStore {
+	f := &fakeStore{index: 1, entries: map[string]Entry{}, sessions: map[LeaseID]bool{}, changed: make(chan struct{})}
+	f.Server = httptest.NewServer(f)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fakeStore) address() ident.Address {
+	return ident.Address(strings.TrimPrefix(f.URL, "http://"))
+}
+
+// faults sets the hooks.
+func (f *fakeStore) faults(before, after func(*http.Request) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.before, f.after = before, after
+}
+
+func (f *fakeStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	f.requests++
+	before, after := f.before, f.after
+	f.mu.Unlock()
+	if before != nil && before(r) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	rec := httptest.NewRecorder()
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/v1/session/"):
+		f.session(rec, r)
+	case r.Method == http.MethodGet:
+		f.get(rec, r)
+	default:
+		f.change(rec, r)
+	}
+	if after != nil && after(r) {
+		// The write took effect, and its answer is lost with the connection.
+		panic(http.ErrAbortHandler)
+	}
+	for k, v := range rec.Header() {
+		w.Header()[k] = v
+	}
+	w.WriteHeader(rec.Code)
+	_, _ = w.Write(rec.Body.Bytes())
+}
+
+func (f *fakeStore) get(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, "/v1/kv/")
+	recurse := r.URL.Query().Has("recurse")
+	after, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
+	wait, _ := time.ParseDuration(r.URL.Query().Get("wait"))
+	deadline := time.After(wait)
+	for {
+		f.mu.Lock()
+		var found []Entry
+		newest := Index(1)
+		for k, e := range f.entries {
+			if k == key || recurse && strings.HasPrefix(k, key) {
+				found, newest = append(found, e), max(newest, e.ModifyIndex)
+			}
+		}
+		changed := f.changed
+		f.mu.Unlock()
+		if newest > Index(after) || wait == 0 {
+			w.Header().Set(indexHeader, strconv.FormatUint(uint64(newest), 10))
+			if len(found) == 0 {
+				w.WriteHeader(http.StatusNotFound)
+				return
+			}
+			_ = json.NewEncoder(w).Encode(found)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			wait = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (f *fakeStore) change(w http.ResponseWriter, r *http.Request) {
+	value, _ := io.ReadAll(r.Body)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	key, q := strings.TrimPrefix(r.URL.Path, "/v1/kv/"), r.URL.Query()
+	old := f.entries[key]
+	cas, _ := strconv.ParseUint(q.Get("cas"), 10, 64)
+	session := LeaseID(q.Get("acquire") + q.Get("release"))
+	switch {
+	case q.Has("cas") && old.ModifyIndex != Index(cas),
+		q.Has("acquire") && (old.Session != "" && old.Session != session || !f.sessions[session]),
+		q.Has("release") && old.Session != session:
+		_, _ = io.WriteString(w, "false")
+		return
+	}
+	f.index++
+	if r.Method == http.MethodDelete {
+		delete(f.entries, key)
+	} else {
+		f.entries[key] = Entry{Key: key, Value: value, ModifyIndex: f.index, CreateIndex: f.index, Session: LeaseID(q.Get("acquire"))}
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+	_, _ = io.WriteString(w, "true")
+}
+
+func (f *fakeStore) session(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	parts := strings.Split(r.URL.Path, "/")
+	id := LeaseID(parts[len(parts)-1])
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/v1/session/create"):
+		f.index++
+		id = LeaseID(strconv.FormatUint(uint64(f.index), 10))
+		f.sessions[id] = true
+		_ = json.NewEncoder(w).Encode(struct{ ID LeaseID }{id})
+	case !f.sessions[id]:
+		w.WriteHeader(http.StatusNotFound)
+	case strings.HasPrefix(r.URL.Path, "/v1/session/destroy"):
+		delete(f.sessions, id)
+		for k, e := range f.entries {
+			if e.Session == id {
+				delete(f.entries, k)
+			}
+		}
+	}
+}
