--- /dev/null
+++ b/cmd/monsoonlab/service.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"monsoonfork/io/standin/service"
+)
+
+const serviceUsage = `Usage: monsoonlab service [flags]
+
+Serves a planning or ordering application that counts each run: POST /bookings,
+POST /orders, DELETE /bookings/ID, GET /status and GET /addresses/ID. Prints one
+line of JSON with its addresses when it serves. GET /control/record on the
+control address lists the runs.
+`
+
+// serviceCommand serves a plain service.
+type serviceCommand struct {
+	listenFlags
+	Name    string        `default:"service" help:"Name that answers carry."`
+	RunTime time.Duration `default:"2ms" help:"Time that each call takes."`
+}
+
+// Run implements the verb.
+func (c *serviceCommand) Run(ctx context.Context) error {
+	return serveUntilDone(ctx, service.New(
+		service.WithAddresses(c.addresses()),
+		service.WithName(c.Name),
+		service.WithRunTime(c.RunTime),
+	))
+}
--- /dev/null
+++ b/cmd/monsoonlab/store.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+
+	"monsoonfork/io/standin/store"
+)
+
+const storeUsage = `Usage: monsoonlab store [flags]
+
+Serves the key-value service: keys with compare-and-swap, sessions and long
+polls. Prints one line of JSON with its addresses when it serves.
+GET /control/record on the control address counts the calls.
+`
+
+// storeCommand serves a key-value service.
+type storeCommand struct {
+	listenFlags
+	ReadLimit  float64 `default:"2000" help:"Reads a second; 0 means no limit."`
+	WriteLimit float64 `default:"500" help:"Writes a second; 0 means no limit."`
+}
+
+// Run implements the verb.
+func (c *storeCommand) Run(ctx context.Context) error {
+	return serveUntilDone(ctx, store.New(
+		store.WithAddresses(c.addresses()),
+		store.WithLimits(c.ReadLimit, c.WriteLimit),
+	))
+}
