--- /dev/null
+++ b/cmd/monsoonfork/verb/roles.go
@@ -0,0 +1,6 @@
+package verb
+
+// The roles of the daemon. Each registers itself with the kernel.
+import (
+	_ "monsoonfork/core/membership" // Membership
+)
--- a/core/kernel/role.go
+++ b/core/kernel/role.go
@@ -72,6 +72,7 @@
 // appendRole appends the roles that name depends on, then name.
 func appendRole(name string, state map[string]visit, ordered *[]Role) error {
 	switch state[name] {
+	case unvisited:
 	case done:
 		return nil
 	case inProgress:
--- /dev/null
+++ b/core/membership/view.go
@@ -0,0 +1,149 @@
+package membership
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"monsoonfork/core/ident"
+)
+
+// View is the set of members at one moment. It is never changed.
+type View struct {
+	Self    Member
+	members map[ident.InstanceID]Member
+	live    map[ident.DomainID][]Member // Live only, by instance id.
+	hashes  map[ident.DomainID]uint64
+}
+
+// newView builds the view of a set of members.
+func newView(self Member, members map[ident.InstanceID]Member) *View {
+	v := &View{
+		Self:    self,
+		members: members,
+		live:    make(map[ident.DomainID][]Member),
+		hashes:  make(map[ident.DomainID]uint64),
+	}
+	for _, m := range members {
+		if m.State == Live {
+			v.live[m.Domain] = append(v.live[m.Domain], m)
+		}
+	}
+	for domain, list := range v.live {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+		v.hashes[domain] = hashMembers(list)
+	}
+	return v
+}
+
+// hashMembers returns a hash of the ids in list.
+func hashMembers(list []Member) uint64 {
+	h := fnv.New64a()
+	for _, m := range list {
+		_, _ = h.Write([]byte(m.ID))
+		_, _ = h.Write([]byte{0})
+	}
+	return h.Sum64()
+}
+
+// Live returns the live members of a domain, by instance id. The slice must
+// not be changed.
+func (v *View) Live(domain ident.DomainID) []Member { return v.live[domain] }
+
+// Domains returns the domains that have live members, by name.
+func (v *View) Domains() []ident.DomainID {
+	domains := make([]ident.DomainID, 0, len(v.live))
+	for d := range v.live {
+		domains = append(domains, d)
+	}
+	sort.Slice(domains, func(i, j int) bool { return domains[i] < domains[j] })
+	return domains
+}
+
+// Member returns the member with an id.
+func (v *View) Member(id ident.InstanceID) (Member, bool) {
+	m, ok := v.members[id]
+	return m, ok
+}
+
+// Members returns all known members, by domain and instance id.
+func (v *View) Members() []Member {
+	list := make([]Member, 0, len(v.members))
+	for _, m := range v.members {
+		list = append(list, m)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Domain != list[j].Domain {
+			return list[i].Domain < list[j].Domain
+		}
+		return list[i].ID < list[j].ID
+	})
+	return list
+}
+
+// Owner returns the live member of a domain that owns key: the one with the
+// highest rendezvous weight. It is false when the domain has no live member.
+func (v *View) Owner(domain ident.DomainID, key string) (Member, bool) {
+	var best Member
+	var bestWeight uint64
+	list := v.live[domain]
+	for i := range list {
+		weight := rendezvousWeight(list[i].ID, key)
+		if i == 0 || weight > bestWeight {
+			best, bestWeight = list[i], weight
+		}
+	}
+	return best, len(list) > 0
+}
+
+// Ranked returns the live members of a domain, the owner of key first.
+func (v *View) Ranked(domain ident.DomainID, key string) []Member {
+	list := append([]Member(nil), v.live[domain]...)
+	sort.Slice(list, func(i, j int) bool {
+		return rendezvousWeight(list[i].ID, key) > rendezvousWeight(list[j].ID, key)
+	})
+	return list
+}
+
+// GlobalOwner returns the live member of any domain that owns key.
+func (v *View) GlobalOwner(key string) (Member, bool) {
+	var best Member
+	var bestWeight uint64
+	found := false
+	for _, list := range v.live {
+		for i := range list {
+			weight := rendezvousWeight(list[i].ID, key)
+			if !found || weight > bestWeight {
+				best, bestWeight, found = list[i], weight, true
+			}
+		}
+	}
+	return best, found
+}
+
+// rendezvousWeight returns the weight of a member for a key. FNV alone mixes
+// the last bytes badly, so that its result is mixed once more.
+func rendezvousWeight(id ident.InstanceID, key string) uint64 {
+	const (
+		offset = 14695981039346656037
+		prime  = 1099511628211
+	)
+	h := uint64(offset)
+	for i := range len(id) {
+		h = (h ^ uint64(id[i])) * prime
+	}
+	h = (h ^ 0xff) * prime
+	for i := range len(key) {
+		h = (h ^ uint64(key[i])) * prime
+	}
+	return mix(h)
+}
+
+// mix spreads the bits of h (the finaliser of MurmurHash3).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	h ^= h >> 33
+	return h
+}
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
@@ -14,6 +15,9 @@
 	"monsoonfork/core/ident"
 )
 
+// ErrReplaced says that another process answers at an instance's address.
+var ErrReplaced = errors.New("another process answers at this address")
+
 // dialedSession is the session to one address. Its lock serialises dialling.
 type dialedSession struct {
 	address ident.Address
@@ -44,10 +48,7 @@
 	if !ok {
 		return fault.New(fault.PeerUnavailable, "no address of instance %s", to)
 	}
-	remote, err := l.call(ctx, address, to, method, req, resp)
-	if err == nil && remote.Instance != to {
-		return fault.New(fault.PeerUnavailable, "instance %s was replaced by %s", to, remote.Instance)
-	}
+	_, err := l.call(ctx, address, to, method, req, resp)
 	return err
 }
 
@@ -84,7 +85,8 @@
 	}
 	if want != "" && remote.Instance != want {
 		l.metrics.failures.Inc(1)
-		return remote, fault.New(fault.PeerUnavailable, "instance %s was replaced by %s", want, remote.Instance)
+		err := errors.Wrapf(ErrReplaced, "%s at %s", remote.Instance, address)
+		return remote, fault.Wrap(err, fault.PeerUnavailable, "instance %s is not there", want)
 	}
 	reply, err := exchange(ctx, session, method, req)
 	if err != nil {
