Membership: members speak for their own domain; tell others before a planned stop

Cause: an instance heard only two members of each other domain, so that owners chosen over all domains differed between instances; and a stopping instance was known as leaving only after the balancer's delay. Change: a domain's view is taken over as a member of it reports it, and kept alive while the hashes agree. Leave comes before the balancer's delay.

--- a/core/kernel/node.go
+++ b/core/kernel/node.go
@@ -94,11 +94,17 @@
 // Draining reports whether a planned stop has begun.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
-// Drain begins the planned stop: the instance reports not ready, waits until
-// the balancer has seen it, then drains the roles, the last started first.
+// Drain makes the planned stop: the instance reports not ready and tells the
+// others that it leaves, waits until the balancer has seen it, then drains the
+// roles, the last started first.
 func (n *Node) Drain(ctx context.Context) error {
 	n.draining.Store(true)
 	_ = level.Info(n.Log).Log("msg", "draining")
+	for _, s := range n.reversed() {
+		if s.running.Leave != nil {
+			s.running.Leave()
+		}
+	}
 	delay := time.Duration(n.Settings.BalancerDelayMS) * time.Millisecond
 	select {
 	case <-time.After(delay):
--- a/core/kernel/role.go
+++ b/core/kernel/role.go
@@ -19,6 +19,7 @@
 
 // Running is a started role. Any field may be nil.
 type Running struct {
+	Leave func()                          // A planned stop begins: others should turn elsewhere.
 	Drain func(ctx context.Context) error // Finishes work under way; no new work comes.
 	Close func() error                    // Stops and waits.
 	Dump  func() any                      // State for operators, as JSON.
--- a/core/membership/heartbeat.go
+++ b/core/membership/heartbeat.go
@@ -130,6 +130,10 @@
 	s.heard(reply.GetSelf(), reply.GetRevision())
 	if s.differs(m, reply) {
 		_ = s.learn(ctx, m.PeerAddress)
+		return
+	}
+	if m.Domain != s.Table.Self().Domain {
+		s.Table.Confirmed(m.Domain)
 	}
 }
 
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -85,7 +85,7 @@
 	kernel.Provide(n, s)
 	s.run()
 	return &kernel.Running{
-		Drain: func(context.Context) error { return nil },
+		Leave: s.Leave,
 		Close: s.Close,
 		Dump:  func() any { return s.Table.View().Members() },
 	}, nil
@@ -205,11 +205,22 @@
 // learn asks whoever answers at an address for its view.
 func (s *Service) learn(ctx context.Context, address ident.Address) error {
 	reply := &ViewReply{}
-	if _, err := s.links.CallAddress(ctx, address, methodView, &ViewRequest{}, reply); err != nil {
+	remote, err := s.links.CallAddress(ctx, address, methodView, &ViewRequest{}, reply)
+	if err != nil {
 		return err
 	}
+	var reported []Member
 	for _, r := range reply.GetMembers() {
-		s.Table.Learned(memberFrom(r))
+		m := memberFrom(r)
+		s.Table.Learned(m)
+		if m.Domain == remote.Domain {
+			reported = append(reported, m)
+		}
+	}
+	// Members speak for their own domain: what they report live there is
+	// taken as live here, so that owners are the same seen from anywhere.
+	if remote.Domain != s.Table.Self().Domain {
+		s.Table.Reported(remote.Domain, reported)
 	}
 	return nil
 }
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -126,6 +126,50 @@
 	t.publish()
 }
 
+// Reported takes over the live members of another domain as one of them
+// reported them. Members that are missing from the report count as silent.
+func (t *Table) Reported(domain ident.DomainID, reported []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[ident.InstanceID]bool, len(reported))
+	changed := false
+	for _, m := range reported {
+		listed[m.ID] = true
+		old, known := t.members[m.ID]
+		if known && old.State == Gone {
+			continue
+		}
+		changed = changed || !known || old.State != m.State
+		m.Revision = old.Revision
+		m.LastHeard = t.now()
+		t.members[m.ID] = m
+	}
+	for id, m := range t.members {
+		if m.Domain == domain && m.State == Live && !listed[id] {
+			m.State = Silent
+			t.members[id] = m
+			changed = true
+		}
+	}
+	if changed {
+		t.publish()
+	}
+}
+
+// Confirmed records that a member of another domain has the same view of it
+// as this daemon.
+func (t *Table) Confirmed(domain ident.DomainID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, m := range t.members {
+		if m.Domain == domain && (m.State == Live || m.State == Leaving) {
+			m.LastHeard = t.now()
+			t.members[id] = m
+		}
+	}
+	t.refresh()
+}
+
 // Ended records that the process of a member has ended.
 func (t *Table) Ended(id ident.InstanceID) {
 	t.mu.Lock()
