--- /dev/null
+++ b/core/budget/reservation.go
@@ -0,0 +1,60 @@
+package budget
+
+import (
+	"time"
+
+	"monsoonfork/core/ident"
+)
+
+// reservation is what one request was charged, until it is settled.
+type reservation struct {
+	org     ident.OrganisationID
+	charged ident.Tokens
+	minted  []Interval // The tokens charged, oldest first.
+}
+
+// reservations holds the open reservations of a home. A settled or dropped id
+// is gone for good: a second refund finds nothing.
+type reservations struct {
+	next uint64
+	open map[uint64]reservation
+}
+
+// newReservations returns an empty table that numbers from first upwards.
+func newReservations(first uint64) *reservations {
+	return &reservations{next: first, open: make(map[uint64]reservation)}
+}
+
+// add opens a reservation and returns its id.
+func (r *reservations) add(res reservation) uint64 {
+	id := r.next
+	r.next++
+	r.open[id] = res
+	return id
+}
+
+// settle closes a reservation and returns the unused tokens, the youngest of
+// those charged, with their original times.
+func (r *reservations) settle(id uint64, used ident.Tokens) (res reservation, unused []Interval, ok bool) {
+	res, ok = r.open[id]
+	if !ok {
+		return reservation{}, nil, false
+	}
+	delete(r.open, id)
+	_, unused = cut(res.minted, float64(used))
+	return res, unused, true
+}
+
+// dropExpired forgets reservations whose refund would be worth nothing, since
+// all their tokens are older than window. It returns the ids dropped.
+func (r *reservations) dropExpired(now Instant, window time.Duration) int {
+	oldest := now.Add(-window)
+	dropped := 0
+	for id, res := range r.open {
+		if n := len(res.minted); n == 0 || res.minted[n-1].End < oldest {
+			delete(r.open, id)
+			dropped++
+		}
+	}
+	return dropped
+}
