--- /dev/null
+++ b/core/claims/role.go
@@ -0,0 +1,82 @@
+package claims
+
+import (
+	"context"
+	"time"
+
+	"monsoonfork/core/config"
+	"monsoonfork/core/kernel"
+	"monsoonfork/core/membership"
+	"monsoonfork/io/peer"
+	"monsoonfork/io/store"
+)
+
+func init() {
+	kernel.Register(kernel.Role{
+		Name:    "Claims",
+		Summary: "lets a call that may not be repeated run at most once",
+		After:   []string{"Membership", "Config"},
+		Start:   start,
+	})
+}
+
+// start is the role's constructor.
+func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
+	links, err := kernel.Need[*peer.Links](n)
+	if err != nil {
+		return nil, err
+	}
+	table, err := kernel.Need[*membership.Table](n)
+	if err != nil {
+		return nil, err
+	}
+	holder, err := kernel.Need[*config.Holder](n)
+	if err != nil {
+		return nil, err
+	}
+	client, err := kernel.Need[*store.Client](n)
+	if err != nil {
+		return nil, err
+	}
+	s := newService(options{
+		self:      n.ID,
+		logger:    n.Log,
+		now:       n.Now,
+		view:      table.View,
+		links:     links,
+		store:     storeOf(client),
+		retention: func() time.Duration { return retentionOf(holder) },
+		registry:  n.Metrics,
+	})
+	kernel.Provide(n, s)
+	return &kernel.Running{Close: s.Close, Dump: s.dump}, nil
+}
+
+// storeOf returns the calls of a client that logs use.
+func storeOf(c *store.Client) Store {
+	return Store{Get: c.Get, List: c.List, CompareAndSwap: c.CompareAndSwap, Delete: c.Delete}
+}
+
+// retentionOf returns how long claims are kept, as the text says.
+func retentionOf(h *config.Holder) time.Duration {
+	snapshot := h.Current()
+	if snapshot == nil || snapshot.Text == nil || snapshot.Text.Policy.ClaimRetentionSeconds <= 0 {
+		return defaultRetention
+	}
+	return time.Duration(snapshot.Text.Policy.ClaimRetentionSeconds) * time.Second
+}
+
+// dumped is the state of the role for operators.
+type dumped struct {
+	Granted, Replayed, Refused, StoreFailed int64
+}
+
+// dump returns the state of the role.
+func (s *Service) dump() any {
+	return dumped{
+		Granted:     s.metrics.granted.Count(),
+		Replayed:    s.metrics.replayed.Count(),
+		Refused:     s.metrics.refused.Count(),
+		StoreFailed: s.metrics.failed.Count(),
+	}
+}
--- /dev/null
+++ b/core/membership/membership_test.go
@@ -0,0 +1,200 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"monsoonfork/core/config"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/kernel"
+	"monsoonfork/core/settings"
+	"monsoonfork/io/peer"
+)
+
+// testHeartbeat is the heartbeat interval of the tests.
+const testHeartbeat = 50 * time.Millisecond
+
+// testService starts a service on a free port, or on address if given.
+func testService(t *testing.T, name string, domain ident.DomainID, address ident.Address, first ...ident.Address) *Service {
+	t.Helper()
+	n := kernel.NewNode(&settings.Settings{
+		Name:        name,
+		Domain:      domain,
+		HeartbeatMS: testHeartbeat.Milliseconds(),
+		FirstPeers:  first,
+	}, log.NewNopLogger())
+	links := peer.New(n.ID, domain, log.NewNopLogger())
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	bound, err := links.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := Member{ID: n.ID, Domain: domain, PeerAddress: bound, Started: n.Started}
+	s := newService(NewTable(self, log.NewNopLogger(), time.Now), links, config.NewHolder(), n)
+	s.run()
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// waitState waits until s sees id in the given state.
+func waitState(t *testing.T, s *Service, id ident.InstanceID, want State) {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	for {
+		m, ok := s.Table.View().Member(id)
+		if ok && m.State == want {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("%s sees %s as %v (known %v), want %v", s.Table.Self().ID, id, m.State, ok, want)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func TestMembersFindEachOtherThroughOneFirstPeer(t *testing.T) {
+	a := testService(t, "a", "d1", "")
+	first := a.Table.Self().PeerAddress
+	all := []*Service{
+		a,
+		testService(t, "b", "d1", "", first),
+		testService(t, "c", "d2", "", first),
+		testService(t, "d", "d2", "", first),
+	}
+	for _, s := range all {
+		for _, other := range all {
+			waitState(t, s, other.Table.Self().ID, Live)
+		}
+	}
+	for shard := range 20 {
+		key := fmt.Sprint("key/", shard)
+		want, _ := a.Table.View().GlobalOwner(key)
+		for _, s := range all {
+			if got, _ := s.Table.View().GlobalOwner(key); got.ID != want.ID {
+				t.Errorf("owner of %s: %s says %s, want %s", key, s.Table.Self().ID, got.ID, want.ID)
+			}
+		}
+	}
+}
+
+func TestCutDomainIsSilentNotGoneAndComesBack(t *testing.T) {
+	a := testService(t, "a", "d1", "")
+	b := testService(t, "b", "d2", "", a.Table.Self().PeerAddress)
+	idA, idB := a.Table.Self().ID, b.Table.Self().ID
+	waitState(t, a, idB, Live)
+	waitState(t, b, idA, Live)
+	a.links.Gate().Cut("d2")
+	waitState(t, a, idB, Silent)
+	waitState(t, b, idA, Silent)
+	a.links.Gate().Cut()
+	waitState(t, a, idB, Live)
+	waitState(t, b, idA, Live)
+}
+
+func TestEndedProcessIsGone(t *testing.T) {
+	a := testService(t, "a", "d1", "")
+	b := testService(t, "b", "d1", "", a.Table.Self().PeerAddress)
+	idB := b.Table.Self().ID
+	waitState(t, a, idB, Live)
+	_ = b.Close()
+	waitState(t, a, idB, Gone)
+}
+
+func TestReplacedProcessIsGoneAndItsSuccessorLives(t *testing.T) {
+	a := testService(t, "a", "d1", "")
+	b := testService(t, "b", "d1", "", a.Table.Self().PeerAddress)
+	idB := b.Table.Self().ID
+	waitState(t, a, idB, Live)
+	address := b.Table.Self().PeerAddress
+	_ = b.Close()
+	successor := testService(t, "b", "d1", address, a.Table.Self().PeerAddress)
+	waitState(t, a, idB, Gone)
+	waitState(t, a, successor.Table.Self().ID, Live)
+}
+
+func TestLeavingMemberOwnsNothing(t *testing.T) {
+	a := testService(t, "a", "d1", "")
+	b := testService(t, "b", "d1", "", a.Table.Self().PeerAddress)
+	idB := b.Table.Self().ID
+	waitState(t, a, idB, Live)
+	b.Leave()
+	waitState(t, a, idB, Leaving)
+	for i := range 50 {
+		if owner, _ := a.Table.View().Owner("d1", fmt.Sprint(i)); owner.ID == idB {
+			t.Fatalf("leaving member owns key %d", i)
+		}
+	}
+}
+
+func TestPausedDaemonForgivesTheOthers(t *testing.T) {
+	now := time.Now()
+	self := Member{ID: "a-1", Domain: "d1"}
+	s := &Service{
+		Table:    NewTable(self, log.NewNopLogger(), func() time.Time { return now }),
+		now:      func() time.Time { return now },
+		interval: testHeartbeat,
+		last:     now,
+	}
+	s.Table.Heard(Member{ID: "b-1", Domain: "d1", PeerAddress: "127.0.0.1:1"}, 0)
+	now = now.Add(time.Minute) // The process did not run meanwhile.
+	s.noticePause()
+	s.expire()
+	if m, _ := s.Table.View().Member("b-1"); m.State != Live {
+		t.Errorf("member is %v after this process was paused, want Live", m.State)
+	}
+}
+
+// A member that leaves moves only the keys that it owned.
+func TestOwnersMoveOnlyWithTheirMember(t *testing.T) {
+	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	properties.Property("only keys of the removed member move", prop.ForAll(
+		func(count, removed int) bool {
+			removed %= count
+			members := make(map[ident.InstanceID]Member)
+			for i := range count {
+				id := ident.InstanceID(fmt.Sprint("m", i))
+				members[id] = Member{ID: id, Domain: "d"}
+			}
+			before := newView(Member{}, members)
+			gone := ident.InstanceID(fmt.Sprint("m", removed))
+			rest := make(map[ident.InstanceID]Member)
+			for id, m := range members {
+				if id != gone {
+					rest[id] = m
+				}
+			}
+			after := newView(Member{}, rest)
+			for k := range 100 {
+				key := fmt.Sprint("k", k)
+				old, _ := before.Owner("d", key)
+				now, _ := after.Owner("d", key)
+				if old.ID != gone && now.ID != old.ID {
+					return false
+				}
+			}
+			return true
+		},
+		gen.IntRange(2, 43), gen.IntRange(0, 1000),
+	))
+	properties.TestingRun(t)
+}
+
+func BenchmarkOwner(b *testing.B) {
+	members := make(map[ident.InstanceID]Member)
+	for i := range 43 {
+		id := ident.NewInstanceID(fmt.Sprint("m", i))
+		members[id] = Member{ID: id, Domain: "d"}
+	}
+	v := newView(Member{}, members)
+	for b.Loop() {
+		v.Owner("d", "organisation-17")
+	}
+}
