--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -4,14 +4,13 @@
 
 import (
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
-	"strings"
-
-	"go.yaml.in/yaml/v3"
+	"slices"
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/strictyaml"
 )
 
 // Settings are the settings of one daemon. All that operators decide for the
@@ -43,13 +42,19 @@
 // Enabled reports whether links use TLS.
 func (t TLS) Enabled() bool { return t.CertFile != "" }
 
-// Defaults for settings that may be left out.
+// Defaults and ranges of settings.
 const (
 	defaultHeartbeatMS     = 500
+	minHeartbeatMS         = 50
+	maxHeartbeatMS         = 10_000
 	defaultBalancerDelayMS = 2000
+	maxBalancerDelayMS     = 60_000
 	defaultLogLevel        = "info"
 )
 
+// logLevels are the values of LogLevel.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 // Load reads and checks the settings in a file.
 func Load(path string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
@@ -59,111 +64,82 @@
 	return Decode(raw)
 }
 
-// Decode reads and checks settings. Unknown fields are errors.
+// Decode reads and checks settings. The error lists all problems, each with
+// its line and field.
 func Decode(raw []byte) (*Settings, error) {
 	s := &Settings{
 		HeartbeatMS:     defaultHeartbeatMS,
 		BalancerDelayMS: defaultBalancerDelayMS,
 		LogLevel:        defaultLogLevel,
 	}
-	dec := yaml.NewDecoder(strings.NewReader(string(raw)))
-	dec.KnownFields(true)
-	if err := dec.Decode(s); err != nil {
-		return nil, fault.Wrap(err, fault.BadSettings, "settings")
-	}
-	var root yaml.Node
-	if err := yaml.Unmarshal(raw, &root); err != nil {
-		return nil, fault.Wrap(err, fault.BadSettings, "settings")
+	doc, found := strictyaml.Decode(raw, s)
+	c := checker{strictyaml.NewChecker(doc, found)}
+	if !doc.Unreadable {
+		s.check(c)
 	}
-	if problems := s.check(fieldLines(&root)); len(problems) > 0 {
-		return nil, fault.New(fault.BadSettings, "%s", strings.Join(problems, "; "))
+	if problems := c.Problems(); len(problems) > 0 {
+		return nil, fault.New(fault.BadSettings, "%v", problems)
 	}
 	return s, nil
 }
 
-// fieldLines returns the line of each top-level field.
-func fieldLines(root *yaml.Node) map[string]int {
-	lines := make(map[string]int)
-	if len(root.Content) == 0 {
-		return lines
-	}
-	fields := root.Content[0].Content
-	for i := 0; i+1 < len(fields); i += 2 {
-		lines[fields[i].Value] = fields[i].Line
-	}
-	return lines
-}
+// checker collects the problems of settings.
+type checker struct{ *strictyaml.Checker }
 
-// check returns one message for each wrong field.
-func (s *Settings) check(lines map[string]int) []string {
-	var problems []string
-	report := func(field, format string, args ...any) {
-		message := fmt.Sprintf(format, args...)
-		problems = append(problems, fmt.Sprintf("line %d: %s: %s", lines[field], field, message))
-	}
-	if s.Name == "" {
-		report("Name", "is missing; give the name of this instance")
-	}
-	if s.Domain == "" {
-		report("Domain", "is missing; give the failure domain of this instance")
-	}
-	required := []struct {
-		field   string
-		address ident.Address
-	}{
-		{"CallerAddress", s.CallerAddress},
-		{"PeerAddress", s.PeerAddress},
-		{"OperatorAddress", s.OperatorAddress},
-	}
-	for _, r := range required {
-		if message := checkAddress(r.address); message != "" {
-			report(r.field, "%s", message)
-		}
-	}
-	if len(s.StoreAddresses) == 0 {
-		report("StoreAddresses", "is missing; give at least one host:port of the key-value service")
-	}
-	lists := map[string][]ident.Address{"StoreAddresses": s.StoreAddresses, "FirstPeers": s.FirstPeers}
-	for field, list := range lists {
-		for _, a := range list {
-			if message := checkAddress(a); message != "" {
-				report(field, "%s", message)
-			}
-		}
+// check adds the problems that the types of the fields do not show.
+func (s *Settings) check(c checker) {
+	c.present("Name", s.Name)
+	c.present("Domain", string(s.Domain))
+	c.address("CallerAddress", s.CallerAddress)
+	c.address("PeerAddress", s.PeerAddress)
+	c.address("OperatorAddress", s.OperatorAddress)
+	if len(s.StoreAddresses) == 0 && !c.Failed("StoreAddresses") {
+		c.Add("StoreAddresses", "is missing", "give at least one host:port of the key-value service")
+	}
+	for i, a := range s.StoreAddresses {
+		c.address(fmt.Sprintf("StoreAddresses[%d]", i), a)
+	}
+	for i, a := range s.FirstPeers {
+		c.address(fmt.Sprintf("FirstPeers[%d]", i), a)
 	}
 	if s.InstanceListAddress != "" {
-		if message := checkAddress(s.InstanceListAddress); message != "" {
-			report("InstanceListAddress", "%s", message)
-		}
-	}
-	if s.HeartbeatMS < 50 || s.HeartbeatMS > 10_000 {
-		report("HeartbeatMS", "is %d; give 50 to 10000", s.HeartbeatMS)
-	}
-	if s.BalancerDelayMS < 0 {
-		report("BalancerDelayMS", "is %d; give 0 or more", s.BalancerDelayMS)
+		c.address("InstanceListAddress", s.InstanceListAddress)
 	}
-	switch s.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		report("LogLevel", "is %q; give debug, info, warn or error", s.LogLevel)
+	c.between("HeartbeatMS", s.HeartbeatMS, minHeartbeatMS, maxHeartbeatMS)
+	c.between("BalancerDelayMS", s.BalancerDelayMS, 0, maxBalancerDelayMS)
+	if !slices.Contains(logLevels, s.LogLevel) && !c.Failed("LogLevel") {
+		c.Addf("LogLevel", "give debug, info, warn or error", "%q is not a level", s.LogLevel)
 	}
 	if s.TLS.Enabled() && (s.TLS.KeyFile == "" || s.TLS.CAFile == "") {
-		report("TLS", "needs CertFile, KeyFile and CAFile together")
+		c.Add("TLS", "is incomplete", "give CertFile, KeyFile and CAFile together")
 	}
-	return problems
 }
 
-// checkAddress returns what is wrong with an address, or "".
-func checkAddress(a ident.Address) string {
-	host, port, err := net.SplitHostPort(string(a))
-	if err != nil {
-		return fmt.Sprintf("%q is not host:port, such as 127.0.0.1:8080", a)
+// present checks that a field has a value.
+func (c checker) present(path, value string) {
+	if value == "" && !c.Failed(path) {
+		c.Add(path, "is missing", "write a name")
+	}
+}
+
+// address checks that a field holds an IP number and a port.
+func (c checker) address(path string, a ident.Address) {
+	const right = "give an IP number and a port, such as 127.0.0.1:8080"
+	if c.Failed(path) {
+		return
+	}
+	if a == "" {
+		c.Add(path, "is missing", right)
+		return
 	}
-	if net.ParseIP(host) == nil {
-		return fmt.Sprintf("%q does not start with an IP number, such as 127.0.0.1:8080", a)
+	if _, err := netip.ParseAddrPort(string(a)); err != nil {
+		c.Addf(path, right, "%q is not an address", a)
 	}
-	if port == "" {
-		return fmt.Sprintf("%q has no port", a)
+}
+
+// between checks the range of a number.
+func (c checker) between(path string, value, lowest, highest int64) {
+	if (value < lowest || value > highest) && !c.Failed(path) {
+		c.Addf(path, fmt.Sprintf("give %d to %d", lowest, highest), "%d is out of range", value)
 	}
-	return ""
 }
--- /dev/null
+++ b/core/settings/settings_test.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"monsoonfork/core/fault"
+)
+
+// good is a whole set of settings.
+const good = `Name: a
+Domain: nl-west-a
+CallerAddress: 127.0.0.1:8080
+PeerAddress: 127.0.0.1:8081
+OperatorAddress: 127.0.0.1:8082
+StoreAddresses: [127.0.0.1:8500]
+FirstPeers: [127.0.0.1:8181]
+`
+
+func TestDecodeFillsDefaults(t *testing.T) {
+	s, err := Decode([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.HeartbeatMS != defaultHeartbeatMS || s.LogLevel != "info" || s.Domain != "nl-west-a" {
+		t.Errorf("got %+v", s)
+	}
+}
+
+func TestBadSettingsNameLineAndField(t *testing.T) {
+	cases := map[string]struct{ replace, with, want string }{
+		"unknown field":    {"Name: a", "Name: a\nNaem: b", "line 2: Naem"},
+		"missing name":     {"Name: a\n", "", "Name: is missing"},
+		"host name":        {"CallerAddress: 127.0.0.1:8080", "CallerAddress: localhost:8080", "line 3: CallerAddress: \"localhost:8080\""},
+		"no port":          {"PeerAddress: 127.0.0.1:8081", "PeerAddress: 127.0.0.1", "line 4: PeerAddress"},
+		"no store":         {"StoreAddresses: [127.0.0.1:8500]\n", "", "StoreAddresses: is missing"},
+		"bad peer":         {"[127.0.0.1:8181]", "[x]", "line 7: FirstPeers[0]"},
+		"bad level":        {"Name: a", "Name: a\nLogLevel: loud", "line 2: LogLevel"},
+		"heartbeat range":  {"Name: a", "Name: a\nHeartbeatMS: 0", "line 2: HeartbeatMS: 0 is out of range; give 50 to 10000"},
+		"wrong type":       {"Name: a", "Name: a\nHeartbeatMS: fast", "line 2: HeartbeatMS"},
+		"half of TLS":      {"Name: a", "Name: a\nTLS: {CertFile: c.pem}", "TLS: is incomplete"},
+		"not YAML":         {good, "\tName", "line 1"},
+		"an empty file":    {good, "", "empty"},
+		"several problems": {"Name: a\nDomain: nl-west-a", "Domain: ''", "Domain: is missing"},
+	}
+	for name, c := range cases {
+		_, err := Decode([]byte(strings.Replace(good, c.replace, c.with, 1)))
+		if !fault.Is(err, fault.BadSettings) {
+			t.Errorf("%s: got %v, want BadSettings", name, err)
+			continue
+		}
+		if !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error does not contain %q:\n%v", name, c.want, err)
+		}
+	}
+}
+
+func TestLoadNamesAMissingFile(t *testing.T) {
+	_, err := Load("no-such-file.yaml")
+	if !fault.Is(err, fault.BadSettings) || !strings.Contains(err.Error(), "no-such-file.yaml") {
+		t.Errorf("got %v", err)
+	}
+}
