--- a/core/strictyaml/decode.go
+++ b/core/strictyaml/decode.go
@@ -50,10 +50,10 @@
 }
 
 // addSyntaxError records an error of the YAML parser, which names its line in
-// the message only.
+// the message only, and no line when it is the first.
 func (d *decoder) addSyntaxError(err error) {
 	message := strings.TrimPrefix(err.Error(), "yaml: ")
-	line := 0
+	line := 1
 	if n, scanErr := fmt.Sscanf(message, "line %d:", &line); n == 1 && scanErr == nil {
 		_, message, _ = strings.Cut(message, ": ")
 	}
