--- a/core/budget/limit.go
+++ b/core/budget/limit.go
@@ -26,3 +26,37 @@
 func (l Limit) part(parts int) ident.TokensPerSecond {
 	return l.Rate / ident.TokensPerSecond(parts)
 }
+
+// shareGrowthGrace is how long a larger part of each slot waits: until the
+// smaller parts are in force everywhere, and leases under the old number of
+// slots are over.
+const shareGrowthGrace = 4*time.Second + leaseLength + leaseMargin
+
+// partsGate delays a growth of the slots' part of the rate. The number of equal
+// parts is that of all slots in all domains.
+type partsGate struct {
+	parts   int     // In force; 0 before the first text.
+	growTo  int     // Smaller number of parts that waits; 0 when none does.
+	growsAt Instant // When it comes into force.
+}
+
+// update returns the number of parts in force now, given that of the text. A
+// larger number takes effect at once. With a smaller one, each part grows: this
+// waits, and then restart says that what was minted before must be forgotten.
+func (g *partsGate) update(now Instant, wanted int) (parts int, restart bool) {
+	if g.parts == 0 || wanted >= g.parts {
+		g.parts = wanted
+		g.growTo = 0
+		return g.parts, false
+	}
+	if g.growTo != wanted {
+		g.growTo = wanted
+		g.growsAt = now.Add(shareGrowthGrace)
+	}
+	if now < g.growsAt {
+		return g.parts, false
+	}
+	g.parts = wanted
+	g.growTo = 0
+	return g.parts, true
+}
--- a/core/budget/reservation.go
+++ b/core/budget/reservation.go
@@ -46,15 +46,12 @@
 }
 
 // dropExpired forgets reservations whose refund would be worth nothing, since
-// all their tokens are older than window. It returns the ids dropped.
-func (r *reservations) dropExpired(now Instant, window time.Duration) int {
-	oldest := now.Add(-window)
-	dropped := 0
+// all their tokens are older than their organisation's window.
+func (r *reservations) dropExpired(now Instant, window func(ident.OrganisationID) time.Duration) {
 	for id, res := range r.open {
-		if n := len(res.minted); n == 0 || res.minted[n-1].End < oldest {
+		n := len(res.minted)
+		if n == 0 || res.minted[n-1].End < now.Add(-window(res.org)) {
 			delete(r.open, id)
-			dropped++
 		}
 	}
-	return dropped
 }
