--- a/cmd/monsoonlab/engine.go
+++ b/cmd/monsoonlab/engine.go
@@ -8,15 +8,6 @@
 	"monsoonfork/io/standin/engine"
 )
 
-const engineUsage = `Usage: monsoonlab engine --role prefill|decode [flags]
-
-Serves a model engine without a model: the times, limits and failures are those
-of an engine, and the answer to a prompt is always the same. Prints one line of
-JSON with its addresses when it serves. Faults are commanded by
-POST /control/fault on the control address, for example
-  {"Kind":"CutStream","AfterTokens":3,"Count":1}
-`
-
 // engineCommand serves an engine.
 type engineCommand struct {
 	listenFlags
@@ -43,6 +34,15 @@
 	Seed           uint64        `default:"1" help:"Seed of random choices."`
 }
 
+// Help is the usage text of the verb.
+func (c *engineCommand) Help() string {
+	return `Serves a model engine without a model: the times, limits and failures are those
+of an engine, and the answer to a prompt is always the same. Prints one line of
+JSON with its addresses when it serves. Faults are commanded by
+POST /control/fault on the control address, for example
+  {"Kind":"CutStream","AfterTokens":3,"Count":1}`
+}
+
 // Run implements the verb.
 func (c *engineCommand) Run(ctx context.Context) error {
 	role := engine.DecodeRole
--- a/cmd/monsoonlab/help.go
+++ b/cmd/monsoonlab/help.go
@@ -2,19 +2,20 @@
 
 import (
 	"fmt"
-	"strings"
-)
-
-const helpUsage = `Usage: monsoonlab help [VERB]
 
-Explains VERB, or lists all verbs.
-`
+	"github.com/alecthomas/kong"
+)
 
 // helpCommand explains verbs.
 type helpCommand struct {
 	Verb string `arg:"" optional:"" help:"Verb to explain."`
 }
 
+// Help is the usage text of the verb.
+func (c *helpCommand) Help() string {
+	return `Explains a verb, or lists all verbs.`
+}
+
 // Run implements the verb.
 func (c *helpCommand) Run() error {
 	if c.Verb == "" {
@@ -25,7 +26,8 @@
 	}
 	for _, v := range verbs() {
 		if v.name == c.Verb {
-			fmt.Print(strings.TrimLeft(v.usage, "\n"))
+			fmt.Println(v.command.(kong.HelpProvider).Help())
+			fmt.Printf("\nFlags: monsoonlab %s --help\n", v.name)
 			return nil
 		}
 	}
--- a/cmd/monsoonlab/service.go
+++ b/cmd/monsoonlab/service.go
@@ -7,14 +7,6 @@
 	"monsoonfork/io/standin/service"
 )
 
-const serviceUsage = `Usage: monsoonlab service [flags]
-
-Serves a planning or ordering application that counts each run: POST /bookings,
-POST /orders, DELETE /bookings/ID, GET /status and GET /addresses/ID. Prints one
-line of JSON with its addresses when it serves. GET /control/record on the
-control address lists the runs.
-`
-
 // serviceCommand serves a plain service.
 type serviceCommand struct {
 	listenFlags
@@ -22,6 +14,14 @@
 	RunTime time.Duration `default:"2ms" help:"Time that each call takes."`
 }
 
+// Help is the usage text of the verb.
+func (c *serviceCommand) Help() string {
+	return `Serves a planning or ordering application that counts each run: POST /bookings,
+POST /orders, DELETE /bookings/ID, GET /status and GET /addresses/ID. Prints one
+line of JSON with its addresses when it serves. GET /control/record on the
+control address lists the runs.`
+}
+
 // Run implements the verb.
 func (c *serviceCommand) Run(ctx context.Context) error {
 	return serveUntilDone(ctx, service.New(
--- a/cmd/monsoonlab/store.go
+++ b/cmd/monsoonlab/store.go
@@ -6,13 +6,6 @@
 	"monsoonfork/io/standin/store"
 )
 
-const storeUsage = `Usage: monsoonlab store [flags]
-
-Serves the key-value service: keys with compare-and-swap, sessions and long
-polls. Prints one line of JSON with its addresses when it serves.
-GET /control/record on the control address counts the calls.
-`
-
 // storeCommand serves a key-value service.
 type storeCommand struct {
 	listenFlags
@@ -20,6 +13,13 @@
 	WriteLimit float64 `default:"500" help:"Writes a second; 0 means no limit."`
 }
 
+// Help is the usage text of the verb.
+func (c *storeCommand) Help() string {
+	return `Serves the key-value service: keys with compare-and-swap, sessions and long
+polls. Prints one line of JSON with its addresses when it serves.
+GET /control/record on the control address counts the calls.`
+}
+
 // Run implements the verb.
 func (c *storeCommand) Run(ctx context.Context) error {
 	return serveUntilDone(ctx, store.New(
--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -1,20 +1,19 @@
 package main
 
-// verb is one verb of the command line.
+// verb is one row of the table of verbs.
 type verb struct {
 	name    string
 	summary string
-	usage   string // Printed by `monsoonlab help NAME`.
-	command any    // Its fields are the flags; its Run method does the work.
+	command any // A pointer to a kong command with Help and Run methods.
 }
 
-// verbs returns the table of all verbs.
+// verbs returns the table of all verbs, in the order in which help shows them.
 func verbs() []verb {
 	return []verb{
-		{"engine", "Serve a stand-in model engine.", engineUsage, &engineCommand{}},
-		{"service", "Serve a stand-in plain service.", serviceUsage, &serviceCommand{}},
-		{"store", "Serve a stand-in key-value service.", storeUsage, &storeCommand{}},
-		{"list", "Serve a stand-in instance list.", listUsage, &listCommand{}},
-		{"help", "Explain a verb.", helpUsage, &helpCommand{}},
+		{"engine", "Serve a stand-in model engine.", &engineCommand{}},
+		{"service", "Serve a stand-in plain service.", &serviceCommand{}},
+		{"store", "Serve a stand-in key-value service.", &storeCommand{}},
+		{"list", "Serve a stand-in instance list.", &listCommand{}},
+		{"help", "Explain a verb.", &helpCommand{}},
 	}
 }
--- a/io/standin/control/middleware.go
+++ b/io/standin/control/middleware.go
@@ -52,11 +52,19 @@
 
 // waitForCaller waits until the caller is gone, then ends the connection.
 func (s *Server) waitForCaller(r *http.Request) {
+	s.WaitUntilGone(r)
+	panic(http.ErrAbortHandler)
+}
+
+// WaitUntilGone waits until the caller of r is gone or the server is closed.
+func (s *Server) WaitUntilGone(r *http.Request) {
+	// The HTTP server notices a closed connection only after the whole body
+	// was read.
+	_, _ = io.Copy(io.Discard, r.Body)
 	select {
 	case <-r.Context().Done():
 	case <-s.Done():
 	}
-	panic(http.ErrAbortHandler)
 }
 
 // failDuring lets the request run on after its connection was cut.
--- a/io/standin/engine/stream.go
+++ b/io/standin/engine/stream.go
@@ -61,7 +61,8 @@
 			panic(http.ErrAbortHandler)
 		}
 		if stalls && out.sent >= stall.AfterTokens {
-			e.stallUntilGone(r)
+			e.server.WaitUntilGone(r)
+			panic(http.ErrAbortHandler)
 		}
 		last := out.sent+1 == running.request.MaxTokens
 		out.send(eventOf(shown, out.sent, last, running))
@@ -81,16 +82,6 @@
 	out.write("data: [DONE]\n\n")
 }
 
-// stallUntilGone keeps the connection open and silent until the caller or the
-// engine closes it.
-func (e *Engine) stallUntilGone(r *http.Request) {
-	select {
-	case <-r.Context().Done():
-	case <-e.server.Done():
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // eventOf returns the event of token i.
 func eventOf(shown source, i int, last bool, w *work) Completion {
 	token := shown.token(i)
--- a/io/standin/store/session.go
+++ b/io/standin/store/session.go
@@ -9,15 +9,15 @@
 	"time"
 )
 
-// behavior says what happens to the keys that a lapsed session held.
-type behavior int
+// atEnd says what happens to the keys that a session held when it ends.
+type atEnd int
 
-//go:generate stringer -type=behavior -linecomment -output=behavior_string.go
+//go:generate stringer -type=atEnd -linecomment -output=session_string.go
 
-// The behaviors of the published API.
+// The values of the published API.
 const (
-	releaseKeys behavior = iota // release
-	deleteKeys                  // delete
+	releaseKeys atEnd = iota // release
+	deleteKeys               // delete
 )
 
 // session is a lease.
@@ -26,7 +26,7 @@
 	name      string
 	ttl       time.Duration
 	lockDelay time.Duration
-	behavior  behavior
+	atEnd     atEnd
 	expires   time.Time // Zero when the session has no TTL.
 }
 
@@ -34,7 +34,7 @@
 type sessionRequest struct {
 	Name      string `json:"Name"`
 	TTL       string `json:"TTL"`
-	Behavior  string `json:"Behavior"`
+	AtEnd     string `json:"Behavior"` //nolint:misspell // The name in the published API.
 	LockDelay string `json:"LockDelay"`
 }
 
@@ -57,7 +57,7 @@
 	}
 	s := &session{id: newSessionID(), name: request.Name}
 	var err error
-	if s.behavior, err = decodeBehavior(request.Behavior); err != nil {
+	if s.atEnd, err = decodeAtEnd(request.AtEnd); err != nil {
 		return nil, err
 	}
 	if s.ttl, err = decodeDuration(request.TTL); err != nil {
@@ -70,16 +70,15 @@
 	return s, nil
 }
 
-// decodeBehavior returns the behavior with the given name; release is the
-// default.
-func decodeBehavior(name string) (behavior, error) {
+// decodeAtEnd returns the value with the given name; release is the default.
+func decodeAtEnd(name string) (atEnd, error) {
 	switch name {
 	case "", releaseKeys.String():
 		return releaseKeys, nil
 	case deleteKeys.String():
 		return deleteKeys, nil
 	}
-	return releaseKeys, fmt.Errorf("unknown Behavior %q", name)
+	return releaseKeys, fmt.Errorf("unknown end of session %q", name)
 }
 
 // decodeDuration returns a duration that is not negative; empty means zero.
@@ -123,7 +122,7 @@
 		if s.lockDelay > 0 {
 			k.delayed[key] = now.Add(s.lockDelay)
 		}
-		if s.behavior == deleteKeys {
+		if s.atEnd == deleteKeys {
 			k.remove(key)
 			continue
 		}
@@ -131,14 +130,11 @@
 	}
 }
 
-// expire ends all sessions that have lapsed. It returns whether there was one.
-func (k *keyspace) expire(now time.Time) bool {
-	ended := false
+// expire ends all sessions that have lapsed.
+func (k *keyspace) expire(now time.Time) {
 	for _, s := range k.sessions {
 		if s.lapsed(now) {
 			k.end(s, now)
-			ended = true
 		}
 	}
-	return ended
 }
