--- /dev/null
+++ b/lab/process/process_test.go
@@ -0,0 +1,69 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// startStore starts a stand-in and returns it with the address it prints.
+func startStore(t *testing.T, r *Runner) (*Process, string) {
+	t.Helper()
+	path, err := r.Build(t.Context(), "monsoonlab")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := r.Start(Spec{Name: "store", Path: path, Args: []string{"store"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	line, err := p.FirstLine(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ready struct{ Address string }
+	if err := json.Unmarshal([]byte(line), &ready); err != nil {
+		t.Fatal(err)
+	}
+	return p, ready.Address
+}
+
+func TestRunnerEndsWhatItStarted(t *testing.T) {
+	r, err := NewRunner()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, address := startStore(t, r)
+	if err := p.Pause(); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := net.Dial("tcp", address); err == nil {
+		t.Error("the process still listens")
+	}
+	if _, err := os.Stat(r.Dir()); err == nil {
+		t.Error("the directory is still there")
+	}
+}
+
+func TestTerminateIsGraceful(t *testing.T) {
+	r, err := NewRunner()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = r.Close() })
+	p, _ := startStore(t, r)
+	if err := p.Terminate(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if err := p.Wait(ctx); err != nil {
+		t.Errorf("%v: %s", err, p.Log())
+	}
+}
