--- /dev/null
+++ b/core/placement/baseline.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/text"
+)
+
+// baselineLoadInterval is the time between two load polls of an entry.
+const baselineLoadInterval = 250 * time.Millisecond
+
+// baseline holds the simple policies that the paired one is compared with.
+// They run in each entry by itself, without a queue or reservations.
+type baseline struct {
+	placement *Placement
+	next      atomic.Uint64 // Round robin counter.
+
+	mu    sync.Mutex
+	loads map[ident.EndpointID]Load
+}
+
+// newBaseline returns the simple policies of an entry.
+func newBaseline(p *Placement) *baseline {
+	b := &baseline{placement: p, loads: make(map[ident.EndpointID]Load)}
+	b.next.Store(rand.Uint64N(1 << 20))
+	return b
+}
+
+// place chooses the engines of a request at once.
+func (b *baseline) place(t *text.Text, r Request) (*Lease, error) {
+	domain := b.domainFor(t, r.Model)
+	prefill, ok := b.choose(t.Policy.Placement, candidates(t, domain, r, text.Prefill))
+	decode, ok2 := b.choose(t.Policy.Placement, candidates(t, domain, r, text.Decode))
+	if !ok || !ok2 {
+		return nil, fault.New(fault.NoEndpoint, "no engines serve %s", r.Model).
+			WithRetryAfter(b.placement.now().Add(retryFloor))
+	}
+	return &Lease{
+		ID: r.LeaseID(), Domain: domain, Prefill: prefill, Decode: decode, placement: b.placement,
+		held: Held{Lease: r.LeaseID(), Prefill: prefill.Name, Decode: decode.Name, Deadline: r.Deadline},
+	}, nil
+}
+
+// domainFor returns the own domain if it serves the model, or another one.
+func (b *baseline) domainFor(t *text.Text, model ident.ModelID) ident.DomainID {
+	if serves(t, b.placement.domain, model) {
+		return b.placement.domain
+	}
+	for _, d := range t.Domains {
+		if serves(t, d, model) {
+			return d
+		}
+	}
+	return b.placement.domain
+}
+
+// candidates returns the engines of a role that may get the request.
+func candidates(t *text.Text, domain ident.DomainID, r Request, role text.EngineRole) []text.Engine {
+	var list []text.Engine
+	for _, e := range enginesOf(t, domain, r.Model) {
+		if e.Role == role && e.State == text.Serving && !r.avoids(e.Name) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// choose picks one of the engines by a simple policy.
+func (b *baseline) choose(policy text.PlacementPolicy, list []text.Engine) (text.Engine, bool) {
+	if len(list) == 0 {
+		return text.Engine{}, false
+	}
+	switch policy {
+	case text.LeastLoad:
+		return b.leastLoaded(list), true
+	case text.TwoChoices:
+		i := rand.IntN(len(list))
+		j := rand.IntN(len(list))
+		return b.leastLoaded([]text.Engine{list[i], list[j]}), true
+	}
+	return list[b.next.Add(1)%uint64(len(list))], true
+}
+
+// leastLoaded returns the engine with the least reported load for its slots;
+// the first of equal ones from a random start.
+func (b *baseline) leastLoaded(list []text.Engine) text.Engine {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	start := rand.IntN(len(list))
+	best := list[start]
+	for i := range list {
+		e := list[(start+i)%len(list)]
+		if b.relative(e) < b.relative(best) {
+			best = e
+		}
+	}
+	return best
+}
+
+// relative returns the reported load of an engine over its slots.
+func (b *baseline) relative(e text.Engine) float64 {
+	l := b.loads[e.Name]
+	return float64(l.Running+l.Waiting) / float64(max(1, e.Slots))
+}
+
+// pollLoads reads the load reports of the engines of the own domain while a
+// policy needs them.
+func (b *baseline) pollLoads(ctx context.Context) {
+	load := b.placement.engines.Load
+	if load == nil {
+		return
+	}
+	for pause(ctx, baselineLoadInterval) {
+		current := b.placement.holder.Current()
+		if current == nil || !policyNeedsLoads(current.Text) {
+			continue
+		}
+		b.readLoads(ctx, current.Text, load)
+	}
+}
+
+// readLoads reads the load report of each engine once.
+func (b *baseline) readLoads(ctx context.Context, t *text.Text, load func(context.Context, text.Engine) (Load, error)) {
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, e := range t.Engines {
+		if e.Domain != b.placement.domain {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			l, err := load(ctx, e)
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			b.loads[e.Name] = l
+		}()
+	}
+	wg.Wait()
+}
--- a/core/placement/dispatcher.go
+++ b/core/placement/dispatcher.go
@@ -159,6 +159,7 @@
 	}
 	id := r.LeaseID()
 	if l, ok := d.leases[id]; ok {
+		l.answer = answer
 		answer <- Decision{Grant: d.grantOf(l)}
 		return answer
 	}
@@ -185,18 +186,38 @@
 
 // Cancel takes a request out of the queue, or ends its lease.
 func (d *Dispatcher) Cancel(id LeaseID) {
-	d.mu.Lock()
-	w, ok := d.waiting[id]
-	if ok {
-		d.counts.Cancelled++
-		d.answer(w, Decision{Err: fault.New(fault.CallerGone, "cancelled in the queue").WithRan(fault.NotRun)})
-		// What waited behind it may fit now.
-		d.changed()
+	if !d.cancelWaiting(id) {
+		d.Release(id, Outcome{Result: Cancelled})
 	}
+}
+
+// CancelSubmission undoes the Submit that returned answer. It has no effect
+// when the same attempt was submitted again since.
+func (d *Dispatcher) CancelSubmission(id LeaseID, answer <-chan Decision) {
+	d.mu.Lock()
+	w, waits := d.waiting[id]
+	l, holds := d.leases[id]
+	mine := (waits && w.answer == answer) || (holds && l.answer == answer)
 	d.mu.Unlock()
+	if mine {
+		d.Cancel(id)
+	}
+}
+
+// cancelWaiting takes a request out of the queue. It reports whether the
+// request was there.
+func (d *Dispatcher) cancelWaiting(id LeaseID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w, ok := d.waiting[id]
 	if !ok {
-		d.Release(id, Outcome{Result: Cancelled})
+		return false
 	}
+	d.counts.Cancelled++
+	d.answer(w, Decision{Err: fault.New(fault.CallerGone, "cancelled in the queue").WithRan(fault.NotRun)})
+	// What waited behind it may fit now.
+	d.changed()
+	return true
 }
 
 // PrefillDone notes that the attempt's prefill has answered. Repeating it has
--- a/core/placement/dispatcher_test.go
+++ b/core/placement/dispatcher_test.go
@@ -339,3 +339,18 @@
 		t.Fatalf("error after close = %v, want NotHolder", err)
 	}
 }
+
+func TestLateCancelOfAnEarlierSubmissionHasNoEffect(t *testing.T) {
+	f := newFixture(t, 1)
+	r := f.request("a")
+	first := f.Submit(r, "i1")
+	second := f.Submit(r, "i1")
+	f.CancelSubmission(r.LeaseID(), first)
+	if _, held := f.leases[r.LeaseID()]; !held {
+		t.Fatal("the cancel of the first submission ended the lease of the second")
+	}
+	f.CancelSubmission(r.LeaseID(), second)
+	if _, held := f.leases[r.LeaseID()]; held {
+		t.Fatal("the cancel of the newest submission left the lease")
+	}
+}
--- /dev/null
+++ b/core/placement/generate.go
@@ -0,0 +1,3 @@
+package placement
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative placement.proto
--- a/core/placement/lease.go
+++ b/core/placement/lease.go
@@ -19,10 +19,11 @@
 	prefillTokens ident.Tokens // Expected after prefix hits.
 	prefilling    bool
 	granted       time.Time
-	prefillFreeAt time.Time // Predicted end of the transfer, once prefilled.
-	firstToken    time.Time // Predicted when granted.
-	hashes        []string  // Prefix hashes of the prompt.
-	adopted       bool      // Granted by an earlier dispatcher.
+	prefillFreeAt time.Time       // Predicted end of the transfer, once prefilled.
+	firstToken    time.Time       // Predicted when granted.
+	hashes        []string        // Prefix hashes of the prompt.
+	adopted       bool            // Granted by an earlier dispatcher.
+	answer        <-chan Decision // Of the newest submission.
 }
 
 // reserve counts the lease on its engines.
--- a/core/placement/schedule.go
+++ b/core/placement/schedule.go
@@ -259,6 +259,7 @@
 		granted:       now,
 		hashes:        r.PrefixHashes,
 		firstToken:    p.firstToken,
+		answer:        w.answer,
 	}
 	l.reserve()
 	d.checkGrant(l)
