--- a/core/placement/baseline.go
+++ b/core/placement/baseline.go
@@ -76,10 +76,10 @@
 	if len(list) == 0 {
 		return text.Engine{}, false
 	}
-	switch policy {
-	case text.LeastLoad:
+	if policy == text.LeastLoad {
 		return b.leastLoaded(list), true
-	case text.TwoChoices:
+	}
+	if policy == text.TwoChoices {
 		i := rand.IntN(len(list))
 		j := rand.IntN(len(list))
 		return b.leastLoaded([]text.Engine{list[i], list[j]}), true
--- a/core/placement/fairqueue.go
+++ b/core/placement/fairqueue.go
@@ -119,16 +119,15 @@
 	q.length++
 }
 
-// remove takes a request out. It reports whether the request was there.
-func (q *fairQueue) remove(w *waiting) bool {
+// remove takes a request out, if it is there.
+func (q *fairQueue) remove(w *waiting) {
 	if w.index < 0 {
-		return false
+		return
 	}
 	f := q.flowOf(w.request.Organisation)
 	heap.Remove(&f.requests, w.index)
 	f.tokens -= w.request.cost()
 	q.length--
-	return true
 }
 
 // served charges the organisation for a request that was placed.
--- a/core/placement/learn.go
+++ b/core/placement/learn.go
@@ -41,7 +41,6 @@
 		l.prefillPieces = l.prefill.piecesFor(h.PromptTokens)
 		l.prefillTokens = h.PromptTokens
 	}
-	l.adopted = true
 	l.reserve()
 	d.leases[h.Lease] = l
 	if l.prefilling && l.prefill != nil {
--- a/core/placement/lease.go
+++ b/core/placement/lease.go
@@ -22,7 +22,6 @@
 	prefillFreeAt time.Time       // Predicted end of the transfer, once prefilled.
 	firstToken    time.Time       // Predicted when granted.
 	hashes        []string        // Prefix hashes of the prompt.
-	adopted       bool            // Granted by an earlier dispatcher.
 	answer        <-chan Decision // Of the newest submission.
 }
 
--- a/core/placement/prefix.go
+++ b/core/placement/prefix.go
@@ -6,13 +6,15 @@
 	"monsoonfork/core/ident"
 )
 
+// prefixBlockTokens is the number of tokens between two prefix hashes.
+const prefixBlockTokens ident.Tokens = 256
+
 // Settings of the prefix index.
 const (
-	prefixBlockTokens   ident.Tokens = 256  // Tokens between two prefix hashes.
-	maxPrefixHashes                  = 8192 // Hashes that the index keeps.
-	prefixTrustNum                   = 3    // Part of the indexed saving that
-	prefixTrustDenom                 = 4    // predictions count on.
-	maxEnginesPerPrefix              = 8
+	maxPrefixHashes     = 8192 // Hashes that the index keeps.
+	prefixTrustNum      = 3    // Part of the indexed saving that
+	prefixTrustDenom    = 4    // predictions count on.
+	maxEnginesPerPrefix = 8
 )
 
 // prefixIndex remembers which engines have cached which prompt prefixes. It is
