--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonfork/io/standin/engine"
+	"monsoonfork/lab/workload"
+)
+
+// prompt is the prompt of all test requests; answerLength their max_tokens.
+const (
+	prompt       = "a b c"
+	answerLength = 3
+)
+
+// events returns a streamed answer of n right tokens.
+func events(n int, finished, done bool) string {
+	var b strings.Builder
+	for i, token := range engine.ExpectedTokens(engine.WordsPrompt(prompt), n) {
+		reason := "null"
+		if finished && i == n-1 {
+			reason = `"length"`
+		}
+		_, _ = fmt.Fprintf(&b, "data: {\"choices\":[{\"text\":%q,\"finish_reason\":%s}]}\n\n", engine.TokenText(token), reason)
+	}
+	if done {
+		b.WriteString("data: [DONE]\n\n")
+	}
+	return b.String()
+}
+
+func TestAnswersAreJudged(t *testing.T) {
+	refusal := `{"error":{"type":"overloaded","message":"m","ran":"not run"}}`
+	cases := []struct {
+		name   string
+		kind   workload.Kind
+		stream bool
+		status int
+		ran    string
+		body   string
+		want   Outcome
+	}{
+		{"whole stream", workload.Completion, true, 200, "", events(answerLength, true, true), Whole},
+		{"cut stream", workload.Completion, true, 200, "", events(2, false, false), Broken},
+		{"error in stream", workload.Completion, true, 200, "", events(2, false, false) + "data: {\"error\":{\"message\":\"m\"}}\n\n", Broken},
+		{"truncated stream", workload.Completion, true, 200, "", events(2, true, true), Wrong},
+		{"end without reason", workload.Completion, true, 200, "", events(answerLength, false, true), Wrong},
+		{"token twice", workload.Completion, true, 200, "", events(1, false, false) + events(answerLength, true, true), Wrong},
+		{"whole answer", workload.Completion, false, 200, "", wholeAnswer(answerLength), Whole},
+		{"truncated answer", workload.Completion, false, 200, "", wholeAnswer(2), Wrong},
+		{"refusal", workload.Completion, true, 503, "not run", refusal, NotRun},
+		{"header differs", workload.Completion, true, 503, "ran", refusal, Wrong},
+		{"no error body", workload.Status, false, 502, "", "bad gateway", Wrong},
+		{"booking", workload.Create, false, 201, "", `{"reference":"r"}`, Whole},
+		{"crossed booking", workload.Create, false, 201, "", `{"reference":"s"}`, Wrong},
+		{"status", workload.Status, false, 200, "", `{"status":"ok"}`, Whole},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			handler := func(w http.ResponseWriter, _ *http.Request) {
+				if c.ran != "" {
+					w.Header().Set("X-Ran", c.ran)
+				}
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.body)
+			}
+			server := httptest.NewServer(http.HandlerFunc(handler))
+			defer server.Close()
+			sender := newTestSender(server)
+			defer sender.Close()
+			r := workload.Request{Kind: c.kind, Prompt: prompt, MaxTokens: answerLength, Stream: c.stream, Reference: "r"}
+			result := sender.Send(t.Context(), r)
+			if result.Outcome() != c.want {
+				t.Errorf("%s, want %s: %+v", result.Outcome(), c.want, result.Last())
+			}
+		})
+	}
+}
+
+// wholeAnswer returns an answer of n right tokens that does not stream.
+func wholeAnswer(n int) string {
+	text := engine.ExpectedText(engine.WordsPrompt(prompt), n)
+	return fmt.Sprintf(`{"choices":[{"text":%q,"finish_reason":"length"}]}`, text)
+}
+
+// newTestSender returns a sender to a server.
+func newTestSender(server *httptest.Server) *Sender {
+	address := server.Listener.Addr().String()
+	return NewSender(Config{
+		Workload:  workload.Tuinhulp(),
+		Instances: func() []string { return []string{address} },
+		Timeout:   5 * time.Second,
+		Repeats:   2,
+	})
+}
+
+func TestUnknownOutcomesAreRepeated(t *testing.T) {
+	keys := make(chan string, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		keys <- r.Header.Get("Idempotency-Key")
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	sender := newTestSender(server)
+	defer sender.Close()
+	result := sender.Send(t.Context(), workload.Request{Kind: workload.Cancel, Reference: "r"})
+	if len(keys) != 3 || len(result.Attempts) != 3 || result.Outcome() != NoAnswer || result.SaidNotRun() {
+		t.Errorf("%d calls, %+v", len(keys), result)
+	}
+	for range len(keys) {
+		if key := <-keys; key != "key-r" {
+			t.Errorf("key %q", key)
+		}
+	}
+}
+
+func TestRunReports(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"status":"ok"}`)
+	}))
+	defer server.Close()
+	cfg := newTestSender(server).cfg
+	cfg.Workload.Kinds = map[workload.Kind]workload.Share{workload.Status: 1}
+	cfg.Rate = 200
+	cfg.Seed = 1
+	cfg.Length = 500 * time.Millisecond
+	report := Run(context.Background(), cfg)
+	if n := report.Total(Whole); n < 50 || n != len(report.Results) {
+		t.Errorf("%d of %d whole", n, len(report.Results))
+	}
+	var out bytes.Buffer
+	if err := report.Print(&out); err != nil || !strings.Contains(out.String(), "Status") {
+		t.Errorf("%v: %s", err, out.String())
+	}
+}
