--- /dev/null
+++ b/lab/fleet/instance.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.yaml.in/yaml/v3"
+
+	"monsoonfork/core/ident"
+	"monsoonfork/core/settings"
+	"monsoonfork/lab/process"
+	"monsoonfork/lab/relay"
+)
+
+// pollInterval is the time between two looks whether an instance is ready.
+const pollInterval = 20 * time.Millisecond
+
+// Instance is one instance of monsoonfork. It may be started several times.
+type Instance struct {
+	Name     string
+	Settings settings.Settings
+	Process  *process.Process
+	Starts   int
+	Store    *relay.Relay // Between the instance and the store.
+
+	path string // Of the settings file.
+}
+
+// newInstance prepares instance i.
+func (f *Fleet) newInstance(i int) (*Instance, error) {
+	addresses := make([]ident.Address, 3)
+	for n := range addresses {
+		address, err := process.FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		addresses[n] = ident.Address(address)
+	}
+	storeRelay, err := relay.New(f.Store.Address)
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("entry-%d", i+1)
+	instance := &Instance{Name: name, Store: storeRelay, Settings: settings.Settings{
+		Name:                name,
+		Domain:              f.Spec.domain(i),
+		CallerAddress:       addresses[0],
+		PeerAddress:         addresses[1],
+		OperatorAddress:     addresses[2],
+		StoreAddresses:      []ident.Address{ident.Address(storeRelay.Address())},
+		InstanceListAddress: ident.Address(f.List.Address),
+		LogLevel:            f.Spec.LogLevel,
+		HeartbeatMS:         f.Spec.HeartbeatMS,
+		BalancerDelayMS:     f.Spec.BalancerWait.Milliseconds(),
+		AllowFaults:         f.Spec.AllowFaults,
+	}}
+	if f.Spec.AdmissionLog {
+		instance.Settings.AdmissionLog = f.Runner.Dir() + "/" + name + ".admissions"
+	}
+	if instance.Settings.LogLevel == "" {
+		instance.Settings.LogLevel = "info"
+	}
+	if instance.Settings.HeartbeatMS == 0 {
+		instance.Settings.HeartbeatMS = 500
+	}
+	return instance, nil
+}
+
+// StartInstance starts an instance, or starts it anew after it has ended. It
+// does not wait until it is ready.
+func (f *Fleet) StartInstance(ctx context.Context, i *Instance) error {
+	program, err := f.Runner.Build(ctx, "monsoonfork")
+	if err != nil {
+		return err
+	}
+	raw, err := yaml.Marshal(i.Settings)
+	if err != nil {
+		return err
+	}
+	if i.path, err = f.Runner.WriteFile(i.Name+".yaml", raw); err != nil {
+		return err
+	}
+	i.Starts++
+	i.Process, err = f.Runner.Start(process.Spec{
+		Name: fmt.Sprintf("%s-%d", i.Name, i.Starts),
+		Path: program,
+		Args: []string{"serve", "--settings", i.path},
+		Env:  f.Spec.Env,
+	})
+	return err
+}
+
+// listLine returns the line of the instance in the instance list.
+func (i *Instance) listLine() (host string, port int) {
+	host, text, _ := net.SplitHostPort(string(i.Settings.PeerAddress))
+	port, _ = strconv.Atoi(text)
+	return host, port
+}
+
+// get makes a GET on the operator address and returns status and body.
+func (i *Instance) get(ctx context.Context, path string) (status int, body []byte, err error) {
+	url := "http://" + string(i.Settings.OperatorAddress) + path
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	response, err := operatorClient.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err = io.ReadAll(response.Body)
+	return response.StatusCode, body, err
+}
+
+// operatorClient speaks to operator addresses.
+var operatorClient = &http.Client{
+	Timeout:   5 * time.Second,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+// Ready reports whether the instance says that it is ready.
+func (i *Instance) Ready(ctx context.Context) bool {
+	status, _, err := i.get(ctx, "/readyz")
+	return err == nil && status == http.StatusOK
+}
+
+// WaitReady waits until the instance is ready.
+func (i *Instance) WaitReady(ctx context.Context) error {
+	for !i.Ready(ctx) {
+		select {
+		case <-i.Process.Ended():
+			return fmt.Errorf("%s ended: %s", i.Name, i.Process.Log())
+		case <-ctx.Done():
+			_, body, _ := i.get(context.WithoutCancel(ctx), "/readyz")
+			return fmt.Errorf("%s is not ready: %w: %s", i.Name, ctx.Err(), body)
+		case <-time.After(pollInterval):
+		}
+	}
+	return nil
+}
+
+// Dump decodes the instance's dump into target.
+func (i *Instance) Dump(ctx context.Context, target any) error {
+	status, body, err := i.get(ctx, "/dump")
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("dump of %s: status %d: %s", i.Name, status, body)
+	}
+	return json.Unmarshal(body, target)
+}
