--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -15,6 +15,7 @@
 		{"service", "Serve a stand-in plain service.", serviceUsage, &serviceCommand{}},
 		{"store", "Serve a stand-in key-value service.", storeUsage, &storeCommand{}},
 		{"list", "Serve a stand-in instance list.", listUsage, &listCommand{}},
+		{"bench", "Measure placement policies.", benchUsage, &benchCommand{}},
 		{"help", "Explain a verb.", helpUsage, &helpCommand{}},
 	}
 }
--- /dev/null
+++ b/lab/bench/direct.go
@@ -0,0 +1,166 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"monsoonfork/core/config"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membership"
+	"monsoonfork/core/placement"
+	"monsoonfork/core/text"
+	"monsoonfork/io/peer"
+)
+
+// entry is one instance with nothing but membership and placement. It shows
+// what placement does, without budgets, keys or the callers' protocol.
+type entry struct {
+	id        ident.InstanceID
+	domain    ident.DomainID
+	placement *placement.Placement
+	links     *peer.Links
+	table     *membership.Table
+	holder    *config.Holder
+	member    membership.Member
+	closed    bool
+}
+
+// newEntry starts an instance whose text is not known yet.
+func newEntry(name string, domain ident.DomainID, opts ...placement.ServiceOption) (*entry, error) {
+	id := ident.NewInstanceID(name)
+	links := peer.New(id, domain, log.NewNopLogger())
+	address, err := links.Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	m := membership.Member{ID: id, Domain: domain, PeerAddress: address, Started: time.Now()}
+	e := &entry{id: id, domain: domain, links: links, member: m, holder: config.NewHolder()}
+	e.table = membership.NewTable(m, log.NewNopLogger(), time.Now)
+	links.AddressOf = e.table.AddressOf
+	opts = append([]placement.ServiceOption{placement.WithEngines(engineCalls())}, opts...)
+	e.placement = placement.New(links, e.table, e.holder, log.NewNopLogger(), opts...)
+	return e, nil
+}
+
+// close ends the instance at once, as a crash does.
+func (e *entry) close() {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	_ = e.placement.Close()
+	_ = e.links.Close()
+}
+
+// entries are the instances of a round.
+type entries struct {
+	workload Workload
+	text     *text.Text
+	list     []*entry
+	opts     []placement.ServiceOption
+}
+
+// startEntries starts the instances of a workload and makes them know each
+// other.
+func startEntries(w Workload, t *text.Text, opts ...placement.ServiceOption) (*entries, error) {
+	all := &entries{workload: w, text: t, opts: opts}
+	for _, d := range w.Domains {
+		for i := range d.Instances {
+			e, err := newEntry(fmt.Sprintf("%s-%d", d.Name, i+1), d.Name, opts...)
+			if err != nil {
+				all.close()
+				return nil, err
+			}
+			all.list = append(all.list, e)
+		}
+	}
+	all.meet()
+	for _, e := range all.list {
+		e.holder.Offer(&config.Snapshot{Revision: 1, Text: t})
+		e.placement.Start()
+	}
+	return all, nil
+}
+
+// meet makes all live instances know each other.
+func (all *entries) meet() {
+	for _, a := range all.list {
+		for _, b := range all.list {
+			if !a.closed && !b.closed {
+				a.table.Heard(b.member, 1)
+			}
+		}
+	}
+}
+
+// dispatcherOf returns the instance that dispatches in a domain.
+func (all *entries) dispatcherOf(domain ident.DomainID) *entry {
+	for _, e := range all.list {
+		if e.closed {
+			continue
+		}
+		owner, _ := e.table.View().Owner(domain, "Placement/"+string(modelName))
+		for _, o := range all.list {
+			if o.id == owner.ID {
+				return o
+			}
+		}
+	}
+	return nil
+}
+
+// replace crashes an instance and starts a new one in its place. The others
+// notice after the given time.
+func (all *entries) replace(ctx context.Context, old *entry, notice time.Duration) error {
+	old.close()
+	if !sleep(ctx, notice) {
+		return nil
+	}
+	for _, e := range all.list {
+		if !e.closed {
+			e.table.Ended(old.id)
+		}
+	}
+	e, err := newEntry("replaced", old.domain, all.opts...)
+	if err != nil {
+		return err
+	}
+	all.list = append(all.list, e)
+	all.meet()
+	e.holder.Offer(&config.Snapshot{Revision: 1, Text: all.text})
+	e.placement.Start()
+	return nil
+}
+
+// pick returns the live instance that a balancer would choose.
+func (all *entries) pick(caller uint64) *entry {
+	var live []*entry
+	for _, e := range all.list {
+		if !e.closed {
+			live = append(live, e)
+		}
+	}
+	return live[caller%uint64(len(live))]
+}
+
+// close ends all instances.
+func (all *entries) close() {
+	for _, e := range all.list {
+		e.close()
+	}
+}
+
+// sleep waits for d, and returns false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
