--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -14,6 +14,7 @@
 		{"service", "Serve a stand-in plain service.", &serviceCommand{}},
 		{"store", "Serve a stand-in key-value service.", &storeCommand{}},
 		{"list", "Serve a stand-in instance list.", &listCommand{}},
+		{"bench", "Measure placement policies.", &benchCommand{}},
 		{"help", "Explain a verb.", &helpCommand{}},
 	}
 }
