--- a/core/fault/fault_string.go
+++ b/core/fault/fault_string.go
@@ -26,22 +26,23 @@
 	_ = x[CallInProgress-15]
 	_ = x[CallMismatch-16]
 	_ = x[OutcomeUnknown-17]
-	_ = x[StoreUnavailable-18]
-	_ = x[RevisionConflict-19]
-	_ = x[BadText-20]
-	_ = x[BadSettings-21]
-	_ = x[PeerUnavailable-22]
-	_ = x[NotHolder-23]
-	_ = x[ShuttingDown-24]
-	_ = x[CallerGone-25]
-	_ = x[DeadlineExceeded-26]
-	_ = x[NotFound-27]
-	_ = x[kindCount-28]
+	_ = x[AnswerNotKept-18]
+	_ = x[StoreUnavailable-19]
+	_ = x[RevisionConflict-20]
+	_ = x[BadText-21]
+	_ = x[BadSettings-22]
+	_ = x[PeerUnavailable-23]
+	_ = x[NotHolder-24]
+	_ = x[ShuttingDown-25]
+	_ = x[CallerGone-26]
+	_ = x[DeadlineExceeded-27]
+	_ = x[NotFound-28]
+	_ = x[kindCount-29]
 }
 
-const _Kind_name = "InternalBadRequestRequestTooLargeRequestTimeoutUnknownRouteUnknownModelUnauthenticatedForbiddenKeyWithdrawnRateExceededOverloadedNoEndpointEndpointFailedEndpointTimeoutAnswerBrokenCallInProgressCallMismatchOutcomeUnknownStoreUnavailableRevisionConflictBadTextBadSettingsPeerUnavailableNotHolderShuttingDownCallerGoneDeadlineExceededNotFoundkindCount"
+const _Kind_name = "InternalBadRequestRequestTooLargeRequestTimeoutUnknownRouteUnknownModelUnauthenticatedForbiddenKeyWithdrawnRateExceededOverloadedNoEndpointEndpointFailedEndpointTimeoutAnswerBrokenCallInProgressCallMismatchOutcomeUnknownAnswerNotKeptStoreUnavailableRevisionConflictBadTextBadSettingsPeerUnavailableNotHolderShuttingDownCallerGoneDeadlineExceededNotFoundkindCount"
 
-var _Kind_index = [...]uint16{0, 8, 18, 33, 47, 59, 71, 86, 95, 107, 119, 129, 139, 153, 168, 180, 194, 206, 220, 236, 252, 259, 270, 285, 294, 306, 316, 332, 340, 349}
+var _Kind_index = [...]uint16{0, 8, 18, 33, 47, 59, 71, 86, 95, 107, 119, 129, 139, 153, 168, 180, 194, 206, 220, 233, 249, 265, 272, 283, 298, 307, 319, 329, 345, 353, 362}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -28,6 +28,7 @@
 	CallInProgress               // The same Idempotency-Key is running now.
 	CallMismatch                 // The Idempotency-Key was used with another request.
 	OutcomeUnknown               // The call ran or may have run; its outcome is not known.
+	AnswerNotKept                // The call ran before; its answer was too long to keep.
 	StoreUnavailable             // The platform's key-value service does not answer.
 	RevisionConflict             // The text was changed by someone else meanwhile.
 	BadText                      // The configuration text has errors.
--- a/core/fault/table.go
+++ b/core/fault/table.go
@@ -22,6 +22,7 @@
 	CallInProgress:   {http.StatusConflict, "call_in_progress", MayHaveRun, true},
 	CallMismatch:     {http.StatusUnprocessableEntity, "idempotency_key_reused", NotRun, false},
 	OutcomeUnknown:   {http.StatusConflict, "outcome_unknown", MayHaveRun, false},
+	AnswerNotKept:    {http.StatusConflict, "answer_not_kept", DidRun, false},
 	StoreUnavailable: {http.StatusServiceUnavailable, "store_unavailable", NotRun, true},
 	RevisionConflict: {http.StatusConflict, "revision_conflict", NotRun, false},
 	BadText:          {http.StatusUnprocessableEntity, "invalid_text", NotRun, false},
