--- /dev/null
+++ b/cmd/monsoonlab/help.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/alecthomas/kong"
+)
+
+// helpCommand explains verbs.
+type helpCommand struct {
+	Verb string `arg:"" optional:"" help:"Verb to explain."`
+}
+
+// Help is the usage text of the verb.
+func (c *helpCommand) Help() string {
+	return `Explains a verb, or lists all verbs.`
+}
+
+// Run implements the verb.
+func (c *helpCommand) Run() error {
+	if c.Verb == "" {
+		for _, v := range verbs() {
+			fmt.Printf("%-12s %s\n", v.name, v.summary)
+		}
+		return nil
+	}
+	for _, v := range verbs() {
+		if v.name == c.Verb {
+			fmt.Println(v.command.(kong.HelpProvider).Help())
+			fmt.Printf("\nFlags: monsoonlab %s --help\n", v.name)
+			return nil
+		}
+	}
+	return fmt.Errorf("no verb %q", c.Verb)
+}
