Store client: one engine for the process; Close waits for calls

Cause: nbio's Stop waits for ever when it follows Start closely, since readWriteLoop clears the poller's shutdown mark as it begins. Seen in TestClosedClient (goroutine dump in Engine.Stop). Ruled out: calls under way (none were). Now all clients of a process share one engine that is never stopped, and Close waits for its calls (new test TestCloseEndsCalls). Others that start an nbhttp engine must not Stop it right after Start.

--- a/io/store/client.go
+++ b/io/store/client.go
@@ -42,6 +42,8 @@
 	idle   []*conn
 	open   map[*conn]struct{}
 	closed bool
+
+	underWay sync.WaitGroup // Calls; added to under mu while not closed.
 }
 
 // Option changes a client.
@@ -73,17 +75,26 @@
 	for _, o := range opts {
 		o(c)
 	}
-	c.engine = nbhttp.NewEngine(nbhttp.Config{
+	engine, err := sharedEngine()
+	if err != nil {
+		return nil, fault.Wrap(err, fault.Internal, "cannot start the poller of the store client")
+	}
+	c.engine = engine
+	return c, nil
+}
+
+// sharedEngine returns the engine of all clients of the process. It is never
+// stopped: nbio can wait for ever in a Stop that follows its Start closely,
+// since the poller's loop clears the mark of Stop when it begins.
+var sharedEngine = sync.OnceValues(func() (*nbhttp.Engine, error) {
+	engine := nbhttp.NewEngine(nbhttp.Config{
 		Name:            "store",
 		NPoller:         1,
 		MaxHTTPBodySize: maxAnswerBytes,
 		ReadLimit:       maxAnswerBytes,
 	})
-	if err := c.engine.Start(); err != nil {
-		return nil, fault.Wrap(err, fault.Internal, "cannot start the poller of the store client")
-	}
-	return c, nil
-}
+	return engine, engine.Start()
+})
 
 // register makes the counters in r.
 func (c *Client) register(r metrics.Registry) {
@@ -93,8 +104,8 @@
 	c.failures = metrics.GetOrRegisterCounter("Store.Failures", r)
 }
 
-// Close ends all calls and waits for the poller. Calls that were under way
-// return errors of kind StoreUnavailable.
+// Close ends all calls and waits for them. Calls that were under way return
+// errors of kind StoreUnavailable.
 func (c *Client) Close() error {
 	c.mu.Lock()
 	c.closed = true
@@ -107,7 +118,7 @@
 	for _, cn := range open {
 		c.drop(cn)
 	}
-	c.engine.Stop()
+	c.underWay.Wait()
 	return nil
 }
 
--- a/io/store/client_test.go
+++ b/io/store/client_test.go
@@ -266,6 +266,35 @@
 	wg.Wait()
 }
 
+// TestCloseEndsCalls closes a client in the middle of a long poll.
+func TestCloseEndsCalls(t *testing.T) {
+	f := newFakeStore(t)
+	c, err := New([]ident.Address{f.address()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustSwap(t, c, "k", "one", 0, Written)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := c.Watch(context.Background(), "k", 1000, time.Minute)
+		ended <- err
+	}()
+	for c.CallCounts()["Watch"] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case err := <-ended:
+		if !fault.Is(err, fault.StoreUnavailable) {
+			t.Errorf("error = %v, want kind StoreUnavailable", err)
+		}
+	case <-time.After(time.Second):
+		t.Fatal("Close did not end the watch")
+	}
+}
+
 func TestClosedClient(t *testing.T) {
 	f := newFakeStore(t)
 	c, err := New([]ident.Address{f.address()})
--- a/io/store/conn.go
+++ b/io/store/conn.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer c.underWay.Done()
 	done := make(chan received, 1)
 	// Do dials on this goroutine, within the limit of the context.
 	cn.client.Do(req, func(res *http.Response, _ net.Conn, err error) {
@@ -104,13 +105,15 @@
 }
 
 // take returns an idle connection to address, or a new one that dials within
-// the context when it is first used.
+// the context when it is first used. It counts a call under way, which the
+// caller ends.
 func (c *Client) take(ctx context.Context, address ident.Address, fresh bool) (*conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return nil, fault.Wrap(errNotSent, fault.StoreUnavailable, "the store client is closed")
 	}
+	c.underWay.Add(1)
 	if !fresh {
 		if cn := c.takeIdle(address); cn != nil {
 			return cn, nil
