--- /dev/null
+++ b/io/poller/poller_test.go
@@ -0,0 +1,31 @@
+package poller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+func TestStopRightAfterStart(t *testing.T) {
+	done := make(chan error, 1)
+	go func() {
+		for i := 0; i < 100; i++ {
+			engine := nbhttp.NewEngine(nbhttp.Config{NPoller: 3, ServerExecutor: func(f func()) { go f() }, ClientExecutor: func(f func()) { go f() }})
+			if err := Start(engine); err != nil {
+				done <- err
+				return
+			}
+			engine.Stop()
+		}
+		done <- nil
+	}()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Fatal("Stop did not return")
+	}
+}
