--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,145 @@
+// Package settings holds what one process is told when it starts: its
+// addresses, its failure domain and where the platform's services are.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/strictyaml"
+)
+
+// Settings are the settings of one daemon. All that operators decide for the
+// whole fleet stands in the configuration text instead.
+type Settings struct {
+	Name                string          `yaml:"Name"`                // Name of the instance.
+	Domain              ident.DomainID  `yaml:"Domain"`              // Failure domain of the instance.
+	CallerAddress       ident.Address   `yaml:"CallerAddress"`       // Where callers are served.
+	PeerAddress         ident.Address   `yaml:"PeerAddress"`         // Where other instances connect.
+	OperatorAddress     ident.Address   `yaml:"OperatorAddress"`     // Where operators are served.
+	StoreAddresses      []ident.Address `yaml:"StoreAddresses"`      // The platform's key-value service.
+	InstanceListAddress ident.Address   `yaml:"InstanceListAddress"` // The platform's instance list; may be empty.
+	FirstPeers          []ident.Address `yaml:"FirstPeers"`          // Peer addresses to try at start.
+	TLS                 TLS             `yaml:"TLS"`                 // For links between instances; empty means none.
+	LogLevel            string          `yaml:"LogLevel"`            // debug, info, warn or error.
+	AdmissionLog        string          `yaml:"AdmissionLog"`        // File for one line an admission; empty means none.
+	HeartbeatMS         int64           `yaml:"HeartbeatMS"`         // Interval of heartbeats inside the domain.
+	BalancerDelayMS     int64           `yaml:"BalancerDelayMS"`     // Time that the balancer needs to see a stopping instance.
+	AllowFaults         bool            `yaml:"AllowFaults"`         // Whether tests may command faults on the operator address.
+}
+
+// TLS names the files for mutual TLS between instances.
+type TLS struct {
+	CertFile string `yaml:"CertFile"`
+	KeyFile  string `yaml:"KeyFile"`
+	CAFile   string `yaml:"CAFile"`
+}
+
+// Enabled reports whether links use TLS.
+func (t TLS) Enabled() bool { return t.CertFile != "" }
+
+// Defaults and ranges of settings.
+const (
+	defaultHeartbeatMS     = 500
+	minHeartbeatMS         = 50
+	maxHeartbeatMS         = 10_000
+	defaultBalancerDelayMS = 2000
+	maxBalancerDelayMS     = 60_000
+	defaultLogLevel        = "info"
+)
+
+// logLevels are the values of LogLevel.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
+// Load reads and checks the settings in a file.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadSettings, "cannot read settings %s", path)
+	}
+	return Decode(raw)
+}
+
+// Decode reads and checks settings. The error lists all problems, each with
+// its line and field.
+func Decode(raw []byte) (*Settings, error) {
+	s := &Settings{
+		HeartbeatMS:     defaultHeartbeatMS,
+		BalancerDelayMS: defaultBalancerDelayMS,
+		LogLevel:        defaultLogLevel,
+	}
+	doc, found := strictyaml.Decode(raw, s)
+	c := checker{strictyaml.NewChecker(doc, found)}
+	if !doc.Unreadable {
+		s.check(c)
+	}
+	if problems := c.Problems(); len(problems) > 0 {
+		return nil, fault.New(fault.BadSettings, "%v", problems)
+	}
+	return s, nil
+}
+
+// checker collects the problems of settings.
+type checker struct{ *strictyaml.Checker }
+
+// check adds the problems that the types of the fields do not show.
+func (s *Settings) check(c checker) {
+	c.present("Name", s.Name)
+	c.present("Domain", string(s.Domain))
+	c.address("CallerAddress", s.CallerAddress)
+	c.address("PeerAddress", s.PeerAddress)
+	c.address("OperatorAddress", s.OperatorAddress)
+	if len(s.StoreAddresses) == 0 && !c.Failed("StoreAddresses") {
+		c.Add("StoreAddresses", "is missing", "give at least one host:port of the key-value service")
+	}
+	for i, a := range s.StoreAddresses {
+		c.address(fmt.Sprintf("StoreAddresses[%d]", i), a)
+	}
+	for i, a := range s.FirstPeers {
+		c.address(fmt.Sprintf("FirstPeers[%d]", i), a)
+	}
+	if s.InstanceListAddress != "" {
+		c.address("InstanceListAddress", s.InstanceListAddress)
+	}
+	c.between("HeartbeatMS", s.HeartbeatMS, minHeartbeatMS, maxHeartbeatMS)
+	c.between("BalancerDelayMS", s.BalancerDelayMS, 0, maxBalancerDelayMS)
+	if !slices.Contains(logLevels, s.LogLevel) && !c.Failed("LogLevel") {
+		c.Addf("LogLevel", "give debug, info, warn or error", "%q is not a level", s.LogLevel)
+	}
+	if s.TLS.Enabled() && (s.TLS.KeyFile == "" || s.TLS.CAFile == "") {
+		c.Add("TLS", "is incomplete", "give CertFile, KeyFile and CAFile together")
+	}
+}
+
+// present checks that a field has a value.
+func (c checker) present(path, value string) {
+	if value == "" && !c.Failed(path) {
+		c.Add(path, "is missing", "write a name")
+	}
+}
+
+// address checks that a field holds an IP number and a port.
+func (c checker) address(path string, a ident.Address) {
+	const right = "give an IP number and a port, such as 127.0.0.1:8080"
+	if c.Failed(path) {
+		return
+	}
+	if a == "" {
+		c.Add(path, "is missing", right)
+		return
+	}
+	if _, err := netip.ParseAddrPort(string(a)); err != nil {
+		c.Addf(path, right, "%q is not an address", a)
+	}
+}
+
+// between checks the range of a number.
+func (c checker) between(path string, value, lowest, highest int64) {
+	if (value < lowest || value > highest) && !c.Failed(path) {
+		c.Addf(path, fmt.Sprintf("give %d to %d", lowest, highest), "%d is out of range", value)
+	}
+}
