--- /dev/null
+++ b/io/engine/order.go
@@ -0,0 +1,74 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/io/httpcall"
+)
+
+// OrderKind is the kind of an order to an engine.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	LoadModel   OrderKind = "load_model"
+	LoadAdapter OrderKind = "load_adapter"
+	SetVersion  OrderKind = "set_version"
+	SetRole     OrderKind = "set_role"
+)
+
+// Order changes what an engine serves.
+type Order struct {
+	ID      string        `json:"order_id"`
+	Fencing ident.Epoch   `json:"fencing"`
+	Kind    OrderKind     `json:"kind"`
+	Model   ident.ModelID `json:"model,omitempty"`
+	Version string        `json:"version,omitempty"`
+	Adapter string        `json:"adapter,omitempty"`
+	Role    string        `json:"role,omitempty"`
+}
+
+// State is what an engine serves now.
+type State struct {
+	Role    string        `json:"role"`
+	Models  []LoadedModel `json:"models"`
+	Fencing ident.Epoch   `json:"fencing"`
+}
+
+// LoadedModel is a model that an engine has loaded.
+type LoadedModel struct {
+	Name     ident.ModelID `json:"name"`
+	Version  string        `json:"version"`
+	Adapters []string      `json:"adapters"`
+}
+
+// Order sends an order once and returns when it is done. sendBy is the last
+// moment at which it may leave, checked right before the send; doneBy ends the
+// wait for its confirmation. The error has kind NotHolder when the engine has
+// seen a higher fencing number.
+func (c *Client) Order(ctx context.Context, to ident.Address, o Order, sendBy, doneBy time.Time) error {
+	var answer struct {
+		ID   string `json:"order_id"`
+		Done bool   `json:"done"`
+	}
+	limits := httpcall.Limits{ConnectBy: sendBy, SendBy: sendBy, WholeBy: doneBy}
+	err := c.short(ctx, to, http.MethodPost, "/orders", "", o, &answer, limits)
+	if err != nil {
+		return err
+	}
+	if answer.ID != o.ID || !answer.Done {
+		return fault.New(fault.AnswerBroken, "the engine did not confirm order %s", o.ID)
+	}
+	return nil
+}
+
+// State returns what an engine serves.
+func (c *Client) State(ctx context.Context, to ident.Address) (State, error) {
+	var state State
+	err := c.short(ctx, to, http.MethodGet, "/state", "", nil, &state, c.shortLimits())
+	return state, err
+}
--- /dev/null
+++ b/io/engine/role.go
@@ -0,0 +1,28 @@
+package engine
+
+import (
+	"context"
+
+	"monsoonfork/core/kernel"
+	"monsoonfork/io/httpcall"
+)
+
+func init() {
+	kernel.Register(kernel.Role{
+		Name:    "Engines",
+		Summary: "speaks to model engines and plain services for the other roles",
+		Start:   start,
+	})
+}
+
+// start is the role's constructor. It provides the HTTP client that all calls
+// to endpoints share, and the client to engines.
+func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
+	calls, err := httpcall.New(httpcall.WithMetrics(n.Metrics))
+	if err != nil {
+		return nil, err
+	}
+	kernel.Provide(n, calls)
+	kernel.Provide(n, New(calls, n.ID, WithMetrics(n.Metrics)))
+	return &kernel.Running{Close: func() error { calls.Close(); return nil }}, nil
+}
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -80,6 +80,9 @@
 	if ctx.Err() != nil {
 		return cancelled(ctx, fault.NotRun)
 	}
+	if by := call.Limits.SendBy; !by.IsZero() && !time.Now().Before(by) {
+		return fault.New(fault.DeadlineExceeded, "the time to send the call has passed").WithRan(fault.NotRun)
+	}
 	// From here on the endpoint may have the call, whatever Write returns.
 	if _, err := nbc.Write(message); err != nil {
 		return fault.Wrap(err, fault.EndpointFailed, "the connection failed while the call was sent")
--- a/io/httpcall/call_test.go
+++ b/io/httpcall/call_test.go
@@ -132,6 +132,7 @@
 	}{
 		{"refused", refused, ample, fault.EndpointFailed, fault.NotRun},
 		{"connect limit passed", refused, func() Limits { return Limits{ConnectBy: time.Now().Add(-time.Second)} }, fault.EndpointTimeout, fault.NotRun},
+		{"send limit passed", closed, func() Limits { return Limits{SendBy: time.Now().Add(-time.Second)} }, fault.DeadlineExceeded, fault.NotRun},
 		{"closed without answer", closed, ample, fault.EndpointFailed, fault.MayHaveRun},
 		{"no answer", serve(t, respond("")), func() Limits { return Limits{FirstByteBy: time.Now().Add(100 * time.Millisecond)} }, fault.EndpointTimeout, fault.MayHaveRun},
 		{"silent in the answer", serve(t, respond(head+"Content-Length: 5\r\n\r\nab")), func() Limits { return Limits{PieceWithin: 100 * time.Millisecond} }, fault.EndpointTimeout, fault.MayHaveRun},
--- a/io/httpcall/client.go
+++ b/io/httpcall/client.go
@@ -116,6 +116,7 @@
 // for its stage.
 type Limits struct {
 	ConnectBy   time.Time     // The connection stands.
+	SendBy      time.Time     // The call leaves; checked right before the write.
 	FirstByteBy time.Time     // The first byte of the answer is here.
 	PieceWithin time.Duration // Longest silence between two pieces of the answer.
 	WholeBy     time.Time     // The last byte of the answer is here.
