--- /dev/null
+++ b/cmd/monsoonlab/soak.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"monsoonfork/lab/soak"
+	"monsoonfork/lab/workload"
+)
+
+// soakCommand runs a fleet under random faults.
+type soakCommand struct {
+	Workload  string        `enum:"tuinhulp,tatrasoft" default:"tuinhulp" help:"Workload to send."`
+	Seed      uint64        `default:"1" help:"Seed of requests and faults."`
+	Length    time.Duration `default:"35s" help:"Time during which requests are sent."`
+	Rate      float64       `default:"15" help:"Requests a second."`
+	Instances int           `default:"8" help:"Instances of monsoonfork."`
+	Faults    []string      `help:"Faults to draw from; none means all."`
+	Alone     bool          `help:"Never have two faults at a time."`
+	TimeScale float64       `default:"1" help:"Factor on all times of the engines."`
+	Keep      bool          `help:"Keep the logs of all processes."`
+}
+
+// Help is the usage text of the verb.
+func (c *soakCommand) Help() string {
+	return `Starts a fleet with the sizes of a workload, every stand-in and instance a process
+of its own, sends requests, and meanwhile makes faults that follow from the seed.
+Then checks answers, runs, refusals, keys, memory, rates and orders from the
+records. Prints each fault, the counts, and one line for each broken promise;
+fails when there is one. Run it in the repository.`
+}
+
+// Run implements the verb.
+func (c *soakCommand) Run(ctx context.Context) error {
+	w, _ := workload.ByName(c.Workload)
+	verdict, err := soak.Run(ctx, soak.Config{
+		Workload:  w,
+		Seed:      c.Seed,
+		Length:    c.Length,
+		Rate:      c.Rate,
+		Instances: c.Instances,
+		Faults:    c.Faults,
+		Alone:     c.Alone,
+		TimeScale: c.TimeScale,
+		Keep:      c.Keep,
+	}, os.Stdout)
+	if err != nil {
+		return err
+	}
+	if err := verdict.Report.Print(os.Stdout); err != nil {
+		return err
+	}
+	for _, finding := range verdict.Findings {
+		fmt.Println("FINDING", finding)
+	}
+	if c.Keep {
+		fmt.Println("logs:", verdict.Dir)
+	}
+	if n := len(verdict.Findings); n > 0 {
+		return fmt.Errorf("%d findings; repeat: %s", n, c.command())
+	}
+	fmt.Println("no findings:", c.command())
+	return nil
+}
+
+// command returns the command that makes the same run.
+func (c *soakCommand) command() string {
+	parts := []string{
+		"monsoonlab soak",
+		"--workload", c.Workload,
+		"--seed", fmt.Sprint(c.Seed),
+		"--length", c.Length.String(),
+		"--rate", fmt.Sprint(c.Rate),
+		"--instances", fmt.Sprint(c.Instances),
+		"--time-scale", fmt.Sprint(c.TimeScale),
+	}
+	if len(c.Faults) > 0 {
+		parts = append(parts, "--faults", strings.Join(c.Faults, ","))
+	}
+	if c.Alone {
+		parts = append(parts, "--alone")
+	}
+	return strings.Join(parts, " ")
+}
--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -14,6 +14,9 @@
 		{"service", "Serve a stand-in plain service.", &serviceCommand{}},
 		{"store", "Serve a stand-in key-value service.", &storeCommand{}},
 		{"list", "Serve a stand-in instance list.", &listCommand{}},
+		{"quickstart", "Show a small fleet at work.", &quickstartCommand{}},
+		{"load", "Send a workload to a fleet and report.", &loadCommand{}},
+		{"soak", "Run a fleet under random faults and check what must hold.", &soakCommand{}},
 		{"help", "Explain a verb.", &helpCommand{}},
 	}
 }
--- a/lab/fleet/instance.go
+++ b/lab/fleet/instance.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path/filepath"
 	"strconv"
 	"time"
 
@@ -29,6 +30,8 @@
 	Starts   int
 	Store    *relay.Relay // Between the instance and the store.
 
+	AdmissionLogs []string // Files of all its processes.
+
 	path string // Of the settings file.
 }
 
@@ -60,9 +63,6 @@
 		BalancerDelayMS:     f.Spec.BalancerWait.Milliseconds(),
 		AllowFaults:         f.Spec.AllowFaults,
 	}}
-	if f.Spec.AdmissionLog {
-		instance.Settings.AdmissionLog = f.Runner.Dir() + "/" + name + ".admissions"
-	}
 	if instance.Settings.LogLevel == "" {
 		instance.Settings.LogLevel = "info"
 	}
@@ -79,6 +79,13 @@
 	if err != nil {
 		return err
 	}
+	i.Starts++
+	if f.Spec.AdmissionLog {
+		// Each process gets a log of its own: a killed one may leave half a line.
+		log := filepath.Join(f.Runner.Dir(), fmt.Sprintf("%s-%d.admissions", i.Name, i.Starts))
+		i.Settings.AdmissionLog = log
+		i.AdmissionLogs = append(i.AdmissionLogs, log)
+	}
 	raw, err := yaml.Marshal(i.Settings)
 	if err != nil {
 		return err
@@ -86,7 +93,6 @@
 	if i.path, err = f.Runner.WriteFile(i.Name+".yaml", raw); err != nil {
 		return err
 	}
-	i.Starts++
 	i.Process, err = f.Runner.Start(process.Spec{
 		Name: fmt.Sprintf("%s-%d", i.Name, i.Starts),
 		Path: program,
--- a/lab/load/attempt.go
+++ b/lab/load/attempt.go
@@ -61,9 +61,9 @@
 	case response.StatusCode >= http.StatusMultipleChoices:
 		readError(response, &a)
 	case r.Kind == workload.Completion && r.Stream:
-		readStream(response.Body, r, &a, start)
+		s.readStream(response.Body, r, &a, start)
 	case r.Kind == workload.Completion:
-		readWhole(response.Body, r, &a)
+		s.readWhole(response.Body, r, &a)
 	default:
 		readPlain(response.Body, r, &a)
 	}
--- a/lab/load/result.go
+++ b/lab/load/result.go
@@ -13,6 +13,7 @@
 	Kind         workload.Kind        `json:"Kind"`
 	Organisation ident.OrganisationID `json:"Organisation"`
 	Reference    string               `json:"Reference,omitempty"`
+	PromptHash   string               `json:"PromptHash,omitempty"`
 	PromptTokens int                  `json:"PromptTokens,omitempty"`
 	MaxTokens    int                  `json:"MaxTokens,omitempty"`
 	Stream       bool                 `json:"Stream,omitempty"`
--- a/lab/load/run.go
+++ b/lab/load/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"monsoonfork/core/ident"
+	"monsoonfork/io/standin/engine"
 	"monsoonfork/lab/workload"
 )
 
@@ -32,6 +33,8 @@
 
 // Sender sends single requests.
 type Sender struct {
+	OnText func(text string) // Called with each piece of a completion's answer, if set.
+
 	cfg    Config
 	client *http.Client
 	fresh  *http.Client // Makes a connection for each call, so that it never repeats a call by itself.
@@ -102,6 +105,9 @@
 		Stream:       r.Stream,
 		Started:      time.Now(),
 	}
+	if r.Kind == workload.Completion {
+		result.PromptHash = engine.WordsPrompt(r.Prompt).Hash()
+	}
 	for {
 		attempt := s.attempt(ctx, r)
 		result.Attempts = append(result.Attempts, attempt)
--- a/lab/load/stream.go
+++ b/lab/load/stream.go
@@ -33,11 +33,12 @@
 	last     time.Time
 	finished bool // A finish reason came.
 	done     bool // [DONE] came.
+	onText   func(text string)
 }
 
 // readStream reads a streamed answer and compares it token by token.
-func readStream(body io.Reader, r workload.Request, a *Attempt, start time.Time) {
-	var got answer
+func (s *Sender) readStream(body io.Reader, r workload.Request, a *Attempt, start time.Time) {
+	got := answer{onText: s.OnText}
 	err := readEvents(body, func(data string) error { return got.take(data, a, start) })
 	want := expectedText(r)
 	text := got.text.String()
@@ -92,6 +93,9 @@
 	}
 	for _, choice := range e.Choices {
 		g.text.WriteString(choice.Text)
+		if g.onText != nil {
+			g.onText(choice.Text)
+		}
 		g.finished = g.finished || choice.FinishReason != nil
 		if choice.Text != "" {
 			g.note(a, start)
@@ -113,7 +117,7 @@
 }
 
 // readWhole reads an answer that does not stream.
-func readWhole(body io.Reader, r workload.Request, a *Attempt) {
+func (s *Sender) readWhole(body io.Reader, r workload.Request, a *Attempt) {
 	data, err := io.ReadAll(body)
 	if err != nil {
 		a.Outcome = Broken
@@ -126,5 +130,8 @@
 		return
 	}
 	a.Tokens = r.MaxTokens
+	if s.OnText != nil {
+		s.OnText(e.Choices[0].Text)
+	}
 	a.judge(e.Choices[0].Text == expectedText(r) && e.Choices[0].FinishReason != nil, string(data))
 }
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,129 @@
+package soak
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strconv"
+	"testing"
+	"time"
+
+	"monsoonfork/core/ident"
+	"monsoonfork/lab/fleet"
+	"monsoonfork/lab/load"
+	"monsoonfork/lab/workload"
+)
+
+// newRun returns a run without processes.
+func newRun(cfg Config) *run {
+	cfg.Workload = workload.Tuinhulp()
+	f := &fleet.Fleet{Store: &fleet.StandIn{Name: "store"}, List: &fleet.StandIn{Name: "list"}}
+	for _, name := range []string{"a", "b", "c"} {
+		f.Instances = append(f.Instances, &fleet.Instance{Name: "entry-" + name})
+		f.Services = append(f.Services, &fleet.StandIn{Name: "service-" + name})
+		f.Engines = append(f.Engines,
+			fleet.Engine{StandIn: &fleet.StandIn{Name: "prefill-" + name}, Role: 0},
+			fleet.Engine{StandIn: &fleet.StandIn{Name: "decode-" + name}, Role: 1})
+	}
+	return &run{
+		cfg:      cfg,
+		out:      io.Discard,
+		fleet:    f,
+		findings: &findings{start: time.Now()},
+		busy:     make(map[string]bool),
+	}
+}
+
+// summary returns what is planned, without functions.
+func summary(plan []planned) []string {
+	var lines []string
+	for _, p := range plan {
+		lines = append(lines, p.entry.name+" "+p.target.name+" "+p.at.String()+" "+p.length.String())
+	}
+	return lines
+}
+
+func TestPlanFollowsFromSeed(t *testing.T) {
+	cfg := Config{Seed: 5, Length: 10 * time.Minute}
+	first, again := summary(newRun(cfg).plan()), summary(newRun(cfg).plan())
+	if !reflect.DeepEqual(first, again) {
+		t.Error("the same seed gives another plan")
+	}
+	cfg.Seed = 6
+	if reflect.DeepEqual(first, summary(newRun(cfg).plan())) {
+		t.Error("another seed gives the same plan")
+	}
+	names := make(map[string]bool)
+	for _, p := range newRun(cfg).plan() {
+		names[p.entry.name] = true
+	}
+	if len(names) != len(faultTable()) {
+		t.Errorf("%d of %d faults in ten minutes", len(names), len(faultTable()))
+	}
+}
+
+// promises returns which promises were found broken.
+func promises(r *run) []Promise {
+	var found []Promise
+	for _, f := range r.findings.all() {
+		found = append(found, f.Promise)
+	}
+	return found
+}
+
+// result returns the result of a request with one attempt for each outcome.
+func result(kind workload.Kind, outcomes ...load.Outcome) load.Result {
+	r := load.Result{Kind: kind, Reference: "r"}
+	for _, o := range outcomes {
+		r.Attempts = append(r.Attempts, load.Attempt{Outcome: o})
+	}
+	return r
+}
+
+func TestChecksFindBrokenPromises(t *testing.T) {
+	cases := []struct {
+		name   string
+		result load.Result
+		runs   []string
+		want   []Promise
+	}{
+		{"well", result(workload.Create, load.Whole), []string{"x"}, nil},
+		{"unknown, did not run", result(workload.Create, load.MayHaveRun), nil, nil},
+		{"refused", result(workload.Create, load.NotRun), nil, nil},
+		{"wrong", result(workload.Completion, load.Wrong), nil, []Promise{AnswersAreRight}},
+		{"ran twice", result(workload.Create, load.MayHaveRun, load.Whole), []string{"x", "y"}, []Promise{RunsAtMostOnce}},
+		{"refused, but ran", result(workload.Create, load.NotRun), []string{"x"}, []Promise{NotRunIsTrue}},
+		{"refused after an unknown outcome", result(workload.Create, load.MayHaveRun, load.NotRun), []string{"x"}, nil},
+		{"answered, never ran", result(workload.Create, load.Whole), nil, []Promise{AnswersAreRight}},
+	}
+	for _, c := range cases {
+		r := newRun(Config{})
+		report := &load.Report{Results: []load.Result{c.result}}
+		r.checkAnswers(report)
+		r.checkRuns(report, map[string][]string{"POST r": c.runs})
+		if got := promises(r); !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestRatesAreChecked(t *testing.T) {
+	limit := workload.Tuinhulp().Organisations[0]
+	for _, c := range []struct {
+		charged ident.Tokens
+		broken  bool
+	}{{limit.Burst, false}, {limit.Burst + 1, true}} {
+		r := newRun(Config{})
+		path := filepath.Join(t.TempDir(), "log")
+		line := `{"Instance":"i","Organisation":"` + string(limit.Name) + `","Reservation":1,"Charged":` + strconv.FormatInt(int64(c.charged), 10) + `,"MonotonicNs":1}`
+		if err := os.WriteFile(path, []byte(line+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		r.fleet.Instances[0].AdmissionLogs = []string{path}
+		r.checkRates()
+		if got := promises(r); (len(got) > 0) != c.broken {
+			t.Errorf("%d tokens: %v", c.charged, got)
+		}
+	}
+}
