--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -17,6 +17,7 @@
 		{"quickstart", "Show a small fleet at work.", &quickstartCommand{}},
 		{"load", "Send a workload to a fleet and report.", &loadCommand{}},
 		{"soak", "Run a fleet under random faults and check what must hold.", &soakCommand{}},
+		{"bench", "Measure placement policies.", &benchCommand{}},
 		{"help", "Explain a verb.", &helpCommand{}},
 	}
 }
