--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -18,6 +18,7 @@
 		{"load", "Send a workload to a fleet and report.", &loadCommand{}},
 		{"soak", "Run a fleet under random faults and check what must hold.", &soakCommand{}},
 		{"bench", "Measure placement policies.", &benchCommand{}},
+		{"slopes", "Measure what a daemon costs at several sizes.", &slopesCommand{}},
 		{"help", "Explain a verb.", &helpCommand{}},
 	}
 }
--- a/lab/fleet/instance.go
+++ b/lab/fleet/instance.go
@@ -154,12 +154,22 @@
 
 // Dump decodes the instance's dump into target.
 func (i *Instance) Dump(ctx context.Context, target any) error {
-	status, body, err := i.get(ctx, "/dump")
+	return i.decode(ctx, "/dump", target)
+}
+
+// Metrics decodes the instance's metrics into target.
+func (i *Instance) Metrics(ctx context.Context, target any) error {
+	return i.decode(ctx, "/metrics", target)
+}
+
+// decode decodes what the operator address serves at path into target.
+func (i *Instance) decode(ctx context.Context, path string, target any) error {
+	status, body, err := i.get(ctx, path)
 	if err != nil {
 		return err
 	}
 	if status != http.StatusOK {
-		return fmt.Errorf("dump of %s: status %d: %s", i.Name, status, body)
+		return fmt.Errorf("%s of %s: status %d: %s", path, i.Name, status, body)
 	}
 	return json.Unmarshal(body, target)
 }
