--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -18,6 +18,7 @@
 		{"load", "Send a workload to a fleet and report.", &loadCommand{}},
 		{"soak", "Run a fleet under random faults and check what must hold.", &soakCommand{}},
 		{"bench", "Measure placement policies.", &benchCommand{}},
+		{"overhead", "Measure what monsoonfork adds to a call.", &overheadCommand{}},
 		{"help", "Explain a verb.", &helpCommand{}},
 	}
 }
--- /dev/null
+++ b/lab/overhead/overhead.go
@@ -0,0 +1,205 @@
+// Package overhead measures what monsoonfork adds to a call, against calling
+// the same stand-ins directly in the same run, and how many calls an instance
+// carries on two cores.
+package overhead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"monsoonfork/io/standin/engine"
+	"monsoonfork/lab/fleet"
+	"monsoonfork/lab/load"
+	"monsoonfork/lab/process"
+	"monsoonfork/lab/workload"
+)
+
+// Sizes of a measurement.
+const (
+	startTimeout = 2 * time.Minute
+	answerTokens = 5
+	promptTokens = 200
+	twoCores     = "GOMAXPROCS=2"
+	warmUpCalls  = 20
+	idleConns    = 256
+	coresAllowed = 2
+)
+
+// Config says what to measure.
+type Config struct {
+	Seed        uint64
+	Calls       int           // Calls of each sort, direct and routed in turn.
+	Concurrency int           // Callers at once when looking for the most that an instance carries.
+	Length      time.Duration // Of that look.
+}
+
+// measurement is one measurement.
+type measurement struct {
+	cfg    Config
+	fleet  *fleet.Fleet
+	client *http.Client
+	sender *load.Sender
+}
+
+// Run makes a measurement and prints it to out.
+func Run(ctx context.Context, cfg Config, out io.Writer) (err error) {
+	runner, err := process.NewRunner()
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, runner.Close()) }()
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	f, err := fleet.Start(startCtx, runner, specOf(cfg))
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.Close()) }()
+	m := newMeasurement(cfg, f)
+	defer m.sender.Close()
+	if err := m.added(ctx, out); err != nil {
+		return err
+	}
+	return m.most(ctx, out)
+}
+
+// specOf returns a fleet of one instance on two cores, with one engine of each
+// role and one endpoint of the plain service.
+func specOf(cfg Config) fleet.Spec {
+	w := workload.Tatrasoft()
+	w.Domains = w.Domains[:1]
+	w.Prefill, w.Decode, w.Services = 1, 1, 1
+	for i := range w.Organisations {
+		// The limits of organisations are not what is measured.
+		w.Organisations[i].Rate, w.Organisations[i].Burst = 1e9, 1e9
+	}
+	return fleet.Spec{Workload: w, Instances: 1, Env: []string{twoCores}, LogLevel: "warn", Seed: cfg.Seed}
+}
+
+// newMeasurement returns a measurement of a fleet.
+func newMeasurement(cfg Config, f *fleet.Fleet) *measurement {
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true}
+	return &measurement{
+		cfg:    cfg,
+		fleet:  f,
+		client: &http.Client{Transport: transport},
+		sender: load.NewSender(load.Config{
+			Workload:  f.Spec.Workload,
+			Keys:      f.Keys,
+			Instances: f.InUse,
+			Timeout:   time.Minute,
+			Targets:   load.DefaultTargets(),
+		}),
+	}
+}
+
+// model returns the model that is asked for.
+func (m *measurement) model() string { return string(m.fleet.Spec.Workload.Model) }
+
+// engineAddresses returns the addresses of the two engines.
+func (m *measurement) engineAddresses() (prefill, decode string) {
+	for _, e := range m.fleet.Engines {
+		if e.Role == engine.PrefillRole {
+			prefill = e.Address
+		} else {
+			decode = e.Address
+		}
+	}
+	return prefill, decode
+}
+
+// added prints the added time to the first token and of a plain call.
+func (m *measurement) added(ctx context.Context, out io.Writer) error {
+	var directTokens, routedTokens, directPlain, routedPlain []time.Duration
+	for n := range m.cfg.Calls + warmUpCalls {
+		sample, err := m.sample(ctx, n)
+		if err != nil {
+			return err
+		}
+		if n < warmUpCalls {
+			continue
+		}
+		directTokens = append(directTokens, sample.directToken)
+		routedTokens = append(routedTokens, sample.routedToken)
+		directPlain = append(directPlain, sample.directPlain)
+		routedPlain = append(routedPlain, sample.routedPlain)
+	}
+	printAdded(out, "time to first token", directTokens, routedTokens)
+	printAdded(out, "plain call", directPlain, routedPlain)
+	return nil
+}
+
+// sample is one call of each sort.
+type sample struct {
+	directToken, routedToken, directPlain, routedPlain time.Duration
+}
+
+// sample makes one call of each sort. All prompts differ, so that no cache
+// helps the later one.
+func (m *measurement) sample(ctx context.Context, n int) (s sample, err error) {
+	name := m.fleet.Spec.Workload.Organisations[0].Name
+	if s.directToken, err = m.direct(ctx, fmt.Sprintf("direct-%d", n), promptOf("direct", n)); err != nil {
+		return s, err
+	}
+	routed := m.sender.Send(ctx, workload.Request{
+		Kind:         workload.Completion,
+		Organisation: name,
+		Prompt:       promptOf("routed", n),
+		MaxTokens:    answerTokens,
+		Stream:       true,
+	})
+	if routed.Outcome() != load.Whole {
+		return s, fmt.Errorf("routed completion: %+v", routed.Last())
+	}
+	s.routedToken = routed.Last().FirstToken
+	if s.directPlain, err = m.directPlain(ctx); err != nil {
+		return s, err
+	}
+	plain := m.sender.Send(ctx, workload.Request{Kind: workload.Status})
+	if plain.Outcome() != load.Whole {
+		return s, fmt.Errorf("routed plain call: %+v", plain.Last())
+	}
+	s.routedPlain = plain.Last().Took
+	return s, nil
+}
+
+// directPlain calls the plain service without monsoonfork.
+func (m *measurement) directPlain(ctx context.Context) (time.Duration, error) {
+	start := time.Now()
+	url := "http://" + m.fleet.Services[0].Address + "/status"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, err
+	}
+	response, err := m.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return time.Since(start), errors.Join(err, response.Body.Close())
+}
+
+// promptOf returns a prompt that no other call has.
+func promptOf(sort string, n int) string {
+	prompt := fmt.Sprintf("%s%d", sort, n)
+	for i := range promptTokens - 1 {
+		prompt += fmt.Sprintf(" w%d", i)
+	}
+	return prompt
+}
+
+// printAdded prints the median and 99th of both, and the differences.
+func printAdded(out io.Writer, name string, direct, routed []time.Duration) {
+	for _, p := range []float64{50, 99} {
+		d, r := load.Percentile(direct, p), load.Percentile(routed, p)
+		_, _ = fmt.Fprintf(out, "%s, %.0fth of %d: direct %.3f ms, routed %.3f ms, added %.3f ms\n",
+			name, p, len(direct), milliseconds(d), milliseconds(r), milliseconds(r-d))
+	}
+}
+
+// milliseconds returns a duration as a number.
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/lab/process/process_test.go
+++ b/lab/process/process_test.go
@@ -58,6 +58,9 @@
 	}
 	t.Cleanup(func() { _ = r.Close() })
 	p, _ := startStore(t, r)
+	if u, err := p.Usage(); err != nil || u.Resident < 1<<20 || u.Processor < 0 {
+		t.Errorf("usage: %+v, %v", u, err)
+	}
 	if err := p.Terminate(); err != nil {
 		t.Fatal(err)
 	}
