--- a/lab/load/attempt.go
+++ b/lab/load/attempt.go
@@ -46,6 +46,20 @@
 		ctx, cancel = context.WithTimeout(ctx, s.cfg.Timeout)
 		defer cancel()
 	}
+	if r.LeaveAfter == 0 {
+		return s.attemptOnce(ctx, r)
+	}
+	ctx, leave := context.WithTimeout(ctx, r.LeaveAfter)
+	defer leave()
+	a := s.attemptOnce(ctx, r)
+	if ctx.Err() != nil && (a.Outcome == NoAnswer || a.Outcome == Broken) {
+		a.Outcome = Left
+	}
+	return a
+}
+
+// attemptOnce makes one call until its end or that of ctx.
+func (s *Sender) attemptOnce(ctx context.Context, r workload.Request) Attempt {
 	start := time.Now()
 	a := Attempt{Outcome: NoAnswer}
 	response, err := s.call(ctx, r, &a)
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -122,6 +122,25 @@
 	}
 }
 
+func TestCallersLeave(t *testing.T) {
+	gone := make(chan bool, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, events(1, false, false))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		gone <- true
+	}))
+	defer server.Close()
+	sender := newTestSender(server)
+	defer sender.Close()
+	r := workload.Request{Kind: workload.Completion, Prompt: prompt, MaxTokens: answerLength, Stream: true, LeaveAfter: 50 * time.Millisecond}
+	if result := sender.Send(t.Context(), r); result.Outcome() != Left {
+		t.Errorf("%+v", result.Last())
+	}
+	<-gone
+}
+
 func TestRunReports(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, `{"status":"ok"}`)
--- a/lab/load/outcome.go
+++ b/lab/load/outcome.go
@@ -13,6 +13,7 @@
 	Ran                       // Failed; the answer says that it ran.
 	Broken                    // The answer broke off, and does not look complete.
 	NoAnswer                  // The connection ended without an answer.
+	Left                      // The caller left before the end.
 	Wrong                     // The answer looks complete but is not the right one.
 	outcomeCount
 )
--- a/lab/load/outcome_string.go
+++ b/lab/load/outcome_string.go
@@ -14,13 +14,14 @@
 	_ = x[Ran-3]
 	_ = x[Broken-4]
 	_ = x[NoAnswer-5]
-	_ = x[Wrong-6]
-	_ = x[outcomeCount-7]
+	_ = x[Left-6]
+	_ = x[Wrong-7]
+	_ = x[outcomeCount-8]
 }
 
-const _Outcome_name = "WholeNotRunMayHaveRunRanBrokenNoAnswerWrongoutcomeCount"
+const _Outcome_name = "WholeNotRunMayHaveRunRanBrokenNoAnswerLeftWrongoutcomeCount"
 
-var _Outcome_index = [...]uint8{0, 5, 11, 21, 24, 30, 38, 43, 55}
+var _Outcome_index = [...]uint8{0, 5, 11, 21, 24, 30, 38, 42, 47, 59}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -26,7 +26,8 @@
 	memoryFreeBound = 10 * time.Second // From the end of all requests until no engine holds memory.
 	balancerWait    = 1 * time.Second
 	listLag         = 2 * time.Second
-	repeats         = 2 // Times that callers repeat a call of unknown outcome.
+	leaving         = 0.1 // Share of completions whose caller leaves before the end.
+	repeats         = 2   // Times that callers repeat a call of unknown outcome.
 )
 
 // Config says what to run.
@@ -64,6 +65,7 @@
 
 // Run makes one run and prints its progress to out.
 func Run(ctx context.Context, cfg Config, out io.Writer) (verdict Verdict, err error) {
+	cfg.Workload.Leaving = leaving
 	var options []process.Option
 	if cfg.Keep {
 		options = append(options, process.WithKeptFiles())
--- a/lab/workload/generator.go
+++ b/lab/workload/generator.go
@@ -9,6 +9,9 @@
 	"monsoonfork/core/ident"
 )
 
+// longestStay is the longest time after which a caller leaves.
+const longestStay = 1500 * time.Millisecond
+
 // Request is one request of a caller.
 type Request struct {
 	Number       int
@@ -22,6 +25,7 @@
 	MaxTokens    int
 	Stream       bool
 	HighPriority bool
+	LeaveAfter   time.Duration // The caller leaves then; 0 when it stays.
 
 	// Of a call to the plain service.
 	Reference string // Unique for each request; the service counts runs by it.
@@ -145,6 +149,9 @@
 	r.MaxTokens = g.within(p.Answer)
 	r.Stream = g.random.Float64() < p.Streamed
 	r.HighPriority = p.HighPriority
+	if g.workload.Leaving > 0 && g.random.Float64() < g.workload.Leaving {
+		r.LeaveAfter = time.Duration(1 + g.random.Int64N(int64(longestStay)))
+	}
 }
 
 // prompt returns a prompt: words that all requests of the organisation begin
--- a/lab/workload/workload.go
+++ b/lab/workload/workload.go
@@ -76,6 +76,7 @@
 	CreatePath    string        // Path of bookings or orders.
 	Kinds         map[Kind]Share
 	Completions   []Prompts
+	Leaving       float64 // Share of completions whose caller leaves before the end.
 	Organisations []Organisation
 }
 
