--- /dev/null
+++ b/core/config/relay/generate.go
@@ -0,0 +1,3 @@
+package relay
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative relay.proto
--- /dev/null
+++ b/core/config/relay/relay_test.go
@@ -0,0 +1,308 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"monsoonfork/core/config"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/invariant"
+	"monsoonfork/core/kernel"
+	"monsoonfork/core/settings"
+	"monsoonfork/io/peer"
+	"monsoonfork/io/standin/control"
+	standin "monsoonfork/io/standin/store"
+	"monsoonfork/io/store"
+)
+
+// inForceBound is the stated bound from acceptance to force everywhere.
+const inForceBound = 4 * time.Second
+
+// testNode is one daemon with the roles that the configuration needs.
+type testNode struct {
+	*kernel.Node
+	holder  *config.Holder
+	service *Service
+	applier *config.Applier
+	links   *peer.Links
+}
+
+// fleet is a store and nodes in one process.
+type fleet struct {
+	t     *testing.T
+	store *standin.Store
+	peers []ident.Address
+	nodes []*testNode
+}
+
+// newFleet starts a node for each domain named.
+func newFleet(t *testing.T, domains ...ident.DomainID) *fleet {
+	t.Helper()
+	f := &fleet{t: t, store: standin.New()}
+	if err := f.store.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.store.Close() })
+	for range domains {
+		f.peers = append(f.peers, freeAddress(t))
+	}
+	for i, d := range domains {
+		f.nodes = append(f.nodes, f.start(i, d))
+	}
+	before := invariant.Violations()
+	t.Cleanup(func() {
+		if got := invariant.Violations(); got != before {
+			t.Errorf("%d invariants violated", got-before)
+		}
+	})
+	return f
+}
+
+// start starts the node at position i.
+func (f *fleet) start(i int, d ident.DomainID) *testNode {
+	f.t.Helper()
+	n := kernel.NewNode(&settings.Settings{
+		Name: fmt.Sprintf("n%d", i), Domain: d, HeartbeatMS: 100,
+		PeerAddress: f.peers[i], FirstPeers: f.peers,
+		StoreAddresses: []ident.Address{ident.Address(f.store.Address())},
+	}, log.NewNopLogger())
+	n.Metrics = metrics.NewRegistry()
+	if err := n.Start(context.Background()); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(n.Close)
+	node := &testNode{Node: n}
+	for _, err := range []error{
+		need(n, &node.holder), need(n, &node.service), need(n, &node.applier), need(n, &node.links),
+	} {
+		if err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	return node
+}
+
+// apply makes the next revision through a node.
+func (f *fleet) apply(n *testNode, domains string) ident.Revision {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	base := n.holder.Revision()
+	accepted, err := n.applier.Apply(ctx, []byte("Domains: ["+domains+"]\n"), base, fmt.Sprintf("edit-%d", base+1))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return accepted.Revision
+}
+
+// waitInForce waits until a revision is in force at the nodes.
+func (f *fleet) waitInForce(revision ident.Revision, nodes ...*testNode) {
+	f.t.Helper()
+	deadline := time.Now().Add(inForceBound)
+	for _, n := range nodes {
+		for n.holder.Revision() < revision {
+			if time.Now().After(deadline) {
+				f.t.Fatalf("%s has revision %d, want %d within %v", n.ID, n.holder.Revision(), revision, inForceBound)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+// eventually waits for a condition within the stated bound.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(inForceBound); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", inForceBound, what)
+		}
+	}
+}
+
+func freeAddress(t *testing.T) ident.Address {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	return ident.Address(ln.Addr().String())
+}
+
+func TestInForceEverywhere(t *testing.T) {
+	f := newFleet(t, "a", "a", "a", "b", "b", "b")
+	if err := f.nodes[0].Ready(); err == nil {
+		t.Error("ready without a text")
+	}
+	for range 3 {
+		revision := f.apply(f.nodes[2], "a, b")
+		f.waitInForce(revision, f.nodes...)
+	}
+	for _, n := range f.nodes {
+		if err := n.Ready(); err != nil {
+			t.Errorf("%s is not ready: %v", n.ID, err)
+		}
+		eventually(t, "status says in force", func() bool {
+			s := n.service.Survey(context.Background())
+			return s.InForce && s.Revision == 3 && len(s.Domains) == 2
+		})
+	}
+}
+
+// TestStalledWatches makes every watch in the store blind.
+func TestStalledWatches(t *testing.T) {
+	f := newFleet(t, "a", "a", "b", "b")
+	f.waitInForce(f.apply(f.nodes[0], "a, b"), f.nodes...)
+	if err := f.store.Inject(control.Fault{Kind: control.StallWatches}); err != nil {
+		t.Fatal(err)
+	}
+	// The edit enters the store through a node outside the fleet.
+	outside := outsideApplier(t, f)
+	accepted, err := outside.Apply(context.Background(), []byte("Domains: [a, b, c]\n"), 1, "outside")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.waitInForce(accepted.Revision, f.nodes...)
+}
+
+// outsideApplier returns an applier of no instance of the fleet.
+func outsideApplier(t *testing.T, f *fleet) *config.Applier {
+	c, err := store.New([]ident.Address{ident.Address(f.store.Address())})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return &config.Applier{Store: c, Holder: config.NewHolder(), Now: time.Now}
+}
+
+// TestStoreDownWhileAllAreReplaced replaces every node, one by one, without a
+// store. The newest text survives.
+func TestStoreDownWhileAllAreReplaced(t *testing.T) {
+	f := newFleet(t, "a", "a", "b", "b")
+	f.apply(f.nodes[0], "a")
+	revision := f.apply(f.nodes[0], "a, b")
+	f.waitInForce(revision, f.nodes...)
+	if err := f.store.Inject(control.Fault{Kind: control.Refuse}); err != nil {
+		t.Fatal(err)
+	}
+	for i, old := range f.nodes {
+		domain := old.Settings.Domain
+		old.Close()
+		f.nodes[i] = f.start(i, domain)
+		f.waitInForce(revision, f.nodes[i])
+		if got := string(f.nodes[i].holder.Current().Raw); got != "Domains: [a, b]\n" {
+			t.Fatalf("text after the replacement of %s: %q", old.ID, got)
+		}
+	}
+}
+
+// TestOldAnswersRevertNothing puts an older head into the store.
+func TestOldAnswersRevertNothing(t *testing.T) {
+	f := newFleet(t, "a", "a")
+	f.apply(f.nodes[0], "a")
+	old, err := config.ReadHead(context.Background(), f.nodes[0].applier.Store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	revision := f.apply(f.nodes[0], "a, b")
+	f.waitInForce(revision, f.nodes...)
+	value, err := json.Marshal(old.Head)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.nodes[0].applier.Store.Put(context.Background(), config.HeadKey, value); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range f.nodes {
+		eventually(t, "the stale head was seen", func() bool { return n.service.stale.Count() > 0 })
+		if got := n.holder.Revision(); got != revision {
+			t.Errorf("%s fell back to revision %d", n.ID, got)
+		}
+	}
+}
+
+// TestCutOffDomain cuts one domain off from the others, and the store is down
+// for it: status names it, and it catches up afterwards.
+func TestCutOffDomain(t *testing.T) {
+	f := newFleet(t, "a", "a", "b", "b")
+	f.waitInForce(f.apply(f.nodes[0], "a, b"), f.nodes...)
+	for _, n := range f.nodes[:2] {
+		n.links.Gate().Cut("b")
+	}
+	for _, n := range f.nodes[2:] {
+		n.links.Gate().Cut("a")
+		_ = n.applier.Store.Close()
+	}
+	revision := f.apply(f.nodes[0], "a, b, c")
+	f.waitInForce(revision, f.nodes[:2]...)
+	eventually(t, "status names the domain", func() bool {
+		s := f.nodes[0].service.Survey(context.Background())
+		return !s.InForce && slices.Contains(s.NotHeard, "domain b") && slices.Contains(s.NotHeard, "domain c")
+	})
+	if got := f.nodes[2].holder.Revision(); got >= revision {
+		t.Errorf("a cut-off node has revision %d", got)
+	}
+	for _, n := range f.nodes {
+		n.links.Gate().Cut()
+	}
+	for deadline := time.Now().Add(20 * time.Second); f.nodes[2].holder.Revision() < revision || f.nodes[3].holder.Revision() < revision; {
+		if time.Now().After(deadline) {
+			t.Fatal("the domain did not catch up after the links healed")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestStoreCalls counts the calls of two domains at rest: two relays each, a
+// read a second and a watch in ten seconds.
+func TestStoreCalls(t *testing.T) {
+	f := newFleet(t, "a", "a", "a", "b", "b", "b")
+	f.waitInForce(f.apply(f.nodes[0], "a, b"), f.nodes...)
+	time.Sleep(time.Second)
+	const seconds = 3
+	before := f.store.Record()
+	time.Sleep(seconds * time.Second)
+	after := f.store.Record()
+	var calls int64
+	for kind, n := range after.Calls {
+		calls += n - before.Calls[kind]
+	}
+	const relays = 2 * relaysPerDomain
+	// Each relay may begin one read and one watch more at the ends.
+	if limit := int64(relays * (seconds + 2)); calls > limit {
+		t.Errorf("%d calls in %d s, want at most %d", calls, seconds, limit)
+	}
+}
+
+// TestBadPullsAreRefused feeds replies that no instance may take.
+func TestBadPullsAreRefused(t *testing.T) {
+	f := newFleet(t, "a")
+	s := f.nodes[0].service
+	good, err := config.Pack([]byte("Domains: [a]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad, err := config.Pack([]byte("Domains: []\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, reply := range []*PullReply{
+		{Revision: 5, EditId: "e", Digest: "wrong", Packed: good},
+		{Revision: 5, EditId: "e", Packed: bad},
+		{Revision: 5, EditId: "e", Packed: []byte("not packed")},
+		{Revision: -1, EditId: "e", Packed: good},
+		{Revision: 5, Packed: good},
+	} {
+		s.taken(reply, "test", nil)
+		if got := f.nodes[0].holder.Revision(); got != 0 {
+			t.Errorf("took %v", reply)
+		}
+	}
+}
