Membership: learn where instances are from the platform's instance list

Cause: a replaced instance that knows only first peers which are gone finds nobody. Two instances of a domain read the list every five seconds, so that the calls do not grow with the daemons; the list is a hint only, as it lags. go test -race ./core/membership ./io/instancelist passes.

--- a/core/membership/heartbeat.go
+++ b/core/membership/heartbeat.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"syscall"
 	"time"
 
@@ -173,37 +172,3 @@
 
 // isReplaced reports whether another process answered at the address.
 func isReplaced(err error) bool { return errors.Is(err, peer.ErrReplaced) }
-
-// firstPeersLoop asks the peers of the settings until one of each is known,
-// and again while this daemon knows no other.
-func (s *Service) firstPeersLoop() {
-	defer s.wg.Done()
-	ticker := time.NewTicker(firstPeersInterval)
-	defer ticker.Stop()
-	for {
-		s.askFirstPeers()
-		select {
-		case <-s.ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// askFirstPeers asks the first peers that are not known yet.
-func (s *Service) askFirstPeers() {
-	known := make(map[ident.Address]bool)
-	for _, m := range s.Table.View().Members() {
-		if m.State != Gone {
-			known[m.PeerAddress] = true
-		}
-	}
-	for _, address := range s.firstPeers {
-		if known[address] || strings.TrimSpace(string(address)) == "" {
-			continue
-		}
-		ctx, cancel := context.WithTimeout(s.ctx, firstPeersInterval)
-		_ = s.learn(ctx, address)
-		cancel()
-	}
-}
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
+	"monsoonfork/io/instancelist"
 	"monsoonfork/io/peer"
 )
 
@@ -198,3 +200,17 @@
 		v.Owner("d", "organisation-17")
 	}
 }
+
+func TestMembersFindEachOtherThroughTheInstanceList(t *testing.T) {
+	a := testService(t, "a", "d1", "")
+	b := testService(t, "b", "d2", "")
+	list := func(context.Context) ([]instancelist.Instance, error) {
+		return []instancelist.Instance{
+			{Name: "a", PeerAddress: a.Table.Self().PeerAddress},
+			{Name: "b", PeerAddress: b.Table.Self().PeerAddress},
+		}, nil
+	}
+	a.askUnknown(a.listedAddresses(list))
+	waitState(t, a, b.Table.Self().ID, Live)
+	waitState(t, b, a.Table.Self().ID, Live)
+}
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -13,6 +13,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
+	"monsoonfork/io/instancelist"
 	"monsoonfork/io/peer"
 )
 
@@ -29,6 +30,8 @@
 	remoteLinks        = 2                      // Members of each other domain that get heartbeats.
 	refusedConfirm     = 500 * time.Millisecond // A refusing address is asked again after this time.
 	firstPeersInterval = time.Second
+	listEvery          = 5 // The instance list is read this much more rarely than first peers are asked.
+	listReaders        = 2 // Members of a domain that read the list.
 )
 
 // RevisionHook is called when a member reports a revision.
@@ -44,6 +47,7 @@
 	now        func() time.Time
 	interval   time.Duration
 	firstPeers []ident.Address
+	listed     func(context.Context) ([]instancelist.Instance, error) // Nil without an instance list.
 
 	hookMu sync.Mutex
 	hooks  []RevisionHook
@@ -127,6 +131,9 @@
 		ctx:        ctx,
 		cancel:     cancel,
 	}
+	if n.Settings.InstanceListAddress != "" {
+		s.listed = instancelist.New(n.Settings.InstanceListAddress).Instances
+	}
 	links.AddressOf = t.AddressOf
 	peer.Handle(links, methodHeartbeat, s.serveHeartbeat)
 	peer.Handle(links, methodView, s.serveView)
@@ -137,7 +144,7 @@
 func (s *Service) run() {
 	s.wg.Add(2)
 	go s.heartbeatLoop()
-	go s.firstPeersLoop()
+	go s.discoveryLoop()
 }
 
 // Close stops the loops and the links, and waits.
