--- a/cmd/monsoonlab/service.go
+++ b/cmd/monsoonlab/service.go
@@ -12,6 +12,7 @@
 	listenFlags
 	Name    string        `default:"service" help:"Name that answers carry."`
 	RunTime time.Duration `default:"2ms" help:"Time that each call takes."`
+	RunLog  string        `help:"File that keeps the runs over restarts; empty means none."`
 }
 
 // Help is the usage text of the verb.
@@ -28,5 +29,6 @@
 		service.WithAddresses(c.addresses()),
 		service.WithName(c.Name),
 		service.WithRunTime(c.RunTime),
+		service.WithRunLog(c.RunLog),
 	))
 }
--- a/io/standin/service/record.go
+++ b/io/standin/service/record.go
@@ -61,14 +61,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	effect()
-	s.runs = append(s.runs, Run{
+	run := Run{
 		RequestID:      r.Header.Get("X-Request-Id"),
 		IdempotencyKey: r.Header.Get("Idempotency-Key"),
 		Reference:      reference,
 		Method:         r.Method,
 		Path:           r.URL.Path,
 		UnixMS:         time.Now().UnixMilli(),
-	})
+	}
+	s.runs = append(s.runs, run)
+	if err := s.log.add(run); err != nil {
+		// A run that is not counted would hide a broken promise.
+		panic(err)
+	}
 }
 
 // addRunning counts the calls under way.
--- a/io/standin/service/service.go
+++ b/io/standin/service/service.go
@@ -3,6 +3,7 @@
 package service
 
 import (
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -12,10 +13,12 @@
 
 // Service is the stand-in.
 type Service struct {
-	server    *control.Server
-	addresses control.Addresses
-	name      string
-	runTime   time.Duration
+	server     *control.Server
+	addresses  control.Addresses
+	name       string
+	runTime    time.Duration
+	runLogPath string
+	log        *runLog
 
 	mu       sync.Mutex
 	bookings map[string]Booking // By ID.
@@ -58,6 +61,12 @@
 
 // Start begins to serve.
 func (s *Service) Start() error {
+	if s.runLogPath != "" {
+		var err error
+		if s.log, s.runs, err = openRunLog(s.runLogPath); err != nil {
+			return err
+		}
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /bookings", s.handleCreate)
 	mux.HandleFunc("POST /orders", s.handleCreate)
@@ -68,7 +77,9 @@
 }
 
 // Close ends the service and waits for its requests.
-func (s *Service) Close() error { return s.server.Close() }
+func (s *Service) Close() error {
+	return errors.Join(s.server.Close(), s.log.close())
+}
 
 // Address returns the address that serves.
 func (s *Service) Address() string { return s.server.Address() }
--- a/io/standin/service/service_test.go
+++ b/io/standin/service/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"path/filepath"
 	"strings"
 	"testing"
 
@@ -59,3 +60,22 @@
 		}
 	}
 }
+
+func TestRunsAreKeptOverRestarts(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "runs")
+	for n := 1; n <= 2; n++ {
+		s := New(WithRunLog(path))
+		if err := s.Start(); err != nil {
+			t.Fatal(err)
+		}
+		if status := send(t, s, http.MethodPost, "/orders", "q", `{"reference":"r1"}`); status != http.StatusCreated {
+			t.Errorf("status %d", status)
+		}
+		if got := s.Record().ByReference["POST r1"]; got != n {
+			t.Errorf("%d runs, want %d", got, n)
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/lab/fleet/engines.go
+++ b/lab/fleet/engines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"path/filepath"
 	"strconv"
 
 	"monsoonfork/core/ident"
@@ -114,7 +115,8 @@
 	if f.Spec.Embedded {
 		return startEmbedded(name, domain, service.New(service.WithName(name), service.WithRunTime(serviceRunTime)))
 	}
-	args := []string{"service", "--name", name, "--run-time", serviceRunTime.String()}
+	runLog := filepath.Join(f.Runner.Dir(), name+".runs")
+	args := []string{"service", "--name", name, "--run-time", serviceRunTime.String(), "--run-log", runLog}
 	return f.startProcess(ctx, name, domain, args)
 }
 
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -170,15 +170,20 @@
 // checkKeys asks every stand-in whether it ever got a key.
 func (r *run) checkKeys(ctx context.Context) {
 	for _, s := range r.fleet.StandIns() {
-		for organisation, key := range r.fleet.Keys {
-			answer, err := s.Control.Seen(ctx, key)
-			if err != nil {
-				r.findings.add(KeysStayInside, "%s: no record: %v", s.Name, err)
-				continue
-			}
-			if answer.Seen {
-				r.findings.add(KeysStayInside, "%s got the key of %s", s.Name, organisation)
-			}
+		r.checkKeysAt(ctx, s)
+	}
+}
+
+// checkKeysAt asks one stand-in whether it ever got a key.
+func (r *run) checkKeysAt(ctx context.Context, s *fleet.StandIn) {
+	for organisation, key := range r.fleet.Keys {
+		answer, err := s.Control.Seen(ctx, key)
+		if err != nil {
+			r.findings.add(KeysStayInside, "%s: no record: %v", s.Name, err)
+			return
+		}
+		if answer.Seen {
+			r.findings.add(KeysStayInside, "%s got the key of %s", s.Name, organisation)
 		}
 	}
 }
--- a/lab/soak/table.go
+++ b/lab/soak/table.go
@@ -54,7 +54,9 @@
 		standInFault("store-stalls-watches", onStore, control.Fault{Kind: control.StallWatches}),
 		standInFault("store-limits-rate", onStore, control.Fault{Kind: control.RateLimit, PerSecond: 5}),
 		standInFault("list-lags", onList, control.Fault{Kind: control.ListLag, DelayMS: 10_000}),
-		{"engine-dies", onDecode, killStandIn, restartStandIn},
+		standInDies("prefill-dies", onPrefill),
+		standInDies("decode-dies", onDecode),
+		standInDies("service-dies", onService),
 		{"instance-dies", onInstance, killInstance, startInstance},
 		{"instance-pauses", onInstance, pauseInstance, resumeInstance},
 		{"instance-stops", onInstance, stopInstance, startInstance},
@@ -116,14 +118,21 @@
 	}
 }
 
-// killStandIn kills a decode engine.
-func killStandIn(_ context.Context, r *run, t target) error {
-	return r.parts(onDecode)[t.pick].Process.Kill()
-}
-
-// restartStandIn starts a killed decode engine with an empty memory.
-func restartStandIn(ctx context.Context, r *run, t target) error {
-	return r.fleet.RestartStandIn(ctx, r.parts(onDecode)[t.pick])
+// standInDies returns the row of a stand-in that is killed and started anew with
+// an empty memory.
+func standInDies(name string, s sort) faultEntry {
+	return faultEntry{
+		name: name,
+		sort: s,
+		begin: func(ctx context.Context, r *run, t target) error {
+			// What it has seen is lost with it.
+			r.checkKeysAt(ctx, r.parts(s)[t.pick])
+			return r.parts(s)[t.pick].Process.Kill()
+		},
+		finish: func(ctx context.Context, r *run, t target) error {
+			return r.fleet.RestartStandIn(ctx, r.parts(s)[t.pick])
+		},
+	}
 }
 
 // killInstance kills an instance.
