--- /dev/null
+++ b/core/keys/role.go
@@ -0,0 +1,33 @@
+package keys
+
+import (
+	"context"
+
+	"monsoonfork/core/config"
+	"monsoonfork/core/config/relay"
+	"monsoonfork/core/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Role{
+		Name:    "Keys",
+		Summary: "checks callers' keys and ends the requests of withdrawn ones",
+		After:   []string{"Membership", "Config"},
+		Start:   start,
+	})
+}
+
+// start is the role's constructor.
+func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
+	holder, err := kernel.Need[*config.Holder](n)
+	if err != nil {
+		return nil, err
+	}
+	service, err := kernel.Need[*relay.Service](n)
+	if err != nil {
+		return nil, err
+	}
+	t := NewTable(holder, WithNow(n.Now), WithMetrics(n.Metrics), WithConfirmed(service.Confirmed))
+	kernel.Provide(n, t)
+	return &kernel.Running{Close: t.Close, Dump: func() any { return t.Watched() }}, nil
+}
