--- /dev/null
+++ b/cmd/monsoonfork/verb/file.go
@@ -0,0 +1,28 @@
+package verb
+
+import (
+	"io"
+	"os"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/text"
+)
+
+// standardInput is the file name that stands for standard input.
+const standardInput = "-"
+
+// readText reads a text from a file or from standard input.
+func readText(name string) ([]byte, error) {
+	var raw []byte
+	var err error
+	if name == standardInput {
+		// One byte more than a text may have, so that a larger one is noticed.
+		raw, err = io.ReadAll(io.LimitReader(os.Stdin, text.MaxBytes+1))
+	} else {
+		raw, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadText, "cannot read %s", name)
+	}
+	return raw, nil
+}
--- /dev/null
+++ b/cmd/monsoonfork/verb/help.go
@@ -0,0 +1,92 @@
+package verb
+
+import (
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/kernel"
+	"monsoonfork/core/text"
+)
+
+// help holds the verbs that explain others.
+type help struct {
+	Topics helpTopics `cmd:"" default:"1" help:"List what there is help for."`
+	Verb   helpVerb   `cmd:"" help:"Explain a verb."`
+	Type   helpType   `cmd:"" help:"Explain a type of the text."`
+	Roles  helpRoles  `cmd:"" help:"List the roles of the daemon."`
+}
+
+// Help is the usage text of the verb.
+func (h *help) Help() string {
+	return `Explains verbs, the types of the text and the roles of the daemon.
+
+Example:
+  monsoonfork help type Engine`
+}
+
+// helpTopics lists what there is help for.
+type helpTopics struct{}
+
+// Run implements the verb.
+func (h *helpTopics) Run(std streams) error {
+	w := tabwriter.NewWriter(std.out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "Verbs (monsoonfork help verb NAME):")
+	for _, e := range table() {
+		_, _ = fmt.Fprintf(w, "  %s\t%s\n", e.name, e.summary)
+	}
+	_ = w.Flush()
+	_, err := fmt.Fprintf(std.out, "Types of the text (monsoonfork help type NAME):\n  %s\n"+
+		"Roles of the daemon (monsoonfork help roles).\n", strings.Join(text.TypeNames(), ", "))
+	return err
+}
+
+// helpVerb explains a verb.
+type helpVerb struct {
+	Name string `arg:"" help:"Name of the verb."`
+}
+
+// Run implements the verb.
+func (h *helpVerb) Run(std streams) error {
+	var names []string
+	for _, e := range table() {
+		if e.name == h.Name {
+			Main([]string{e.name, "--help"}, std.out, std.err)
+			return nil
+		}
+		names = append(names, e.name)
+	}
+	return fault.New(fault.NotFound, "no verb %q; verbs are %s", h.Name, strings.Join(names, ", "))
+}
+
+// helpType explains a type of the text.
+type helpType struct {
+	Name string `arg:"" help:"Name of the type."`
+}
+
+// Run implements the verb.
+func (h *helpType) Run(std streams) error {
+	section, err := text.TypeReference(h.Name)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(std.out, section)
+	return err
+}
+
+// helpRoles lists the roles of the daemon.
+type helpRoles struct{}
+
+// Run implements the verb.
+func (h *helpRoles) Run(std streams) error {
+	roles, err := kernel.Roles()
+	if err != nil {
+		return err
+	}
+	w := tabwriter.NewWriter(std.out, 0, 4, 2, ' ', 0)
+	for _, r := range roles {
+		_, _ = fmt.Fprintf(w, "%s\t%s\n", r.Name, r.Summary)
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/cmd/monsoonfork/verb/plan.go
@@ -0,0 +1,55 @@
+package verb
+
+import (
+	"context"
+	"fmt"
+
+	"monsoonfork/core/ident"
+	"monsoonfork/io/operator"
+)
+
+// plan shows what a text would change.
+type plan struct {
+	File string `arg:"" help:"The text, or - for standard input."`
+	remote
+}
+
+// Help is the usage text of the verb.
+func (p *plan) Help() string {
+	return `Compares a text with the one in force at an instance and lists what would
+change: + added, - removed, ~ changed. Changes nothing. The revision that it
+names is the base to apply with: if somebody else changes the text meanwhile,
+apply refuses and shows the difference.
+
+Example:
+  monsoonfork plan fleet.yaml --operator 10.0.0.7:9002`
+}
+
+// Run implements the verb.
+func (p *plan) Run(std streams) error {
+	raw, err := readText(p.File)
+	if err != nil {
+		return err
+	}
+	answer, err := operator.NewClient(ident.Address(p.Operator)).Plan(context.Background(), raw)
+	if err != nil {
+		return err
+	}
+	if p.JSON {
+		if err := printJSON(std.out, answer); err != nil {
+			return err
+		}
+	}
+	if len(answer.Problems) > 0 {
+		return problemsError(std, p.File, answer.Problems)
+	}
+	if p.JSON {
+		return nil
+	}
+	_, _ = fmt.Fprintf(std.out, "Compared with revision %d, this would make %s:\n", answer.Revision, count(len(answer.Changes), "change"))
+	for _, change := range answer.Changes {
+		_, _ = fmt.Fprintln(std.out, change)
+	}
+	_, _ = fmt.Fprintf(std.out, "To apply: monsoonfork apply %s --base %d --operator %s\n", p.File, answer.Revision, p.Operator)
+	return nil
+}
--- /dev/null
+++ b/cmd/monsoonfork/verb/print.go
@@ -0,0 +1,63 @@
+package verb
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"monsoonfork/core/config/relay"
+	"monsoonfork/core/fault"
+	"monsoonfork/core/strictyaml"
+)
+
+// remote is where a verb finds a daemon. Verbs that call one embed it.
+type remote struct {
+	Operator string `required:"" env:"MONSOONFORK_OPERATOR" placeholder:"ADDRESS" help:"Operator address of any instance."`
+	JSON     bool   `name:"json" help:"Answer in JSON."`
+}
+
+// printJSON writes v as JSON.
+func printJSON(w io.Writer, v any) error {
+	raw, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fault.Wrap(err, fault.Internal, "encode the answer")
+	}
+	_, err = fmt.Fprintf(w, "%s\n", raw)
+	return err
+}
+
+// problemsError prints the problems of a file and returns the verb's error.
+func problemsError(std streams, file string, problems strictyaml.Problems) error {
+	for _, p := range problems {
+		_, _ = fmt.Fprintf(std.err, "%s: %s\n", file, p)
+	}
+	return fault.New(fault.BadText, "%s has %s", file, count(len(problems), "problem"))
+}
+
+// count writes a number with a noun.
+func count(n int, noun string) string {
+	if n == 1 {
+		return "1 " + noun
+	}
+	return fmt.Sprintf("%d %ss", n, noun)
+}
+
+// printForce says where a revision is in force.
+func printForce(w io.Writer, s relay.Status) {
+	if s.InForce {
+		instances := 0
+		for _, d := range s.Domains {
+			instances += len(d.Instances)
+		}
+		_, _ = fmt.Fprintf(w, "In force everywhere: %s in %s.\n", count(instances, "instance"), count(len(s.Domains), "domain"))
+		return
+	}
+	_, _ = fmt.Fprintln(w, "Not known to be in force everywhere.")
+	if len(s.Behind) > 0 {
+		_, _ = fmt.Fprintf(w, "Behind:         %s\n", strings.Join(s.Behind, ", "))
+	}
+	if len(s.NotHeard) > 0 {
+		_, _ = fmt.Fprintf(w, "Not heard from: %s\n", strings.Join(s.NotHeard, ", "))
+	}
+}
--- a/cmd/monsoonfork/verb/roles.go
+++ b/cmd/monsoonfork/verb/roles.go
@@ -5,5 +5,6 @@
 	_ "monsoonfork/core/config/relay" // Config
 	_ "monsoonfork/core/keys"         // Keys
 	_ "monsoonfork/core/membership"   // Membership
+	_ "monsoonfork/io/operator"       // Operator
 	_ "monsoonfork/io/store"          // Store
 )
--- a/cmd/monsoonfork/verb/table.go
+++ b/cmd/monsoonfork/verb/table.go
@@ -19,6 +19,14 @@
 func table() []entry {
 	return []entry{
 		{"serve", "Run the daemon of an instance.", &serve{}},
+		{"check", "Find the problems of a text.", &check{}},
+		{"plan", "Show what a text would change.", &plan{}},
+		{"apply", "Make a text the next revision.", &apply{}},
+		{"text", "Write the text in force.", &showText{}},
+		{"status", "Show what is in force where.", &status{}},
+		{"dump", "Show the state of one instance.", &dump{}},
+		{"key", "Make callers' keys.", &key{}},
+		{"help", "Explain verbs, types and roles.", &help{}},
 	}
 }
 
--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -130,6 +130,9 @@
 
 // conflict says what another operator changed meanwhile.
 func (a *Applier) conflict(ctx context.Context, h Head, current, base ident.Revision, raw []byte) error {
+	if current == 0 {
+		return fault.New(fault.RevisionConflict, "there is no revision yet, your edit is based on %d; use base 0", base)
+	}
 	newest := a.Holder.Current()
 	if h.Revision == current && (newest == nil || newest.Revision < current) {
 		s, err := ReadSnapshot(ctx, a.Store, h, a.Now())
@@ -138,9 +141,6 @@
 		}
 		newest = s
 	}
-	if newest == nil {
-		return fault.New(fault.RevisionConflict, "there is no revision yet, your edit is based on %d; use base 0", base)
-	}
 	return fault.New(fault.RevisionConflict,
 		"the text is at revision %d, your edit is based on %d; from revision %d to your text:\n%s",
 		current, base, newest.Revision, Difference(string(newest.Raw), string(raw)))
--- a/core/text/check_keys.go
+++ b/core/text/check_keys.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+
+	"monsoonfork/core/fault"
 )
 
 // minSaltBytes is the shortest salt of a key digest.
@@ -26,3 +28,14 @@
 	}
 	unique(c, c.text.keyNames(), func(i int) string { return at("Keys[%d].Name", i) })
 }
+
+// CheckKey checks the names of one key's entry on its own. Errors have kind
+// BadRequest.
+func CheckKey(k Key) error {
+	for _, name := range []string{string(k.Name), string(k.Organisation)} {
+		if len(name) > maxNameLength || !namePattern.MatchString(name) {
+			return fault.New(fault.BadRequest, "%q is not a name: use at most %d letters, digits, '.', '_' and '-', beginning with a letter or digit", name, maxNameLength)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/text/reference_test.go
@@ -0,0 +1,161 @@
+package text
+
+import (
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"monsoonfork/core/fault"
+)
+
+// update makes the test write the reference in place of checking it.
+var update = flag.Bool("update", false, "write the generated reference")
+
+// operatorsPage is the page that holds the reference between two marks.
+const (
+	operatorsPage = "../../docs/operators.md"
+	beginMark     = "<!-- reference: begin -->\n"
+	endMark       = "<!-- reference: end -->\n"
+)
+
+func TestReferenceIsCurrent(t *testing.T) {
+	want := generateReference(t)
+	page, err := os.ReadFile(operatorsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, rest, found := strings.Cut(string(page), beginMark)
+	_, after, ended := strings.Cut(rest, endMark)
+	if !found || !ended {
+		t.Fatalf("%s lacks the marks of the reference", operatorsPage)
+	}
+	wantPage := before + beginMark + want + endMark + after
+	if *update {
+		for name, content := range map[string]string{"reference.md": want, operatorsPage: wantPage} {
+			if err := os.WriteFile(name, []byte(content), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return
+	}
+	if referencePage != want {
+		t.Error("reference.md is not current; run go test ./core/text -run Reference -update")
+	}
+	if string(page) != wantPage {
+		t.Errorf("%s is not current; run go test ./core/text -run Reference -update", operatorsPage)
+	}
+}
+
+func TestTypeReference(t *testing.T) {
+	for _, name := range TypeNames() {
+		if section, err := TypeReference(name); err != nil || !strings.HasPrefix(section, sectionMark+name) {
+			t.Errorf("TypeReference(%s) = %q, %v", name, section, err)
+		}
+	}
+	if _, err := TypeReference("Nothing"); !fault.Is(err, fault.NotFound) {
+		t.Errorf("unknown type: %v", err)
+	}
+}
+
+// generator writes the reference of types as it meets them.
+type generator struct {
+	t     *testing.T
+	types map[string]*ast.TypeSpec
+	docs  map[string]string
+	out   strings.Builder
+	queue []reflect.Type
+	seen  map[reflect.Type]bool
+}
+
+// generateReference writes the reference from the types and their comments.
+func generateReference(t *testing.T) string {
+	g := &generator{t: t, types: map[string]*ast.TypeSpec{}, docs: map[string]string{}, seen: map[reflect.Type]bool{}}
+	file, err := parser.ParseFile(token.NewFileSet(), "text.go", nil, parser.ParseComments)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, decl := range file.Decls {
+		d, ok := decl.(*ast.GenDecl)
+		if !ok || d.Tok != token.TYPE {
+			continue
+		}
+		spec := d.Specs[0].(*ast.TypeSpec)
+		g.types[spec.Name.Name] = spec
+		g.docs[spec.Name.Name] = strings.Join(strings.Fields(d.Doc.Text()), " ")
+	}
+	g.enqueue(reflect.TypeFor[Text]())
+	for len(g.queue) > 0 {
+		next := g.queue[0]
+		g.queue = g.queue[1:]
+		g.writeType(next)
+	}
+	return g.out.String()
+}
+
+// enqueue has a type described once.
+func (g *generator) enqueue(t reflect.Type) {
+	if !g.seen[t] {
+		g.seen[t] = true
+		g.queue = append(g.queue, t)
+	}
+}
+
+// writeType writes the section of a struct type.
+func (g *generator) writeType(t reflect.Type) {
+	fmt.Fprintf(&g.out, "%s%s\n\n%s\n\n| field | value | meaning |\n| --- | --- | --- |\n", sectionMark, t.Name(), g.docs[t.Name()])
+	comments := g.fieldComments(t.Name())
+	for i := range t.NumField() {
+		f := t.Field(i)
+		if !f.IsExported() {
+			continue
+		}
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		if comments[f.Name] == "" {
+			g.t.Errorf("%s.%s has no comment", t.Name(), f.Name)
+		}
+		fmt.Fprintf(&g.out, "| `%s` | %s | %s |\n", name, g.valueOf(f.Type), comments[f.Name])
+	}
+	g.out.WriteString("\n")
+}
+
+// fieldComments returns the comments behind the fields of a struct.
+func (g *generator) fieldComments(name string) map[string]string {
+	comments := map[string]string{}
+	for _, field := range g.types[name].Type.(*ast.StructType).Fields.List {
+		comments[field.Names[0].Name] = strings.TrimSpace(field.Comment.Text())
+	}
+	return comments
+}
+
+// valueOf says what a field holds.
+func (g *generator) valueOf(t reflect.Type) string {
+	if e, ok := reflect.New(t).Interface().(interface{ UnmarshalText([]byte) error }); ok {
+		_, right, _ := strings.Cut(e.UnmarshalText([]byte("?")).Error(), "; write ")
+		return right
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		g.enqueue(t)
+		return "fields of " + t.Name()
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Struct {
+			g.enqueue(t.Elem())
+			return "list of " + t.Elem().Name()
+		}
+		return "list of words"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.String:
+		return "word"
+	case reflect.Float64:
+		return "number"
+	default:
+		return "whole number"
+	}
+}
--- a/core/text/text.go
+++ b/core/text/text.go
@@ -20,10 +20,10 @@
 
 // Model is a model that engines can load.
 type Model struct {
-	Name             ident.ModelID `yaml:"Name"`
+	Name             ident.ModelID `yaml:"Name"`             // Name by which callers ask for it.
 	Version          string        `yaml:"Version"`          // Wanted version of the weights.
 	Adapters         []string      `yaml:"Adapters"`         // Adapters that engines load besides.
-	MinBytesPerToken int           `yaml:"MinBytesPerToken"` // Lowest number of bytes that one token of text has.
+	MinBytesPerToken int           `yaml:"MinBytesPerToken"` // Lowest number of bytes that one token of text has; 1 if left out.
 	BytesPerKVToken  ident.Bytes   `yaml:"BytesPerKVToken"`  // Size of the KV cache of one token.
 	MaxTokens        ident.Tokens  `yaml:"MaxTokens"`        // Longest prompt and answer together.
 }
@@ -31,7 +31,7 @@
 // EngineRole says which phase an engine serves.
 type EngineRole int
 
-//go:generate stringer -type=EngineRole,Access,Priority,EndpointState,ServiceKind,PlacementPolicy,CutOffKeys -output=text_string.go
+//go:generate stringer -type=EngineRole,Access,Priority,EndpointState,ServiceKind,PlacementPolicy,CutOffKeys,ChangeKind -output=text_string.go
 
 // The engine roles.
 const (
@@ -50,19 +50,19 @@
 
 // Engine is one model engine.
 type Engine struct {
-	Name           ident.EndpointID `yaml:"Name"`
-	Domain         ident.DomainID   `yaml:"Domain"`
-	Address        ident.Address    `yaml:"Address"`
-	Role           EngineRole       `yaml:"Role"`
-	Models         []ident.ModelID  `yaml:"Models"`
-	Slots          int              `yaml:"Slots"`              // Requests that it runs at once.
-	MemoryPieces   ident.Pieces     `yaml:"MemoryPieces"`       // Size of its KV memory.
-	TokensPerPiece ident.Tokens     `yaml:"TokensPerPiece"`     // Tokens that one piece holds.
-	LinkBytes      ident.Bytes      `yaml:"LinkBytesPerSecond"` // Rate limit of its transfer link.
-	PrefillRate    float64          `yaml:"PrefillTokensPerSecond"`
-	ChecksFencing  bool             `yaml:"ChecksFencing"` // Whether it refuses orders with an old fencing number.
-	State          EndpointState    `yaml:"State"`
-	OrderTimeoutMS int64            `yaml:"OrderTimeoutMS"` // Longest time that an order may be under way.
+	Name           ident.EndpointID `yaml:"Name"`                   // Name; no two endpoints share one.
+	Domain         ident.DomainID   `yaml:"Domain"`                 // Failure domain that it is in.
+	Address        ident.Address    `yaml:"Address"`                // IP address and port.
+	Role           EngineRole       `yaml:"Role"`                   // Phase that it serves.
+	Models         []ident.ModelID  `yaml:"Models"`                 // Models that it has loaded, at least one.
+	Slots          int              `yaml:"Slots"`                  // Requests that it runs at once.
+	MemoryPieces   ident.Pieces     `yaml:"MemoryPieces"`           // Size of its KV memory.
+	TokensPerPiece ident.Tokens     `yaml:"TokensPerPiece"`         // Tokens that one piece holds.
+	LinkBytes      ident.Bytes      `yaml:"LinkBytesPerSecond"`     // Rate limit of its transfer link; 0 means not counted.
+	PrefillRate    float64          `yaml:"PrefillTokensPerSecond"` // Prompt tokens that it prefills a second; 0 means not known.
+	ChecksFencing  bool             `yaml:"ChecksFencing"`          // Whether it refuses orders with an old fencing number.
+	State          EndpointState    `yaml:"State"`                  // Leaving means: no new work.
+	OrderTimeoutMS int64            `yaml:"OrderTimeoutMS"`         // Longest time that an order may be under way; 10000 if left out.
 }
 
 // ServiceKind tells model services from plain services.
@@ -76,19 +76,19 @@
 
 // Service is something that routes lead to.
 type Service struct {
-	Name      ident.ServiceID   `yaml:"Name"`
-	Kind      ServiceKind       `yaml:"Kind"`
+	Name      ident.ServiceID   `yaml:"Name"`      // Name that routes lead to.
+	Kind      ServiceKind       `yaml:"Kind"`      // Whether engines or endpoints of its own serve it.
 	Models    []ident.ModelID   `yaml:"Models"`    // Of a model service.
 	Endpoints []Endpoint        `yaml:"Endpoints"` // Of a plain service.
-	DependsOn []ident.ServiceID `yaml:"DependsOn"`
+	DependsOn []ident.ServiceID `yaml:"DependsOn"` // Services that it calls.
 }
 
 // Endpoint is one endpoint of a plain service.
 type Endpoint struct {
-	Name    ident.EndpointID `yaml:"Name"`
-	Domain  ident.DomainID   `yaml:"Domain"`
-	Address ident.Address    `yaml:"Address"`
-	State   EndpointState    `yaml:"State"`
+	Name    ident.EndpointID `yaml:"Name"`    // Name; no two endpoints share one.
+	Domain  ident.DomainID   `yaml:"Domain"`  // Failure domain that it is in.
+	Address ident.Address    `yaml:"Address"` // IP address and port.
+	State   EndpointState    `yaml:"State"`   // Leaving means: no new work.
 }
 
 // Access says who may use a route.
@@ -111,33 +111,33 @@
 
 // Route leads requests with a path and method to a service.
 type Route struct {
-	Name          string                 `yaml:"Name"`
-	Path          string                 `yaml:"Path"`   // A path; a "/" at the end matches all below it.
-	Method        string                 `yaml:"Method"` // An HTTP method; empty means any.
-	Service       ident.ServiceID        `yaml:"Service"`
-	Access        Access                 `yaml:"Access"`
-	Idempotent    bool                   `yaml:"Idempotent"` // Whether a call may be repeated.
-	Priority      Priority               `yaml:"Priority"`
+	Name          string                 `yaml:"Name"`          // Name of the route.
+	Path          string                 `yaml:"Path"`          // A path; a "/" at the end matches all below it.
+	Method        string                 `yaml:"Method"`        // An HTTP method; empty means any.
+	Service       ident.ServiceID        `yaml:"Service"`       // Where it leads.
+	Access        Access                 `yaml:"Access"`        // Whether a key is needed.
+	Idempotent    bool                   `yaml:"Idempotent"`    // Whether a call may be repeated; model routes must be.
+	Priority      Priority               `yaml:"Priority"`      // High goes before Normal where requests wait.
 	Organisations []ident.OrganisationID `yaml:"Organisations"` // Empty means all.
-	TimeoutMS     int64                  `yaml:"TimeoutMS"`     // From the request's arrival to its last byte.
-	FirstTokenMS  int64                  `yaml:"FirstTokenMS"`  // Target for the first token.
+	TimeoutMS     int64                  `yaml:"TimeoutMS"`     // From the request's arrival to its last byte; 60000 if left out.
+	FirstTokenMS  int64                  `yaml:"FirstTokenMS"`  // Target for the first token; 450 if left out.
 	CostTokens    ident.Tokens           `yaml:"CostTokens"`    // Cost of one plain call against the rate.
 }
 
 // Organisation is a customer with its share of the fleet.
 type Organisation struct {
-	Name  ident.OrganisationID  `yaml:"Name"`
-	Rate  ident.TokensPerSecond `yaml:"RateTokensPerSecond"`
-	Burst ident.Tokens          `yaml:"BurstTokens"`
+	Name  ident.OrganisationID  `yaml:"Name"`                // Name of the customer.
+	Rate  ident.TokensPerSecond `yaml:"RateTokensPerSecond"` // Its rate over the whole fleet, above 0.
+	Burst ident.Tokens          `yaml:"BurstTokens"`         // Its burst over the whole fleet, above 0.
 }
 
 // Key is a caller's key. The text holds only its digest.
 type Key struct {
-	Name         ident.KeyID          `yaml:"Name"`
-	Organisation ident.OrganisationID `yaml:"Organisation"`
-	Salt         string               `yaml:"Salt"`   // Hex.
-	Digest       string               `yaml:"Digest"` // Hex of HMAC-SHA-256 of the key under the salt.
-	Withdrawn    bool                 `yaml:"Withdrawn"`
+	Name         ident.KeyID          `yaml:"Name"`         // Name of the key; not secret.
+	Organisation ident.OrganisationID `yaml:"Organisation"` // For whom requests with it run.
+	Salt         string               `yaml:"Salt"`         // Hex.
+	Digest       string               `yaml:"Digest"`       // Hex of HMAC-SHA-256 of the key under the salt.
+	Withdrawn    bool                 `yaml:"Withdrawn"`    // Refused from now on; its running requests are ended.
 }
 
 // PlacementPolicy selects how engines are chosen.
@@ -163,8 +163,8 @@
 
 // Policy holds fleet-wide choices.
 type Policy struct {
-	Placement             PlacementPolicy `yaml:"Placement"`
-	CutOffKeys            CutOffKeys      `yaml:"CutOffKeys"`
-	BudgetSlotsPerDomain  int             `yaml:"BudgetSlotsPerDomain"`
-	ClaimRetentionSeconds int64           `yaml:"ClaimRetentionSeconds"`
+	Placement             PlacementPolicy `yaml:"Placement"`             // How engines are chosen.
+	CutOffKeys            CutOffKeys      `yaml:"CutOffKeys"`            // What a domain does with keys while the store confirms nothing to it.
+	BudgetSlotsPerDomain  int             `yaml:"BudgetSlotsPerDomain"`  // Instances of a domain that hold parts of its budgets; 0 means the built-in number.
+	ClaimRetentionSeconds int64           `yaml:"ClaimRetentionSeconds"` // How long an Idempotency-Key is remembered; 0 means the built-in time.
 }
--- /dev/null
+++ b/io/operator/client.go
@@ -0,0 +1,138 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"monsoonfork/core/config"
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+)
+
+// clientTimeout bounds one call; it lies above the server's applyTimeout.
+const clientTimeout = 15 * time.Second
+
+// Client calls the operator address of one daemon.
+type Client struct {
+	address ident.Address
+	http    http.Client
+}
+
+// NewClient returns a client for an operator address.
+func NewClient(address ident.Address) *Client {
+	return &Client{address: address, http: http.Client{
+		Timeout:   clientTimeout,
+		Transport: &http.Transport{DisableKeepAlives: true},
+	}}
+}
+
+// Status asks what is in force where.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return get[Status](ctx, c, "/status")
+}
+
+// Dump returns the state of the process as JSON.
+func (c *Client) Dump(ctx context.Context) (json.RawMessage, error) {
+	return get[json.RawMessage](ctx, c, "/dump")
+}
+
+// Text returns the text in force at the instance, with its revision.
+func (c *Client) Text(ctx context.Context) ([]byte, ident.Revision, error) {
+	body, header, err := c.call(ctx, http.MethodGet, "/text", nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	revision, err := strconv.ParseInt(header.Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return nil, 0, fault.Wrap(err, fault.Internal, "the answer names no revision")
+	}
+	return body, ident.Revision(revision), nil
+}
+
+// Plan asks what a text would change.
+func (c *Client) Plan(ctx context.Context, raw []byte) (Plan, error) {
+	body, _, err := c.call(ctx, http.MethodPost, "/plan", raw)
+	if err != nil {
+		return Plan{}, err
+	}
+	return decode[Plan](body)
+}
+
+// Apply makes a text the revision after base. When no answer comes, the error
+// has kind OutcomeUnknown: the same call with the same edit id learns it.
+func (c *Client) Apply(ctx context.Context, raw []byte, base ident.Revision, editID string) (config.Accepted, error) {
+	query := url.Values{"base": {strconv.FormatInt(int64(base), 10)}, "edit": {editID}}
+	body, _, err := c.call(ctx, http.MethodPost, "/apply?"+query.Encode(), raw)
+	if fault.Is(err, fault.PeerUnavailable) && fault.From(err).Ran != fault.NotRun {
+		return config.Accepted{}, fault.Wrap(err, fault.OutcomeUnknown, "edit %s may have been accepted; apply it again with the same edit id", editID)
+	}
+	if err != nil {
+		return config.Accepted{}, err
+	}
+	return decode[config.Accepted](body)
+}
+
+// get makes a GET and decodes its answer.
+func get[T any](ctx context.Context, c *Client, path string) (T, error) {
+	body, _, err := c.call(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		var zero T
+		return zero, err
+	}
+	return decode[T](body)
+}
+
+// decode decodes an answer.
+func decode[T any](body []byte) (T, error) {
+	var v T
+	if err := json.Unmarshal(body, &v); err != nil {
+		return v, fault.Wrap(err, fault.Internal, "the answer is malformed")
+	}
+	return v, nil
+}
+
+// call makes one call and returns its body.
+func (c *Client) call(ctx context.Context, method, path string, raw []byte) ([]byte, http.Header, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+string(c.address)+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.BadRequest, "%q is not an operator address", c.address)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.PeerUnavailable, "no answer from %s", c.address).WithRan(fault.MayHaveRun)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, nil, fault.Wrap(err, fault.PeerUnavailable, "no whole answer from %s", c.address).WithRan(fault.MayHaveRun)
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, nil, errorOf(res.StatusCode, body)
+	}
+	return body, res.Header, nil
+}
+
+// errorOf turns an error answer back into an error.
+func errorOf(status int, body []byte) error {
+	var answer ErrorAnswer
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Kind == "" {
+		return fault.New(fault.Internal, "status %d: %s", status, bytes.TrimSpace(body))
+	}
+	for _, k := range fault.Kinds() {
+		if k.String() == answer.Kind {
+			message := answer.Message
+			for _, p := range answer.Problems {
+				message += fmt.Sprintf("\n  %s", p)
+			}
+			return fault.New(k, "%s", message)
+		}
+	}
+	return fault.New(fault.Internal, "%s: %s", answer.Kind, answer.Message)
+}
--- /dev/null
+++ b/io/operator/handlers.go
@@ -0,0 +1,192 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-kit/log/level"
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/invariant"
+	"monsoonfork/core/keys"
+	"monsoonfork/core/strictyaml"
+	"monsoonfork/core/text"
+)
+
+// livez says that the process lives.
+func (s *server) livez(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "live\n")
+}
+
+// readyz says whether the instance should get new callers.
+func (s *server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if err := s.node.Ready(); err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, err.Error()+"\n")
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// metrics writes all metrics.
+func (s *server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	gometrics.WriteJSONOnce(s.node.Metrics, w)
+}
+
+// dump writes the state of all roles.
+func (s *server) dump(w http.ResponseWriter, _ *http.Request) {
+	s.write(w, http.StatusOK, s.node.Dump())
+}
+
+// status says what is in force where.
+func (s *server) status(w http.ResponseWriter, r *http.Request) {
+	answer := Status{
+		Instance:   s.node.ID,
+		Domain:     s.node.Settings.Domain,
+		Started:    s.node.Started,
+		Ready:      true,
+		Config:     s.relay.Survey(context.WithoutCancel(r.Context())),
+		Keys:       s.keyStatus(),
+		Violations: invariant.Violations(),
+	}
+	if err := s.node.Ready(); err != nil {
+		answer.Ready, answer.NotReady = false, err.Error()
+	}
+	s.write(w, http.StatusOK, answer)
+}
+
+// keyStatus says what this instance does with keys now.
+func (s *server) keyStatus() KeyStatus {
+	k := KeyStatus{ConfirmedMS: -1}
+	if at := s.relay.Confirmed(); !at.IsZero() {
+		k.ConfirmedMS = s.node.Now().Sub(at).Milliseconds()
+	}
+	if c := s.holder.Current(); c != nil {
+		k.CutOffKeys = c.Text.Policy.CutOffKeys
+	}
+	late := k.ConfirmedMS < 0 || k.ConfirmedMS > keys.CutOffGrace.Milliseconds()
+	k.RefusesKeyed = k.CutOffKeys == text.RefuseKeyed && late
+	return k
+}
+
+// text writes the text in force at this instance, as the operator wrote it.
+func (s *server) text(w http.ResponseWriter, _ *http.Request) {
+	c := s.holder.Current()
+	if c == nil {
+		s.fail(w, fault.New(fault.NotFound, "there is no text yet"))
+		return
+	}
+	w.Header().Set("Content-Type", "application/yaml")
+	w.Header().Set(RevisionHeader, strconv.FormatInt(int64(c.Revision), 10))
+	_, _ = w.Write(c.Raw)
+}
+
+// plan says what a text would change.
+func (s *server) plan(w http.ResponseWriter, r *http.Request) {
+	raw, err := readBody(r)
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	answer := Plan{}
+	var current *text.Text
+	if c := s.holder.Current(); c != nil {
+		answer.Revision, current = c.Revision, c.Text
+	}
+	parsed, problems := text.Parse(raw)
+	answer.Problems = problems
+	if len(problems) == 0 {
+		answer.Changes = text.Changes(current, parsed)
+	}
+	s.write(w, http.StatusOK, answer)
+}
+
+// apply makes a text the next revision.
+func (s *server) apply(w http.ResponseWriter, r *http.Request) {
+	raw, err := readBody(r)
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	query := r.URL.Query()
+	base, err := strconv.ParseInt(query.Get("base"), 10, 64)
+	if err != nil || base < 0 {
+		s.fail(w, fault.New(fault.BadRequest, "base %q is not a revision", query.Get("base")))
+		return
+	}
+	// The edit goes on when its operator leaves: its outcome can be asked for
+	// with the same edit id.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), applyTimeout)
+	defer cancel()
+	accepted, err := s.applier.Apply(ctx, raw, ident.Revision(base), query.Get("edit"))
+	if err != nil {
+		_ = level.Info(s.log).Log("msg", "edit not accepted", "edit", query.Get("edit"), "kind", fault.KindOf(err))
+		s.fail(w, err)
+		return
+	}
+	_ = level.Info(s.log).Log("msg", "edit accepted", "edit", accepted.EditID, "revision", accepted.Revision)
+	s.write(w, http.StatusOK, accepted)
+}
+
+// faults cuts links for tests.
+func (s *server) faults(w http.ResponseWriter, r *http.Request) {
+	raw, err := readBody(r)
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	var f Faults
+	if err := json.Unmarshal(raw, &f); err != nil {
+		s.fail(w, fault.Wrap(err, fault.BadRequest, "malformed faults"))
+		return
+	}
+	s.links.Gate().Cut(f.CutDomains...)
+	s.write(w, http.StatusOK, f)
+}
+
+// readBody reads a body of bounded size.
+func readBody(r *http.Request) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
+	if err != nil {
+		return nil, fault.Wrap(err, fault.BadRequest, "cannot read the body")
+	}
+	if len(raw) > maxBodyBytes {
+		return nil, fault.New(fault.RequestTooLarge, "the body is larger than %d bytes", maxBodyBytes)
+	}
+	return raw, nil
+}
+
+// fail answers with an error.
+func (s *server) fail(w http.ResponseWriter, err error) {
+	e := fault.From(err)
+	answer := ErrorAnswer{Kind: e.Kind.String(), Ran: e.Ran.String(), Message: e.Message}
+	var problems strictyaml.Problems
+	if errors.As(err, &problems) {
+		answer.Problems = problems
+	}
+	if !e.RetryAfter.IsZero() {
+		answer.RetryAfterMS = max(1, time.Until(e.RetryAfter).Milliseconds())
+	}
+	s.write(w, fault.AnswerFor(e.Kind).Status, answer)
+}
+
+// write answers with JSON.
+func (s *server) write(w http.ResponseWriter, status int, body any) {
+	raw, err := json.MarshalIndent(body, "", "  ")
+	if err != nil {
+		_ = level.Error(s.log).Log("msg", "encode answer", "err", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(append(raw, '\n'))
+}
