--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 
@@ -112,27 +113,24 @@
 }
 
 // borrowAll asks several domains at once and adds what they give to the pool.
-// It reports whether any gave.
+// It reports whether asking again may help: some gave, or some did not answer,
+// so that others will be asked instead.
 func (h *home) borrowAll(ctx context.Context, s *shard, a *account, org ident.OrganisationID, asks []ask) bool {
 	var wg sync.WaitGroup
-	gave := make([]bool, len(asks))
+	again := make([]bool, len(asks))
 	for i, q := range asks {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			gave[i] = h.borrowFrom(ctx, s, a, org, q)
+			again[i] = h.borrowFrom(ctx, s, a, org, q)
 		}()
 	}
 	wg.Wait()
-	for _, got := range gave {
-		if got {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(again, true)
 }
 
-// borrowFrom asks one domain's home of the organisation.
+// borrowFrom asks one domain's home of the organisation. It is false when that
+// home answered that it has nothing.
 func (h *home) borrowFrom(ctx context.Context, s *shard, a *account, org ident.OrganisationID, q ask) bool {
 	h.b.metrics.spareCalls.Inc(1)
 	asked := h.b.clock.Now()
@@ -152,7 +150,7 @@
 	defer s.mu.Unlock()
 	if err != nil || !ok {
 		a.borrow.failed(q.domain, now.Age)
-		return false
+		return true
 	}
 	a.pool.Add(intervals...)
 	a.borrow.answered(q.domain, asked.Age, reply.GetLeft(), len(intervals) > 0)
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -193,6 +193,12 @@
 	return b.peers(ctx, to, method, req, resp)
 }
 
+// ended reports whether the process of an instance has ended for sure.
+func (b *Budget) ended(id ident.InstanceID) bool {
+	m, ok := b.view().Member(id)
+	return ok && m.State == membership.Gone
+}
+
 // otherDomains returns the other domains in which instances live.
 func (b *Budget) otherDomains() []ident.DomainID {
 	var others []ident.DomainID
--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -72,62 +72,55 @@
 
 // renew renews one slot in the store, or has a member do it.
 func (k *keeper) renew(ctx context.Context, number int) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	stored, err := k.b.store.get(ctx, number)
+	now := k.b.clock.Now()
 	k.mu.Lock()
 	h, ok := k.held[number]
 	if !ok {
 		k.mu.Unlock()
 		return
 	}
-	record, version := h.record, h.version
-	k.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	asked := k.b.clock.Now()
-	stored, err := k.readIfNeeded(ctx, number, version, record)
-	if err != nil {
-		k.relay(ctx, number, record.Epoch)
-		return
-	}
-	if stored.record.Holder != k.b.self || stored.record.Epoch != record.Epoch {
-		k.mu.Lock()
+	epoch := h.record.Epoch
+	if err == nil && (stored.record.Holder != k.b.self || stored.record.Epoch != epoch) {
 		k.lose(number, "another holder in the store")
 		k.mu.Unlock()
 		return
 	}
-	next := stored.record
-	next.Beat++
-	outcome := k.b.store.swap(ctx, number, next, stored.version)
-	k.finishRenewal(number, next, asked, outcome)
-	if outcome == swapUnknown || outcome == swapNotWritten {
-		k.relay(ctx, number, record.Epoch)
+	if err == nil {
+		h.confirm(stored, now.Age)
 	}
-}
-
-// readIfNeeded returns the slot's record, from the store unless its version is
-// known.
-func (k *keeper) readIfNeeded(ctx context.Context, number int, version uint64, record slotRecord) (storedSlot, error) {
-	if version != 0 {
-		return storedSlot{record: record, version: version}, nil
+	k.mu.Unlock()
+	if err != nil || !k.renewIn(ctx, number, stored) {
+		k.relay(ctx, number, epoch)
 	}
-	return k.b.store.get(ctx, number)
 }
 
-// finishRenewal records the outcome of a renewal. The version of the record
-// after a write is not told by the store, so that it is read again.
-func (k *keeper) finishRenewal(number int, r slotRecord, asked Moment, outcome swapOutcome) {
+// renewIn writes the renewal of a slot whose record was just read. It reports
+// whether it is known to have taken effect.
+func (k *keeper) renewIn(ctx context.Context, number int, stored storedSlot) bool {
+	next := stored.record
+	next.Beat++
+	asked := k.b.clock.Now()
+	outcome := k.b.store.swap(ctx, number, next, stored.version)
 	now := k.b.clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	h, ok := k.held[number]
-	if !ok || h.record.Epoch != r.Epoch {
-		return
+	if !ok || h.record.Epoch != next.Epoch {
+		return true
 	}
-	h.version = 0
-	if outcome == swapWritten {
-		h.record = r
+	switch outcome {
+	case swapWritten:
+		h.record = next
 		h.tenure.renewed(asked.Age, now.Age)
 		k.b.metrics.renewals.Inc(1)
+		return true
+	case swapUnknown:
+		h.doubt(asked.Age)
 	}
+	return false
 }
 
 // relay asks members of the domain, one after the other, to renew a slot.
@@ -144,25 +137,29 @@
 		}
 		asked := k.b.clock.Now()
 		err := k.b.call(context.WithoutCancel(ctx), announceTimeout, m.ID, methodRenew, req, &Done{})
-		if err == nil {
-			k.relayed(number, epoch, asked)
-			return
-		}
-		if fault.Is(err, fault.NotHolder) {
+		if k.relayed(number, epoch, asked, err) || fault.Is(err, fault.NotHolder) {
 			return
 		}
 	}
 }
 
-// relayed records a renewal that a member made.
-func (k *keeper) relayed(number int, epoch ident.Epoch, asked Moment) {
+// relayed records the outcome of a renewal that a member was asked for. It
+// reports whether it took effect.
+func (k *keeper) relayed(number int, epoch ident.Epoch, asked Moment, err error) bool {
 	now := k.b.clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if h, ok := k.held[number]; ok && h.record.Epoch == epoch {
-		h.version = 0
-		h.tenure.renewed(asked.Age, now.Age)
+	h, ok := k.held[number]
+	if !ok || h.record.Epoch != epoch {
+		return true
 	}
+	if err != nil {
+		h.doubt(asked.Age)
+		return false
+	}
+	h.record.Beat++
+	h.tenure.renewed(asked.Age, now.Age)
+	return true
 }
 
 // claimFree claims the slots for which this instance is the candidate and
@@ -200,11 +197,14 @@
 			continue
 		}
 		rank := k.rank(number)
-		silence := now.Age.Sub(k.sighting(number).heardAt)
-		if rank < 0 || silence < unheardAfter+time.Duration(rank)*rankDelay {
-			continue
+		s := k.sighting(number)
+		silence := now.Age.Sub(s.heardAt)
+		if k.b.ended(s.holder) {
+			silence = max(silence, unheardAfter)
+		}
+		if rank >= 0 && silence >= unheardAfter+time.Duration(rank)*rankDelay {
+			numbers = append(numbers, number)
 		}
-		numbers = append(numbers, number)
 	}
 	return numbers
 }
@@ -220,8 +220,8 @@
 	return -1
 }
 
-// claimIfFree claims one slot if it has no holder, or if its holder's lease is
-// over for sure.
+// claimIfFree claims one slot if it has no holder, if its holder's process has
+// ended for sure, or if its holder's lease is over for sure.
 func (k *keeper) claimIfFree(ctx context.Context, number int, stored storedSlot) {
 	now := k.b.clock.Now()
 	k.mu.Lock()
@@ -230,14 +230,22 @@
 	s := k.sighting(number)
 	s.read(stored, k.b.self)
 	r := stored.record
-	free := stored.version == 0 || r.Holder == "" || r.Holder == k.b.self || o.lapsed(now.Age)
-	if !free || now.Age < s.promisedUntil {
+	if r.Holder == k.b.self && s.claimEpoch != 0 && r.Epoch == s.claimEpoch {
+		// The claim whose outcome was not known has taken effect.
+		k.hold(number, r, s.claimAsked, now)
+		k.mu.Unlock()
+		return
+	}
+	free := stored.version == 0 || r.Holder == "" || r.Holder == k.b.self
+	lapsed := o.lapsed(now.Age) && now.Age >= s.promisedUntil
+	if !free && !lapsed && !k.b.ended(r.Holder) {
 		k.mu.Unlock()
 		return
 	}
 	next := slotRecord{Holder: k.b.self, Epoch: max(r.Epoch, s.epoch) + 1}
 	s.claimEpoch = next.Epoch
 	s.claimVersion = stored.version
+	s.claimAsked = now
 	k.mu.Unlock()
 	outcome := k.b.store.swap(ctx, number, next, stored.version)
 	done := k.b.clock.Now()
--- a/core/budget/cluster_failures_test.go
+++ b/core/budget/cluster_failures_test.go
@@ -39,8 +39,10 @@
 		l := loads[org]
 		a := l.tally
 		allowed := float64(l.ref.limit.Rate)*length.Seconds() + float64(l.ref.limit.Burst)
-		t.Logf("%s: %d requests, %d admitted, %d refused, %d of them wrongful (%.2f%% of requests), %d failed; %.0f tokens used, %.1f%% of rate and burst; slowest %v",
-			org, a.requests, a.admitted, a.refused, a.wrongful, 100*float64(a.wrongful)/float64(a.requests), a.failed, a.used, 100*a.used/allowed, l.slowest)
+		t.Logf("%s: %d requests, %d admitted, %d refused, %d failed, slowest %v; tokens used %.0f, %.1f%% of rate and burst",
+			org, a.requests, a.admitted, a.refused, a.failed, l.slowest, a.used, 100*a.used/allowed)
+		t.Logf("%s: refused while the fleet together had the tokens: %d (%.2f%%); one exact bucket: %d admitted, tokens used %.0f",
+			org, a.wrongful, 100*float64(a.wrongful)/float64(a.requests), a.exactAdmitted, a.exactUsed)
 	}
 	calls, takes, spares := int64(0), int64(0), int64(0)
 	for _, n := range c.all() {
@@ -57,75 +59,141 @@
 		for i := range 8 {
 			c.add(c.domains[i%4])
 		}
-		time.Sleep(12 * time.Second)
+		time.Sleep(settleTime)
 		const length = 60 * time.Second
 		loads := startLoads(c, 1, time.Now().Add(length))
 		time.Sleep(length + 5*time.Second)
 		c.close()
 		report(t, c, loads, length)
 		c.checkAudit()
-		for _, org := range []ident.OrganisationID{"even", "modest"} {
-			if a := loads[org].tally; float64(a.wrongful) > 0.005*float64(a.requests) {
-				t.Errorf("%s: %d of %d requests refused wrongfully", org, a.wrongful, a.requests)
-			}
-		}
+		checkWrongful(t, loads)
 	})
 }
 
 func TestRandomFailuresNeverExceedTheLimit(t *testing.T) {
 	for seed := uint64(1); seed <= 3; seed++ {
-		synctest.Test(t, func(t *testing.T) { runRandomFailures(t, seed) })
+		synctest.Test(t, func(t *testing.T) {
+			c := newCluster(t, seed, 4, 4, testOrgs())
+			for i := range 8 {
+				c.add(c.domains[i%4])
+			}
+			time.Sleep(settleTime)
+			const length = 300 * time.Second
+			loads := startLoads(c, seed, time.Now().Add(length))
+			failFor(c, seed, length, failOnce)
+			c.close()
+			report(t, c, loads, length)
+			c.checkAudit()
+		})
 	}
 }
 
-// runRandomFailures kills, pauses and cuts at random, with the store down for a
-// third of the time.
-func runRandomFailures(t *testing.T, seed uint64) {
-	c := newCluster(t, seed, 4, 4, testOrgs())
-	for i := range 8 {
-		c.add(c.domains[i%4])
+// With one slot a domain and requests that use all they are charged, a single
+// slot minted twice breaks the bound by far more than what lies unused.
+func TestRandomFailuresNeverExceedATightLimit(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		runTight(t, seed, failOnce)
 	}
-	time.Sleep(12 * time.Second)
-	const length = 180 * time.Second
-	end := time.Now().Add(length)
-	loads := startLoads(c, seed, end)
+}
+
+func TestPausesOfHoldersNeverExceedATightLimit(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		runTight(t, seed, pauseHolder)
+	}
+}
+
+// runTight runs one loud organisation on two domains with one slot each.
+func runTight(t *testing.T, seed uint64, fail func(*cluster, *rand.Rand)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, seed, 2, 1, testOrgs())
+		for i := range 6 {
+			c.add(c.domains[i%2])
+		}
+		time.Sleep(settleTime)
+		const length = 200 * time.Second
+		l := newLoad(c, "loud", 3, 300)
+		l.usesAll = true
+		c.wg.Add(1)
+		go l.run(seed, time.Now().Add(length))
+		failFor(c, seed, length, fail)
+		c.close()
+		c.checkAudit()
+	})
+}
+
+// failFor causes random failures for a time, and lets them end.
+func failFor(c *cluster, seed uint64, length time.Duration, fail func(*cluster, *rand.Rand)) {
 	r := rand.New(rand.NewPCG(seed, 9))
+	end := time.Now().Add(length)
 	for time.Now().Before(end) {
-		time.Sleep(time.Duration(r.Int64N(int64(3 * time.Second))))
-		failOnce(c, r)
+		time.Sleep(time.Duration(r.Int64N(int64(8 * time.Second))))
+		fail(c, r)
 	}
 	time.Sleep(5 * time.Second)
-	c.close()
-	report(t, c, loads, length)
-	c.checkAudit()
 }
 
-// failOnce causes or ends one random failure.
+// pauseHolder pauses the holder of a random slot, or now and then takes the
+// store away for a while.
+func pauseHolder(c *cluster, r *rand.Rand) {
+	if r.IntN(4) == 0 {
+		c.during(r, 30*time.Second,
+			func() { c.store.set(func(m *memoryStore) { m.down = true }) },
+			func() { c.store.set(func(m *memoryStore) { m.down = false }) })
+		return
+	}
+	holders := c.minting(c.domains[r.IntN(len(c.domains))], 0)
+	if len(holders) == 0 {
+		return
+	}
+	c.mu.Lock()
+	n := c.nodes[holders[0]]
+	c.mu.Unlock()
+	c.during(r, 15*time.Second, n.pause, n.resume)
+}
+
+// during applies a fault for a random time of at most longest.
+func (c *cluster) during(r *rand.Rand, longest time.Duration, begin, end func()) {
+	length := time.Duration(r.Int64N(int64(longest)))
+	begin()
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		time.Sleep(length)
+		end()
+	}()
+}
+
+// failOnce causes one random failure, which ends by itself.
 func failOnce(c *cluster, r *rand.Rand) {
 	nodes := c.all()
 	n := nodes[r.IntN(len(nodes))]
-	switch r.IntN(7) {
-	case 0, 1:
+	domain := n.member.Domain
+	setCut := func(on bool) func() {
+		return func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.cut[domain] = on
+		}
+	}
+	store := func(change func(*memoryStore)) func() {
+		return func() { c.store.set(change) }
+	}
+	switch r.IntN(8) {
+	case 0, 1, 2:
 		n.kill()
-		c.add(n.member.Domain)
-	case 2:
-		n.pause()
-		length := time.Duration(r.Int64N(int64(20 * time.Second)))
-		c.wg.Add(1)
-		go func() {
-			defer c.wg.Done()
-			time.Sleep(length)
-			n.resume()
-		}()
+		c.add(domain)
 	case 3:
-		c.mu.Lock()
-		c.cut[n.member.Domain] = !c.cut[n.member.Domain]
-		c.mu.Unlock()
+		c.during(r, 30*time.Second, n.pause, n.resume)
 	case 4:
-		c.store.set(func(m *memoryStore) { m.down = r.IntN(3) == 0 })
+		c.during(r, 60*time.Second, setCut(true), setCut(false))
 	case 5:
-		c.store.set(func(m *memoryStore) { m.loseReply = r.IntN(3) == 0 })
+		c.during(r, 40*time.Second,
+			store(func(m *memoryStore) { m.down = true }), store(func(m *memoryStore) { m.down = false }))
 	case 6:
-		c.store.set(func(m *memoryStore) { m.downFor[n.member.Domain] = r.IntN(2) == 0 })
+		c.during(r, 10*time.Second,
+			store(func(m *memoryStore) { m.loseReply = true }), store(func(m *memoryStore) { m.loseReply = false }))
+	case 7:
+		c.during(r, 30*time.Second,
+			store(func(m *memoryStore) { m.downFor[domain] = true }), store(func(m *memoryStore) { m.downFor[domain] = false }))
 	}
 }
--- a/core/budget/cluster_test.go
+++ b/core/budget/cluster_test.go
@@ -340,4 +340,5 @@
 		}
 	}
 	c.wg.Wait()
+	time.Sleep(time.Second) // Messages under way end.
 }
--- a/core/budget/home.go
+++ b/core/budget/home.go
@@ -19,6 +19,7 @@
 	sweepEvery      = 5 * time.Millisecond   // Between sweeps of the domain's slots for one organisation.
 	probeEvery      = 500 * time.Millisecond // Between probes of other domains that seem empty.
 	maxProbeDoubles = 2                      // A probe that finds nothing doubles the time to the next, this often.
+	borrowAhead     = 25 * time.Millisecond  // Of minting is borrowed beyond what lacks: the oldest tokens expire on the way.
 	minRetryAfter   = 50 * time.Millisecond
 )
 
@@ -105,7 +106,7 @@
 		s.mu.Unlock()
 		return 0, false
 	}
-	id := s.reservations.add(reservation{org: org, charged: cost, minted: minted})
+	id := s.reservations.add(reservation{org: org, charged: cost, at: now.Age, minted: minted})
 	within := a.meter.admitted(now.Age, limit, cost)
 	s.mu.Unlock()
 	invariant.Check(h.b.log, "Budget.HomeWithinLimit", within, "organisation", string(org), "cost", int64(cost))
@@ -174,7 +175,7 @@
 	lack := a.demand - a.pool.Amount()
 	var asks []ask
 	if lack > 0 {
-		asks = a.borrow.plan(now.Age, others, limit, domains, lack)
+		asks = a.borrow.plan(now.Age, others, limit, domains, lack+limit.mintedIn(borrowAhead))
 	}
 	s.mu.Unlock()
 	if lack <= 0 || len(asks) == 0 {
--- a/core/budget/keeper.go
+++ b/core/budget/keeper.go
@@ -11,8 +11,9 @@
 
 // heldSlot is a minting slot that this instance holds.
 type heldSlot struct {
-	record    slotRecord // As last written.
-	version   uint64     // Of the record in the store; 0 when not known.
+	record    slotRecord // As last known to be in the store.
+	unsure    bool       // Whether a renewal's outcome is not known.
+	unsureAt  Instant    // Before the first renewal of unknown outcome.
 	tenure    *tenure
 	slot      *Slot
 	claimedAt Instant
@@ -160,6 +161,25 @@
 	_ = level.Info(k.b.log).Log("msg", "slot claimed", "slot", slot, "epoch", int64(r.Epoch))
 }
 
+// confirm takes a reading of the slot's record into account: a renewal of
+// unknown outcome has taken effect if the record has moved on. Which of several
+// it was is not known, so that the lease counts from the first.
+func (h *heldSlot) confirm(stored storedSlot, now Instant) {
+	if h.unsure && stored.record.Beat > h.record.Beat {
+		h.tenure.renewed(h.unsureAt, now)
+	}
+	h.unsure = false
+	h.record = stored.record
+}
+
+// doubt records that a renewal that began at asked has an unknown outcome.
+func (h *heldSlot) doubt(asked Instant) {
+	if !h.unsure {
+		h.unsure = true
+		h.unsureAt = asked
+	}
+}
+
 // lose records that this instance does not hold a slot any more. k is locked.
 func (k *keeper) lose(slot int, why string) {
 	if _, ok := k.held[slot]; !ok {
--- a/core/budget/limit.go
+++ b/core/budget/limit.go
@@ -19,6 +19,11 @@
 	return time.Duration(float64(l.Burst) / float64(l.Rate) * float64(time.Second))
 }
 
+// mintedIn returns the tokens that come up within d, at most a burst.
+func (l Limit) mintedIn(d time.Duration) float64 {
+	return min(float64(l.Rate)*d.Seconds(), float64(l.Burst))
+}
+
 // valid reports whether the organisation may spend anything at all.
 func (l Limit) valid() bool { return l.Rate > 0 && l.Burst > 0 }
 
--- a/core/budget/load_test.go
+++ b/core/budget/load_test.go
@@ -61,7 +61,9 @@
 	org      ident.OrganisationID
 	factor   float64 // Tokens asked for, as a multiple of the rate.
 	meanCost float64
-	ref      reference
+	usesAll  bool      // Whether requests use all that they are charged.
+	ref      reference // Charged with what the cluster admits.
+	exact    reference // Charged with what it would admit itself.
 
 	mu       sync.Mutex
 	tally    tally
@@ -74,6 +76,8 @@
 	requests, admitted, refused, wrongful, failed int
 	tokens                                        float64 // Charged.
 	used                                          float64
+	exactAdmitted                                 int // By one exact bucket fed with the same requests.
+	exactUsed                                     float64
 }
 
 // newLoad returns traffic that has not begun.
@@ -81,6 +85,7 @@
 	return &load{
 		c: c, org: org, factor: factor, meanCost: meanCost,
 		ref:      reference{limit: c.orgs[org]},
+		exact:    reference{limit: c.orgs[org]},
 		byDomain: make(map[ident.DomainID]tally),
 	}
 }
@@ -98,6 +103,9 @@
 		}
 		cost := max(1, math.Ceil(l.meanCost*(0.25+1.5*r.Float64())))
 		used := math.Floor(cost * (0.3 + 0.7*r.Float64()))
+		if l.usesAll {
+			used = cost
+		}
 		length := time.Duration(r.Int64N(int64(4 * time.Second)))
 		nodes := l.c.all()
 		n := nodes[r.IntN(len(nodes))]
@@ -115,6 +123,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	begin := time.Now()
+	l.c.wg.Add(1)
+	go l.requestExact(cost, used, length)
 	covered := l.ref.covers(l.instant(), cost)
 	grant, err := n.b.Admit(ctx, l.org, ident.Tokens(cost))
 	l.count(n.member.Domain, time.Since(begin), cost, used, covered, err)
@@ -128,6 +138,21 @@
 	l.ref.refund(minted, used)
 }
 
+// requestExact puts the same request to the exact bucket.
+func (l *load) requestExact(cost, used float64, length time.Duration) {
+	defer l.c.wg.Done()
+	if !l.exact.covers(l.instant(), cost) {
+		return
+	}
+	minted := l.exact.charge(l.instant(), cost)
+	l.mu.Lock()
+	l.tally.exactAdmitted++
+	l.tally.exactUsed += used
+	l.mu.Unlock()
+	time.Sleep(length)
+	l.exact.refund(minted, used)
+}
+
 // instant returns the time of the reference.
 func (l *load) instant() Instant { return Instant(time.Since(l.c.start) + time.Hour) }
 
--- a/core/budget/reservation.go
+++ b/core/budget/reservation.go
@@ -10,6 +10,7 @@
 type reservation struct {
 	org     ident.OrganisationID
 	charged ident.Tokens
+	at      Instant    // When it was charged.
 	minted  []Interval // The tokens charged, oldest first.
 }
 
@@ -45,12 +46,16 @@
 	return res, unused, true
 }
 
-// dropExpired forgets reservations whose refund would be worth nothing, since
-// all their tokens are older than their organisation's window.
+// reservationKept is how long a reservation stays open at least.
+const reservationKept = time.Minute
+
+// dropExpired forgets old reservations whose refund would be worth nothing,
+// since all their tokens are older than their organisation's window.
 func (r *reservations) dropExpired(now Instant, window func(ident.OrganisationID) time.Duration) {
 	for id, res := range r.open {
 		n := len(res.minted)
-		if n == 0 || res.minted[n-1].End < now.Add(-window(res.org)) {
+		worthless := n == 0 || res.minted[n-1].End < now.Add(-window(res.org))
+		if worthless && now >= res.at.Add(reservationKept) {
 			delete(r.open, id)
 		}
 	}
--- a/core/budget/tenure.go
+++ b/core/budget/tenure.go
@@ -123,6 +123,7 @@
 	promisedUntil Instant
 	claimEpoch    ident.Epoch // Of a claim of this member whose outcome is not known; 0 when there is none.
 	claimVersion  uint64      // Version of the record that the claim is to replace.
+	claimAsked    Moment      // Before the claim.
 }
 
 // asked records an announcement and reports whether the member promises to
