--- a/cmd/monsoonlab/service.go
+++ b/cmd/monsoonlab/service.go
@@ -7,19 +7,20 @@
 	"monsoonfork/io/standin/service"
 )
 
-const serviceUsage = `Usage: monsoonlab service [flags]
-
-Serves a planning or ordering application that counts each run: POST /bookings,
-POST /orders, DELETE /bookings/ID, GET /status and GET /addresses/ID. Prints one
-line of JSON with its addresses when it serves. GET /control/record on the
-control address lists the runs.
-`
-
 // serviceCommand serves a plain service.
 type serviceCommand struct {
 	listenFlags
 	Name    string        `default:"service" help:"Name that answers carry."`
 	RunTime time.Duration `default:"2ms" help:"Time that each call takes."`
+	RunLog  string        `help:"File that keeps the runs over restarts; empty means none."`
+}
+
+// Help is the usage text of the verb.
+func (c *serviceCommand) Help() string {
+	return `Serves a planning or ordering application that counts each run: POST /bookings,
+POST /orders, DELETE /bookings/ID, GET /status and GET /addresses/ID. Prints one
+line of JSON with its addresses when it serves. GET /control/record on the
+control address lists the runs.`
 }
 
 // Run implements the verb.
@@ -28,5 +29,6 @@
 		service.WithAddresses(c.addresses()),
 		service.WithName(c.Name),
 		service.WithRunTime(c.RunTime),
+		service.WithRunLog(c.RunLog),
 	))
 }
