--- a/core/budget/announce.go
+++ b/core/budget/announce.go
@@ -10,6 +10,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
+	"monsoonfork/io/store"
 )
 
 // announceLoop tells the members of the domain which slots are held here, and
@@ -188,7 +189,7 @@
 		return fault.New(fault.NotHolder, "slot %d is held by %s", number, r.Holder)
 	}
 	r.Beat++
-	if k.b.store.swap(ctx, number, r, stored.version) != swapWritten {
+	if k.b.store.swap(ctx, number, r, stored.version) != store.Written {
 		return fault.New(fault.StoreUnavailable, "slot %d was not renewed", number)
 	}
 	return nil
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -102,11 +103,13 @@
 
 // homeFailed reports whether a home did not answer, so that another may.
 func homeFailed(err error) bool {
-	switch fault.KindOf(err) {
-	case fault.PeerUnavailable, fault.DeadlineExceeded, fault.CallerGone, fault.ShuttingDown, fault.NotFound:
-		return true
-	}
-	return false
+	kind := fault.KindOf(err)
+	return slices.Contains(homeFailures, kind)
+}
+
+// homeFailures are the kinds of errors by which a home is left out.
+var homeFailures = []fault.Kind{
+	fault.PeerUnavailable, fault.DeadlineExceeded, fault.CallerGone, fault.ShuttingDown, fault.NotFound,
 }
 
 // check returns the organisation's limit, or why cost can never be admitted.
--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -9,6 +9,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
+	"monsoonfork/io/store"
 )
 
 // Times of claims.
@@ -111,13 +112,13 @@
 	if !ok || h.record.Epoch != next.Epoch {
 		return true
 	}
-	switch outcome {
-	case swapWritten:
+	if outcome == store.Written {
 		h.record = next
 		h.tenure.renewed(asked.Age, now.Age)
 		k.b.metrics.renewals.Inc(1)
 		return true
-	case swapUnknown:
+	}
+	if outcome == store.Unknown {
 		h.doubt(asked.Age)
 	}
 	return false
@@ -252,11 +253,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch outcome {
-	case swapWritten:
+	case store.Written:
 		k.hold(number, next, now, done)
-	case swapConflict, swapNotWritten:
+	case store.Conflict, store.NotWritten:
 		s.claimEpoch = 0
-	case swapUnknown:
+	case store.Unknown:
 		// The next reading shows whether the claim took effect.
 	}
 }
@@ -310,7 +311,7 @@
 	k.lose(number, "released")
 	k.mu.Unlock()
 	next := slotRecord{Epoch: stored.record.Epoch, Beat: stored.record.Beat + 1}
-	if k.b.store.swap(ctx, number, next, stored.version) != swapWritten {
+	if k.b.store.swap(ctx, number, next, stored.version) != store.Written {
 		return
 	}
 	k.tellOwner(ctx, number)
--- a/core/budget/keeper.go
+++ b/core/budget/keeper.go
@@ -222,7 +222,13 @@
 	k.mu.Lock()
 	k.stopping = true
 	k.mu.Unlock()
+	var wg sync.WaitGroup
 	for _, number := range k.numbers() {
-		k.release(ctx, number)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			k.release(ctx, number)
+		}()
 	}
+	wg.Wait()
 }
--- a/core/budget/pool.go
+++ b/core/budget/pool.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -97,7 +98,7 @@
 		bounds = append(bounds, s.Start, s.End)
 	}
 	sort.Slice(bounds, func(i, j int) bool { return bounds[i] < bounds[j] })
-	all := append(p.segments, iv)
+	all := slices.Concat(p.segments, []Interval{iv})
 	p.segments = make([]Interval, 0, len(all)+1)
 	for i := 1; i < len(bounds); i++ {
 		p.push(Interval{Start: bounds[i-1], End: bounds[i], Rate: rateWithin(all, bounds[i-1], bounds[i])})
--- a/core/budget/slotstore.go
+++ b/core/budget/slotstore.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/io/store"
 )
 
 // slotRecord is a slot's value in the store. The holder renews it by raising
@@ -22,22 +26,11 @@
 	version uint64 // 0 when the record does not exist.
 }
 
-// swapOutcome says what is known about a write to the store.
-type swapOutcome int
-
-// The outcomes of a write.
-const (
-	swapUnknown swapOutcome = iota
-	swapWritten
-	swapConflict
-	swapNotWritten
-)
-
 // slotStore reads and writes the records of this domain's slots.
 type slotStore struct {
 	get  func(ctx context.Context, slot int) (storedSlot, error)
 	list func(ctx context.Context) (map[int]storedSlot, error)
-	swap func(ctx context.Context, slot int, r slotRecord, version uint64) swapOutcome
+	swap func(ctx context.Context, slot int, r slotRecord, version uint64) store.Outcome
 }
 
 // decodeSlotRecord decodes and checks a record.
@@ -51,3 +44,67 @@
 	}
 	return r, nil
 }
+
+// slotPrefix is where the records of a domain's slots lie in the store.
+func slotPrefix(domain ident.DomainID) string {
+	return fmt.Sprintf("monsoonfork/budget/%s/", domain)
+}
+
+// slotStoreOf returns the records of a domain's slots in the platform's store.
+func slotStoreOf(c *store.Client, domain ident.DomainID) slotStore {
+	prefix := slotPrefix(domain)
+	return slotStore{
+		get: func(ctx context.Context, slot int) (storedSlot, error) {
+			listing, err := c.Get(ctx, prefix+strconv.Itoa(slot))
+			if err != nil {
+				return storedSlot{}, err
+			}
+			entry, ok := listing.First()
+			if !ok {
+				return storedSlot{}, nil
+			}
+			return decodeEntry(entry)
+		},
+		list: func(ctx context.Context) (map[int]storedSlot, error) {
+			listing, err := c.List(ctx, prefix)
+			if err != nil {
+				return nil, err
+			}
+			return decodeListing(prefix, listing)
+		},
+		swap: func(ctx context.Context, slot int, r slotRecord, version uint64) store.Outcome {
+			raw, err := json.Marshal(r)
+			if err != nil {
+				return store.NotWritten
+			}
+			outcome, _ := c.CompareAndSwap(ctx, prefix+strconv.Itoa(slot), raw, store.Index(version))
+			return outcome
+		},
+	}
+}
+
+// decodeEntry decodes one record of the store.
+func decodeEntry(e store.Entry) (storedSlot, error) {
+	r, err := decodeSlotRecord(e.Value)
+	if err != nil {
+		return storedSlot{}, err
+	}
+	return storedSlot{record: r, version: uint64(e.ModifyIndex)}, nil
+}
+
+// decodeListing decodes all records of a domain, by slot.
+func decodeListing(prefix string, listing store.Listing) (map[int]storedSlot, error) {
+	slots := make(map[int]storedSlot, len(listing.Entries))
+	for _, e := range listing.Entries {
+		number, err := strconv.Atoi(strings.TrimPrefix(e.Key, prefix))
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Internal, "key %s is not that of a slot", e.Key)
+		}
+		slot, err := decodeEntry(e)
+		if err != nil {
+			return nil, err
+		}
+		slots[number] = slot
+	}
+	return slots, nil
+}
