--- /dev/null
+++ b/io/caller/conn.go
@@ -0,0 +1,190 @@
+package caller
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/request"
+)
+
+// lingerTime is how long a refused connection is read and dropped, so that its
+// caller can read the refusal before the connection is reset.
+const lingerTime = 2 * time.Second
+
+// conn is the connection of a caller.
+type conn struct {
+	nbc     *nbio.Conn
+	limits  Limits
+	metrics serverMetrics
+
+	// Used by the poller of the connection alone.
+	reading    reading
+	limited    bool // The parser has the limiting processor.
+	discarding bool // The connection was refused.
+
+	mu        sync.Mutex
+	requestBy time.Time // When the request that is being read has to be whole.
+	refusal   *fault.Error
+	session   *request.Session // Of the request being handled, or nil.
+	handling  int              // Requests read whole and not answered.
+	goneNoted bool
+}
+
+// newConn returns the state of a new connection.
+func newConn(nbc *nbio.Conn, limits Limits, m serverMetrics) *conn {
+	return &conn{nbc: nbc, limits: limits, metrics: m}
+}
+
+// feed takes bytes from the poller.
+func (c *conn) feed(data []byte) {
+	if c.discarding {
+		return
+	}
+	parser, ok := c.nbc.Session().(*nbhttp.Parser)
+	if !ok {
+		_ = c.nbc.Close()
+		return
+	}
+	if !c.limited {
+		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
+		c.limited = true
+	}
+	c.startReading()
+	err := parser.Parse(data)
+	if !c.reading.headersDone && c.reading.started {
+		c.reading.unparsed += len(data)
+		if c.reading.unparsed > c.limits.HeaderBytes {
+			c.refuse(fault.New(fault.RequestTooLarge, "headers above %d bytes", c.limits.HeaderBytes))
+		}
+	}
+	c.endFeed(err)
+}
+
+// startReading sets the time limit of a request whose first bytes come.
+func (c *conn) startReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading.started = true
+	if c.requestBy.IsZero() {
+		c.requestBy = time.Now().Add(c.limits.RequestTime)
+	}
+}
+
+// endFeed answers a request that is refused while it is read.
+func (c *conn) endFeed(err error) {
+	c.mu.Lock()
+	refusal := c.refusal
+	if refusal == nil && err != nil {
+		refusal = refusalFor(err)
+	}
+	busy := c.handling > 0
+	if refusal != nil {
+		c.requestBy = time.Time{}
+	}
+	c.mu.Unlock()
+	if refusal == nil {
+		return
+	}
+	c.discarding = true
+	c.turnAway(refusal, busy)
+}
+
+// refusalFor returns the refusal for an error of the parser.
+func refusalFor(err error) *fault.Error {
+	if errors.Is(err, nbhttp.ErrTooLong) {
+		return fault.Wrap(err, fault.RequestTooLarge, "the request is too large")
+	}
+	return fault.Wrap(err, fault.BadRequest, "malformed HTTP request: %v", err)
+}
+
+// refuse notes why the request being read is refused.
+func (c *conn) refuse(err *fault.Error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusal == nil {
+		c.refusal = err
+	}
+}
+
+// turnAway answers with err and ends the connection. While another request of
+// the connection is being answered, nothing may be written between its bytes.
+func (c *conn) turnAway(err *fault.Error, busy bool) {
+	c.metrics.refused.Inc(1)
+	if busy {
+		_ = c.nbc.Close()
+		return
+	}
+	if _, werr := c.nbc.Write(rawAnswer(err)); werr != nil {
+		return
+	}
+	shutdownWrite(c.nbc)
+	_ = c.nbc.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
+// requestRead notes that a request was read whole.
+func (c *conn) requestRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requestBy = time.Time{}
+	c.handling++
+}
+
+// begin notes the session of the request that is being handled. If the caller
+// has gone, the session ends at once.
+func (c *conn) begin(s *request.Session) {
+	c.mu.Lock()
+	c.session = s
+	c.goneNoted = false
+	c.mu.Unlock()
+	c.check(time.Time{})
+}
+
+// end notes that a request was handled.
+func (c *conn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.session = nil
+	c.handling--
+}
+
+// gone reports whether the connection has ended. Within the library the flag
+// is guarded by the connection's lock.
+func (c *conn) gone() bool {
+	c.nbc.Lock()
+	defer c.nbc.Unlock()
+	closed, _ := c.nbc.IsClosed()
+	return closed
+}
+
+// check ends the session of a caller that has gone, and turns away a request
+// that was not read whole in time. The library tells a handler of neither: the
+// context of a request is not cancelled, and Write goes on without an error.
+func (c *conn) check(now time.Time) {
+	gone := c.gone()
+	c.mu.Lock()
+	session := c.session
+	if !gone || c.goneNoted {
+		session = nil
+	}
+	if session != nil {
+		c.goneNoted = true
+	}
+	late := !now.IsZero() && !c.requestBy.IsZero() && now.After(c.requestBy)
+	if late {
+		c.requestBy = time.Time{}
+	}
+	busy := c.handling > 0
+	c.mu.Unlock()
+	if session != nil {
+		c.metrics.gone.Inc(1)
+		session.Cancel(fault.New(fault.CallerGone, "the caller closed its connection"))
+	}
+	if late && !gone {
+		c.turnAway(fault.New(fault.RequestTimeout, "the request did not come within %v", c.limits.RequestTime), busy)
+	}
+}
--- /dev/null
+++ b/io/caller/role.go
@@ -0,0 +1,154 @@
+package caller
+
+import (
+	"context"
+
+	"monsoonfork/core/budget"
+	"monsoonfork/core/claims"
+	"monsoonfork/core/config"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/kernel"
+	"monsoonfork/core/placement"
+	"monsoonfork/core/request"
+	"monsoonfork/io/engine"
+	"monsoonfork/io/httpcall"
+	"monsoonfork/io/service"
+)
+
+func init() {
+	kernel.Register(kernel.Role{
+		Name:    "Caller",
+		Summary: "serves callers and takes their requests through all stages",
+		After:   []string{"Membership", "Config", "Keys", "Budget", "Claims", "Placement", "Engines"},
+		Start:   start,
+	})
+}
+
+// start is the role's constructor.
+func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
+	path, err := newPath(n)
+	if err != nil {
+		return nil, err
+	}
+	holder, err := kernel.Need[*config.Holder](n)
+	if err != nil {
+		return nil, err
+	}
+	s := New(path, n.Log, WithMetrics(n.Metrics))
+	if _, err := s.Listen(n.Settings.CallerAddress); err != nil {
+		path.Close()
+		return nil, err
+	}
+	unsubscribe := holder.Subscribe(path.CutWithdrawn)
+	kernel.Provide(n, path)
+	return &kernel.Running{
+		Drain: func(ctx context.Context) error {
+			if err := s.Drain(ctx); err != nil {
+				return err
+			}
+			return path.Drain(ctx)
+		},
+		Close: func() error {
+			unsubscribe()
+			err := s.Close()
+			path.Close()
+			return err
+		},
+		Dump: func() any { return s.Dump() },
+	}, nil
+}
+
+// newPath returns the way of requests, with its seams set to the other roles.
+func newPath(n *kernel.Node) (*request.Path, error) {
+	path := request.New(n.Settings.Domain, n.Log, request.WithMetrics(n.Metrics), request.WithClock(n.Now))
+	for _, wire := range []func(*kernel.Node, *request.Path) error{wireConfig, wireBudget, wireClaims, wirePlacement, wireEndpoints} {
+		if err := wire(n, path); err != nil {
+			return nil, err
+		}
+	}
+	return path, nil
+}
+
+// wireConfig sets the seams to the text and the keys.
+func wireConfig(n *kernel.Node, path *request.Path) error {
+	holder, err := kernel.Need[*config.Holder](n)
+	if err != nil {
+		return err
+	}
+	verify, err := kernel.Need[request.Verifier](n)
+	if err != nil {
+		return err
+	}
+	path.Current = holder.Current
+	path.Verify = verify
+	return nil
+}
+
+// wireBudget sets the seam to the budget.
+func wireBudget(n *kernel.Node, path *request.Path) error {
+	b, err := kernel.Need[*budget.Budget](n)
+	if err != nil {
+		return err
+	}
+	path.Admit = func(ctx context.Context, org ident.OrganisationID, cost ident.Tokens) (func(ident.Tokens), error) {
+		grant, err := b.Admit(ctx, org, cost)
+		if err != nil {
+			return nil, err
+		}
+		return grant.Settle, nil
+	}
+	return nil
+}
+
+// wireClaims sets the seam to the claims.
+func wireClaims(n *kernel.Node, path *request.Path) error {
+	c, err := kernel.Need[*claims.Service](n)
+	if err != nil {
+		return err
+	}
+	path.Claim = func(ctx context.Context, call claims.Call) (*request.Ticket, error) {
+		t, err := c.Claim(ctx, call)
+		if err != nil {
+			return nil, err
+		}
+		return &request.Ticket{Replay: t.Replay, Complete: t.Complete, Release: t.Release, Abandon: t.Abandon}, nil
+	}
+	return nil
+}
+
+// wirePlacement sets the seam to the placement.
+func wirePlacement(n *kernel.Node, path *request.Path) error {
+	p, err := kernel.Need[*placement.Placement](n)
+	if err != nil {
+		return err
+	}
+	path.Place = func(ctx context.Context, r placement.Request) (*request.Placed, error) {
+		lease, err := p.Place(ctx, r)
+		if err != nil {
+			return nil, err
+		}
+		return &request.Placed{
+			ID:          string(lease.ID),
+			Prefill:     lease.Prefill,
+			Decode:      lease.Decode,
+			PrefillDone: lease.PrefillDone,
+			Close:       lease.Close,
+		}, nil
+	}
+	return nil
+}
+
+// wireEndpoints sets the seams to engines and plain services.
+func wireEndpoints(n *kernel.Node, path *request.Path) error {
+	engines, err := kernel.Need[*engine.Client](n)
+	if err != nil {
+		return err
+	}
+	calls, err := kernel.Need[*httpcall.Client](n)
+	if err != nil {
+		return err
+	}
+	path.Prefill, path.Decode, path.Abort = engines.Prefill, engines.Decode, engines.Abort
+	path.Send = service.New(calls).Do
+	return nil
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,224 @@
+// Package caller serves callers over HTTP: completions and plain calls.
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/rcrowley/go-metrics"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/request"
+	"monsoonfork/io/poller"
+)
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes  int           // Request line and headers of one request.
+	BodyBytes    int           // Body of one request.
+	WriteBytes   int           // Bytes of answers that one caller leaves unread.
+	OpenRequests int64         // Requests open at once.
+	RequestTime  time.Duration // From the first to the last byte of a request.
+	IdleTime     time.Duration // Between requests of one connection.
+}
+
+// defaultLimits are the limits unless an option sets others.
+var defaultLimits = Limits{
+	HeaderBytes:  64 << 10,
+	BodyBytes:    8 << 20,
+	WriteBytes:   32 << 20,
+	OpenRequests: 4096,
+	RequestTime:  20 * time.Second,
+	IdleTime:     120 * time.Second,
+}
+
+const (
+	// sweepInterval is the time between two looks at all connections.
+	sweepInterval = 50 * time.Millisecond
+	// pollers is the number of poller goroutines.
+	pollers = 2
+	// readsPerEvent lets the poller read until a socket is empty.
+	readsPerEvent = 1 << 30
+)
+
+// Server serves callers.
+type Server struct {
+	path   *request.Path
+	log    log.Logger
+	limits Limits
+
+	engine   *nbhttp.Engine
+	conns    connTable
+	open     atomic.Int64 // Requests in a handler.
+	draining atomic.Bool
+	metrics  serverMetrics
+
+	stop chan struct{}
+	done chan struct{}
+}
+
+// serverMetrics are the metrics of a server.
+type serverMetrics struct {
+	requests metrics.Counter
+	gone     metrics.Counter // Callers that left before their answer was whole.
+	refused  metrics.Counter // Requests refused before they were read whole.
+	answers  metrics.Timer
+}
+
+// Option changes a new Server.
+type Option func(*Server)
+
+// WithLimits sets the limits.
+func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
+
+// WithMetrics registers the metrics in r.
+func WithMetrics(r metrics.Registry) Option {
+	return func(s *Server) { s.metrics = newServerMetrics(r) }
+}
+
+// newServerMetrics registers the metrics in r.
+func newServerMetrics(r metrics.Registry) serverMetrics {
+	return serverMetrics{
+		requests: metrics.GetOrRegisterCounter("Caller.Requests", r),
+		gone:     metrics.GetOrRegisterCounter("Caller.Gone", r),
+		refused:  metrics.GetOrRegisterCounter("Caller.RefusedUnread", r),
+		answers:  metrics.GetOrRegisterTimer("Caller.Answers", r),
+	}
+}
+
+// New returns a server that does not listen yet.
+func New(path *request.Path, logger log.Logger, opts ...Option) *Server {
+	s := &Server{
+		path:    path,
+		log:     log.With(logger, "part", "Caller"),
+		limits:  defaultLimits,
+		metrics: newServerMetrics(metrics.NewRegistry()),
+		stop:    make(chan struct{}),
+		done:    make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Listen serves callers on address and returns the address bound. Close ends
+// it.
+func (s *Server) Listen(address ident.Address) (ident.Address, error) {
+	s.engine = nbhttp.NewEngine(nbhttp.Config{
+		Name:                         "Caller",
+		Addrs:                        []string{string(address)},
+		NPoller:                      pollers,
+		MaxConnReadTimesPerEventLoop: readsPerEvent,
+		ReadLimit:                    s.limits.HeaderBytes + s.limits.BodyBytes,
+		MaxWriteBufferSize:           s.limits.WriteBytes,
+		KeepaliveTime:                s.limits.IdleTime,
+		SupportServerOnly:            true,
+		// A handler blocks for as long as its request runs.
+		ServerExecutor: func(f func()) { go f() },
+		Handler:        http.HandlerFunc(s.serve),
+	})
+	s.engine.OnOpen(s.opened)
+	s.engine.OnClose(s.closed)
+	s.engine.Engine.OnData(s.data)
+	if err := poller.Start(s.engine); err != nil {
+		return "", fault.Wrap(err, fault.BadSettings, "cannot serve callers on %s", address)
+	}
+	go s.sweep()
+	return ident.Address(s.engine.AddrConfigs[0].Addr), nil
+}
+
+// opened enters a new connection.
+func (s *Server) opened(c net.Conn) {
+	nbc, ok := c.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	tune(nbc)
+	s.conns.add(nbc, newConn(nbc, s.limits, s.metrics))
+}
+
+// closed takes a connection out. The library calls it only after the handler
+// of the connection has returned.
+func (s *Server) closed(c net.Conn, _ error) {
+	if nbc, ok := c.(*nbio.Conn); ok {
+		s.conns.remove(nbc)
+	}
+}
+
+// data takes what a poller has read.
+func (s *Server) data(c *nbio.Conn, data []byte) {
+	conn := s.conns.get(c)
+	if conn == nil {
+		if handler := c.DataHandler(); handler != nil {
+			handler(c, data)
+		}
+		return
+	}
+	conn.feed(data)
+}
+
+// sweep looks at all connections until Close: callers that have gone, and
+// requests that come too slowly.
+func (s *Server) sweep() {
+	defer close(s.done)
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case now := <-ticker.C:
+			s.conns.each(func(c *conn) { c.check(now) })
+		}
+	}
+}
+
+// Drain finishes every open request. Connections are closed after the answers
+// that they carry.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for s.open.Load() > 0 || s.conns.busy() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// Close ends all connections and waits.
+func (s *Server) Close() error {
+	close(s.stop)
+	<-s.done
+	s.engine.Stop()
+	return nil
+}
+
+// Dump is the state of the server.
+type Dump struct {
+	Connections  int
+	OpenRequests int64
+	Draining     bool
+	Path         request.Dump
+}
+
+// Dump returns the state for operators.
+func (s *Server) Dump() Dump {
+	return Dump{
+		Connections:  s.conns.count(),
+		OpenRequests: s.open.Load(),
+		Draining:     s.draining.Load(),
+		Path:         s.path.Dump(),
+	}
+}
--- a/io/engine/abort.go
+++ b/io/engine/abort.go
@@ -29,22 +29,22 @@
 }
 
 // Abort tells an engine to end an attempt and tries again until the engine
-// acknowledges, or ctx ends. Aborting an attempt that the engine does not hold
-// has no effect, so that repeating is safe.
-func (c *Client) Abort(ctx context.Context, to ident.Address, attempt string) error {
+// acknowledges, or ctx ends. It reports whether the engine held the attempt.
+// Aborting one that it does not hold has no effect, so that repeating is safe.
+func (c *Client) Abort(ctx context.Context, to ident.Address, attempt string) (held bool, err error) {
 	pause := abortFirstPause
 	for {
-		err := c.abortOnce(ctx, to, attempt)
+		held, err := c.abortOnce(ctx, to, attempt)
 		if err == nil {
 			c.aborted.Inc(1)
-			return nil
+			return held, nil
 		}
 		// Jitter keeps the aborts of many attempts at one engine apart.
 		wait := pause/2 + rand.N(pause/2)
 		select {
 		case <-ctx.Done():
 			c.unheard.Inc(1)
-			return err
+			return false, err
 		case <-time.After(wait):
 		}
 		pause = min(2*pause, abortLongestPause)
@@ -52,17 +52,17 @@
 }
 
 // abortOnce sends one abort.
-func (c *Client) abortOnce(ctx context.Context, to ident.Address, attempt string) error {
+func (c *Client) abortOnce(ctx context.Context, to ident.Address, attempt string) (held bool, err error) {
 	var answer abortAnswer
 	// Without an id of its own: the abort is not the attempt, and some engines
 	// refuse a second call with the same id.
-	err := c.short(ctx, to, http.MethodPost, "/abort_request", "", abortBody{RID: attempt}, &answer, c.shortLimits())
+	err = c.short(ctx, to, http.MethodPost, "/abort_request", "", abortBody{RID: attempt}, &answer, c.shortLimits())
 	if err != nil {
-		return err
+		return false, err
 	}
 	if answer.RID != attempt {
 		c.http.CountCrossed()
-		return fault.New(fault.AnswerBroken, "the engine acknowledged another abort")
+		return false, fault.New(fault.AnswerBroken, "the engine acknowledged another abort")
 	}
-	return nil
+	return answer.Aborted, nil
 }
--- a/io/engine/decode.go
+++ b/io/engine/decode.go
@@ -78,7 +78,12 @@
 		return Finish{}, err
 	}
 	stream := &decoding{client: c, call: d, onDelta: onDelta}
-	if err := c.http.Do(ctx, call, httpcall.Sink{OnHead: stream.head, OnPiece: stream.piece}); err != nil {
+	err = c.http.Do(ctx, call, httpcall.Sink{OnHead: stream.head, OnPiece: stream.piece})
+	if stream.finished && stream.broken == nil {
+		// The engine marked the end: what went wrong after it is not missed.
+		return stream.finish, nil
+	}
+	if err != nil {
 		return Finish{}, err
 	}
 	return stream.end()
@@ -94,8 +99,8 @@
 	errBody  []byte
 	events   eventReader
 	finish   Finish
-	finished bool // A finish reason came.
-	done     bool // [DONE] came.
+	finished bool  // A finish reason came.
+	broken   error // The event with the finish reason was wrong.
 }
 
 // head takes the status.
@@ -116,7 +121,6 @@
 // event takes the data of one event.
 func (s *decoding) event(data []byte) error {
 	if string(data) == "[DONE]" {
-		s.done = true
 		return nil
 	}
 	if s.finished {
@@ -158,18 +162,15 @@
 	}
 	s.finish.PromptTokens = e.Usage.PromptTokens
 	if e.Usage.CompletionTokens != s.finish.Tokens {
-		return fault.New(fault.AnswerBroken, "%d tokens came, the engine counted %d", s.finish.Tokens, e.Usage.CompletionTokens)
+		s.broken = fault.New(fault.AnswerBroken, "%d tokens came, the engine counted %d", s.finish.Tokens, e.Usage.CompletionTokens)
 	}
-	return nil
+	return s.broken
 }
 
-// end checks that the answer is whole.
+// end returns the error of an answer without an end.
 func (s *decoding) end() (Finish, error) {
 	if !statusOK(s.status) {
 		return Finish{}, refused(s.status, s.errBody)
 	}
-	if !s.finished || !s.done {
-		return Finish{}, fault.New(fault.AnswerBroken, "the engine ended its stream without marking the end")
-	}
-	return s.finish, nil
+	return Finish{}, fault.New(fault.AnswerBroken, "the engine ended its stream without marking the end")
 }
--- a/io/engine/prompt.go
+++ b/io/engine/prompt.go
@@ -71,6 +71,9 @@
 	return nil
 }
 
+// Contains reports whether s stands in the text of the prompt.
+func (p Prompt) Contains(s string) bool { return strings.Contains(p.text, s) }
+
 // UpperTokens returns the most tokens that the prompt can have, when one token
 // has at least minBytes bytes of text.
 func (p Prompt) UpperTokens(minBytes int) ident.Tokens {
