caller, request: tests against stand-ins; bad input, broken answers, callers that leave, keys

A failed transfer blames the decode engine first, and the prefill engine in its place after the second failure: a run with a stalled prefill link had ended without an engine, as each failure had blamed a decode engine.

--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -15,7 +16,7 @@
 
 const (
 	// stageFloor is the shortest time limit of a stage at an engine.
-	stageFloor = 3 * time.Second
+	stageFloor = 2 * time.Second
 	// stageFactor is how much longer a stage may take than is reckoned.
 	stageFactor = 4
 	// silenceLimit is the longest pause between two tokens.
@@ -67,12 +68,15 @@
 	if len(a.delivered) == a.from {
 		path.counters.wastedTokens.Inc(int64(prefilled.PromptTokens))
 	}
-	if err != nil {
-		result := placement.DecodeFailed
-		if len(a.delivered) == a.from {
-			result = placement.TransferFailed
+	if err != nil && len(a.delivered) == a.from {
+		result := a.blame(err, a.placed.Decode, placement.TransferFailed)
+		if result == placement.TransferFailed {
+			a.blamePrefill()
 		}
-		return Finished{}, a.blame(err, a.placed.Decode, result), err
+		return Finished{}, result, err
+	}
+	if err != nil {
+		return Finished{}, a.blame(err, a.placed.Decode, placement.DecodeFailed), err
 	}
 	if short := a.rest(); finish.Reason == "length" && short > 0 {
 		err := fault.New(fault.AnswerBroken, "the engine ended %d tokens before the limit", short)
@@ -94,6 +98,23 @@
 	return placement.Cancelled
 }
 
+// blamePrefill notes a failed transfer. Either engine may be the cause: after
+// the second failure from the same prefill engine, it is avoided in place of
+// the decode engines.
+func (a *attempt) blamePrefill() {
+	from := a.placed.Prefill.Name
+	if a.transfers == nil {
+		a.transfers = make(map[ident.EndpointID][]ident.EndpointID)
+	}
+	a.transfers[from] = append(a.transfers[from], a.placed.Decode.Name)
+	failed := a.transfers[from]
+	if len(failed) < 2 {
+		return
+	}
+	a.avoid = slices.DeleteFunc(a.avoid, func(id ident.EndpointID) bool { return slices.Contains(failed, id) })
+	a.avoid = append(a.avoid, from)
+}
+
 // prefill runs the prefill phase.
 func (a *attempt) prefill() (engine.Prefilled, error) {
 	prefilled, err := a.session.path.Prefill(a.session.ctx, a.placed.Prefill.Address, engine.PrefillCall{
--- a/core/request/completion.go
+++ b/core/request/completion.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -34,9 +35,10 @@
 	model     *text.Model
 	bound     ident.Tokens // Most tokens that the prompt can have.
 	onDelta   func(engine.Delta) error
-	delivered []int              // Tokens that the caller has.
-	avoid     []ident.EndpointID // Engines that failed in earlier attempts.
-	prompt    ident.Tokens       // As an engine counted it; 0 before.
+	delivered []int                                   // Tokens that the caller has.
+	avoid     []ident.EndpointID                      // Engines that failed in earlier attempts.
+	prompt    ident.Tokens                            // As an engine counted it; 0 before.
+	transfers map[ident.EndpointID][]ident.EndpointID // Failed transfers, from prefill to decode engines.
 }
 
 // Complete runs a completion and calls onDelta for each part of the answer, in
@@ -173,12 +175,17 @@
 		PrefixHashes: r.Prompt.PrefixHashes(),
 		Deadline:     s.Deadline,
 		Priority:     s.Route.Priority,
-		Avoid:        r.avoid,
+		Avoid:        slices.Clone(r.avoid),
 	}
 	if len(r.delivered) == 0 && number == 1 {
 		request.FirstTokenDeadline = s.Received.Add(time.Duration(s.Route.FirstTokenMS) * time.Millisecond)
 	}
 	placed, err := s.path.Place(s.ctx, request)
+	if fault.Is(err, fault.NoEndpoint) && len(request.Avoid) > 0 {
+		// An engine that failed once is better than none.
+		r.avoid, request.Avoid = nil, nil
+		placed, err = s.path.Place(s.ctx, request)
+	}
 	if err != nil {
 		return Finished{}, err
 	}
--- /dev/null
+++ b/io/caller/plain_test.go
@@ -0,0 +1,227 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonfork/io/standin/control"
+)
+
+// runs returns how often a booking with the reference ran.
+func (r *rig) runs(reference string) int {
+	n := 0
+	for _, s := range r.services {
+		for _, run := range s.Record().Runs {
+			if run.Reference == reference {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// inject makes a fault active at every service.
+func (r *rig) inject(f control.Fault) {
+	r.t.Helper()
+	for _, s := range r.services {
+		if err := s.Inject(f); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+}
+
+// clear ends the faults of every service.
+func (r *rig) clear() {
+	for _, s := range r.services {
+		s.Clear()
+	}
+}
+
+func TestPlainCalls(t *testing.T) {
+	r := newRig(t)
+	if a := r.do("POST", "/bookings", `{"reference":"r1"}`, "Content-Type", "application/json"); a.status/100 != 2 || !strings.Contains(a.body, "r1") {
+		t.Errorf("booking: %d %s", a.status, a.body)
+	}
+	if a := r.do("GET", "/addresses/x1", ""); a.status != 200 || !strings.Contains(a.body, "x1") {
+		t.Errorf("look-up: %d %s", a.status, a.body)
+	}
+	if a := r.do("GET", "/status", "", "Authorization", ""); a.status != 200 {
+		t.Errorf("open route: %d %s", a.status, a.body)
+	}
+	if a := r.do("HEAD", "/status", "", "Authorization", ""); a.status != 200 || a.body != "" {
+		t.Errorf("HEAD: %d %q", a.status, a.body)
+	}
+}
+
+// TestNoEndpointSeesAKey puts the key in every place of a request.
+func TestNoEndpointSeesAKey(t *testing.T) {
+	r := newRig(t)
+	for _, route := range []string{"/status", "/addresses/a", "/v1/completions"} {
+		method, body := "GET", ""
+		if route == "/v1/completions" {
+			method, body = "POST", completionBody("a b", 3, false)
+		}
+		target := route + "?api_key=" + testKey + "&x=1&key=" + testKey + "&access_token=zz&other=" + testKey + "&esc=%73" + testKey[1:]
+		a := r.do(method, target, body,
+			"X-Api-Key", testKey, "Proxy-Authorization", "Bearer "+testKey, "X-Other", "it is "+testKey,
+			"Cookie", "a=1; access_token="+testKey+"; other="+testKey+"; b=2",
+			"Connection", "X-Hop", "X-Hop", "1", "Te", "trailers")
+		if a.status != 200 {
+			t.Errorf("%s: %d %s", route, a.status, a.body)
+		}
+	}
+	if a := r.do("POST", "/bookings", `{"reference":"`+testKey+`"}`); a.status != 400 {
+		t.Errorf("key in a body: %d", a.status)
+	}
+	for _, s := range r.services {
+		for _, text := range []string{testKey, testKey[1:], "X-Hop", "Te:", "access_token"} {
+			if s.Seen(text).Seen {
+				t.Errorf("a service saw %q", text)
+			}
+		}
+	}
+	for _, e := range append(r.prefill, r.decode...) {
+		if e.Seen(testKey).Seen || e.Seen(testKey[1:]).Seen || e.Seen("Authorization").Seen {
+			t.Error("an engine saw the key")
+		}
+	}
+	kept := false
+	for _, s := range r.services {
+		kept = kept || s.Seen("x=1").Seen && s.Seen("a=1; b=2").Seen
+	}
+	if !kept {
+		t.Error("the rest of query and cookies did not reach a service")
+	}
+}
+
+// TestCallThatMayNotBeRepeated fails the endpoint at each stage. It runs at most
+// once, and "not run" is true.
+func TestCallThatMayNotBeRepeated(t *testing.T) {
+	for name, tc := range map[string]struct {
+		fault control.Fault
+		ran   string
+		runs  int
+	}{
+		"refused":        {control.Fault{Kind: control.Refuse}, "", 0},
+		"killed before":  {control.Fault{Kind: control.FailBefore}, "may have run", 0},
+		"killed while":   {control.Fault{Kind: control.FailDuring, DelayMS: 1}, "may have run", 1},
+		"answer lost":    {control.Fault{Kind: control.DropAnswer}, "may have run", 1},
+		"never answered": {control.Fault{Kind: control.NeverAnswer}, "may have run", 0},
+		"crossed":        {control.Fault{Kind: control.CrossAnswer}, "may have run", -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.inject(tc.fault)
+			a := r.do("POST", "/bookings", `{"reference":"r1"}`, "Idempotency-Key", "k1")
+			if a.status < 400 {
+				if tc.fault.Kind != control.CrossAnswer {
+					t.Fatalf("got %d %s", a.status, a.body)
+				}
+				return // Plain services need not echo an id.
+			}
+			f := a.failure(t)
+			if tc.ran != "" && f.Ran != tc.ran {
+				t.Errorf("said %q, want %q", f.Ran, tc.ran)
+			}
+			time.Sleep(50 * time.Millisecond)
+			if n := r.runs("r1"); n > 1 || (f.Ran == "not run" && n > 0) {
+				t.Errorf("ran %d times, said %q", n, f.Ran)
+			}
+			r.clear()
+			again := r.do("POST", "/bookings", `{"reference":"r1"}`, "Idempotency-Key", "k1")
+			if n := r.runs("r1"); n > 1 {
+				t.Errorf("ran %d times after the repetition, which got %d", n, again.status)
+			}
+		})
+	}
+}
+
+func TestRepetitionGetsTheFirstAnswer(t *testing.T) {
+	r := newRig(t)
+	first := r.do("POST", "/bookings", `{"reference":"r1"}`, "Idempotency-Key", "k1")
+	second := r.do("POST", "/bookings", `{"reference":"r1"}`, "Idempotency-Key", "k1")
+	if first.status != second.status || first.body != second.body || r.runs("r1") != 1 {
+		t.Errorf("first %d %s, second %d %s, runs %d", first.status, first.body, second.status, second.body, r.runs("r1"))
+	}
+	if second.header.Get("Idempotent-Replayed") != "true" {
+		t.Error("the second answer is not marked as replayed")
+	}
+}
+
+// TestCallerLeavesABooking: the call goes on, and a repetition gets its answer.
+func TestCallerLeavesABooking(t *testing.T) {
+	r := newRig(t)
+	r.inject(control.Fault{Kind: control.LateAnswer, DelayMS: 500})
+	body := `{"reference":"r1"}`
+	got := r.rawExchange(t, "POST /bookings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+testKey+"\r\nIdempotency-Key: k1\r\nContent-Type: application/json\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+	if !strings.HasPrefix(got, "HTTP/1.1 2") {
+		t.Fatalf("got %q", got)
+	}
+	r.clear()
+	r.inject(control.Fault{Kind: control.LateAnswer, DelayMS: 1000})
+	ctx, cancel := contextWithTimeout(200 * time.Millisecond)
+	defer cancel()
+	q, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.address+"/bookings", strings.NewReader(`{"reference":"r2"}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("Authorization", "Bearer "+testKey)
+	q.Header.Set("Idempotency-Key", "k2")
+	if answer, err := http.DefaultClient.Do(q); err == nil {
+		_ = answer.Body.Close()
+		t.Fatal("the caller did not leave")
+	}
+	eventually(t, "the answer is recorded", 5*time.Second, func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.claims["k2"] != nil
+	})
+	r.clear()
+	if a := r.do("POST", "/bookings", `{"reference":"r2"}`, "Idempotency-Key", "k2"); a.status/100 != 2 || r.runs("r2") != 1 {
+		t.Errorf("repetition: %d %s, %d runs", a.status, a.body, r.runs("r2"))
+	}
+}
+
+// TestIdempotentCallsMove to another endpoint when one fails.
+func TestIdempotentCallsMove(t *testing.T) {
+	r := newRig(t)
+	for _, kind := range []control.Kind{control.Refuse, control.FailBefore, control.DropAnswer} {
+		if err := r.services[0].Inject(control.Fault{Kind: kind}); err != nil {
+			t.Fatal(err)
+		}
+		for range 6 {
+			if a := r.do("GET", "/addresses/x", ""); a.status != 200 {
+				t.Errorf("%v: %d %s", kind, a.status, a.body)
+			}
+		}
+		r.services[0].Clear()
+	}
+}
+
+func TestLeavingEndpointsGetNothing(t *testing.T) {
+	r := newRig(t)
+	r.offer(2, strings.Replace(r.raw, "{Name: s1,", "{Name: s1, State: Leaving,", 1))
+	for range 10 {
+		r.do("GET", "/status", "")
+	}
+	if n := len(r.services[0].Record().Runs); n != 0 {
+		t.Errorf("a leaving endpoint got %d calls", n)
+	}
+}
+
+func TestNoEndpointIsNotRun(t *testing.T) {
+	r := newRig(t)
+	for _, s := range r.services {
+		_ = s.Close()
+	}
+	a := r.do("POST", "/bookings", `{"reference":"r1"}`, "Idempotency-Key", "k1")
+	if f := a.failure(t); a.status != 503 || f.Type != "no_endpoint" || f.Ran != "not run" || a.header.Get("Retry-After") == "" {
+		t.Errorf("got %d %+v", a.status, f)
+	}
+	if _, held := r.claims["k1"]; held {
+		t.Error("the claim of a call that did not run was kept")
+	}
+}
--- a/io/caller/socket.go
+++ b/io/caller/socket.go
@@ -19,7 +19,7 @@
 // tune makes the kernel notice a caller whose host or network has gone silent.
 // Failures leave the kernel's defaults.
 func tune(nbc *nbio.Conn) {
-	control(nbc, func(fd int) {
+	withDescriptor(nbc, func(fd int) {
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1)
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(keepAliveIdle.Seconds()))
@@ -31,11 +31,11 @@
 
 // shutdownWrite ends the sending side of a connection.
 func shutdownWrite(nbc *nbio.Conn) {
-	control(nbc, func(fd int) { _ = unix.Shutdown(fd, unix.SHUT_WR) })
+	withDescriptor(nbc, func(fd int) { _ = unix.Shutdown(fd, unix.SHUT_WR) })
 }
 
-// control calls f with the descriptor of an open connection.
-func control(nbc *nbio.Conn, f func(fd int)) {
+// withDescriptor calls f with the descriptor of an open connection.
+func withDescriptor(nbc *nbio.Conn, f func(fd int)) {
 	raw, err := nbc.SyscallConn()
 	if err != nil {
 		return
