--- /dev/null
+++ b/core/reaper/generate.go
@@ -0,0 +1,3 @@
+package reaper
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative reaper.proto
