--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -51,12 +51,11 @@
 	}
 }
 
-// touch records that bytes came.
+// touch records that bytes came. Do looks at it when a limit passes.
 func (x *exchange) touch() {
 	x.mu.Lock()
+	defer x.mu.Unlock()
 	x.lastByte = time.Now()
-	x.mu.Unlock()
-	x.signal()
 }
 
 // OnStatus implements nbhttp.Processor.
