--- a/cmd/monsoonlab/bench.go
+++ b/cmd/monsoonlab/bench.go
@@ -6,22 +6,27 @@
 	"os"
 	"time"
 
+	"monsoonfork/core/placement"
 	"monsoonfork/core/text"
 	"monsoonfork/lab/bench"
 )
 
 // benchCommand measures placement policies.
 type benchCommand struct {
-	Workload  []string      `default:"tuinhulp,tatrasoft" help:"Workloads: tuinhulp, tatrasoft."`
-	Policy    []string      `default:"Paired,RoundRobin,LeastLoad,TwoChoices" help:"Placement policies."`
-	Load      []float64     `default:"0.6,0.9,1.1" help:"Demand within the rates, over the capacity."`
-	Faults    []string      `default:"NoFaults" help:"NoFaults, EngineDies, LinkStalls, InstanceReplaced, ReportsLag."`
-	Seed      []uint64      `default:"1" help:"Seeds of the arrivals."`
-	Length    time.Duration `default:"20s" help:"Length of a round's arrivals."`
-	Warmup    time.Duration `default:"5s" help:"Arrivals of this time are not measured."`
-	Unlimited bool          `help:"Let requests above the rates through to placement."`
-	CSV       string        `help:"File for the results as CSV."`
-	Plot      string        `help:"File for the plot (PNG or SVG)."`
+	Workload    []string      `default:"tuinhulp,tatrasoft" help:"Workloads: tuinhulp, tatrasoft."`
+	Policy      []string      `default:"Paired,RoundRobin,LeastLoad,TwoChoices" help:"Placement policies."`
+	Load        []float64     `default:"0.6,0.9,1.1" help:"Demand within the rates, over the capacity."`
+	Faults      []string      `default:"NoFaults" help:"NoFaults, EngineDies, LinkStalls, InstanceReplaced, ReportsLag."`
+	Seed        []uint64      `default:"1" help:"Seeds of the arrivals."`
+	Length      time.Duration `default:"20s" help:"Length of a round's arrivals."`
+	Warmup      time.Duration `default:"5s" help:"Arrivals of this time are not measured."`
+	NoPrefixes  bool          `help:"Ignore cached prefixes."`
+	NoLearning  bool          `help:"Let new dispatchers place without learning what is held."`
+	Headroom    int           `default:"-1" help:"Decode slots kept from organisations above their share; -1 takes the default."`
+	EarlyFactor float64       `default:"-1" help:"Predicted wait over slack at which a request is refused at once; -1 takes the default."`
+	Unlimited   bool          `help:"Let requests above the rates through to placement."`
+	CSV         string        `help:"File for the results as CSV."`
+	Plot        string        `help:"File for the plot (PNG or SVG)."`
 }
 
 // Help is the usage text of the verb.
@@ -76,6 +81,7 @@
 				for _, faults := range c.Faults {
 					more, err := c.policies(bench.Round{
 						Workload: w, Load: load, Seed: seed, Length: c.Length, Warmup: c.Warmup, Admit: !c.Unlimited,
+						Placement: c.placement(),
 					}, faults)
 					if err != nil {
 						return nil, err
@@ -88,6 +94,23 @@
 	return list, nil
 }
 
+// placement returns the options of placement that the flags ask for.
+func (c *benchCommand) placement() []placement.ServiceOption {
+	tuning := placement.DefaultTuning()
+	tuning.Prefixes = !c.NoPrefixes
+	if c.Headroom >= 0 {
+		tuning.Headroom = c.Headroom
+	}
+	if c.EarlyFactor >= 0 {
+		tuning.EarlyFactor = c.EarlyFactor
+	}
+	options := []placement.ServiceOption{placement.WithServiceTuning(tuning)}
+	if c.NoLearning {
+		options = append(options, placement.WithoutLearning())
+	}
+	return options
+}
+
 // policies returns the round for each policy.
 func (c *benchCommand) policies(r bench.Round, faults string) ([]bench.Round, error) {
 	if err := r.Faults.UnmarshalText([]byte(faults)); err != nil {
--- a/core/placement/role.go
+++ b/core/placement/role.go
@@ -6,6 +6,7 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/membership"
+	"monsoonfork/io/engine"
 	"monsoonfork/io/peer"
 )
 
@@ -13,7 +14,7 @@
 	kernel.Register(kernel.Role{
 		Name:    "Placement",
 		Summary: "pairs prefill and decode engines, and queues fairly",
-		After:   []string{"Membership"},
+		After:   []string{"Membership", "Engines"},
 		Start:   start,
 	})
 }
@@ -32,7 +33,11 @@
 	if err != nil {
 		return nil, err
 	}
-	p := New(links, table, holder, n.Log, WithRegistry(n.Metrics))
+	client, err := kernel.Need[*engine.Client](n)
+	if err != nil {
+		return nil, err
+	}
+	p := New(links, table, holder, n.Log, WithRegistry(n.Metrics), WithEngines(EngineCalls(client)))
 	kernel.Provide(n, p)
 	p.Start()
 	return &kernel.Running{Drain: p.Drain, Close: p.Close, Dump: p.Dump}, nil
--- a/lab/bench/direct.go
+++ b/lab/bench/direct.go
@@ -12,6 +12,8 @@
 	"monsoonfork/core/membership"
 	"monsoonfork/core/placement"
 	"monsoonfork/core/text"
+	"monsoonfork/io/engine"
+	"monsoonfork/io/httpcall"
 	"monsoonfork/io/peer"
 )
 
@@ -21,6 +23,7 @@
 	id        ident.InstanceID
 	domain    ident.DomainID
 	placement *placement.Placement
+	engines   *engine.Client
 	links     *peer.Links
 	table     *membership.Table
 	holder    *config.Holder
@@ -29,7 +32,7 @@
 }
 
 // newEntry starts an instance whose text is not known yet.
-func newEntry(name string, domain ident.DomainID, opts ...placement.ServiceOption) (*entry, error) {
+func newEntry(name string, domain ident.DomainID, calls *httpcall.Client, opts ...placement.ServiceOption) (*entry, error) {
 	id := ident.NewInstanceID(name)
 	links := peer.New(id, domain, log.NewNopLogger())
 	address, err := links.Listen("127.0.0.1:0")
@@ -37,10 +40,10 @@
 		return nil, err
 	}
 	m := membership.Member{ID: id, Domain: domain, PeerAddress: address, Started: time.Now()}
-	e := &entry{id: id, domain: domain, links: links, member: m, holder: config.NewHolder()}
+	e := &entry{id: id, domain: domain, links: links, member: m, holder: config.NewHolder(), engines: engine.New(calls, id)}
 	e.table = membership.NewTable(m, log.NewNopLogger(), time.Now)
 	links.AddressOf = e.table.AddressOf
-	opts = append([]placement.ServiceOption{placement.WithEngines(engineCalls())}, opts...)
+	opts = append([]placement.ServiceOption{placement.WithEngines(placement.EngineCalls(e.engines))}, opts...)
 	e.placement = placement.New(links, e.table, e.holder, log.NewNopLogger(), opts...)
 	return e, nil
 }
@@ -59,6 +62,7 @@
 type entries struct {
 	workload Workload
 	text     *text.Text
+	calls    *httpcall.Client
 	list     []*entry
 	opts     []placement.ServiceOption
 }
@@ -66,10 +70,14 @@
 // startEntries starts the instances of a workload and makes them know each
 // other.
 func startEntries(w Workload, t *text.Text, opts ...placement.ServiceOption) (*entries, error) {
-	all := &entries{workload: w, text: t, opts: opts}
+	calls, err := httpcall.New()
+	if err != nil {
+		return nil, err
+	}
+	all := &entries{workload: w, text: t, calls: calls, opts: opts}
 	for _, d := range w.Domains {
 		for i := range d.Instances {
-			e, err := newEntry(fmt.Sprintf("%s-%d", d.Name, i+1), d.Name, opts...)
+			e, err := newEntry(fmt.Sprintf("%s-%d", d.Name, i+1), d.Name, calls, opts...)
 			if err != nil {
 				all.close()
 				return nil, err
@@ -124,7 +132,7 @@
 			e.table.Ended(old.id)
 		}
 	}
-	e, err := newEntry("replaced", old.domain, all.opts...)
+	e, err := newEntry("replaced", old.domain, all.calls, all.opts...)
 	if err != nil {
 		return err
 	}
@@ -151,6 +159,7 @@
 	for _, e := range all.list {
 		e.close()
 	}
+	all.calls.Close()
 }
 
 // sleep waits for d, and returns false when ctx ended first.
