--- a/core/budget/cluster_test.go
+++ b/core/budget/cluster_test.go
@@ -258,7 +258,7 @@
 		}
 		for _, b := range list {
 			if a != b && c.reachable(a, b) && !b.isPaused() {
-				a.table.Heard(b.member, 1)
+				a.table.Heard(b.member)
 			}
 		}
 		before := time.Now().Add(-silenceBound)
--- a/core/budget/directed_failures_test.go
+++ b/core/budget/directed_failures_test.go
@@ -186,7 +186,7 @@
 			if n != a {
 				m := a.member
 				m.State = 1
-				n.table.Heard(m, 1)
+				n.table.Heard(m)
 			}
 		}
 		if err := a.b.Drain(context.Background()); err != nil {
--- a/core/placement/service_test.go
+++ b/core/placement/service_test.go
@@ -106,7 +106,7 @@
 func (c *cluster) meet() {
 	for _, a := range c.instances {
 		for _, b := range c.instances {
-			a.table.Heard(b.member, 1)
+			a.table.Heard(b.member)
 		}
 	}
 }
--- a/lab/bench/direct.go
+++ b/lab/bench/direct.go
@@ -98,7 +98,7 @@
 	for _, a := range all.list {
 		for _, b := range all.list {
 			if !a.closed && !b.closed {
-				a.table.Heard(b.member, 1)
+				a.table.Heard(b.member)
 			}
 		}
 	}
--- a/lab/bench/request.go
+++ b/lab/bench/request.go
@@ -102,7 +102,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
 			defer cancel()
-			_ = c.entry.engines.Abort(ctx, e.Address, string(l.ID))
+			_, _ = c.entry.engines.Abort(ctx, e.Address, string(l.ID))
 		}()
 	}
 }
