--- a/core/request/path.go
+++ b/core/request/path.go
@@ -152,8 +152,14 @@
 	return nil
 }
 
-// Close ends aborts that are still tried and waits.
+// closeGrace is how long Close waits for aborts to be acknowledged.
+const closeGrace = 2 * time.Second
+
+// Close waits a little for aborts, ends those that are still tried, and waits.
 func (p *Path) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeGrace)
+	defer cancel()
+	_ = p.Drain(ctx)
 	p.stop()
 	p.wg.Wait()
 }
--- a/io/caller/gone_test.go
+++ b/io/caller/gone_test.go
@@ -97,6 +97,29 @@
 	}
 }
 
+// TestCloseEndsOpenRequests closes a server that was not drained.
+func TestCloseEndsOpenRequests(t *testing.T) {
+	r := newRig(t)
+	result := make(chan response, 1)
+	go func() { result <- r.do("POST", "/v1/completions", completionBody("a b", 2000, true)) }()
+	eventually(t, "decode", 5*time.Second, func() bool { return holds(r.decode[0], standin.Decode) })
+	started := time.Now()
+	r.closed = true
+	if err := r.server.Close(); err != nil {
+		t.Fatal(err)
+	}
+	r.path.Close()
+	if took := time.Since(started); took > 5*time.Second {
+		t.Errorf("Close took %v", took)
+	}
+	if _, done, _ := (<-result).streamed(t); done {
+		t.Error("a cut answer is marked as whole")
+	}
+	if !r.enginesAreFree() {
+		t.Error("engine memory is held after Close")
+	}
+}
+
 // raw sends bytes and returns all that comes back within two seconds.
 func (r *rig) rawExchange(t *testing.T, parts ...string) string {
 	t.Helper()
--- a/io/caller/plain_test.go
+++ b/io/caller/plain_test.go
@@ -201,6 +201,23 @@
 	}
 }
 
+// TestSilentConnections: connections that are open when something between the
+// two ends loses track of them swallow everything; calls after that are served.
+func TestSilentConnections(t *testing.T) {
+	r := newRig(t)
+	for i := range 5 {
+		if a := r.do("POST", "/bookings", `{"reference":"a`+itoa(i)+`"}`); a.status/100 != 2 {
+			t.Fatalf("before: %d %s", a.status, a.body)
+		}
+	}
+	r.inject(control.Fault{Kind: control.FreezeConnections})
+	for i := range 5 {
+		if a := r.do("POST", "/bookings", `{"reference":"b`+itoa(i)+`"}`); a.status/100 != 2 {
+			t.Errorf("after: %d %s", a.status, a.body)
+		}
+	}
+}
+
 func TestLeavingEndpointsGetNothing(t *testing.T) {
 	r := newRig(t)
 	r.offer(2, strings.Replace(r.raw, "{Name: s1,", "{Name: s1, State: Leaving,", 1))
--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -68,6 +68,7 @@
 	services []*plain.Service
 	holder   *config.Holder
 	raw      string
+	closed   bool // The test has closed the server.
 
 	mu      sync.Mutex
 	settled []ident.Tokens
@@ -105,7 +106,9 @@
 	}
 	r.address = string(address)
 	t.Cleanup(func() {
-		_ = r.server.Close()
+		if !r.closed {
+			_ = r.server.Close()
+		}
 		r.path.Close()
 		if n := invariant.Violations() - before; n > 0 {
 			t.Errorf("%d invariants were violated", n)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -42,6 +42,9 @@
 const (
 	// sweepInterval is the time between two looks at all connections.
 	sweepInterval = 50 * time.Millisecond
+	// quietSweeps is for how many sweeps no request may be open at the end of a
+	// drain.
+	quietSweeps = 4
 	// pollers is the number of poller goroutines.
 	pollers = 2
 	// readsPerEvent lets the poller read until a socket is empty.
@@ -187,7 +190,10 @@
 	s.draining.Store(true)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	for s.open.Load() > 0 || s.conns.busy() > 0 {
+	for quiet := 0; quiet < quietSweeps; quiet++ {
+		if s.open.Load() > 0 || s.conns.busy() > 0 {
+			quiet = -1
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -197,11 +203,13 @@
 	return nil
 }
 
-// Close ends all connections and waits.
+// Close ends all connections, and with them their requests, and waits.
 func (s *Server) Close() error {
+	// The sweep has to see the closed connections: it ends their requests, for
+	// which the engine waits.
+	s.engine.Stop()
 	close(s.stop)
 	<-s.done
-	s.engine.Stop()
 	return nil
 }
 
