--- a/core/placement/outbox.go
+++ b/core/placement/outbox.go
@@ -51,10 +51,7 @@
 	}
 	o.events = append(o.events, e)
 	o.mu.Unlock()
-	select {
-	case o.wake <- struct{}{}:
-	default:
-	}
+	signal(o.wake)
 }
 
 // pending returns the number of events that are not acknowledged.
