--- a/core/placement/dispatcher.go
+++ b/core/placement/dispatcher.go
@@ -28,7 +28,6 @@
 	check  func(name string, ok bool, keyvals ...any) bool
 	tuning Tuning
 	wake   chan struct{}
-	press  chan struct{}
 
 	mu         sync.Mutex
 	engines    map[ident.EndpointID]*engineState
@@ -81,7 +80,6 @@
 		check:      checkWith(logger),
 		tuning:     DefaultTuning(),
 		wake:       make(chan struct{}, 1),
-		press:      make(chan struct{}, 1),
 		engines:    make(map[ident.EndpointID]*engineState),
 		queue:      newFairQueue(),
 		waiting:    make(map[LeaseID]*waiting),
@@ -99,10 +97,6 @@
 // Wake has a value when Tick should be called earlier than Tick last said.
 func (d *Dispatcher) Wake() <-chan struct{} { return d.wake }
 
-// Press has a value when requests wait, so that summaries of other domains are
-// of use.
-func (d *Dispatcher) Press() <-chan struct{} { return d.press }
-
 // SetEngines sets the engines of the domain that serve the model, and the
 // weights of the organisations. Reservations on engines stay.
 func (d *Dispatcher) SetEngines(model text.Model, engines []text.Engine, weights map[ident.OrganisationID]float64) {
@@ -181,7 +175,6 @@
 		answer <- Decision{Err: err}
 		return answer
 	}
-	w.moves = d.movesAt(w)
 	d.queue.push(w)
 	d.waiting[id] = w
 	if d.nextExpiry.IsZero() || w.expires.Before(d.nextExpiry) {
@@ -327,16 +320,8 @@
 func (d *Dispatcher) changed() {
 	d.schedule(d.now())
 	d.checkInvariants()
-	signal(d.wake)
-	if d.queue.length > 0 {
-		signal(d.press)
-	}
-}
-
-// signal puts a value on a channel with room for one, unless one is there.
-func signal(c chan struct{}) {
 	select {
-	case c <- struct{}{}:
+	case d.wake <- struct{}{}:
 	default:
 	}
 }
--- a/core/placement/fairqueue.go
+++ b/core/placement/fairqueue.go
@@ -14,7 +14,6 @@
 	holder   ident.InstanceID
 	arrived  time.Time
 	expires  time.Time // Latest time at which a placement still meets the target.
-	moves    time.Time // From then on it may go to another domain.
 	target   time.Time // Latest predicted first token that is good enough.
 	answer   chan Decision
 	index    int // Position in its organisation's heap; -1 when out of the queue.
--- a/core/placement/outbox.go
+++ b/core/placement/outbox.go
@@ -51,7 +51,10 @@
 	}
 	o.events = append(o.events, e)
 	o.mu.Unlock()
-	signal(o.wake)
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
 }
 
 // pending returns the number of events that are not acknowledged.
--- a/core/placement/rooms.go
+++ b/core/placement/rooms.go
@@ -9,10 +9,6 @@
 // roomTrust is how long a summary of another domain is used.
 const roomTrust = 300 * time.Millisecond
 
-// elsewhereSlack is the part of its slack, as a divisor, that a request waits
-// at most before it may go to another domain.
-const elsewhereSlack = 4
-
 // Room is a summary of what a dispatcher could take now.
 type Room struct {
 	Domain    ident.DomainID
@@ -60,13 +56,6 @@
 	return d.queue.length > 0
 }
 
-// movesAt returns the time from which a request may go to another domain: the
-// less time it has left to be placed, the sooner.
-func (d *Dispatcher) movesAt(w *waiting) time.Time {
-	wait := min(d.tuning.ElsewhereAfter, w.expires.Sub(w.arrived)/elsewhereSlack)
-	return w.arrived.Add(max(0, wait))
-}
-
 // sendElsewhere passes requests that have waited to domains with room. Each
 // one sent takes a slot off the summary.
 func (d *Dispatcher) sendElsewhere(now time.Time) {
@@ -80,7 +69,7 @@
 			if target == "" {
 				return
 			}
-			if w.request.Forwarded || now.Before(w.moves) {
+			if w.request.Forwarded || now.Sub(w.arrived) < d.tuning.ElsewhereAfter {
 				break
 			}
 			d.rooms[target].free--
--- a/core/placement/runner.go
+++ b/core/placement/runner.go
@@ -53,7 +53,7 @@
 	r.goRun(func() { r.every(sweepInterval, r.sweep) })
 	r.goRun(func() { r.every(loadInterval, r.pollLoads) })
 	r.goRun(func() { r.every(eventsInterval, r.pollEvents) })
-	r.goRun(r.roomLoop)
+	r.goRun(func() { r.every(roomInterval, r.pollRooms) })
 	return r
 }
 
@@ -171,22 +171,12 @@
 	})
 }
 
-// roomLoop asks other domains for room while requests wait: at once when the
-// first one does, then at an interval.
-func (r *runner) roomLoop() {
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-r.Press():
-		}
-		for r.Pressed() {
-			for _, room := range r.placement.rooms(r.ctx, r.currentText(), r.key.model) {
-				r.SetRoom(room)
-			}
-			if !pause(r.ctx, roomInterval) {
-				return
-			}
-		}
+// pollRooms asks other domains for room while requests wait.
+func (r *runner) pollRooms() {
+	if !r.Pressed() {
+		return
+	}
+	for _, room := range r.placement.rooms(r.ctx, r.currentText(), r.key.model) {
+		r.SetRoom(room)
 	}
 }
--- a/core/placement/schedule.go
+++ b/core/placement/schedule.go
@@ -77,7 +77,7 @@
 		earlier(e.breaker.until)
 	}
 	for _, w := range d.waiting {
-		earlier(w.moves)
+		earlier(w.arrived.Add(d.tuning.ElsewhereAfter))
 	}
 	return next
 }
--- a/core/placement/service.go
+++ b/core/placement/service.go
@@ -132,8 +132,14 @@
 // Start follows the members and the text.
 func (p *Placement) Start() {
 	changed := make(chan struct{}, 1)
-	p.table.Subscribe(func(*membership.View) { signal(changed) })
-	unsubscribe := p.holder.Subscribe(func(*config.Snapshot) { signal(changed) })
+	notify := func() {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+	p.table.Subscribe(func(*membership.View) { notify() })
+	unsubscribe := p.holder.Subscribe(func(*config.Snapshot) { notify() })
 	p.goRun(func() {
 		defer unsubscribe()
 		for {
