--- a/io/caller/rig_test.go
+++ b/io/caller/rig_test.go
@@ -59,7 +59,7 @@
 
 // rig is a server with stand-ins behind it.
 type rig struct {
-	t        *testing.T
+	t        testing.TB
 	address  string
 	server   *Server
 	path     *request.Path
@@ -77,7 +77,7 @@
 }
 
 // newRig starts a rig.
-func newRig(t *testing.T, opts ...Option) *rig {
+func newRig(t testing.TB, opts ...Option) *rig {
 	t.Helper()
 	before := invariant.Violations()
 	r := &rig{t: t, raw: testPlan, claims: make(map[string]*claims.Answer)}
