caller: own limit for idle connections; keys through their table's watch

Cause of a stream that was cut in a run of TestLongStreamOutlivesTheIdleLimit under -race: the library sets its idle limit on a new connection after it has added it to the poller, so that it can land after a fast handler has lifted it.

Interface: request.Path.Verify returns Verified with a Watch; CutWithdrawn is gone, core/keys ends the requests of withdrawn keys.

--- a/core/request/path.go
+++ b/core/request/path.go
@@ -26,6 +26,14 @@
 	Organisation ident.OrganisationID
 }
 
+// Verified is a key that was checked.
+type Verified struct {
+	Identity
+	// Watch calls end when the key is withdrawn, at once if it already is, until
+	// stop is called.
+	Watch func(end func(error)) (stop func())
+}
+
 // Placed is an attempt that has engines.
 type Placed struct {
 	ID          string // Request id of the attempt at the engines.
@@ -50,7 +58,7 @@
 	// Current returns the newest text, or nil before the first one.
 	Current func() *config.Snapshot
 	// Verify returns whose key a token is, by the newest text.
-	Verify func(token string) (Identity, error)
+	Verify func(token string) (Verified, error)
 	// Admit charges an organisation. settle gives back what was not used.
 	Admit func(ctx context.Context, org ident.OrganisationID, cost ident.Tokens) (settle func(used ident.Tokens), err error)
 	// Place reserves engines for an attempt.
@@ -85,7 +93,6 @@
 	retried       metrics.Counter // Attempts after the first.
 	resumed       metrics.Counter // Of those, attempts that went on in mid-answer.
 	retryRefused  metrics.Counter // Retries that the retry budget did not allow.
-	keyCut        metrics.Counter // Running requests that a withdrawn key ended.
 	prefillTokens metrics.Counter // Tokens that prefill engines computed.
 	wastedTokens  metrics.Counter // Of those, tokens whose result was never decoded.
 	firstToken    metrics.Timer   // From arrival to the first token.
@@ -128,7 +135,6 @@
 		retried:       metrics.GetOrRegisterCounter("Request.Retried", r),
 		resumed:       metrics.GetOrRegisterCounter("Request.Resumed", r),
 		retryRefused:  metrics.GetOrRegisterCounter("Request.RetryRefused", r),
-		keyCut:        metrics.GetOrRegisterCounter("Request.KeyCut", r),
 		prefillTokens: metrics.GetOrRegisterCounter("Request.PrefillTokens", r),
 		wastedTokens:  metrics.GetOrRegisterCounter("Request.WastedPrefillTokens", r),
 		firstToken:    metrics.GetOrRegisterTimer("Request.FirstToken", r),
@@ -178,7 +184,3 @@
 
 // Holds reports which of the attempts this instance still serves.
 func (p *Path) Holds(ids []string) []bool { return p.attempts.holds(ids) }
-
-// Verifier returns whose key a token is. The role that knows the keys provides
-// it. Its errors have the kind Unauthenticated.
-type Verifier func(token string) (Identity, error)
--- a/core/request/running.go
+++ b/core/request/running.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"monsoonfork/core/config"
-	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
 
@@ -96,14 +94,3 @@
 	})
 	return list
 }
-
-// CutWithdrawn ends the running requests of keys that a new text withdraws. It
-// is called with each new snapshot.
-func (p *Path) CutWithdrawn(snapshot *config.Snapshot) {
-	p.running.each(func(s *Session) {
-		if s.ctx.Err() == nil && withdrawn(snapshot.Text, s.Identity) {
-			p.counters.keyCut.Inc(1)
-			s.cancel(fault.New(fault.KeyWithdrawn, "the key was withdrawn while the request ran"))
-		}
-	})
-}
--- a/core/request/session.go
+++ b/core/request/session.go
@@ -39,6 +39,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	release  context.CancelFunc
+	unwatch  func()
 	sent     atomic.Bool // A byte may have reached an endpoint.
 }
 
@@ -54,7 +55,8 @@
 	if err := s.findRoute(in); err != nil {
 		return nil, err
 	}
-	if err := s.checkKey(in.Token); err != nil {
+	verified, err := s.checkKey(in.Token)
+	if err != nil {
 		return nil, err
 	}
 	s.log = log.With(p.log, "request", string(s.ID), "route", s.Route.Name, "organisation", string(s.Identity.Organisation))
@@ -63,12 +65,7 @@
 	s.release = release
 	s.ctx, s.cancel = context.WithCancelCause(deadlined)
 	p.running.add(s)
-	// A key that was withdrawn after checkKey and before add would be missed
-	// by CutWithdrawn, so that the newest text is looked at once more.
-	if newest := p.Current(); newest.Revision != snapshot.Revision && withdrawn(newest.Text, s.Identity) {
-		s.Close(nil)
-		return nil, fault.New(fault.Unauthenticated, "the key is withdrawn")
-	}
+	s.unwatch = verified.Watch(func(err error) { s.cancel(err) })
 	return s, nil
 }
 
@@ -87,23 +84,26 @@
 	return nil
 }
 
+// nobody is the key of a request on a route that is open to all.
+var nobody = Verified{Watch: func(func(error)) func() { return func() {} }}
+
 // checkKey sets the identity, unless the route is open to all.
-func (s *Session) checkKey(token string) error {
+func (s *Session) checkKey(token string) (Verified, error) {
 	if s.Route.Access == text.Open {
-		return nil
+		return nobody, nil
 	}
 	if token == "" {
-		return fault.New(fault.Unauthenticated, "no key: send Authorization: Bearer KEY")
+		return Verified{}, fault.New(fault.Unauthenticated, "no key: send Authorization: Bearer KEY")
 	}
-	identity, err := s.path.Verify(token)
+	verified, err := s.path.Verify(token)
 	if err != nil {
-		return err
+		return Verified{}, err
 	}
-	if !s.Route.Admits(identity.Organisation) {
-		return fault.New(fault.Forbidden, "organisation %s may not use route %s", identity.Organisation, s.Route.Name)
+	if !s.Route.Admits(verified.Organisation) {
+		return Verified{}, fault.New(fault.Forbidden, "organisation %s may not use route %s", verified.Organisation, s.Route.Name)
 	}
-	s.Identity = identity
-	return nil
+	s.Identity = verified.Identity
+	return verified, nil
 }
 
 // Context returns the context of the request. It ends with a *fault.Error as
@@ -115,6 +115,7 @@
 
 // Close ends the session. err is what the request ended with, or nil.
 func (s *Session) Close(err error) {
+	s.unwatch()
 	s.path.running.remove(s)
 	s.cancel(nil)
 	s.release()
@@ -154,15 +155,6 @@
 	return fault.From(context.Cause(s.ctx)).WithRan(f.Ran)
 }
 
-// withdrawn reports whether a key no longer serves its organisation.
-func withdrawn(t *text.Text, id Identity) bool {
-	if id.Key == "" {
-		return false
-	}
-	key, ok := t.Index().Key(id.Key)
-	return !ok || key.Withdrawn || key.Organisation != id.Organisation
-}
-
 // ofEarlierCall reports whether an error of this kind speaks of an earlier call
 // with the same Idempotency-Key.
 func ofEarlierCall(k fault.Kind) bool {
--- a/io/caller/gone_test.go
+++ b/io/caller/gone_test.go
@@ -76,6 +76,27 @@
 	}
 }
 
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	limits := defaultLimits
+	limits.IdleTime = 200 * time.Millisecond
+	r := newRig(t, WithLimits(limits))
+	for name, sent := range map[string]string{
+		"without a request": "",
+		"after an answer":   "GET /status HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", r.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, sent)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err := io.ReadAll(conn); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		_ = conn.Close()
+	}
+}
+
 func TestDrainFinishesOpenRequests(t *testing.T) {
 	r := newRig(t)
 	result := make(chan response, 1)
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -46,9 +46,6 @@
 	s.metrics.requests.Inc(1)
 	received := time.Now()
 	defer func() { s.metrics.answers.UpdateSince(received) }()
-	// The library's limit for idle connections also runs while a request is
-	// handled. It sets it again after the answer.
-	_ = nbc.SetReadDeadline(time.Time{})
 	if s.draining.Load() {
 		r.Close = true
 	}
--- a/io/caller/limiter.go
+++ b/io/caller/limiter.go
@@ -78,11 +78,10 @@
 // request is refused.
 func (l *limiter) OnComplete(p *nbhttp.Parser) {
 	l.conn.reading = reading{}
-	if l.conn.refused() {
+	if !l.conn.accept() {
 		l.Clean(p)
 		return
 	}
-	l.conn.requestRead()
 	l.Processor.OnComplete(p)
 }
 
--- a/io/caller/role.go
+++ b/io/caller/role.go
@@ -8,6 +8,7 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/keys"
 	"monsoonfork/core/placement"
 	"monsoonfork/core/request"
 	"monsoonfork/io/engine"
@@ -30,16 +31,11 @@
 	if err != nil {
 		return nil, err
 	}
-	holder, err := kernel.Need[*config.Holder](n)
-	if err != nil {
-		return nil, err
-	}
 	s := New(path, n.Log, WithMetrics(n.Metrics))
 	if _, err := s.Listen(n.Settings.CallerAddress); err != nil {
 		path.Close()
 		return nil, err
 	}
-	unsubscribe := holder.Subscribe(path.CutWithdrawn)
 	kernel.Provide(n, path)
 	return &kernel.Running{
 		Drain: func(ctx context.Context) error {
@@ -49,7 +45,6 @@
 			return path.Drain(ctx)
 		},
 		Close: func() error {
-			unsubscribe()
 			err := s.Close()
 			path.Close()
 			return err
@@ -75,15 +70,29 @@
 	if err != nil {
 		return err
 	}
-	verify, err := kernel.Need[request.Verifier](n)
+	table, err := kernel.Need[*keys.Table](n)
 	if err != nil {
 		return err
 	}
 	path.Current = holder.Current
-	path.Verify = verify
+	path.Verify = verifyBy(table)
 	return nil
 }
 
+// verifyBy returns the seam to a table of keys.
+func verifyBy(table *keys.Table) func(token string) (request.Verified, error) {
+	return func(token string) (request.Verified, error) {
+		grant, err := table.Verify(token)
+		if err != nil {
+			return request.Verified{}, err
+		}
+		return request.Verified{
+			Identity: request.Identity{Key: grant.Key, Organisation: grant.Organisation},
+			Watch:    func(end func(error)) func() { return table.Watch(grant, end) },
+		}, nil
+	}
+}
+
 // wireBudget sets the seam to the budget.
 func wireBudget(n *kernel.Node, path *request.Path) error {
 	b, err := kernel.Need[*budget.Budget](n)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -45,6 +45,9 @@
 	// quietSweeps is for how many sweeps no request may be open at the end of a
 	// drain.
 	quietSweeps = 4
+	// libraryIdleTime turns off the library's limit for idle connections, which
+	// also runs while a request is handled. The sweep has its own.
+	libraryIdleTime = 10 * 365 * 24 * time.Hour
 	// pollers is the number of poller goroutines.
 	pollers = 2
 	// readsPerEvent lets the poller read until a socket is empty.
@@ -122,7 +125,7 @@
 		MaxConnReadTimesPerEventLoop: readsPerEvent,
 		ReadLimit:                    s.limits.HeaderBytes + s.limits.BodyBytes,
 		MaxWriteBufferSize:           s.limits.WriteBytes,
-		KeepaliveTime:                s.limits.IdleTime,
+		KeepaliveTime:                libraryIdleTime,
 		SupportServerOnly:            true,
 		// A handler blocks for as long as its request runs.
 		ServerExecutor: func(f func()) { go f() },
@@ -168,8 +171,8 @@
 	conn.feed(data)
 }
 
-// sweep looks at all connections until Close: callers that have gone, and
-// requests that come too slowly.
+// sweep looks at all connections until Close: callers that have gone, requests
+// that come too slowly, and connections that are idle for too long.
 func (s *Server) sweep() {
 	defer close(s.done)
 	ticker := time.NewTicker(sweepInterval)
