--- a/lab/fleet/apply.go
+++ b/lab/fleet/apply.go
@@ -9,6 +9,9 @@
 // applyFirst puts the fleet's text in force.
 func (f *Fleet) applyFirst(ctx context.Context) error {
 	f.Text = f.newText()
+	if err := f.Instances[0].WaitAlive(ctx); err != nil {
+		return err
+	}
 	_, err := f.Apply(ctx, f.Instances[0])
 	return err
 }
--- a/lab/fleet/instance.go
+++ b/lab/fleet/instance.go
@@ -138,18 +138,26 @@
 }
 
 // WaitReady waits until the instance is ready.
-func (i *Instance) WaitReady(ctx context.Context) error {
-	for !i.Ready(ctx) {
+func (i *Instance) WaitReady(ctx context.Context) error { return i.waitOK(ctx, "/readyz") }
+
+// WaitAlive waits until the instance serves operators.
+func (i *Instance) WaitAlive(ctx context.Context) error { return i.waitOK(ctx, "/livez") }
+
+// waitOK waits until a GET of path on the operator address is answered with 200.
+func (i *Instance) waitOK(ctx context.Context, path string) error {
+	for {
+		status, body, err := i.get(ctx, path)
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
 		select {
 		case <-i.Process.Ended():
 			return fmt.Errorf("%s ended: %s", i.Name, i.Process.Log())
 		case <-ctx.Done():
-			_, body, _ := i.get(context.WithoutCancel(ctx), "/readyz")
-			return fmt.Errorf("%s is not ready: %w: %s", i.Name, ctx.Err(), body)
+			return fmt.Errorf("%s at %s: %w: status %d %s: %s", path, i.Name, ctx.Err(), status, body, i.Process.Log())
 		case <-time.After(pollInterval):
 		}
 	}
-	return nil
 }
 
 // Dump decodes the instance's dump into target.
--- a/lab/fleet/text.go
+++ b/lab/fleet/text.go
@@ -6,6 +6,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keys"
 	"monsoonfork/core/text"
 	"monsoonfork/io/standin/engine"
 	"monsoonfork/lab/workload"
@@ -53,7 +54,7 @@
 	}
 	for _, o := range w.Organisations {
 		t.Organisations = append(t.Organisations, text.Organisation{Name: o.Name, Rate: o.Rate, Burst: o.Burst})
-		key, line := NewKey(ident.KeyID("key-"+o.Name), o.Name)
+		key, line := keys.New(ident.KeyID("key-"+o.Name), o.Name)
 		f.Keys[o.Name] = key
 		t.Keys = append(t.Keys, line)
 	}
