--- a/lab/fleet/text.go
+++ b/lab/fleet/text.go
@@ -20,7 +20,7 @@
 
 // Values of the text.
 const (
-	minBytesPerToken  = 2
+	minBytesPerToken  = 4
 	maxTokens         = ident.Tokens(32_000)
 	modelTimeoutMS    = 60_000
 	plainTimeoutMS    = 5_000
--- a/lab/load/attempt.go
+++ b/lab/load/attempt.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -71,6 +72,9 @@
 	defer func() { _ = response.Body.Close() }()
 	a.Status = response.StatusCode
 	a.RequestID = response.Header.Get("X-Request-Id")
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		a.RetryAfter = time.Duration(seconds) * time.Second
+	}
 	switch {
 	case response.StatusCode >= http.StatusMultipleChoices:
 		readError(response, &a)
--- a/lab/load/result.go
+++ b/lab/load/result.go
@@ -35,6 +35,7 @@
 	FirstToken time.Duration   `json:"FirstToken,omitempty"` // From the start of the attempt.
 	Gaps       []time.Duration `json:"-"`                    // Between tokens of a streamed answer.
 	Took       time.Duration   `json:"Took"`
+	RetryAfter time.Duration   `json:"RetryAfter,omitempty"` // As the answer asks for.
 }
 
 // Last returns the last attempt.
--- a/lab/quickstart/quickstart.go
+++ b/lab/quickstart/quickstart.go
@@ -24,6 +24,7 @@
 	services       = 2
 	requests       = 6
 	maxShownTokens = 12
+	maxRetries     = 5
 	startTimeout   = 40 * time.Second
 	requestTimeout = 10 * time.Second
 )
@@ -78,9 +79,7 @@
 	for _, r := range pick(f.Spec.Workload) {
 		_, _ = fmt.Fprintf(out, "\n%s asks: %s\n", r.Organisation, asked(f.Spec.Workload, r))
 		sender.OnText = func(text string) { _, _ = io.WriteString(out, text) }
-		_, _ = io.WriteString(out, "  answer:")
-		result := sender.Send(ctx, r)
-		last := result.Last()
+		last := ask(ctx, out, sender, r)
 		_, _ = fmt.Fprintf(out, "\n  %s in %d ms by way of %s\n", last.Outcome, last.Took.Milliseconds(), instanceAt(f, last.Target))
 		if last.Outcome != load.Whole {
 			return fmt.Errorf("request %d: %s: %s", r.Number, last.Outcome, last.Detail)
@@ -94,6 +93,25 @@
 	return nil
 }
 
+// ask sends a request. As callers do, it sends a refused one again when the
+// refusal says when.
+func ask(ctx context.Context, out io.Writer, sender *load.Sender, r workload.Request) *load.Attempt {
+	for n := 0; ; n++ {
+		_, _ = io.WriteString(out, "  answer:")
+		result := sender.Send(ctx, r)
+		last := result.Last()
+		if last.Outcome != load.NotRun || last.RetryAfter == 0 || n == maxRetries {
+			return last
+		}
+		_, _ = fmt.Fprintf(out, " not run: %s; again in %s\n", last.Detail, last.RetryAfter)
+		select {
+		case <-time.After(last.RetryAfter):
+		case <-ctx.Done():
+			return last
+		}
+	}
+}
+
 // pick returns a handful of requests with each kind among them.
 func pick(w workload.Workload) []workload.Request {
 	generator := workload.NewGenerator(w, 1, 1, nil)
--- a/lab/workload/generator.go
+++ b/lab/workload/generator.go
@@ -154,16 +154,16 @@
 	}
 }
 
-// prompt returns a prompt: words that all requests of the organisation begin
+// prompt returns a prompt of words of at least four letters: words that all requests of the organisation begin
 // with, then words of this request.
 func (g *Generator) prompt(r *Request, shared, own int) string {
 	var b strings.Builder
 	for i := range shared {
-		_, _ = fmt.Fprintf(&b, "%.4s%d ", r.Organisation, i)
+		_, _ = fmt.Fprintf(&b, "%.4s%03d ", r.Organisation, i)
 	}
 	_, _ = fmt.Fprintf(&b, "request%d-%d", g.seed, r.Number)
 	for range own - 1 {
-		_, _ = fmt.Fprintf(&b, " n%d", g.random.IntN(1000))
+		_, _ = fmt.Fprintf(&b, " n%03d", g.random.IntN(1000))
 	}
 	return b.String()
 }
