--- a/core/placement/check.go
+++ b/core/placement/check.go
@@ -16,8 +16,8 @@
 
 // checkInvariants asserts that each request is waiting, or held, or has left.
 func (d *Dispatcher) checkInvariants() {
-	d.check("Placement.Queue", d.queue.length+d.late.length == len(d.waiting),
-		"queued", d.queue.length, "late", d.late.length, "waiting", len(d.waiting))
+	d.check("Placement.Queue", d.queue.length == len(d.waiting),
+		"queued", d.queue.length, "waiting", len(d.waiting))
 	c := d.counts
 	left := c.Refused + c.Cancelled + c.Elsewhere + c.Granted + c.Closed
 	d.check("Placement.Conservation", c.Submitted == left+int64(len(d.waiting)),
--- a/core/placement/dispatcher.go
+++ b/core/placement/dispatcher.go
@@ -33,8 +33,7 @@
 	engines    map[ident.EndpointID]*engineState
 	prefills   []*engineState // By name.
 	decodes    []*engineState // By name.
-	queue      *fairQueue     // Requests that can meet their target.
-	late       *fairQueue     // Requests that cannot, but are served while no other waits.
+	queue      *fairQueue
 	waiting    map[LeaseID]*waiting
 	leases     map[LeaseID]*lease
 	prefixes   *prefixIndex
@@ -83,7 +82,6 @@
 		wake:       make(chan struct{}, 1),
 		engines:    make(map[ident.EndpointID]*engineState),
 		queue:      newFairQueue(),
-		late:       newFairQueue(),
 		waiting:    make(map[LeaseID]*waiting),
 		leases:     make(map[LeaseID]*lease),
 		prefixes:   newPrefixIndex(),
@@ -106,7 +104,6 @@
 	defer d.mu.Unlock()
 	d.model = model
 	d.queue.setWeights(weights)
-	d.late.setWeights(weights)
 	for _, e := range d.engines {
 		e.gone = true
 	}
@@ -312,7 +309,7 @@
 
 // answer takes a request out of the queue and answers it once.
 func (d *Dispatcher) answer(w *waiting, a Decision) {
-	d.queueOf(w).remove(w)
+	d.queue.remove(w)
 	delete(d.waiting, w.request.LeaseID())
 	d.check("Placement.AnsweredOnce", !w.answered, "lease", w.request.LeaseID())
 	w.answered = true
--- a/core/placement/dump.go
+++ b/core/placement/dump.go
@@ -60,7 +60,7 @@
 			})
 		}
 	}
-	for _, f := range append(d.queue.order(), d.late.order()...) {
+	for _, f := range d.queue.order() {
 		dump.Queues = append(dump.Queues, QueueDump{f.organisation, len(f.requests), f.tokens, f.virtual})
 	}
 	return dump
--- a/core/placement/fairqueue.go
+++ b/core/placement/fairqueue.go
@@ -18,7 +18,6 @@
 	answer   chan Decision
 	index    int // Position in its organisation's heap; -1 when out of the queue.
 	answered bool
-	late     bool // Has missed its target; served when no other waits.
 }
 
 // waitingHeap orders the requests of an organisation: high priority first,
--- a/core/placement/pair.go
+++ b/core/placement/pair.go
@@ -39,7 +39,7 @@
 // false when nothing fits, or when no pair would meet the target.
 func (d *Dispatcher) choosePair(w *waiting, now time.Time, claimed map[ident.EndpointID]bool) (pair, bool) {
 	r := w.request
-	decodes := d.decodeCandidates(w, now, claimed)
+	decodes := d.decodeCandidates(r, now, claimed)
 	if len(decodes) == 0 {
 		return pair{}, false
 	}
@@ -63,21 +63,15 @@
 	return best, best.prefill != nil && !best.firstToken.After(w.target)
 }
 
-// lateFreePart is the part of the decode slots, as a divisor, that has to be
-// free for a late request to be placed.
-const lateFreePart = 10
-
 // decodeCandidates returns the decode engines that can take the request.
-func (d *Dispatcher) decodeCandidates(w *waiting, now time.Time, claimed map[ident.EndpointID]bool) []*engineState {
-	r := w.request
+func (d *Dispatcher) decodeCandidates(r Request, now time.Time, claimed map[ident.EndpointID]bool) []*engineState {
 	var list []*engineState
-	free, total := 0, 0
+	free := 0
 	for _, e := range d.decodes {
 		if r.avoids(e.Name) || !e.usable(now) {
 			continue
 		}
 		free += e.freeSlots()
-		total += e.Slots
 		if !claimed[e.Name] && e.fits(e.piecesFor(r.cost())) {
 			list = append(list, e)
 		}
@@ -85,9 +79,6 @@
 	if free <= d.tuning.Headroom && d.loud(r.Organisation) {
 		return nil
 	}
-	if w.late && free*lateFreePart < total {
-		return nil
-	}
 	return list
 }
 
--- a/core/placement/rate.go
+++ b/core/placement/rate.go
@@ -64,12 +64,11 @@
 		held[l.held.Organisation] += n
 		sum += n
 	}
-	for _, w := range d.waiting {
-		held[w.request.Organisation] += 0
-	}
-	var weights float64
+	weights := d.queue.weightOf(o)
 	for other := range held {
-		weights += d.queue.weightOf(other)
+		if other != o {
+			weights += d.queue.weightOf(other)
+		}
 	}
-	return held[o] > sum*d.queue.weightOf(o)/weights
+	return sum > 0 && held[o] > sum*d.queue.weightOf(o)/weights
 }
--- a/core/placement/rooms.go
+++ b/core/placement/rooms.go
@@ -36,7 +36,7 @@
 			r.FreeSlots += e.freeSlots()
 		}
 	}
-	r.FreeSlots = max(0, r.FreeSlots-len(d.waiting))
+	r.FreeSlots = max(0, r.FreeSlots-d.queue.length)
 	return r
 }
 
@@ -53,16 +53,16 @@
 func (d *Dispatcher) Pressed() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.waiting) > 0
+	return d.queue.length > 0
 }
 
 // sendElsewhere passes requests that have waited to domains with room. Each
 // one sent takes a slot off the summary.
 func (d *Dispatcher) sendElsewhere(now time.Time) {
-	if len(d.waiting) == 0 || len(d.rooms) == 0 {
+	if d.queue.length == 0 || len(d.rooms) == 0 {
 		return
 	}
-	for _, f := range append(d.queue.order(), d.late.order()...) {
+	for _, f := range d.queue.order() {
 		for len(f.requests) > 0 {
 			w := f.requests[0]
 			target := d.roomiestDomain(now)
--- a/core/placement/schedule.go
+++ b/core/placement/schedule.go
@@ -15,7 +15,6 @@
 	ElsewhereAfter time.Duration // Wait after which another domain with room is tried.
 	EarlyFactor    float64       // Predicted wait over slack at which a request is refused at once; 0 turns it off.
 	Headroom       int           // Free decode slots that an organisation above its share may not take.
-	LateGrace      time.Duration // How long a request waits on after it has missed its target.
 	Prefixes       bool          // Whether cached prefixes are considered.
 }
 
@@ -28,7 +27,6 @@
 		ElsewhereAfter: 20 * time.Millisecond,
 		EarlyFactor:    2,
 		Headroom:       0,
-		LateGrace:      3 * time.Second,
 		Prefixes:       true,
 	}
 }
@@ -68,7 +66,7 @@
 	for _, l := range d.transfers {
 		earlier(l.prefillFreeAt)
 	}
-	if len(d.waiting) == 0 {
+	if d.queue.length == 0 {
 		return next
 	}
 	earlier(d.nextExpiry.Add(time.Microsecond))
@@ -188,7 +186,7 @@
 	}
 	d.nextExpiry = time.Time{}
 	for _, w := range d.waiting {
-		if !now.After(w.expires) || d.makeLate(w, now) {
+		if !now.After(w.expires) {
 			if d.nextExpiry.IsZero() || w.expires.Before(d.nextExpiry) {
 				d.nextExpiry = w.expires
 			}
@@ -203,12 +201,11 @@
 // nowhere claims the engine with the most free memory, so that smaller ones
 // cannot keep it waiting for ever.
 func (d *Dispatcher) placeOne(now time.Time) bool {
-	queue := d.turn()
-	if queue.length == 0 || !d.anyRoom(now) {
+	if d.queue.length == 0 || !d.anyRoom(now) {
 		return false
 	}
 	claimed := make(map[ident.EndpointID]bool)
-	for _, f := range queue.order() {
+	for _, f := range d.queue.order() {
 		w := f.requests[0]
 		p, ok := d.choosePair(w, now, claimed)
 		if ok {
@@ -272,9 +269,6 @@
 	p.prefill.breaker.started(l.held.Lease)
 	p.decode.breaker.started(l.held.Lease)
 	d.queue.served(r)
-	if w.late {
-		d.late.served(r)
-	}
 	d.drain.placed(now, r.cost())
 	d.counts.Granted++
 	d.answer(w, Decision{Grant: d.grantOf(l)})
