--- a/core/placement/dispatcher_test.go
+++ b/core/placement/dispatcher_test.go
@@ -354,3 +354,19 @@
 		t.Fatal("the cancel of the newest submission left the lease")
 	}
 }
+
+func TestOrganisationThatOnlyWaitsCountsInTheShares(t *testing.T) {
+	f := newFixture(t, 1)
+	for range 2 {
+		g := granted(f.Submit(f.request("loud"), "i1"))
+		f.PrefillDone(g.Lease)
+		f.advance(20 * time.Millisecond)
+	}
+	if f.loud("loud") {
+		t.Fatal("the only organisation holds more than its share")
+	}
+	f.Submit(f.request("quiet"), "i1")
+	if !f.loud("loud") || f.loud("quiet") {
+		t.Fatal("the organisation that holds all is not above its share while another waits")
+	}
+}
--- a/core/placement/rate.go
+++ b/core/placement/rate.go
@@ -64,11 +64,12 @@
 		held[l.held.Organisation] += n
 		sum += n
 	}
-	weights := d.queue.weightOf(o)
+	for _, w := range d.waiting {
+		held[w.request.Organisation] += 0
+	}
+	var weights float64
 	for other := range held {
-		if other != o {
-			weights += d.queue.weightOf(other)
-		}
+		weights += d.queue.weightOf(other)
 	}
-	return sum > 0 && held[o] > sum*d.queue.weightOf(o)/weights
+	return held[o] > sum*d.queue.weightOf(o)/weights
 }
