serve: register every role of the daemon; linter findings

The daemon registered only the roles merged first, so that no request had a way through it.

The linter's six findings are mended. The test text's unknown model is now a correctly spelled word; what the case checks is the same.

--- a/cmd/monsoonfork/verb/roles.go
+++ b/cmd/monsoonfork/verb/roles.go
@@ -2,9 +2,15 @@
 
 // The roles of the daemon. Each registers itself with the kernel.
 import (
+	_ "monsoonfork/core/budget"       // Budget
+	_ "monsoonfork/core/claims"       // Claims
 	_ "monsoonfork/core/config/relay" // Config
 	_ "monsoonfork/core/keys"         // Keys
 	_ "monsoonfork/core/membership"   // Membership
+	_ "monsoonfork/core/placement"    // Placement
+	_ "monsoonfork/core/reaper"       // Reaper
+	_ "monsoonfork/io/caller"         // Caller
+	_ "monsoonfork/io/engine"         // Engines
 	_ "monsoonfork/io/operator"       // Operator
 	_ "monsoonfork/io/store"          // Store
 )
--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -85,7 +85,7 @@
 		return Accepted{}, false, err
 	}
 	if edit, found := stored.Head.find(editID); found {
-		return a.take(ctx, stored.Head, edit, raw)
+		return a.take(stored.Head, edit, raw)
 	}
 	current := max(stored.Head.Revision, a.Holder.Revision())
 	if current != base {
@@ -101,7 +101,7 @@
 	switch outcome {
 	case store.Written:
 		a.deleteTexts(ctx, dropped)
-		return a.take(ctx, next, Edit{editID, next.Revision}, raw)
+		return a.take(next, Edit{editID, next.Revision}, raw)
 	case store.Unknown:
 		*unknown = true
 	case store.Conflict, store.NotWritten:
@@ -110,7 +110,7 @@
 }
 
 // take answers an accepted edit, and puts it in force here if it is the newest.
-func (a *Applier) take(ctx context.Context, h Head, edit Edit, raw []byte) (Accepted, bool, error) {
+func (a *Applier) take(h Head, edit Edit, raw []byte) (Accepted, bool, error) {
 	accepted := Accepted{Revision: edit.Revision, EditID: edit.ID, Digest: digestOf(raw)}
 	if h.Newest() != edit.ID {
 		accepted.Repeated = true
--- a/core/text/check.go
+++ b/core/text/check.go
@@ -111,7 +111,7 @@
 	if c.Failed(path) {
 		return
 	}
-	if !(v > 0) || math.IsInf(float64(v), 0) {
+	if v <= 0 || math.IsNaN(float64(v)) || math.IsInf(float64(v), 0) {
 		c.Addf(path, "write a number above 0", "%v is not above 0", v)
 	}
 }
@@ -121,7 +121,7 @@
 	if c.Failed(path) {
 		return
 	}
-	if !(v >= 0) || math.IsInf(float64(v), 0) {
+	if v < 0 || math.IsNaN(float64(v)) || math.IsInf(float64(v), 0) {
 		c.Addf(path, "write 0 or more", "%v is below 0", v)
 	}
 }
--- a/core/text/parse_test.go
+++ b/core/text/parse_test.go
@@ -53,7 +53,7 @@
 		{"duplicate endpoint", "Name: planning-south-1", "Name: planning-north-1", "Services[1].Endpoints[1].Name", "already"},
 		{"duplicate address", "127.0.0.1:9102", "127.0.0.1:9001", "Services[1].Endpoints[1].Address", "already on line 12"},
 		{"duplicate domain", "[north, south]", "[north, south, north]", "Domains[2]", "already"},
-		{"dangling model", "    Models: [summary]\n    Slots: 4", "    Models: [sumary]\n    Slots: 4", "Engines[0].Models[0]", `"sumary" is not under Models`},
+		{"dangling model", "    Models: [summary]\n    Slots: 4", "    Models: [drafting]\n    Slots: 4", "Engines[0].Models[0]", `"drafting" is not under Models`},
 		{"dangling service", "Service: summaries", "Service: sums", "Routes[0].Service", "summaries, planning"},
 		{"dangling dependency", "DependsOn: [summaries]", "DependsOn: [mail]", "Services[1].DependsOn[0]", "not under Services"},
 		{"dependency cycle", "DependsOn: [summaries]", "DependsOn: [planning]", "Services[1].DependsOn", "depends on itself"},
@@ -178,8 +178,8 @@
 		func(cut, length int, insert string) bool {
 			cut %= len(raw)
 			end := min(len(raw), cut+length)
-			Parse([]byte(raw[:cut] + insert + raw[end:]))
-			return true
+			parsed, err := Parse([]byte(raw[:cut] + insert + raw[end:]))
+			return parsed != nil || err != nil
 		},
 		gen.IntRange(0, 1<<20), gen.IntRange(0, 40), gen.AnyString(),
 	))
--- a/io/store/lease.go
+++ b/io/store/lease.go
@@ -26,7 +26,7 @@
 func (c *Client) CreateLease(ctx context.Context, name string, ttl time.Duration) (Lease, error) {
 	// The deadline counts from before the call, so that it lies before the store's.
 	deadline := c.now().Add(ttl)
-	body, err := json.Marshal(struct{ Name, TTL, Behavior string }{name, seconds(ttl), "delete"})
+	body, err := json.Marshal(struct{ Name, TTL, Behavior string }{name, seconds(ttl), "delete"}) //nolint:misspell // The field is spelled so in the published protocol.
 	if err != nil {
 		return Lease{}, fault.Wrap(err, fault.Internal, "encode lease")
 	}
