Membership: a domain silent here and not elsewhere is asked about every 4 s

Cause: a digest names the domains in which its sender knows live members. With only the links from one daemon to a domain cut, each digest of a partner named that domain, and each was followed by a question for the partner's whole view, which cannot help while the links are cut.

Ruled out: not asking at all while members of the domain are known. A domain that was replaced as a whole has no known address any more, and only the partner's view names new ones.

--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -42,8 +42,8 @@
 
 // Merge takes over what a digest knows and this daemon does not: higher
 // counters, newer revisions, planned stops and ended processes. It reports
-// whether the digest names members, or domains with live members, that are not
-// known here.
+// whether its sender should be asked for records: the digest names members that
+// are not known here, or a domain of which none lives here.
 func (t *Table) Merge(d *Digest) (unknown bool) {
 	if !d.wellFormed() {
 		return false
@@ -55,7 +55,7 @@
 		byHash[m.hash()] = id
 	}
 	for _, domain := range d.GetDomains() {
-		if len(t.View().Live(ident.DomainID(domain))) == 0 {
+		if t.asksAbout(ident.DomainID(domain)) {
 			unknown = true
 		}
 	}
@@ -84,6 +84,19 @@
 	return unknown
 }
 
+// asksAbout reports whether it is time to ask about a domain that has live
+// members elsewhere and none here. It may be that only the links from here to
+// it are cut, so that the answer does not help: it is asked for now and then,
+// not with each heartbeat. t is locked.
+func (t *Table) asksAbout(domain ident.DomainID) bool {
+	now := t.now()
+	if len(t.View().Live(domain)) > 0 || now.Before(t.askAt[domain]) {
+		return false
+	}
+	t.askAt[domain] = now.Add(askDomainEvery)
+	return true
+}
+
 // mergeMember takes over the news about one member, and reports whether its
 // state has changed.
 func (t *Table) mergeMember(id ident.InstanceID, counter int64, revision ident.Revision, leaving bool) bool {
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -11,8 +11,11 @@
 	"monsoonfork/core/ident"
 )
 
-// forgetAfter is how long a silent or ended member stays in the table.
-const forgetAfter = 2 * time.Minute
+// Times of the table.
+const (
+	forgetAfter    = 2 * time.Minute // How long a silent or ended member stays.
+	askDomainEvery = 4 * time.Second // Between questions about a domain that is silent here and not elsewhere.
+)
 
 // Table is the set of members that a daemon knows. Reads take the current
 // View without a lock.
@@ -24,6 +27,7 @@
 	mu          sync.Mutex
 	self        Member
 	members     map[ident.InstanceID]Member
+	askAt       map[ident.DomainID]time.Time // When members may be asked about a silent domain again.
 	subscribers []func(*View)
 }
 
@@ -34,6 +38,7 @@
 		now:     now,
 		self:    self,
 		members: map[ident.InstanceID]Member{self.ID: self},
+		askAt:   make(map[ident.DomainID]time.Time),
 	}
 	t.publish()
 	return t
