monsoonlab rates: rate and burst over real processes under faults

Eight instances, one organisation at five times its rate, two inside theirs, one of them with large requests. Kills and replacements, pauses past every lease, a domain cut off from the others and the store, the store silent throughout, each by a flag. The admission logs of all processes are checked over every window; the part that the cut-off domain admitted is checked; refusals that one exact bucket would not have made are counted.

--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -17,6 +17,7 @@
 		{"quickstart", "Show a small fleet at work.", &quickstartCommand{}},
 		{"load", "Send a workload to a fleet and report.", &loadCommand{}},
 		{"soak", "Run a fleet under random faults and check what must hold.", &soakCommand{}},
+		{"rates", "Send above an organisation's rate under faults and check every window.", &ratesCommand{}},
 		{"bench", "Measure placement policies.", &benchCommand{}},
 		{"slopes", "Measure what a daemon costs at several sizes.", &slopesCommand{}},
 		{"overhead", "Measure what monsoonfork adds to a call.", &overheadCommand{}},
--- a/core/budget/audit/audit.go
+++ b/core/budget/audit/audit.go
@@ -128,3 +128,15 @@
 	}
 	return res
 }
+
+// Used returns what an organisation used that was admitted in the time from
+// from to to, in monotonic nanoseconds.
+func (l *Log) Used(org ident.OrganisationID, from, to int64) ident.Tokens {
+	var sum ident.Tokens
+	for k, a := range l.admissions {
+		if k.org == org && from <= a.at && a.at < to {
+			sum += a.used
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/lab/rates/load.go
@@ -0,0 +1,151 @@
+package rates
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"monsoonfork/core/budget/audit"
+	"monsoonfork/core/ident"
+	"monsoonfork/lab/fleet"
+)
+
+// Limits of the caller.
+const (
+	requestTimeout = 2 * time.Second
+	maxDials       = 4 // Instances that the balancer tries when one takes no connection.
+	maxIdle        = 64
+)
+
+// caller sends requests of organisations through the instances in use.
+type caller struct {
+	fleet  *fleet.Fleet
+	client *http.Client
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	requests []audit.Request
+	seconds  []time.Duration // How long refusals took.
+}
+
+// newCaller returns a caller that has sent nothing.
+func newCaller(f *fleet.Fleet, seed uint64) *caller {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true}
+	return &caller{
+		fleet:  f,
+		client: &http.Client{Transport: transport, Timeout: requestTimeout},
+		random: rand.New(rand.NewPCG(seed, 21)),
+	}
+}
+
+// run sends all organisations' requests until ctx ends, and waits for answers.
+func (c *caller) run(ctx context.Context) {
+	defer c.client.CloseIdleConnections()
+	var work sync.WaitGroup
+	for _, o := range organisations() {
+		perSecond := factors()[o.Name] * float64(o.Rate) / float64(costOf(o.Name))
+		work.Go(func() { c.send(ctx, &work, o.Name, perSecond) })
+	}
+	work.Wait()
+}
+
+// send sends one organisation's requests with exponential gaps.
+func (c *caller) send(ctx context.Context, work *sync.WaitGroup, org ident.OrganisationID, perSecond float64) {
+	next := time.Now()
+	for {
+		next = next.Add(time.Duration(c.exponential() / perSecond * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		work.Go(func() { c.request(org) })
+	}
+}
+
+// exponential draws a gap with mean 1.
+func (c *caller) exponential() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.random.ExpFloat64()
+}
+
+// pick draws one of the instances in use.
+func (c *caller) pick() (string, error) {
+	addresses := c.fleet.InUse()
+	if len(addresses) == 0 {
+		return "", errors.New("no instance is in use")
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return addresses[c.random.IntN(len(addresses))], nil
+}
+
+// request sends one request and records what became of it.
+func (c *caller) request(org ident.OrganisationID) {
+	line := audit.Request{Organisation: org, Cost: costOf(org), MonotonicNs: monotonicNow()}
+	line.Outcome = c.outcome(org)
+	took := time.Duration(monotonicNow() - line.MonotonicNs)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests = append(c.requests, line)
+	if line.Outcome == audit.Refused {
+		c.seconds = append(c.seconds, took)
+	}
+}
+
+// outcome sends one request. As a balancer does, it turns to another instance
+// when one takes no connection.
+func (c *caller) outcome(org ident.OrganisationID) audit.Outcome {
+	for range maxDials {
+		address, err := c.pick()
+		if err != nil {
+			return audit.Failed
+		}
+		status, err := c.get(address, org)
+		var dial *net.OpError
+		if errors.As(err, &dial) && dial.Op == "dial" {
+			continue
+		}
+		switch {
+		case err == nil && status == http.StatusOK:
+			return audit.Admitted
+		case err == nil && status == http.StatusTooManyRequests:
+			return audit.Refused
+		default:
+			return audit.Failed
+		}
+	}
+	return audit.Failed
+}
+
+// get makes one call.
+func (c *caller) get(address string, org ident.OrganisationID) (status int, err error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+pathOf(org), nil)
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.fleet.Keys[org])
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, errors.Join(err, response.Body.Close())
+}
+
+// monotonicNow reads the machine's monotonic clock, as admission logs do.
+func monotonicNow() int64 {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts); err != nil {
+		return 0
+	}
+	return ts.Nano()
+}
