budget: slots outlive their holders while the store is down

Cause of wrongful refusals under failures: a slot whose holder died while the store could not be reached was lost until the store was back, since only the store could name a new holder. With kills going on, slots ran out.

Ruled out: waiting for tokens in admission, which was tried first.

Change: a member that cannot reach the store claims the slot of a holder whose process has ended for sure and that it has heard of from the holder itself. The slot begins as one whose lease has lapsed: it mints nothing until every member of the domain that may live has promised, for 2 s, not to take it, and starts empty. A silent member is left out only after 7 s, when all rights that it may have are over. The claimer must have run unbroken for 7 s: it would have heard of another successor. Its epoch is 1000 higher, so that no claim through the store has the same; two successors refuse each other and neither mints. The store's record is replaced when it can be reached. A member that heard of a successor does not claim through the store on account of the holder before.

--- a/core/budget/announce.go
+++ b/core/budget/announce.go
@@ -67,6 +67,7 @@
 	if now.Age >= k.lastRound.Add(silentAfter) {
 		// This process may have been paused: silence before now says nothing.
 		clear(k.failing)
+		k.awakeAt = now.Age
 	}
 	k.lastRound = now.Age
 	req := &AnnounceRequest{}
@@ -128,6 +129,11 @@
 	if newer > h.record.Epoch {
 		k.lose(number, "taken over")
 		k.sighting(number).epoch = newer
+		return
+	}
+	if h.displaced != "" && h.tenure.lapsed {
+		k.lose(number, "claimed by two members")
+		k.sighting(number).heardAt = asked.Age
 	}
 }
 
@@ -137,27 +143,39 @@
 	now := k.b.clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var others []ident.InstanceID
-	for _, m := range members {
-		since, fails := k.failing[m.ID]
-		if m.State == membership.Silent && fails && now.Age >= since.Add(silentAfter) {
-			continue
-		}
-		others = append(others, m.ID)
-	}
 	for _, c := range req.GetHeld() {
 		h, ok := k.held[int(c.GetSlot())]
 		if !ok || int64(h.record.Epoch) != c.GetEpoch() {
 			continue
 		}
 		h.announced = true
-		if h.tenure.vouch(others, now.Age) {
+		if h.tenure.vouch(k.vouchers(members, h, now.Age), now.Age) {
 			h.slot.Restart(now.Mint)
 			_ = level.Info(k.b.log).Log("msg", "slot minting again", "slot", c.GetSlot())
 		}
 	}
 }
 
+// vouchers returns the members whose promises a held slot needs: all but those
+// that have failed to answer for long. A slot that was claimed without the
+// store also needs that every right that such a member may have had is over.
+// k is locked.
+func (k *keeper) vouchers(members []membership.Member, h *heldSlot, now Instant) []ident.InstanceID {
+	patience := silentAfter
+	if h.displaced != "" && h.tenure.lapsed {
+		patience = leaseLength + leaseMargin
+	}
+	var list []ident.InstanceID
+	for _, m := range members {
+		since, fails := k.failing[m.ID]
+		if m.State == membership.Silent && fails && now >= since.Add(patience) {
+			continue
+		}
+		list = append(list, m.ID)
+	}
+	return list
+}
+
 // serveAnnounce answers the announcement of another holder of this domain.
 func (k *keeper) serveAnnounce(from ident.InstanceID, req *AnnounceRequest) *AnnounceReply {
 	now := k.b.clock.Now()
--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -84,25 +84,37 @@
 		return
 	}
 	epoch := h.record.Epoch
-	if err == nil && (stored.record.Holder != k.b.self || stored.record.Epoch != epoch) {
+	named := stored.record.Holder == k.b.self && stored.record.Epoch == epoch
+	if err == nil && !named && !k.succeeds(h, stored.record) {
 		k.lose(number, "another holder in the store")
 		k.mu.Unlock()
 		return
 	}
-	if err == nil {
+	if err == nil && named {
+		h.displaced = ""
 		h.confirm(stored, now.Age)
 	}
+	relays := h.displaced == ""
 	k.mu.Unlock()
-	if err != nil || !k.renewIn(ctx, number, stored) {
+	if (err != nil || !k.renewIn(ctx, number, epoch, stored)) && relays {
 		k.relay(ctx, number, epoch)
 	}
 }
 
+// succeeds reports whether a slot that was claimed without the store may
+// replace the store's record: an older one of this instance, or of a process
+// that has ended. k is locked.
+func (k *keeper) succeeds(h *heldSlot, r slotRecord) bool {
+	if h.displaced == "" || r.Epoch >= h.record.Epoch {
+		return false
+	}
+	return r.Holder == k.b.self || r.Holder == h.displaced || k.b.ended(r.Holder)
+}
+
 // renewIn writes the renewal of a slot whose record was just read. It reports
 // whether it is known to have taken effect.
-func (k *keeper) renewIn(ctx context.Context, number int, stored storedSlot) bool {
-	next := stored.record
-	next.Beat++
+func (k *keeper) renewIn(ctx context.Context, number int, epoch ident.Epoch, stored storedSlot) bool {
+	next := slotRecord{Holder: k.b.self, Epoch: epoch, Beat: stored.record.Beat + 1}
 	asked := k.b.clock.Now()
 	outcome := k.b.store.swap(ctx, number, next, stored.version)
 	now := k.b.clock.Now()
@@ -113,6 +125,10 @@
 		return true
 	}
 	if outcome == store.Written {
+		if h.displaced != "" {
+			h.displaced = ""
+			h.slot.Restart(now.Mint)
+		}
 		h.record = next
 		h.tenure.renewed(asked.Age, now.Age)
 		k.b.metrics.renewals.Inc(1)
@@ -166,8 +182,8 @@
 // claimFree claims the slots for which this instance is the candidate and
 // whose lease has lapsed.
 func (k *keeper) claimFree(ctx context.Context) {
-	wanted := k.candidateFor()
-	if len(wanted) == 0 {
+	wanted, orphans := k.candidateFor(), k.orphans()
+	if len(wanted) == 0 && len(orphans) == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -175,6 +191,7 @@
 	k.b.metrics.slotLists.Inc(1)
 	stored, err := k.b.store.list(ctx)
 	if err != nil {
+		k.succeed(orphans)
 		return
 	}
 	for _, number := range wanted {
@@ -239,7 +256,7 @@
 	}
 	free := stored.version == 0 || r.Holder == "" || r.Holder == k.b.self
 	lapsed := o.lapsed(now.Age) && now.Age >= s.promisedUntil
-	if !free && !lapsed && !k.b.ended(r.Holder) {
+	if !free && !lapsed && !k.ended(r.Holder, s, now.Age) {
 		k.mu.Unlock()
 		return
 	}
--- a/core/budget/cluster_failures_test.go
+++ b/core/budget/cluster_failures_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"os"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -122,9 +124,15 @@
 	})
 }
 
+// seedsEnv holds the number of seeds of a long run.
+const seedsEnv = "MONSOONFORK_BUDGET_SEEDS"
+
 // seeds returns how many seeds a test runs: one in short mode, for the race
-// detector.
+// detector, and as many as asked for in a long run.
 func seeds(n uint64) uint64 {
+	if more, err := strconv.ParseUint(os.Getenv(seedsEnv), 10, 64); err == nil {
+		return more
+	}
 	if testing.Short() {
 		return 1
 	}
--- a/core/budget/keeper.go
+++ b/core/budget/keeper.go
@@ -17,7 +17,8 @@
 	tenure    *tenure
 	slot      *Slot
 	claimedAt Instant
-	announced bool // Whether the members were told; before that nothing is minted.
+	announced bool             // Whether the members were told; before that nothing is minted.
+	displaced ident.InstanceID // The ended holder before, while the store does not name this one; else empty.
 }
 
 // keeper holds minting slots for this instance, and knows who holds the others
@@ -31,6 +32,7 @@
 	observed  map[int]*observation
 	failing   map[ident.InstanceID]Instant // Since when a member fails to answer.
 	lastRound Instant
+	awakeAt   Instant // Since when this process has run without a pause.
 	gate      partsGate
 	stopping  bool
 }
@@ -182,12 +184,13 @@
 
 // lose records that this instance does not hold a slot any more. k is locked.
 func (k *keeper) lose(slot int, why string) {
-	if _, ok := k.held[slot]; !ok {
+	h, ok := k.held[slot]
+	if !ok {
 		return
 	}
 	delete(k.held, slot)
 	if s := k.sighting(slot); s.holder == k.b.self {
-		s.holder = ""
+		s.holder = h.displaced
 	}
 	k.b.metrics.slotsLost.Inc(1)
 	_ = level.Info(k.b.log).Log("msg", "slot lost", "slot", slot, "why", why)
--- /dev/null
+++ b/core/budget/succeed.go
@@ -0,0 +1,80 @@
+package budget
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/ident"
+)
+
+// Values of claims without the store.
+const (
+	successorDelay = 2 * time.Second   // A member that is not the first candidate waits this much longer.
+	successorEpoch = ident.Epoch(1000) // Added to the epoch, so that no claim through the store has the same.
+)
+
+// awake reports whether this process has run without a pause for longer than
+// any right that it has not heard of can last. k is locked.
+func (k *keeper) awake(now Instant) bool {
+	return now >= k.awakeAt.Add(leaseLength+leaseMargin)
+}
+
+// ended reports whether the holder that the store names has ended, and this
+// instance would know if another one had succeeded it without the store. k is
+// locked.
+func (k *keeper) ended(holder ident.InstanceID, s *sighting, now Instant) bool {
+	known := s.holder == holder || now >= s.promisedUntil
+	return known && k.awake(now) && k.b.ended(holder)
+}
+
+// orphans returns the slots whose holder, known from its own announcements,
+// has ended, and which this instance should take if the store is silent.
+func (k *keeper) orphans() []int {
+	_, perDomain := k.b.layout()
+	now := k.b.clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.stopping || !k.awake(now.Age) {
+		return nil
+	}
+	var numbers []int
+	for number := range perDomain {
+		s := k.sighting(number)
+		if _, held := k.held[number]; held || s.holder == "" || !k.b.ended(s.holder) {
+			continue
+		}
+		rank := k.rank(number)
+		if rank >= 0 && now.Age >= s.heardAt.Add(unheardAfter+time.Duration(rank)*successorDelay) {
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+// succeed claims slots of ended holders without the store. Such a slot mints
+// nothing until all members of the domain that may live have promised not to
+// take it, as after a lapse; the store learns of it when it answers again.
+func (k *keeper) succeed(orphans []int) {
+	now := k.b.clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, number := range orphans {
+		s := k.sighting(number)
+		if _, held := k.held[number]; held || s.holder == "" || !k.b.ended(s.holder) {
+			continue
+		}
+		epoch := s.epoch + successorEpoch
+		k.held[number] = &heldSlot{
+			record:    slotRecord{Holder: k.b.self, Epoch: epoch},
+			tenure:    newLapsedTenure(now.Age),
+			slot:      NewSlot(now.Mint),
+			claimedAt: now.Age,
+			displaced: s.holder,
+		}
+		s.epoch = epoch
+		s.holder = k.b.self
+		s.claimEpoch = 0
+		_ = level.Info(k.b.log).Log("msg", "slot claimed without the store", "slot", number, "epoch", int64(epoch))
+	}
+}
--- a/core/budget/tenure.go
+++ b/core/budget/tenure.go
@@ -37,6 +37,12 @@
 	}
 }
 
+// newLapsedTenure returns the tenure of a slot that is claimed without the
+// store: it is as one that has just lapsed.
+func newLapsedTenure(now Instant) *tenure {
+	return &tenure{promised: make(map[ident.InstanceID]Instant), lapsed: true, lapsedAt: now}
+}
+
 // right reports whether the holder may mint at now.
 func (t *tenure) right(now Instant) bool {
 	if t.lapsed {
