budget: the second candidate claims the slot of an ended holder after 2 s

In a domain of two, the holder's replacement often ranks first, but does not know that the holder has ended and waits for its lease; the other one knows it and waited 12.5 s for its rank.

Change: if the holder has ended for sure, a candidate waits 2 s for each rank. Two that claim at once are told apart by compare-and-swap, or refuse each other.

The tight limits now also watch that no slot is minted by two nodes at any time.

--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -14,15 +14,16 @@
 
 // Times of claims.
 const (
-	claimEvery    = time.Second
-	renewEvery    = 2 * time.Second
-	unheardAfter  = 2500 * time.Millisecond // Without announcements a slot may be without a holder.
-	rankDelay     = 10 * time.Second        // A member that is not the first candidate waits this much longer.
-	rebalanceAge  = 10 * time.Second        // Age at which a new member gets the slots that it owns.
-	rebalanceHold = 30 * time.Second        // A slot is not released sooner after it was claimed.
-	settleDelay   = time.Second             // After the start, before the first claim.
-	storeTimeout  = 1500 * time.Millisecond
-	relayAttempts = 2 // Members that are asked to renew in the store.
+	claimEvery     = time.Second
+	renewEvery     = 2 * time.Second
+	unheardAfter   = 2500 * time.Millisecond // Without announcements a slot may be without a holder.
+	rankDelay      = 10 * time.Second        // A member that is not the first candidate waits this much longer.
+	endedRankDelay = 2 * time.Second         // The same if the holder has ended for sure.
+	rebalanceAge   = 10 * time.Second        // Age at which a new member gets the slots that it owns.
+	rebalanceHold  = 30 * time.Second        // A slot is not released sooner after it was claimed.
+	settleDelay    = time.Second             // After the start, before the first claim.
+	storeTimeout   = 1500 * time.Millisecond
+	relayAttempts  = 2 // Members that are asked to renew in the store.
 )
 
 // claimLoop renews the slots held and claims those without a holder, until ctx
@@ -216,11 +217,11 @@
 		}
 		rank := k.rank(number)
 		s := k.sighting(number)
-		silence := now.Age.Sub(s.heardAt)
+		due := s.heardAt.Add(unheardAfter + time.Duration(rank)*rankDelay)
 		if k.b.ended(s.holder) {
-			silence = max(silence, unheardAfter)
+			due = s.heardAt.Add(time.Duration(rank) * endedRankDelay)
 		}
-		if rank >= 0 && silence >= unheardAfter+time.Duration(rank)*rankDelay {
+		if rank >= 0 && now.Age >= due {
 			numbers = append(numbers, number)
 		}
 	}
--- a/core/budget/cluster_failures_test.go
+++ b/core/budget/cluster_failures_test.go
@@ -116,14 +116,30 @@
 		const length = 150 * time.Second
 		l := newLoad(c, "loud", 3, 200)
 		l.usesAll = true
-		c.wg.Add(1)
+		c.wg.Add(2)
 		go l.run(seed, time.Now().Add(length))
+		go c.watchMinting(time.Now().Add(length))
 		failFor(c, seed, length, fail)
 		c.close()
 		c.checkAudit()
 	})
 }
 
+// watchMinting fails the test if two nodes mint the same slot.
+func (c *cluster) watchMinting(end time.Time) {
+	defer c.wg.Done()
+	for time.Now().Before(end) {
+		time.Sleep(100 * time.Millisecond)
+		for _, d := range c.domains {
+			for slot := range c.perSlot {
+				if list := c.minting(d, slot); len(list) > 1 {
+					c.t.Errorf("%v: slot %d of %s is minted by %v", time.Since(c.start), slot, d, list)
+				}
+			}
+		}
+	}
+}
+
 // seedsEnv holds the number of seeds of a long run.
 const seedsEnv = "MONSOONFORK_BUDGET_SEEDS"
 
--- a/core/budget/succeed.go
+++ b/core/budget/succeed.go
@@ -8,11 +8,9 @@
 	"monsoonfork/core/ident"
 )
 
-// Values of claims without the store.
-const (
-	successorDelay = 2 * time.Second   // A member that is not the first candidate waits this much longer.
-	successorEpoch = ident.Epoch(1000) // Added to the epoch, so that no claim through the store has the same.
-)
+// successorEpoch is added to the epoch by a claim without the store, so that no
+// claim through the store has the same.
+const successorEpoch = ident.Epoch(1000)
 
 // awake reports whether this process has run without a pause for longer than
 // any right that it has not heard of can last. k is locked.
@@ -45,7 +43,7 @@
 			continue
 		}
 		rank := k.rank(number)
-		if rank >= 0 && now.Age >= s.heardAt.Add(unheardAfter+time.Duration(rank)*successorDelay) {
+		if rank >= 0 && now.Age >= s.heardAt.Add(time.Duration(rank)*endedRankDelay) {
 			numbers = append(numbers, number)
 		}
 	}
