--- a/core/budget/audit/refusals.go
+++ b/core/budget/audit/refusals.go
@@ -29,6 +29,7 @@
 // before the request was sent, had its cost.
 type Refusals struct {
 	Requests, Refused, Failed, Wrongful int
+	At                                  []int64 // When the wrongful ones were sent.
 }
 
 // Share returns the wrongful refusals among all requests.
@@ -54,6 +55,7 @@
 			sum.Refused++
 			if level >= float64(q.Cost) {
 				sum.Wrongful++
+				sum.At = append(sum.At, q.MonotonicNs)
 			}
 		}
 	}
--- a/lab/rates/rates.go
+++ b/lab/rates/rates.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"maps"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,8 @@
 	Kills    int
 	Pauses   int
 	Dir      string
+
+	begin int64 // When load began, in monotonic nanoseconds.
 }
 
 // Run makes one run and prints its progress to out.
@@ -127,6 +131,7 @@
 		return Verdict{}, err
 	}
 	v := Verdict{
+		begin:    r.begin,
 		Audit:    log.Check(limits()),
 		Start:    make(map[ident.OrganisationID]audit.Refusals),
 		Rest:     make(map[ident.OrganisationID]audit.Refusals),
@@ -207,6 +212,9 @@
 			org, result.Admissions, result.Excess, 100*v.Admitted[org])
 		printRefusals(out, "first 10 s", v.Start[org])
 		printRefusals(out, "after them", v.Rest[org])
+		if org != loud {
+			v.printTimes(out, v.Rest[org])
+		}
 	}
 	if v.CutPart > 0 {
 		_, _ = fmt.Fprintf(out, "cut-off domain: %s got %.1f%% of the domain's part\n", loud, 100*v.CutPart)
@@ -217,6 +225,17 @@
 	}
 }
 
+// printTimes writes in which seconds requests were refused wrongfully.
+func (v Verdict) printTimes(out io.Writer, r audit.Refusals) {
+	seconds := make(map[int64]int)
+	for _, at := range r.At {
+		seconds[(at-v.begin)/time.Second.Nanoseconds()]++
+	}
+	for _, s := range slices.Sorted(maps.Keys(seconds)) {
+		_, _ = fmt.Fprintf(out, "  at %d s: %d\n", s, seconds[s])
+	}
+}
+
 // printRefusals writes one line.
 func printRefusals(out io.Writer, name string, r audit.Refusals) {
 	_, _ = fmt.Fprintf(out, "  %s: %d requests, %d refused, %d failed, refused wrongfully %d (%.2f%%)\n",
