budget: a planned stop hands over its tokens while the store is down

Cause: releasing a slot began with a reading of its record. While the store was down the slot was not emptied, and its tokens ended with the process.

Change: such a slot is emptied to the home and given up without the store; the home's tokens go to the next home as before, and a member succeeds to the slot once the process has ended.

--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -316,23 +316,29 @@
 }
 
 // release gives a slot up: its tokens go to the home here, its record becomes
-// free, and the owner is told.
-func (k *keeper) release(ctx context.Context, number int) {
+// free, and the owner is told. It reports false, and does nothing, if the store
+// does not show this instance as the holder.
+func (k *keeper) release(ctx context.Context, number int) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	stored, err := k.b.store.get(ctx, number)
 	if err != nil || stored.record.Holder != k.b.self {
-		return
+		return false
 	}
-	k.b.drainSlot(number)
-	k.mu.Lock()
-	k.lose(number, "released")
-	k.mu.Unlock()
+	k.abandon(number, "released")
 	next := slotRecord{Epoch: stored.record.Epoch, Beat: stored.record.Beat + 1}
-	if k.b.store.swap(ctx, number, next, stored.version) != store.Written {
-		return
+	if k.b.store.swap(ctx, number, next, stored.version) == store.Written {
+		k.tellOwner(ctx, number)
 	}
-	k.tellOwner(ctx, number)
+	return true
+}
+
+// abandon gives a slot up without the store: its tokens go to the home here.
+func (k *keeper) abandon(number int, why string) {
+	k.b.drainSlot(number)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lose(number, why)
 }
 
 // tellOwner tells the owner of a slot that it is free.
--- a/core/budget/keeper.go
+++ b/core/budget/keeper.go
@@ -220,7 +220,8 @@
 	return stocks
 }
 
-// releaseAll gives up all slots and claims no more.
+// releaseAll gives up all slots and claims no more. What the store does not
+// learn of, a member succeeds to once this process has ended.
 func (k *keeper) releaseAll(ctx context.Context) {
 	k.mu.Lock()
 	k.stopping = true
@@ -230,7 +231,9 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			k.release(ctx, number)
+			if !k.release(ctx, number) {
+				k.abandon(number, "stopping without the store")
+			}
 		}()
 	}
 	wg.Wait()
--- a/core/budget/succeed_test.go
+++ b/core/budget/succeed_test.go
@@ -1,10 +1,13 @@
 package budget
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"monsoonfork/core/membership"
 )
 
 // The store is down for good, and instances are killed and replaced. Without
@@ -64,3 +67,37 @@
 			func() { c.store.set(func(m *memoryStore) { m.down = false }) })
 	}
 }
+
+func TestPlannedStopHandsOverWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, 1, 1, testOrgs())
+		for range 3 {
+			c.add("d0")
+		}
+		time.Sleep(settleTime)
+		a := c.mustMint("d0", 0)
+		c.store.set(func(m *memoryStore) { m.down = true })
+		a.table.SetLeaving()
+		leaving := a.member
+		leaving.State = membership.Leaving
+		for _, n := range c.all() {
+			if n != a {
+				n.table.Heard(leaving)
+			}
+		}
+		if err := a.b.Drain(context.Background()); err != nil {
+			t.Error(err)
+		}
+		a.kill()
+		other := c.all()[0]
+		if got := spendAll(other, "loud", 1000); got < 95_000 {
+			t.Errorf("after the hand-over %d tokens of a burst of 100000 were left", got)
+		}
+		time.Sleep(8 * time.Second)
+		if holder := c.mustMint("d0", 0); holder == a {
+			t.Error("the stopped node mints")
+		}
+		c.close()
+		c.checkAudit()
+	})
+}
