--- a/core/budget/home.go
+++ b/core/budget/home.go
@@ -32,8 +32,6 @@
 	swept   bool
 	borrow  borrowing
 	meter   meter
-	waiting float64       // Tokens that the requests in the queue want.
-	turn    chan struct{} // Holds one element while the first in the queue tries.
 }
 
 // shard holds the accounts of some organisations.
@@ -69,15 +67,15 @@
 func (s *shard) account(org ident.OrganisationID) *account {
 	a, ok := s.accounts[org]
 	if !ok {
-		a = &account{turn: make(chan struct{}, 1)}
+		a = &account{}
 		s.accounts[org] = a
 	}
 	return a
 }
 
-// try charges cost and opens a reservation. What the pool lacks is fetched
-// from the domain's slots first and then from other domains.
-func (h *home) try(ctx context.Context, org ident.OrganisationID, limit Limit, cost ident.Tokens) (charge, error) {
+// admit charges cost and opens a reservation. What the pool
+// lacks is fetched from the domain's slots first and then from other domains.
+func (h *home) admit(ctx context.Context, org ident.OrganisationID, limit Limit, cost ident.Tokens) (charge, error) {
 	s := h.shard(org)
 	for range maxRounds {
 		if c, ok := h.charge(s, org, limit, cost); ok {
@@ -304,7 +302,7 @@
 			} else {
 				a.pool = Pool{}
 			}
-			if len(a.pool.segments) == 0 && a.round == nil && a.demand == 0 && a.waiting == 0 && now >= a.sweptAt.Add(accountIdle) {
+			if len(a.pool.segments) == 0 && a.round == nil && a.demand == 0 && now >= a.sweptAt.Add(accountIdle) {
 				delete(s.accounts, org)
 			}
 		}
--- a/core/budget/metrics.go
+++ b/core/budget/metrics.go
@@ -8,7 +8,6 @@
 type budgetMetrics struct {
 	admitted       metrics.Counter // Requests admitted for callers of this instance.
 	refused        metrics.Counter // Requests refused to callers of this instance.
-	waited         metrics.Counter // Requests that waited for tokens at their home here.
 	calls          metrics.Counter // Calls to other instances, of all methods.
 	takeCalls      metrics.Counter // Questions to slot holders, this instance included.
 	spareCalls     metrics.Counter // Questions to other domains.
@@ -30,7 +29,6 @@
 	return &budgetMetrics{
 		admitted:       counter("Admitted"),
 		refused:        counter("Refused"),
-		waited:         counter("Waited"),
 		calls:          counter("Calls"),
 		takeCalls:      counter("TakeCalls"),
 		spareCalls:     counter("SpareCalls"),
