slopes: processor time of control apart from carrying requests

The limit of 1.8% of a core is for control. The slopes counted all processor time of a daemon, so that nothing could be said against the limit. Each daemon is now profiled over the measured window (new: GET /profile of the operator address, verb profile), and each sample is counted under the nearest caller that is control or carries requests.

--- a/cmd/monsoonfork/verb/table.go
+++ b/cmd/monsoonfork/verb/table.go
@@ -25,6 +25,7 @@
 		{"text", "Write the text in force.", &showText{}},
 		{"status", "Show what is in force where.", &status{}},
 		{"dump", "Show the state of one instance.", &dump{}},
+		{"profile", "Profile one instance.", &profile{}},
 		{"key", "Make callers' keys.", &key{}},
 		{"help", "Explain verbs, types and roles.", &help{}},
 	}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -98,6 +98,7 @@
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /dump", s.dump)
+	mux.HandleFunc("GET /profile", s.profile)
 	mux.HandleFunc("GET /status", s.status)
 	mux.HandleFunc("GET /text", s.text)
 	mux.HandleFunc("POST /plan", s.plan)
--- a/lab/slopes/slopes.go
+++ b/lab/slopes/slopes.go
@@ -53,11 +53,15 @@
 	fixedOrganisations = 5
 )
 
+// smallInstance gives each daemon the processors of a small instance.
+const smallInstance = "GOMAXPROCS=2"
+
 // Point is one measurement. Costs are means over the daemons.
 type Point struct {
 	Axis       Axis
 	Value      int
-	CPUPercent float64     // Of one core.
+	CPUPercent float64     // Of one core, all work.
+	ControlCPU float64     // Of that, decisions and messages between instances and with the store.
 	Memory     ident.Bytes // Resident.
 	BytesOut   float64     // To other instances, a second.
 	Reads      float64     // Of the store by all daemons together, a minute.
@@ -109,6 +113,11 @@
 	if err != nil {
 		return Point{}, err
 	}
+	share := make(chan shareResult, 1)
+	go func() {
+		part, err := controlShare(ctx, f, cfg.Window)
+		share <- shareResult{part, err}
+	}()
 	served, err := loadFor(ctx, cfg, f, axis, value)
 	if err != nil {
 		return Point{}, err
@@ -117,12 +126,23 @@
 	if err != nil {
 		return Point{}, err
 	}
+	profiled := <-share
+	if profiled.err != nil {
+		return Point{}, profiled.err
+	}
 	p := after.since(before, len(f.Instances))
+	p.ControlCPU = p.CPUPercent * profiled.part
 	p.Axis, p.Value = axis, value
 	p.Served = served / after.at.Sub(before.at).Seconds() / float64(len(f.Instances))
 	return p, nil
 }
 
+// shareResult is what controlShare returns.
+type shareResult struct {
+	part float64
+	err  error
+}
+
 // loadFor passes the window, with requests if the axis is theirs, and returns
 // how many were answered whole.
 func loadFor(ctx context.Context, cfg Config, f *fleet.Fleet, axis Axis, value int) (float64, error) {
@@ -152,7 +172,7 @@
 	w.Decode = sizes[Engines] - w.Prefill
 	w.Services = 2
 	w.Organisations = organisations(sizes[Organisations])
-	return fleet.Spec{Workload: w, Instances: sizes[Instances], Embedded: true, Seed: cfg.Seed}
+	return fleet.Spec{Workload: w, Instances: sizes[Instances], Embedded: true, Seed: cfg.Seed, Env: []string{smallInstance}}
 }
 
 // organisations returns organisations of equal share whose rates never limit.
