placement: a dispatcher asks for room only while requests wait

Cause: each dispatcher woke 50 times a second to find that no request waits. In an idle domain of two daemons with one model that was 100-130 of 930 context switches a second. Ruled out: the tick loop, which sleeps when nothing is reserved or queued.

Now the tick that leaves a queue wakes the loop.

--- a/core/placement/runner.go
+++ b/core/placement/runner.go
@@ -29,6 +29,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	wg        sync.WaitGroup
+	pressure  chan struct{} // Holds a value when requests wait for room.
 
 	mu    sync.Mutex
 	text  *text.Text
@@ -44,6 +45,7 @@
 		key:        key,
 		ctx:        ctx,
 		cancel:     cancel,
+		pressure:   make(chan struct{}, 1),
 		after:      make(map[ident.EndpointID]int64),
 	}
 	r.configure(t, m)
@@ -53,7 +55,7 @@
 	r.goRun(func() { r.every(sweepInterval, r.sweep) })
 	r.goRun(func() { r.every(loadInterval, r.pollLoads) })
 	r.goRun(func() { r.every(eventsInterval, r.pollEvents) })
-	r.goRun(func() { r.every(roomInterval, r.pollRooms) })
+	r.goRun(r.roomLoop)
 	return r
 }
 
@@ -105,6 +107,34 @@
 		case <-timer.C:
 		}
 		timer.Reset(r.Tick().Sub(r.placement.now()))
+		r.notePressure()
+	}
+}
+
+// notePressure wakes roomLoop while requests wait.
+func (r *runner) notePressure() {
+	if !r.Pressed() {
+		return
+	}
+	select {
+	case r.pressure <- struct{}{}:
+	default:
+	}
+}
+
+// roomLoop asks other domains for room, but only while requests wait.
+func (r *runner) roomLoop() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.pressure:
+		}
+		r.pollRooms()
+		if !pause(r.ctx, roomInterval) {
+			return
+		}
+		r.notePressure()
 	}
 }
 
