claims: the log is not read before a write that checks itself

Each append read the head, wrote it, and read it back. Ruled out: conflicts between appenders (one owner a log) and the budget's slots (constant in the axis).

A write is refused by compare-and-swap if anything was appended since the log was last read, so a batch that is all writes needs no read before it. A verdict without a write (in progress, replay, unknown, nothing to do) has no such check and is still judged after a read, as is everything after a write that was refused or lost.

--- /dev/null
+++ b/core/claims/bench_test.go
@@ -0,0 +1,78 @@
+package claims
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"monsoonfork/core/ident"
+	"monsoonfork/io/store"
+)
+
+// countingStore counts the calls to a store and the bytes of their values.
+type countingStore struct {
+	Store
+	reads, writes, bytes atomic.Int64
+}
+
+// counting wraps the calls of s.
+func counting(s Store) *countingStore {
+	c := &countingStore{}
+	c.Store = Store{
+		Get: func(ctx context.Context, key string) (store.Listing, error) {
+			l, err := s.Get(ctx, key)
+			c.reads.Add(1)
+			for _, e := range l.Entries {
+				c.bytes.Add(int64(len(e.Value)))
+			}
+			return l, err
+		},
+		List: s.List,
+		CompareAndSwap: func(ctx context.Context, key string, value []byte, at store.Index) (store.Outcome, error) {
+			c.writes.Add(1)
+			c.bytes.Add(int64(len(value)))
+			return s.CompareAndSwap(ctx, key, value, at)
+		},
+		Delete: func(ctx context.Context, key string, at store.Index) (store.Outcome, error) {
+			c.writes.Add(1)
+			return s.Delete(ctx, key, at)
+		},
+	}
+	return c
+}
+
+// BenchmarkAppend shows what a claim with its end costs at the store, with
+// several calls at a time in one log.
+func BenchmarkAppend(b *testing.B) {
+	for _, together := range []int{1, 2, 8} {
+		b.Run(fmt.Sprintf("Together%d", together), func(b *testing.B) {
+			s := counting(newMemoryStore(1, 0, 0).calls())
+			l := testAppender(b, s.Store)
+			for n := 0; n < b.N; n += together {
+				var wg sync.WaitGroup
+				for k := range together {
+					wg.Go(func() { claimAndFinish(b, l, fmt.Sprintf("%d-%d", n, k)) })
+				}
+				wg.Wait()
+			}
+			calls := float64(b.N)
+			b.ReportMetric(float64(s.reads.Load())/calls, "reads/call")
+			b.ReportMetric(float64(s.writes.Load())/calls, "writes/call")
+			b.ReportMetric(float64(s.bytes.Load())/calls, "storebytes/call")
+		})
+	}
+}
+
+// claimAndFinish claims a call and records its answer.
+func claimAndFinish(tb testing.TB, s *shard, key string) {
+	e := claimOf(key, 1)
+	if v := s.do(context.Background(), e); v.err != nil {
+		tb.Error(v.err)
+	}
+	e.Op, e.Answer = Done, &Answer{Status: 201, ContentType: "application/json", Body: []byte(`{"id":"` + ident.NewRequestID() + `"}`)}
+	if v := s.do(context.Background(), e); v.err != nil {
+		tb.Error(v.err)
+	}
+}
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -110,7 +110,7 @@
 }
 
 // testAppender is one process that appends to one log.
-func testAppender(t *testing.T, s Store) *shard {
+func testAppender(t testing.TB, s Store) *shard {
 	t.Helper()
 	sh := newShard(&shardLog{
 		store:      s,
--- a/core/claims/log.go
+++ b/core/claims/log.go
@@ -33,6 +33,7 @@
 	holderGone func(ident.InstanceID) bool
 
 	loaded    bool
+	current   bool // Nothing was written since the last read.
 	head      Head
 	headIndex store.Index
 	index     index
@@ -61,6 +62,16 @@
 // refresh reads what was appended since the last read. A process that has
 // just started reads the whole log before it judges any call.
 func (l *shardLog) refresh(ctx context.Context) error {
+	l.current = false
+	if err := l.read(ctx); err != nil {
+		return err
+	}
+	l.current = true
+	return nil
+}
+
+// read reads the head, or the whole log if the head alone does not tell all.
+func (l *shardLog) read(ctx context.Context) error {
 	if !l.loaded {
 		return l.load(ctx)
 	}
@@ -152,6 +163,7 @@
 // write appends entries after the head that was last read. Only when it
 // returns Written do they stand in the log for sure.
 func (l *shardLog) write(ctx context.Context, entries []Entry) (store.Outcome, error) {
+	l.current = false
 	next := Head{Seq: l.head.Seq}
 	if l.full(entries) {
 		outcome, err := l.rotate(ctx)
--- a/core/claims/shard.go
+++ b/core/claims/shard.go
@@ -12,7 +12,7 @@
 const (
 	maxPending      = 4096                  // Operations that wait for the store.
 	minWriteSpacing = 40 * time.Millisecond // Least time between two writes of a log.
-	maxBatch        = maxHeadEntries        // Operations in one write.
+	maxBatch        = 64                    // Operations in one write.
 )
 
 // operation is an entry that waits to be written, and its waiter.
@@ -105,6 +105,10 @@
 // handle judges a batch against the log and writes what has to be written.
 // Operations whose write had an unclear or lost outcome are judged again
 // against the log as it then stands: an entry that did get there is found.
+//
+// What has to be written is judged against the log as it was last read: the
+// write is refused if anything was appended since. A verdict without a write
+// has no such check, so the log is read before it is given.
 func (s *shard) handle(ctx context.Context, batch []*operation) {
 	batch = stillAwaited(batch)
 	if len(batch) == 0 {
@@ -113,9 +117,11 @@
 	ctx, cancel := context.WithDeadline(ctx, latestDeadline(batch))
 	defer cancel()
 	s.nextAt = time.Now().Add(minWriteSpacing)
-	if err := s.log.refresh(ctx); err != nil {
-		s.retryLater(batch)
-		return
+	if !s.log.current || !s.allWritten(batch) {
+		if err := s.log.refresh(ctx); err != nil {
+			s.retryLater(batch)
+			return
+		}
 	}
 	entries, writing := s.judge(batch)
 	if len(entries) == 0 {
@@ -139,6 +145,18 @@
 	}
 }
 
+// allWritten reports whether every operation of a batch has to be written, by
+// the log as it was last read.
+func (s *shard) allWritten(batch []*operation) bool {
+	now := s.log.now()
+	for _, op := range batch {
+		if !s.log.index.judge(&op.entry, now, s.log.expired, s.log.holderGone).write {
+			return false
+		}
+	}
+	return true
+}
+
 // judge answers the operations that need no write, and returns the entries to
 // write with the operations that wait for them.
 func (s *shard) judge(batch []*operation) ([]Entry, []*operation) {
