claims: calls past the retention leave the memory of appenders

Cause: records were dropped only when their key was claimed again; segments were deleted in the store, never their records in memory.

TestExpiredCallsLeaveTheMemory, before: 21 calls in memory an hour later; after: 1.

--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -350,3 +350,32 @@
 	))
 	properties.TestingRun(t)
 }
+
+// A process that appends for long keeps only the calls within the retention.
+func TestExpiredCallsLeaveTheMemory(t *testing.T) {
+	now := time.Now()
+	l := &shardLog{
+		store:      newMemoryStore(1, 0, 0).calls(),
+		now:        func() time.Time { return now },
+		retention:  func() time.Duration { return time.Hour },
+		holderGone: func(ident.InstanceID) bool { return false },
+	}
+	s := newShard(l)
+	claim := func(key string) {
+		e := claimOf(key, 1)
+		e.At = now.UnixMilli()
+		op := &operation{entry: e, ctx: t.Context(), done: make(chan verdict, 1)}
+		s.handle(t.Context(), []*operation{op})
+		if v := <-op.done; v.err != nil {
+			t.Fatal(v.err)
+		}
+	}
+	for n := range 20 {
+		claim(fmt.Sprintf("old-%d", n))
+	}
+	now = now.Add(time.Hour + time.Second)
+	claim("new")
+	if len(l.index) != 1 {
+		t.Errorf("%d calls in memory, want only the new one", len(l.index))
+	}
+}
--- a/core/claims/log.go
+++ b/core/claims/log.go
@@ -38,8 +38,12 @@
 	headIndex store.Index
 	index     index
 	segments  []segmentAge // Oldest first.
+	nextSweep time.Time    // Of the index.
 }
 
+// sweepInterval is the time between two sweeps of an index.
+const sweepInterval = time.Minute
+
 // segmentAge says when the newest entry of a segment was made.
 type segmentAge struct {
 	seq    int64
@@ -238,6 +242,20 @@
 	return l.store.CompareAndSwap(ctx, key, raw, existing.ModifyIndex)
 }
 
+// sweep drops the records of calls that are past the retention.
+func (l *shardLog) sweep() {
+	now := l.now()
+	if now.Before(l.nextSweep) {
+		return
+	}
+	l.nextSweep = now.Add(sweepInterval)
+	for call, r := range l.index {
+		if l.expired(r.at) {
+			delete(l.index, call)
+		}
+	}
+}
+
 // prune deletes the oldest segment if all of it is past the retention twice.
 func (l *shardLog) prune(ctx context.Context) {
 	if len(l.segments) == 0 {
--- a/core/claims/shard.go
+++ b/core/claims/shard.go
@@ -139,6 +139,7 @@
 		return
 	}
 	s.log.prune(ctx)
+	s.log.sweep()
 	rest, again := s.judge(writing)
 	if len(rest) > 0 {
 		s.retryLater(again)
