--- a/cmd/monsoonlab/slopes.go
+++ b/cmd/monsoonlab/slopes.go
@@ -12,11 +12,12 @@
 
 // slopesCommand measures what a daemon costs.
 type slopesCommand struct {
-	Axis   []string      `help:"Axes to measure: Instances, Engines, Organisations, Requests; none means all."`
-	Settle time.Duration `default:"8s" help:"Time before each measurement."`
-	Window time.Duration `default:"15s" help:"Length of each measurement."`
-	Seed   uint64        `default:"1" help:"Seed of the requests."`
-	CSV    string        `help:"File for the points as CSV."`
+	Axis     []string      `help:"Axes to measure: Instances, Engines, Organisations, Requests; none means all."`
+	Settle   time.Duration `default:"8s" help:"Time before each measurement."`
+	Window   time.Duration `default:"15s" help:"Length of each measurement."`
+	Seed     uint64        `default:"1" help:"Seed of the requests."`
+	CSV      string        `help:"File for the points as CSV."`
+	Profiles string        `help:"Directory for the processor profiles." type:"path"`
 }
 
 // Help is the usage text of the verb.
@@ -36,7 +37,7 @@
 		return err
 	}
 	fmt.Println(slopes.Header)
-	points, err := slopes.Run(ctx, slopes.Config{Axes: axes, Settle: c.Settle, Window: c.Window, Seed: c.Seed}, os.Stdout)
+	points, err := slopes.Run(ctx, slopes.Config{Axes: axes, Settle: c.Settle, Window: c.Window, Seed: c.Seed, ProfileDir: c.Profiles}, os.Stdout)
 	if err != nil {
 		return err
 	}
--- a/lab/slopes/share.go
+++ b/lab/slopes/share.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -53,35 +55,32 @@
 	"github.com/lesismal/llib/std/crypto": data,
 }
 
-// controlShare takes a profile of every daemon over the next d and returns the
-// part of their samples that is control. Samples of the runtime alone are
-// counted in proportion to the others.
-func controlShare(ctx context.Context, f *fleet.Fleet, d time.Duration) (float64, error) {
-	var mu sync.Mutex
-	counts := make(map[class]int64)
-	var firstErr error
+// profileFleet takes a profile of every daemon over the next d and merges them.
+func profileFleet(ctx context.Context, f *fleet.Fleet, d time.Duration) (*profile.Profile, error) {
+	profiles := make([]*profile.Profile, len(f.Instances))
+	errs := make([]error, len(f.Instances))
 	var wg sync.WaitGroup
-	for _, i := range f.Instances {
-		wg.Go(func() {
-			counted, err := profileDaemon(ctx, i.Settings.OperatorAddress, d)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil && firstErr == nil {
-				firstErr = err
-			}
-			for c, n := range counted {
-				counts[c] += n
-			}
-		})
+	for n, i := range f.Instances {
+		wg.Go(func() { profiles[n], errs[n] = profileDaemon(ctx, i.Settings.OperatorAddress, d) })
 	}
 	wg.Wait()
-	if firstErr != nil {
-		return 0, firstErr
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
 	}
-	return shareOf(counts), nil
+	return profile.Merge(profiles)
 }
 
-// shareOf returns the part of control in what is control or data.
+// writeProfile writes a profile to a file, for 'go tool pprof'.
+func writeProfile(path string, p *profile.Profile) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(p.Write(f), f.Close())
+}
+
+// shareOf returns the part of control in what is control or data. Samples of
+// the runtime alone are counted in proportion to the others.
 func shareOf(counts map[class]int64) float64 {
 	known := counts[control] + counts[data]
 	if known == 0 {
@@ -90,18 +89,14 @@
 	return float64(counts[control]) / float64(known)
 }
 
-// profileDaemon takes a profile of one daemon and counts its samples.
-func profileDaemon(ctx context.Context, address ident.Address, d time.Duration) (map[class]int64, error) {
+// profileDaemon takes a profile of one daemon.
+func profileDaemon(ctx context.Context, address ident.Address, d time.Duration) (*profile.Profile, error) {
 	seconds := max(1, int(d/time.Second))
 	raw, err := operator.NewClient(address).Profile(ctx, seconds)
 	if err != nil {
 		return nil, err
 	}
-	p, err := profile.ParseData(raw)
-	if err != nil {
-		return nil, err
-	}
-	return count(p), nil
+	return profile.ParseData(raw)
 }
 
 // count counts the samples of a profile by class.
--- a/lab/slopes/slopes.go
+++ b/lab/slopes/slopes.go
@@ -6,8 +6,11 @@
 	"context"
 	"fmt"
 	"io"
+	"path/filepath"
 	"time"
 
+	"github.com/google/pprof/profile"
+
 	"monsoonfork/core/ident"
 	"monsoonfork/lab/fleet"
 	"monsoonfork/lab/load"
@@ -51,6 +54,7 @@
 	fixedInstances     = 4
 	fixedEngines       = 4
 	fixedOrganisations = 5
+	requestEngines     = 24 // Enough for the most requests.
 )
 
 // smallInstance gives each daemon the processors of a small instance.
@@ -76,6 +80,8 @@
 	Settle time.Duration // Time before each measurement.
 	Window time.Duration // Length of each measurement.
 	Seed   uint64
+
+	ProfileDir string // Directory for the profiles; empty means that none are kept.
 }
 
 // Run measures all lines and returns their points.
@@ -113,10 +119,10 @@
 	if err != nil {
 		return Point{}, err
 	}
-	share := make(chan shareResult, 1)
+	profiles := make(chan profileResult, 1)
 	go func() {
-		part, err := controlShare(ctx, f, cfg.Window)
-		share <- shareResult{part, err}
+		p, err := profileFleet(ctx, f, cfg.Window)
+		profiles <- profileResult{p, err}
 	}()
 	served, err := loadFor(ctx, cfg, f, axis, value)
 	if err != nil {
@@ -126,21 +132,27 @@
 	if err != nil {
 		return Point{}, err
 	}
-	profiled := <-share
+	profiled := <-profiles
 	if profiled.err != nil {
 		return Point{}, profiled.err
 	}
+	if cfg.ProfileDir != "" {
+		name := fmt.Sprintf("%s-%d.prof", axis, value)
+		if err := writeProfile(filepath.Join(cfg.ProfileDir, name), profiled.profile); err != nil {
+			return Point{}, err
+		}
+	}
 	p := after.since(before, len(f.Instances))
-	p.ControlCPU = p.CPUPercent * profiled.part
+	p.ControlCPU = p.CPUPercent * shareOf(count(profiled.profile))
 	p.Axis, p.Value = axis, value
 	p.Served = served / after.at.Sub(before.at).Seconds() / float64(len(f.Instances))
 	return p, nil
 }
 
-// shareResult is what controlShare returns.
-type shareResult struct {
-	part float64
-	err  error
+// profileResult is what profileFleet returns.
+type profileResult struct {
+	profile *profile.Profile
+	err     error
 }
 
 // loadFor passes the window, with requests if the axis is theirs, and returns
@@ -166,6 +178,9 @@
 func spec(cfg Config, axis Axis, value int) fleet.Spec {
 	sizes := map[Axis]int{Instances: fixedInstances, Engines: fixedEngines, Organisations: fixedOrganisations}
 	sizes[axis] = value
+	if axis == Requests {
+		sizes[Engines] = requestEngines
+	}
 	w := workload.Tatrasoft()
 	w.Domains = w.Domains[:1]
 	w.Prefill = max(1, sizes[Engines]/3)
