--- a/core/claims/service.go
+++ b/core/claims/service.go
@@ -54,6 +54,7 @@
 
 // Call is a call that may not be repeated.
 type Call struct {
+	ID             ident.RequestID // For the log.
 	Organisation   ident.OrganisationID
 	Route          string
 	IdempotencyKey string
@@ -66,6 +67,7 @@
 	Replay *Answer // Not nil: the call ran before; answer this.
 
 	service *Service
+	id      ident.RequestID
 	entry   Entry
 	once    sync.Once
 }
@@ -143,7 +145,7 @@
 	}
 	replay, err := s.append(ctx, e)
 	if err != nil {
-		return nil, s.claimFailed(e, err)
+		return nil, s.claimFailed(c.ID, e, err)
 	}
 	if replay != nil {
 		s.metrics.replayed.Inc(1)
@@ -153,19 +155,19 @@
 		return &Ticket{Replay: replay}, nil
 	}
 	s.metrics.granted.Inc(1)
-	return &Ticket{service: s, entry: e}, nil
+	return &Ticket{service: s, id: c.ID, entry: e}, nil
 }
 
 // claimFailed counts a refused claim. If the store's answer is missing, the
 // claim may stand although the call will not run, so it is released.
-func (s *Service) claimFailed(e Entry, err error) error {
+func (s *Service) claimFailed(id ident.RequestID, e Entry, err error) error {
 	if !fault.Is(err, fault.StoreUnavailable) && !fault.Is(err, fault.DeadlineExceeded) && !fault.Is(err, fault.CallerGone) {
 		s.metrics.refused.Inc(1)
 		return err
 	}
 	s.metrics.failed.Inc(1)
 	e.Op = Release
-	s.appendLater(e)
+	s.appendLater(id, e)
 	return fault.Wrap(err, fault.StoreUnavailable, "the call could not be claimed in the store").WithRan(fault.NotRun)
 }
 
@@ -188,13 +190,13 @@
 	t.once.Do(func() {
 		e := t.entry
 		e.Op, e.Answer = op, a
-		t.service.appendLater(e)
+		t.service.appendLater(t.id, e)
 	})
 }
 
 // appendLater appends an entry in the background, and tries again while the
 // store does not answer.
-func (s *Service) appendLater(e Entry) {
+func (s *Service) appendLater(id ident.RequestID, e Entry) {
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
@@ -209,7 +211,7 @@
 			}
 			sleepUntil(ctx, time.Now().Add(time.Second))
 		}
-		_ = level.Warn(s.log).Log("msg", "entry not recorded", "op", e.Op, "call", string(e.Call))
+		_ = level.Warn(s.log).Log("msg", "entry not recorded", "request", string(id), "op", e.Op, "call", string(e.Call))
 	}()
 }
 
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"strings"
 	"time"
 )
 
@@ -63,6 +64,15 @@
 	return InstanceID(name + "-" + randomHex())
 }
 
+// RequestOfAttempt returns the request that an attempt belongs to. The id of an
+// attempt is that of its request, a dot and a number.
+func RequestOfAttempt(attempt string) RequestID {
+	if end := strings.LastIndexByte(attempt, '.'); end >= 0 {
+		attempt = attempt[:end]
+	}
+	return RequestID(attempt)
+}
+
 // NewRequestID returns a new random RequestID.
 func NewRequestID() RequestID {
 	return RequestID(randomHex())
--- a/core/placement/handlers.go
+++ b/core/placement/handlers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/fault"
@@ -32,15 +34,36 @@
 	answer := run.Submit(r, from)
 	select {
 	case d := <-answer:
-		return p.placeReply(d)
+		reply, err := p.placeReply(d)
+		p.logDecision(r, from, reply, err)
+		if err != nil {
+			return nil, err
+		}
+		return reply, nil
 	case <-ctx.Done():
 		run.CancelSubmission(r.LeaseID(), answer)
-		return nil, fault.From(ctx.Err()).WithRan(fault.NotRun)
+		err := fault.From(ctx.Err()).WithRan(fault.NotRun)
+		p.logDecision(r, from, nil, err)
+		return nil, err
+	}
+}
+
+// logDecision logs what became of a request at its dispatcher. The instance
+// that the request came to logs it under the same id.
+func (p *Placement) logDecision(r Request, from ident.InstanceID, reply *PlaceReply, err error) {
+	logger := level.Debug(log.With(p.log, "request", string(r.ID), "organisation", string(r.Organisation), "attempt", string(r.LeaseID()), "entry", string(from)))
+	switch {
+	case err != nil:
+		_ = logger.Log("msg", "not placed", "kind", fault.KindOf(err), "err", err)
+	case reply.GetElsewhere() != "":
+		_ = logger.Log("msg", "sent elsewhere", "to", reply.GetElsewhere())
+	default:
+		_ = logger.Log("msg", "placed", "prefill", reply.GetPrefill(), "decode", reply.GetDecode())
 	}
 }
 
 // placeReply returns a decision as a message.
-func (p *Placement) placeReply(d Decision) (proto.Message, error) {
+func (p *Placement) placeReply(d Decision) (*PlaceReply, error) {
 	switch {
 	case d.Err != nil:
 		return nil, d.Err
--- a/core/reaper/reaper.go
+++ b/core/reaper/reaper.go
@@ -176,7 +176,7 @@
 
 // abort frees one piece of work in the background.
 func (r *Reaper) abort(e text.Engine, attempt string, w *work, reason string) {
-	_ = level.Info(r.log).Log("msg", "freeing engine memory", "engine", string(e.Name), "attempt", attempt, "holder", string(w.holder), "reason", reason)
+	_ = level.Info(r.log).Log("msg", "freeing engine memory", "request", string(ident.RequestOfAttempt(attempt)), "engine", string(e.Name), "attempt", attempt, "holder", string(w.holder), "reason", reason)
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
--- a/core/request/forward.go
+++ b/core/request/forward.go
@@ -130,6 +130,7 @@
 		return &Ticket{Complete: func(claims.Answer) {}, Release: nothing, Abandon: nothing}, nil
 	}
 	return s.path.Claim(s.ctx, claims.Call{
+		ID:             s.ID,
 		Organisation:   s.Identity.Organisation,
 		Route:          s.Route.Name,
 		IdempotencyKey: call.IdempotencyKey,
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -51,10 +52,21 @@
 	}
 	x := &exchange{server: s, conn: c, w: response, r: r}
 	if err := x.handle(received); err != nil {
+		x.logRefusal(err)
 		x.fail(err)
 	}
 }
 
+// logRefusal logs a request that was refused before it had a session, which
+// logs its end from then on.
+func (x *exchange) logRefusal(err error) {
+	if x.session != nil {
+		return
+	}
+	f := fault.From(err)
+	_ = level.Info(x.server.log).Log("msg", "request refused", "request", string(x.id), "kind", f.Kind, "ran", f.Ran, "err", f)
+}
+
 // connOf returns the connection of a response.
 func connOf(w *nbhttp.Response) *nbio.Conn {
 	if wrapped, ok := w.Parser.Conn.(*nbhttp.Conn); ok {
--- a/lab/overhead/overhead.go
+++ b/lab/overhead/overhead.go
@@ -27,6 +27,7 @@
 	warmUpCalls  = 20
 	idleConns    = 256
 	coresAllowed = 2
+	maxRetries   = 10
 )
 
 // Config says what to measure.
@@ -145,7 +146,7 @@
 	if s.directToken, err = m.direct(ctx, fmt.Sprintf("direct-%d", n), promptOf("direct", n)); err != nil {
 		return s, err
 	}
-	routed := m.sender.Send(ctx, workload.Request{
+	routed := m.send(ctx, workload.Request{
 		Kind:         workload.Completion,
 		Organisation: name,
 		Prompt:       promptOf("routed", n),
@@ -159,7 +160,7 @@
 	if s.directPlain, err = m.directPlain(ctx); err != nil {
 		return s, err
 	}
-	plain := m.sender.Send(ctx, workload.Request{Kind: workload.Status})
+	plain := m.send(ctx, workload.Request{Kind: workload.Status})
 	if plain.Outcome() != load.Whole {
 		return s, fmt.Errorf("routed plain call: %+v", plain.Last())
 	}
@@ -167,6 +168,19 @@
 	return s, nil
 }
 
+// send sends a request. It sends a refused one again when the refusal says
+// when: budgets of an instance that has just started are empty.
+func (m *measurement) send(ctx context.Context, r workload.Request) load.Result {
+	for n := 0; ; n++ {
+		result := m.sender.Send(ctx, r)
+		last := result.Last()
+		if last.Outcome != load.NotRun || last.RetryAfter == 0 || n == maxRetries {
+			return result
+		}
+		time.Sleep(last.RetryAfter)
+	}
+}
+
 // directPlain calls the plain service without monsoonfork.
 func (m *measurement) directPlain(ctx context.Context) (time.Duration, error) {
 	start := time.Now()
