--- a/cmd/monsoonfork/verb/operator_test.go
+++ b/cmd/monsoonfork/verb/operator_test.go
@@ -16,6 +16,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
@@ -207,22 +208,30 @@
 	}
 	tests := []struct {
 		path, body string
-		status     int
+		kind       fault.Kind
 		word       string
 	}{
-		{"/apply", "Domains: [a]\n", http.StatusBadRequest, "is not a revision"},
-		{"/apply?base=-1&edit=e", "Domains: [a]\n", http.StatusBadRequest, "is not a revision"},
-		{"/apply?base=0", "Domains: [a]\n", http.StatusBadRequest, "not an edit id"},
-		{"/apply?base=5&edit=e1", "Domains: [a]\n", http.StatusConflict, "use base 0"},
-		{"/apply?base=0&edit=e2", "Domains: []\n", http.StatusUnprocessableEntity, "no failure domain"},
-		{"/apply?base=0&edit=e3", "\x00\xff", http.StatusUnprocessableEntity, "not YAML"},
-		{"/faults", "{}", http.StatusNotFound, ""},
-		{"/nothing", "", http.StatusNotFound, ""},
+		{"/apply", "Domains: [a]\n", fault.BadRequest, "is not a revision"},
+		{"/apply?base=-1&edit=e", "Domains: [a]\n", fault.BadRequest, "is not a revision"},
+		{"/apply?base=1.5&edit=e", "Domains: [a]\n", fault.BadRequest, "is not a revision"},
+		{"/apply?base=99999999999999999999&edit=e", "Domains: [a]\n", fault.BadRequest, "is not a revision"},
+		{"/apply?base=0", "Domains: [a]\n", fault.BadRequest, "not an edit id"},
+		{"/apply?base=5&edit=e1", "Domains: [a]\n", fault.RevisionConflict, "use base 0"},
+		{"/apply?base=0&edit=e2", "Domains: []\n", fault.BadText, "no failure domain"},
+		{"/apply?base=0&edit=e3", "\x00\xff", fault.BadText, "not YAML"},
+		{"/faults", "{}", fault.NotFound, "no call POST /faults"},
+		{"/nothing", "", fault.NotFound, "no call POST /nothing"},
+		{"/status", "", fault.NotFound, "no call POST /status"},
 	}
 	for _, test := range tests {
 		status, body := post(test.path, strings.NewReader(test.body))
-		if status != test.status || !strings.Contains(body, test.word) {
-			t.Errorf("POST %s: %d %s, want %d with %q", test.path, status, body, test.status, test.word)
+		var answer operator.ErrorAnswer
+		err := json.Unmarshal([]byte(body), &answer)
+		if err != nil || status != fault.AnswerFor(test.kind).Status || answer.Kind != test.kind.String() {
+			t.Errorf("POST %s: %d %s, want %v", test.path, status, body, test.kind)
+		}
+		if answer.Ran != fault.NotRun.String() || !strings.Contains(body, test.word) {
+			t.Errorf("POST %s: %s, want NotRun and %q", test.path, body, test.word)
 		}
 	}
 	if status, body := post("/plan", bytes.NewReader(make([]byte, 4<<20))); status == http.StatusOK {
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -55,8 +55,7 @@
 		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
 		c.limited = true
 	}
-	c.startReading()
-	err := parser.Parse(data)
+	err := c.parse(parser, data)
 	if !c.reading.headersDone && c.reading.started {
 		c.reading.unparsed += len(data)
 		if c.reading.unparsed > c.limits.HeaderBytes {
@@ -66,6 +65,28 @@
 	c.endFeed(err)
 }
 
+// parse gives bytes to the parser, in pieces of which none goes beyond the head
+// or the body of a request, so that the lines of each head can be checked.
+func (c *conn) parse(parser *nbhttp.Parser, data []byte) error {
+	for len(data) > 0 && !c.refused() {
+		if !c.reading.started {
+			c.startReading()
+		}
+		piece := data[:c.reading.pieceOf(data)]
+		data = data[len(piece):]
+		if c.reading.headersDone {
+			c.reading.given += len(piece)
+		} else if err := c.reading.lines.check(piece); err != nil {
+			c.refuse(err)
+			return nil
+		}
+		if err := parser.Parse(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // startReading sets the time limit of a request whose first bytes come.
 func (c *conn) startReading() {
 	c.mu.Lock()
--- a/io/caller/input_test.go
+++ b/io/caller/input_test.go
@@ -91,6 +91,15 @@
 		{"huge header without an end", "GET / HTTP/1.1\r\nX-A: " + long, fault.RequestTooLarge},
 		{"many headers", "GET / HTTP/1.1\r\n" + strings.Repeat("X-A: b\r\n", 10_000) + "\r\n", fault.RequestTooLarge},
 		{"huge path", "GET /" + long + " HTTP/1.1\r\n\r\n", fault.RequestTooLarge},
+		{"length and chunks", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /status HTTP/1.1\r\nHost: x\r\n\r\n", fault.BadRequest},
+		{"two different lengths", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", fault.BadRequest},
+		{"unknown coding", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\nxx", fault.BadRequest},
+		{"blank before the colon", "GET / HTTP/1.1\r\nHost: x\r\nX-A : b\r\n\r\n", fault.BadRequest},
+		{"zero byte in a header", "GET / HTTP/1.1\r\nHost: x\r\nX-A: b\x00c\r\n\r\n", fault.BadRequest},
+		{"folded header with a colon", "GET / HTTP/1.1\r\nHost: x\r\nX-A: b\r\n c: d\r\n\r\n", fault.BadRequest},
+		{"blank in a name", "GET / HTTP/1.1\r\nHost: x\r\nX-A Y: b\r\n\r\n", fault.BadRequest},
+		{"folded header", "GET / HTTP/1.1\r\nHost: x\r\nX-A: b\r\n c\r\n\r\n", fault.BadRequest},
+		{"huge method", strings.Repeat("G", defaultLimits.HeaderBytes+1) + " / HTTP/1.1\r\n\r\n", fault.RequestTooLarge},
 		{"huge length", "POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", fault.RequestTooLarge},
 		{"huge chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n900000\r\n" + strings.Repeat("x", 0x900000), fault.RequestTooLarge},
 	}
@@ -123,6 +132,107 @@
 	}
 }
 
+// TestTrickledRequests sends requests whose bytes keep coming, too slowly.
+func TestTrickledRequests(t *testing.T) {
+	limits := defaultLimits
+	limits.RequestTime = 300 * time.Millisecond
+	r := newRig(t, WithLimits(limits))
+	for name, sent := range map[string]string{
+		"in the headers": "POST /v1/completions HTTP/1.1\r\nX-A: ",
+		"in the body":    "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", r.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = conn.Write([]byte(sent))
+			stop := make(chan struct{})
+			defer close(stop)
+			go trickle(conn, stop)
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			got := make([]byte, 4096)
+			n, err := conn.Read(got)
+			if err != nil || !strings.HasPrefix(string(got[:n]), "HTTP/1.1 408 ") || !strings.Contains(string(got[:n]), "X-Ran: not run") {
+				t.Errorf("got %.300q, %v", got[:n], err)
+			}
+		})
+	}
+}
+
+// trickle writes a byte every now and then.
+func trickle(conn net.Conn, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+			_, _ = conn.Write([]byte("x"))
+		}
+	}
+}
+
+// TestPipelinedRequests sends requests in pieces of all sizes on one connection:
+// each is answered, and a malformed one behind good ones is noticed.
+func TestPipelinedRequests(t *testing.T) {
+	r := newRig(t)
+	const (
+		get     = "GET /status HTTP/1.1\r\nHost: x\r\n\r\n"
+		post    = "POST /nowhere HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\nA : b\r\n\r\n"
+		chunked = "POST /nowhere HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nA : b\r\n0\r\n\r\n"
+		closing = "GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+		bad     = "GET /status HTTP/1.1\r\nHost : x\r\n\r\n"
+	)
+	for _, size := range []int{1, 2, 7, 40, 1000} {
+		whole := get + post + chunked + closing
+		if got := r.rawExchange(t, pieces(whole, size)...); strings.Count(got, "HTTP/1.1 200 ") != 2 || strings.Count(got, "HTTP/1.1 404 ") != 2 {
+			t.Errorf("in pieces of %d: got %q", size, got)
+		}
+		if got := r.rawExchange(t, pieces(post+bad, size)...); strings.Contains(got, "HTTP/1.1 200 ") {
+			t.Errorf("in pieces of %d: the malformed request was served: %q", size, got)
+		}
+	}
+}
+
+// pieces cuts s into pieces of a size.
+func pieces(s string, size int) []string {
+	var cut []string
+	for len(s) > size {
+		cut, s = append(cut, s[:size]), s[size:]
+	}
+	return append(cut, s)
+}
+
+// TestDoubledHeaders sends headers twice of which there may be one only.
+func TestDoubledHeaders(t *testing.T) {
+	r := newRig(t)
+	const book = "POST /bookings HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: 2\r\n"
+	authorization := "Authorization: Bearer " + testKey + "\r\n"
+	tests := []struct {
+		name, sent string
+		kind       fault.Kind
+	}{
+		{"two keys", book + authorization + "Authorization: Bearer another\r\n\r\n{}", fault.BadRequest},
+		{"two Idempotency-Keys", book + authorization + "Idempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n{}", fault.BadRequest},
+		{"empty Idempotency-Key", book + authorization + "Idempotency-Key: \r\n\r\n{}", fault.BadRequest},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			got := r.rawExchange(t, tc.sent)
+			a := fault.AnswerFor(tc.kind)
+			if !strings.HasPrefix(got, fmt.Sprintf("HTTP/1.1 %d ", a.Status)) || !strings.Contains(got, a.Type) || !strings.Contains(got, "X-Ran: not run\r\n") {
+				t.Errorf("got %.300q, want %s", got, a.Type)
+			}
+		})
+	}
+	for _, s := range r.services {
+		if n := len(s.Record().Runs); n > 0 {
+			t.Errorf("a service ran %d calls", n)
+		}
+	}
+}
+
 // TestExpectContinue waits for "100 Continue" before it sends its body.
 func TestExpectContinue(t *testing.T) {
 	r := newRig(t)
--- a/io/caller/limiter.go
+++ b/io/caller/limiter.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"strings"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -16,6 +17,24 @@
 	headerBytes int
 	bodyBytes   int
 	expects     bool // The caller waits for "100 Continue".
+	lines       headerLines
+	lengths     int  // Content-Length headers.
+	chunked     bool // There is a Transfer-Encoding.
+	length      int  // Of the body; below 0 if it is not known.
+	given       int  // Bytes given to the parser after the headers.
+}
+
+// pieceOf returns how many bytes of data belong to the same part of a request: a
+// line, or what is missing of a body.
+func (r *reading) pieceOf(data []byte) int {
+	if r.headersDone && !r.chunked {
+		// At least one byte: the line feed that ends the headers may be missing.
+		return min(max(r.length-r.given, 1), len(data))
+	}
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(data)
 }
 
 // headerOverhead is what a header adds to the size of its name and value.
@@ -37,12 +56,31 @@
 // OnHeader implements nbhttp.Processor.
 func (l *limiter) OnHeader(p *nbhttp.Parser, key, value string) {
 	l.count(len(key) + len(value) + headerOverhead)
+	value = strings.Trim(value, " \t")
+	l.checkLength(key)
 	if key == "Expect" && strings.EqualFold(value, "100-continue") {
 		l.conn.reading.expects = true
 	}
 	l.Processor.OnHeader(p, key, value)
 }
 
+// checkLength refuses a request whose body has two lengths, as another program
+// on the way may take the other one.
+func (l *limiter) checkLength(key string) {
+	r := &l.conn.reading
+	switch key {
+	case "Content-Length":
+		r.lengths++
+	case "Transfer-Encoding":
+		r.chunked = true
+	default:
+		return
+	}
+	if r.lengths > 1 || (r.lengths > 0 && r.chunked) {
+		l.conn.refuse(fault.New(fault.BadRequest, "malformed HTTP request: more than one length of the body"))
+	}
+}
+
 // count adds to the size of the headers.
 func (l *limiter) count(n int) {
 	l.conn.reading.headerBytes += n
@@ -55,6 +93,7 @@
 // of the headers.
 func (l *limiter) OnContentLength(p *nbhttp.Parser, n int) {
 	l.conn.reading.headersDone = true
+	l.conn.reading.length = n
 	if n > l.conn.limits.BodyBytes {
 		l.conn.refuse(tooLargeBody(l.conn.limits))
 	}
--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -152,9 +153,17 @@
 	s.write(w, http.StatusOK, f)
 }
 
+// unknown answers calls that there are not.
+func (s *server) unknown(w http.ResponseWriter, r *http.Request) {
+	s.fail(w, fault.New(fault.NotFound, "no call %s %s", r.Method, r.URL.Path))
+}
+
 // readBody reads a body of bounded size.
 func readBody(r *http.Request) ([]byte, error) {
 	raw, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes+1))
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, fault.Wrap(err, fault.RequestTimeout, "the body did not come whole within %v", bodyTimeout)
+	}
 	if err != nil {
 		return nil, fault.Wrap(err, fault.BadRequest, "cannot read the body")
 	}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -102,6 +102,7 @@
 	mux.HandleFunc("GET /text", s.text)
 	mux.HandleFunc("POST /plan", s.plan)
 	mux.HandleFunc("POST /apply", s.apply)
+	mux.HandleFunc("/", s.unknown)
 	if s.node.Settings.AllowFaults {
 		mux.HandleFunc("POST /faults", s.faults)
 	}
