--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -34,9 +34,9 @@
 
 // TLS names the files for mutual TLS between instances.
 type TLS struct {
-	CertFile string `yaml:"CertFile"`
-	KeyFile  string `yaml:"KeyFile"`
-	CAFile   string `yaml:"CAFile"`
+	CertFile string `yaml:"CertFile"` // Certificate of this instance.
+	KeyFile  string `yaml:"KeyFile"`  // Its private key.
+	CAFile   string `yaml:"CAFile"`   // Certificates that sign those of the instances.
 }
 
 // Enabled reports whether links use TLS.
--- a/core/strictyaml/fields.go
+++ b/core/strictyaml/fields.go
@@ -49,6 +49,11 @@
 
 // nearest says which field was probably meant, or lists all fields.
 func nearest(name string, names []string) string {
+	for _, candidate := range names {
+		if strings.HasPrefix(strings.ToLower(candidate), strings.ToLower(name)) {
+			return "write " + candidate
+		}
+	}
 	best, bestDistance := "", maxSuggestionDistance+1
 	for _, candidate := range names {
 		distance := editDistance(strings.ToLower(name), strings.ToLower(candidate))
--- a/core/text/check.go
+++ b/core/text/check.go
@@ -68,7 +68,7 @@
 			continue
 		}
 		if j, twice := first[name]; twice {
-			c.Addf(pathOf(i), "give each its own name", "%q stands already on line %d", name, c.Line(pathOf(j)))
+			c.Addf(pathOf(i), "give each its own", "%q stands already on line %d", name, c.Line(pathOf(j)))
 			continue
 		}
 		first[name] = i
@@ -84,7 +84,11 @@
 		c.Add(path, "the name is missing", "write one of "+section)
 		return
 	}
-	c.Addf(path, "write one of "+listWords(known)+" or add it under "+section, "%q is not under %s", name, section)
+	right := "add it under " + section
+	if len(known) > 0 {
+		right = "write one of " + listWords(known) + " or " + right
+	}
+	c.Addf(path, right, "%q is not under %s", name, section)
 }
 
 // listWords joins names for a message and cuts long lists.
--- a/core/text/reference_test.go
+++ b/core/text/reference_test.go
@@ -12,30 +12,40 @@
 	"testing"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/settings"
 )
 
 // update makes the test write the reference in place of checking it.
 var update = flag.Bool("update", false, "write the generated reference")
 
-// operatorsPage is the page that holds the reference between two marks.
 const (
+	// operatorsPage is the page that holds the references of the text and of the
+	// settings, each between two marks.
 	operatorsPage = "../../docs/operators.md"
-	beginMark     = "<!-- reference: begin -->\n"
-	endMark       = "<!-- reference: end -->\n"
+	// settingsFile declares the settings.
+	settingsFile = "../settings/settings.go"
 )
 
+// replaceSection returns the page with the named section replaced.
+func replaceSection(t *testing.T, page, name, content string) string {
+	t.Helper()
+	begin, end := "<!-- "+name+": begin -->\n", "<!-- "+name+": end -->\n"
+	before, rest, found := strings.Cut(page, begin)
+	_, after, ended := strings.Cut(rest, end)
+	if !found || !ended {
+		t.Fatalf("%s lacks the marks of section %s", operatorsPage, name)
+	}
+	return before + begin + content + end + after
+}
+
 func TestReferenceIsCurrent(t *testing.T) {
-	want := generateReference(t)
+	want := generateReference(t, "text.go", reflect.TypeFor[Text]())
 	page, err := os.ReadFile(operatorsPage)
 	if err != nil {
 		t.Fatal(err)
 	}
-	before, rest, found := strings.Cut(string(page), beginMark)
-	_, after, ended := strings.Cut(rest, endMark)
-	if !found || !ended {
-		t.Fatalf("%s lacks the marks of the reference", operatorsPage)
-	}
-	wantPage := before + beginMark + want + endMark + after
+	wantPage := replaceSection(t, string(page), "reference", want)
+	wantPage = replaceSection(t, wantPage, "settings", generateReference(t, settingsFile, reflect.TypeFor[settings.Settings]()))
 	if *update {
 		for name, content := range map[string]string{"reference.md": want, operatorsPage: wantPage} {
 			if err := os.WriteFile(name, []byte(content), 0o644); err != nil {
@@ -74,9 +84,9 @@
 }
 
 // generateReference writes the reference from the types and their comments.
-func generateReference(t *testing.T) string {
+func generateReference(t *testing.T, path string, root reflect.Type) string {
 	g := &generator{t: t, types: map[string]*ast.TypeSpec{}, docs: map[string]string{}, seen: map[reflect.Type]bool{}}
-	file, err := parser.ParseFile(token.NewFileSet(), "text.go", nil, parser.ParseComments)
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ParseComments)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +99,7 @@
 		g.types[spec.Name.Name] = spec
 		g.docs[spec.Name.Name] = strings.Join(strings.Fields(d.Doc.Text()), " ")
 	}
-	g.enqueue(reflect.TypeFor[Text]())
+	g.enqueue(root)
 	for len(g.queue) > 0 {
 		next := g.queue[0]
 		g.queue = g.queue[1:]
--- a/io/operator/handlers_test.go
+++ b/io/operator/handlers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
@@ -36,7 +37,7 @@
 		{"huge", strings.NewReader(strings.Repeat("#", maxBodyBytes+1)), fault.RequestTooLarge},
 	}
 	for _, test := range tests {
-		raw, err := readBody(httptest.NewRequest("POST", "/plan", test.body))
+		raw, err := readBody(httptest.NewRequest(http.MethodPost, "/plan", test.body))
 		if raw != nil || !fault.Is(err, test.kind) || fault.From(err).Ran != fault.NotRun {
 			t.Errorf("%s: %d bytes, %v, want %v and not run", test.name, len(raw), err, test.kind)
 		}
