--- a/lab/overhead/overhead.go
+++ b/lab/overhead/overhead.go
@@ -28,6 +28,10 @@
 	idleConns    = 256
 	coresAllowed = 2
 	maxRetries   = 10
+	// engineCallers is the number of callers of completions: fewer than the slots
+	// of an engine, so that none waits.
+	engineCallers = 12
+	longAnswer    = 50
 )
 
 // Config says what to measure.
