Soak: operators' edits, leaving endpoints, cut domains, strangers and cut answers

Cause: the run covered kills and faults of stand-ins only. Nothing edited the text, so withdrawn keys, racing operators, leaving endpoints and revisions were not looked at, no call came with a foreign key, a domain was never cut off as a whole, no organisation reached its rate, and a planned stop was judged by its exit code alone. Ruled out: directed tests in place of the run: they would not meet other faults.

--- a/cmd/monsoonlab/soak.go
+++ b/cmd/monsoonlab/soak.go
@@ -20,6 +20,7 @@
 	Instances int           `default:"8" help:"Instances of monsoonfork."`
 	Faults    []string      `help:"Faults to draw from; none means all."`
 	Alone     bool          `help:"Never have two faults at a time."`
+	Loud      float64       `default:"30" help:"Factor on the traffic of the last organisation."`
 	TimeScale float64       `default:"1" help:"Factor on all times of the engines."`
 	Keep      bool          `help:"Keep the logs of all processes."`
 }
@@ -29,7 +30,8 @@
 	return `Starts a fleet with the sizes of a workload, every stand-in and instance a process
 of its own, sends requests, and meanwhile makes faults that follow from the seed.
 Then checks answers, runs, refusals, keys, memory, rates and orders from the
-records. Prints each fault, the counts, and one line for each broken promise;
+records. Operators edit the text meanwhile: they withdraw keys, race each other and
+let endpoints leave. One organisation sends several times its rate. Prints each fault, the counts, and one line for each broken promise;
 fails when there is one. Run it in the repository.`
 }
 
@@ -44,6 +46,7 @@
 		Instances: c.Instances,
 		Faults:    c.Faults,
 		Alone:     c.Alone,
+		Loud:      c.Loud,
 		TimeScale: c.TimeScale,
 		Keep:      c.Keep,
 	}, os.Stdout)
@@ -75,6 +78,7 @@
 		"--length", c.Length.String(),
 		"--rate", fmt.Sprint(c.Rate),
 		"--instances", fmt.Sprint(c.Instances),
+		"--loud", fmt.Sprint(c.Loud),
 		"--time-scale", fmt.Sprint(c.TimeScale),
 	}
 	if len(c.Faults) > 0 {
--- a/lab/fleet/text.go
+++ b/lab/fleet/text.go
@@ -30,6 +30,13 @@
 	claimRetentionSec = 3600
 )
 
+// A path that only the first organisation of a workload may use, and by which
+// reference the plain service counts its runs.
+const (
+	OwnReference = "own"
+	OwnPath      = "/addresses/" + OwnReference
+)
+
 // newText returns the text that describes the fleet.
 func (f *Fleet) newText() *text.Text {
 	w := f.Spec.Workload
@@ -116,7 +123,10 @@
 	lookup.Idempotent, lookup.Priority = true, text.High
 	status.Name, status.Method, status.Path = "status", "GET", "/status"
 	status.Idempotent, status.Priority, status.Access, status.CostTokens = true, text.High, text.Open, 0
-	return []text.Route{completions, chat, create, cancel, lookup, status}
+	own := lookup
+	own.Name, own.Path = "own", OwnPath
+	own.Organisations = []ident.OrganisationID{w.Organisations[0].Name}
+	return []text.Route{completions, chat, create, cancel, lookup, own, status}
 }
 
 // Encode returns a text as operators write it.
--- a/lab/load/attempt.go
+++ b/lab/load/attempt.go
@@ -62,7 +62,7 @@
 // attemptOnce makes one call until its end or that of ctx.
 func (s *Sender) attemptOnce(ctx context.Context, r workload.Request) Attempt {
 	start := time.Now()
-	a := Attempt{Outcome: NoAnswer}
+	a := Attempt{Outcome: NoAnswer, Started: start}
 	response, err := s.call(ctx, r, &a)
 	if err != nil {
 		a.Detail = err.Error()
--- a/lab/load/result.go
+++ b/lab/load/result.go
@@ -27,7 +27,8 @@
 type Attempt struct {
 	Target     string          `json:"Target"`
 	RequestID  string          `json:"RequestID"` // As the answer names it.
-	Status     int             `json:"Status"`    // 0 without an answer.
+	Started    time.Time       `json:"Started"`
+	Status     int             `json:"Status"` // 0 without an answer.
 	Outcome    Outcome         `json:"Outcome"`
 	ErrorType  string          `json:"ErrorType,omitempty"`
 	Detail     string          `json:"Detail,omitempty"`
--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +12,7 @@
 
 	"monsoonfork/core/budget/audit"
 	"monsoonfork/core/ident"
+	"monsoonfork/io/operator"
 	"monsoonfork/io/standin/engine"
 	"monsoonfork/io/standin/service"
 	"monsoonfork/lab/fleet"
@@ -23,12 +25,15 @@
 	stopMargin     = 5 * time.Second        // Of a planned stop beyond the longest request.
 	memoryInterval = 200 * time.Millisecond // Between looks at the memory of engines.
 	watchInterval  = 100 * time.Millisecond // Between looks at the processes.
+	serviceMargin  = 100 * time.Millisecond // Of a run of the plain service.
 	logTailBytes   = 800
 )
 
 // check looks for broken promises after the run.
 func (r *run) check(ctx context.Context, report *load.Report) {
 	r.checkAnswers(report)
+	r.checkCuts(report)
+	r.checkText(ctx)
 	r.checkMemory(ctx)
 	r.checkKeys(ctx)
 	r.checkRates()
@@ -36,7 +41,9 @@
 		r.findings.add(RunsAtMostOnce, "no record: %v", err)
 	} else {
 		r.checkRuns(report, runs)
+		r.checkStrangers(runs)
 	}
+	r.checkLeft(ctx)
 	if err := r.checkEngines(ctx, report); err != nil {
 		r.findings.add(NotRunIsTrue, "no record: %v", err)
 	}
@@ -167,6 +174,100 @@
 	}
 }
 
+// checkCuts looks for answers that ended without a sign of why, at an instance
+// that was neither killed nor paused meanwhile.
+func (r *run) checkCuts(report *load.Report) {
+	for i := range report.Results {
+		result := &report.Results[i]
+		for _, a := range result.Attempts {
+			if a.Outcome != load.NoAnswer && (a.Outcome != load.Broken || a.ErrorType != "") {
+				continue
+			}
+			instance, end := r.instanceAt(a.Target), a.Started.Add(a.Took)
+			if instance == nil || r.disturbed(instance, a.Started, end, killed, paused) != nil {
+				continue
+			}
+			promise := AnswersAreNotCut
+			if r.disturbed(instance, a.Started, end, stopped) != nil {
+				promise = PlannedStopCutsNone
+			}
+			r.findings.add(promise, "%s by way of %s from %.1fs to %.1fs: %s", describe(result), instance.Name,
+				a.Started.Sub(r.findings.start).Seconds(), end.Sub(r.findings.start).Seconds(), a.Detail)
+		}
+	}
+}
+
+// checkText looks for accepted edits that are not in the text of an instance.
+func (r *run) checkText(ctx context.Context) {
+	newest := r.newestBefore(time.Now())
+	_ = wait(ctx, time.Until(newest.at.Add(inForceBound)))
+	for _, i := range r.fleet.Instances {
+		raw, revision, err := operator.NewClient(i.Settings.OperatorAddress).Text(ctx)
+		if err != nil {
+			r.findings.add(EditsAreInForce, "%s: no text: %v", i.Name, err)
+			continue
+		}
+		if newest.revision > 0 && (revision != newest.revision || !bytes.Equal(raw, newest.raw)) {
+			r.findings.add(EditsAreInForce, "%s has revision %d; the newest accepted is %d", i.Name, revision, newest.revision)
+		}
+		for _, name := range r.added {
+			if !bytes.Contains(raw, []byte(name)) {
+				r.findings.add(EditsAreNotLost, "%s has no organisation %s in revision %d", i.Name, name, revision)
+			}
+		}
+	}
+	r.note("%d edits accepted, %d calls of strangers refused", len(r.accepted), r.strangers.Load())
+}
+
+// checkLeft looks for work that an endpoint got while it was leaving. What the
+// stand-ins hold is still there: no other fault is on a leaving endpoint.
+func (r *run) checkLeft(ctx context.Context) {
+	for _, e := range r.fleet.Engines {
+		var record engine.Record
+		if err := e.Control.Record(ctx, &record); err != nil {
+			continue // checkEngines has reported it.
+		}
+		for _, request := range record.Requests {
+			r.checkWork(e.Name, request.Holder, time.UnixMilli(request.StartedUnixMS), request.RID)
+		}
+	}
+	for _, s := range r.fleet.Services {
+		var record service.Record
+		if err := s.Control.Record(ctx, &record); err != nil {
+			continue // serviceRuns has reported it.
+		}
+		for _, run := range record.Runs {
+			// A run is counted at its end.
+			r.checkWork(s.Name, "", time.UnixMilli(run.UnixMS).Add(-serviceMargin), run.RequestID)
+		}
+	}
+}
+
+// checkWork looks whether an endpoint was leaving when it got some work. An
+// instance that was disturbed may not have known.
+func (r *run) checkWork(endpoint, holder string, at time.Time, what string) {
+	for _, p := range r.left {
+		if p.endpoint != endpoint || at.Before(p.begin) || (!p.end.IsZero() && at.After(p.end)) {
+			continue
+		}
+		if r.anyDisturbed(holder, at.Add(-inForceBound), at) {
+			continue
+		}
+		r.findings.add(LeavingGetsNoWork, "%s got %s of %s %.1fs after the bound", endpoint, what, holder, at.Sub(p.begin).Seconds())
+	}
+}
+
+// anyDisturbed reports whether an instance was disturbed, or any when the name
+// is empty.
+func (r *run) anyDisturbed(name string, begin, end time.Time) bool {
+	for _, i := range r.fleet.Instances {
+		if (name == "" || strings.HasPrefix(name, i.Name)) && r.disturbed(i, begin, end) != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // checkKeys asks every stand-in whether it ever got a key.
 func (r *run) checkKeys(ctx context.Context) {
 	for _, s := range r.fleet.StandIns() {
@@ -176,12 +277,16 @@
 
 // checkKeysAt asks one stand-in whether it ever got a key.
 func (r *run) checkKeysAt(ctx context.Context, s *fleet.StandIn) {
-	for organisation, key := range r.fleet.Keys {
+	for key, organisation := range r.allSecrets() {
 		answer, err := s.Control.Seen(ctx, key)
 		if err != nil {
 			r.findings.add(KeysStayInside, "%s: no record: %v", s.Name, err)
 			return
 		}
+		if !answer.Complete {
+			r.findings.add(KeysStayInside, "%s did not keep all that it got", s.Name)
+			return
+		}
 		if answer.Seen {
 			r.findings.add(KeysStayInside, "%s got the key of %s", s.Name, organisation)
 		}
--- a/lab/soak/finding.go
+++ b/lab/soak/finding.go
@@ -13,16 +13,23 @@
 
 // The promises that are checked.
 const (
-	AnswersAreRight      Promise = iota // No wrong, truncated or crossed answer looks complete.
-	RunsAtMostOnce                      // A booking, cancellation or order.
-	NotRunIsTrue                        // No refused request was seen by an endpoint.
-	KeysStayInside                      // No endpoint ever sees a key.
-	MemoryIsFreed                       // Nothing is held for requests that have ended.
-	RatesHold                           // No organisation gets more than rate and burst.
-	OrdersDoNotOverlap                  // No stale or overlapping order takes effect.
-	ProcessesLive                       // No instance ends by itself; its own invariants hold.
-	PlannedStopCutsNone                 // A planned stop ends well.
-	InstancesBecomeReady                // A started instance becomes ready.
+	AnswersAreRight        Promise = iota // No wrong, truncated or crossed answer looks complete.
+	RunsAtMostOnce                        // A booking, cancellation or order.
+	NotRunIsTrue                          // No refused request was seen by an endpoint.
+	KeysStayInside                        // No endpoint ever sees a key.
+	MemoryIsFreed                         // Nothing is held for requests that have ended.
+	RatesHold                             // No organisation gets more than rate and burst.
+	OrdersDoNotOverlap                    // No stale or overlapping order takes effect.
+	ProcessesLive                         // No instance ends by itself; its own invariants hold.
+	PlannedStopCutsNone                   // A planned stop ends well.
+	InstancesBecomeReady                  // A started instance becomes ready.
+	WithdrawnKeysStop                     // A withdrawn key stops working within inForceBound.
+	EditsAreInForce                       // An accepted edit is in force within inForceBound.
+	EditsAreNotLost                       // Racing edits never undo one that was accepted.
+	RevisionNeverFalls                    // In one process.
+	LeavingGetsNoWork                     // From inForceBound after the edit.
+	RunsForOwnOrganisation                // A keyed request runs only for the key's organisation.
+	AnswersAreNotCut                      // No answer ends without a sign of it, but for a killed instance.
 )
 
 // Finding is one broken promise.
--- a/lab/soak/finding_string.go
+++ b/lab/soak/finding_string.go
@@ -18,11 +18,18 @@
 	_ = x[ProcessesLive-7]
 	_ = x[PlannedStopCutsNone-8]
 	_ = x[InstancesBecomeReady-9]
+	_ = x[WithdrawnKeysStop-10]
+	_ = x[EditsAreInForce-11]
+	_ = x[EditsAreNotLost-12]
+	_ = x[RevisionNeverFalls-13]
+	_ = x[LeavingGetsNoWork-14]
+	_ = x[RunsForOwnOrganisation-15]
+	_ = x[AnswersAreNotCut-16]
 }
 
-const _Promise_name = "AnswersAreRightRunsAtMostOnceNotRunIsTrueKeysStayInsideMemoryIsFreedRatesHoldOrdersDoNotOverlapProcessesLivePlannedStopCutsNoneInstancesBecomeReady"
+const _Promise_name = "AnswersAreRightRunsAtMostOnceNotRunIsTrueKeysStayInsideMemoryIsFreedRatesHoldOrdersDoNotOverlapProcessesLivePlannedStopCutsNoneInstancesBecomeReadyWithdrawnKeysStopEditsAreInForceEditsAreNotLostRevisionNeverFallsLeavingGetsNoWorkRunsForOwnOrganisationAnswersAreNotCut"
 
-var _Promise_index = [...]uint8{0, 15, 29, 41, 55, 68, 77, 95, 108, 127, 147}
+var _Promise_index = [...]uint16{0, 15, 29, 41, 55, 68, 77, 95, 108, 127, 147, 164, 179, 194, 212, 229, 251, 267}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -21,7 +21,8 @@
 // target is what a fault is drawn for: one of the fleet's parts.
 type target struct {
 	name string
-	pick int // Index among the parts of its sort.
+	pick int      // Index among the parts of its sort.
+	also []string // Names of further parts that it touches.
 }
 
 // faultEntry is one row of the table of faults.
@@ -121,14 +122,19 @@
 	}
 }
 
-// claim marks a target as busy; it fails when it is.
+// claim marks a target as busy; it fails when a part of it is.
 func (r *run) claim(t target) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.busy[t.name] {
-		return false
+	names := append([]string{t.name}, t.also...)
+	for _, name := range names {
+		if r.busy[name] {
+			return false
+		}
+	}
+	for _, name := range names {
+		r.busy[name] = true
 	}
-	r.busy[t.name] = true
 	return true
 }
 
@@ -136,7 +142,9 @@
 func (r *run) unclaim(t target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.busy, t.name)
+	for _, name := range append([]string{t.name}, t.also...) {
+		delete(r.busy, name)
+	}
 }
 
 // isBusy reports whether a fault is on the part with the name.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
 	"monsoonfork/lab/fleet"
 	"monsoonfork/lab/load"
@@ -39,6 +41,7 @@
 	Instances int
 	Faults    []string // Names of the faults to draw from; none means all.
 	Alone     bool     // Never two faults at a time.
+	Loud      float64  // Factor on the traffic of the last organisation; 0 means 1.
 	TimeScale float64
 	Keep      bool // Keep the logs of the processes.
 }
@@ -58,9 +61,18 @@
 	fleet    *fleet.Fleet
 	findings *findings
 
-	mu     sync.Mutex
-	faults []string
-	busy   map[string]bool // Names of targets that a fault is on.
+	strangers atomic.Int64 // Calls that were refused.
+	turn      atomic.Int64 // Numbers names and choices of instances.
+	probe     *probe       // Of the fault that withdraws a key, while it lasts.
+
+	mu           sync.Mutex
+	faults       []string
+	busy         map[string]bool // Names of targets that a fault is on.
+	disturbances []*disturbance
+	accepted     []acceptance
+	added        []ident.OrganisationID // By edits that raced.
+	left         []*period
+	secrets      map[string]ident.OrganisationID // Keys besides those of the fleet.
 }
 
 // Run makes one run and prints its progress to out.
@@ -88,6 +100,7 @@
 		fleet:    f,
 		findings: &findings{start: time.Now()},
 		busy:     make(map[string]bool),
+		secrets:  make(map[string]ident.OrganisationID),
 	}
 	verdict.Dir = runner.Dir()
 	verdict.Report = r.underFaults(ctx)
@@ -125,6 +138,8 @@
 	defer stop()
 	background.Go(func() { r.fleet.Balance(ctx) })
 	background.Go(func() { r.watchProcesses(ctx) })
+	background.Go(func() { r.watchRevisions(ctx) })
+	background.Go(func() { r.sendStrangers(ctx) })
 	faults := make(chan struct{})
 	go func() {
 		defer close(faults)
@@ -135,6 +150,7 @@
 		Rate:      r.cfg.Rate,
 		Seed:      r.cfg.Seed,
 		Length:    r.cfg.Length,
+		Factors:   r.factors(),
 		Keys:      r.fleet.Keys,
 		Instances: r.fleet.InUse,
 		Timeout:   requestTimeout,
@@ -145,6 +161,15 @@
 	return report
 }
 
+// factors makes one organisation send more than its rate.
+func (r *run) factors() map[ident.OrganisationID]float64 {
+	if r.cfg.Loud == 0 {
+		return nil
+	}
+	all := r.cfg.Workload.Organisations
+	return map[ident.OrganisationID]float64{all[len(all)-1].Name: r.cfg.Loud}
+}
+
 // settle ends what faults have left and waits until all instances are ready.
 func (r *run) settle(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -32,6 +32,7 @@
 		fleet:    f,
 		findings: &findings{start: time.Now()},
 		busy:     make(map[string]bool),
+		secrets:  make(map[string]ident.OrganisationID),
 	}
 }
 
--- a/lab/soak/table.go
+++ b/lab/soak/table.go
@@ -21,6 +21,8 @@
 	onStore
 	onList
 	onInstance
+	onDomain
+	onText
 )
 
 // faultTable lists all faults.
@@ -61,14 +63,30 @@
 		{"instance-pauses", onInstance, pauseInstance, resumeInstance},
 		{"instance-stops", onInstance, stopInstance, startInstance},
 		{"instance-loses-store", onInstance, cutStore, healStore},
+		{"domain-is-cut-off", onDomain, cutDomain, healDomain},
+		endpointLeaves("engine-leaves", onDecode),
+		endpointLeaves("service-leaves", onService),
+		keyWithdrawn(),
+		operatorsRace(),
 	}
 }
 
 // draw draws a part of the given sort.
 func (r *run) draw(random *rand.Rand, s sort) target {
-	if s == onInstance {
+	switch s {
+	case onInstance:
 		n := random.IntN(len(r.fleet.Instances))
 		return target{name: r.fleet.Instances[n].Name, pick: n}
+	case onDomain:
+		n := random.IntN(len(r.cfg.Workload.Domains))
+		t := target{name: string(r.cfg.Workload.Domains[n]), pick: n}
+		for _, i := range r.instancesOf(r.cfg.Workload.Domains[n]) {
+			t.also = append(t.also, i.Name)
+		}
+		return t
+	case onText:
+		return target{name: "text"}
+	case onPrefill, onDecode, onService, onStore, onList:
 	}
 	parts := r.parts(s)
 	n := random.IntN(len(parts))
@@ -137,27 +155,36 @@
 
 // killInstance kills an instance.
 func killInstance(_ context.Context, r *run, t target) error {
-	return r.fleet.Instances[t.pick].Process.Kill()
+	i := r.fleet.Instances[t.pick]
+	r.disturb(i, killed)
+	return i.Process.Kill()
 }
 
 // startInstance starts an instance that has ended.
 func startInstance(ctx context.Context, r *run, t target) error {
-	return r.fleet.StartInstance(ctx, r.fleet.Instances[t.pick])
+	i := r.fleet.Instances[t.pick]
+	defer r.undisturb(i)
+	return r.fleet.StartInstance(ctx, i)
 }
 
 // pauseInstance stops an instance from running, and it does not know.
 func pauseInstance(_ context.Context, r *run, t target) error {
-	return r.fleet.Instances[t.pick].Process.Pause()
+	i := r.fleet.Instances[t.pick]
+	r.disturb(i, paused)
+	return i.Process.Pause()
 }
 
 // resumeInstance lets a paused instance go on.
 func resumeInstance(_ context.Context, r *run, t target) error {
-	return r.fleet.Instances[t.pick].Process.Resume()
+	i := r.fleet.Instances[t.pick]
+	defer r.undisturb(i)
+	return i.Process.Resume()
 }
 
 // stopInstance makes a planned stop and waits for its end.
 func stopInstance(ctx context.Context, r *run, t target) error {
 	i := r.fleet.Instances[t.pick]
+	r.disturb(i, stopped)
 	if err := i.Process.Terminate(); err != nil {
 		return err
 	}
@@ -170,7 +197,7 @@
 	return nil
 }
 
-// cutStore cuts an instance off from the store.
+// cutStore cuts an instance off from the store. Its peers still tell it of edits.
 func cutStore(_ context.Context, r *run, t target) error {
 	r.fleet.Instances[t.pick].Store.Cut()
 	return nil
