--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -25,7 +25,7 @@
 	stopMargin     = 5 * time.Second        // Of a planned stop beyond the longest request.
 	memoryInterval = 200 * time.Millisecond // Between looks at the memory of engines.
 	watchInterval  = 100 * time.Millisecond // Between looks at the processes.
-	serviceMargin  = 100 * time.Millisecond // Of a run of the plain service.
+	workMargin     = 100 * time.Millisecond // The plain service counts a run at its end.
 	logTailBytes   = 800
 )
 
@@ -237,8 +237,7 @@
 			continue // serviceRuns has reported it.
 		}
 		for _, run := range record.Runs {
-			// A run is counted at its end.
-			r.checkWork(s.Name, "", time.UnixMilli(run.UnixMS).Add(-serviceMargin), run.RequestID)
+			r.checkWork(s.Name, "", time.UnixMilli(run.UnixMS), run.RequestID)
 		}
 	}
 }
@@ -247,7 +246,7 @@
 // instance that was disturbed may not have known.
 func (r *run) checkWork(endpoint, holder string, at time.Time, what string) {
 	for _, p := range r.left {
-		if p.endpoint != endpoint || at.Before(p.begin) || (!p.end.IsZero() && at.After(p.end)) {
+		if p.endpoint != endpoint || at.Before(p.begin.Add(workMargin)) || (!p.end.IsZero() && at.After(p.end)) {
 			continue
 		}
 		if r.anyDisturbed(holder, at.Add(-inForceBound), at) {
--- a/lab/soak/edit.go
+++ b/lab/soak/edit.go
@@ -37,8 +37,10 @@
 		if err == nil {
 			return a, nil
 		}
-		if wait(ctx, editPause) != nil {
-			return acceptance{}, fmt.Errorf("edit %s: %w", name, err)
+		if fault.Is(err, fault.BadText) || wait(ctx, editPause) != nil {
+			err = fmt.Errorf("edit %s: %w", name, err)
+			r.findings.add(EditsAreAccepted, "%v", err)
+			return acceptance{}, err
 		}
 	}
 }
--- a/lab/soak/finding.go
+++ b/lab/soak/finding.go
@@ -24,6 +24,7 @@
 	PlannedStopCutsNone                   // A planned stop ends well.
 	InstancesBecomeReady                  // A started instance becomes ready.
 	WithdrawnKeysStop                     // A withdrawn key stops working within inForceBound.
+	EditsAreAccepted                      // Within editTimeout, faults of the store included.
 	EditsAreInForce                       // An accepted edit is in force within inForceBound.
 	EditsAreNotLost                       // Racing edits never undo one that was accepted.
 	RevisionNeverFalls                    // In one process.
--- a/lab/soak/finding_string.go
+++ b/lab/soak/finding_string.go
@@ -19,17 +19,18 @@
 	_ = x[PlannedStopCutsNone-8]
 	_ = x[InstancesBecomeReady-9]
 	_ = x[WithdrawnKeysStop-10]
-	_ = x[EditsAreInForce-11]
-	_ = x[EditsAreNotLost-12]
-	_ = x[RevisionNeverFalls-13]
-	_ = x[LeavingGetsNoWork-14]
-	_ = x[RunsForOwnOrganisation-15]
-	_ = x[AnswersAreNotCut-16]
+	_ = x[EditsAreAccepted-11]
+	_ = x[EditsAreInForce-12]
+	_ = x[EditsAreNotLost-13]
+	_ = x[RevisionNeverFalls-14]
+	_ = x[LeavingGetsNoWork-15]
+	_ = x[RunsForOwnOrganisation-16]
+	_ = x[AnswersAreNotCut-17]
 }
 
-const _Promise_name = "AnswersAreRightRunsAtMostOnceNotRunIsTrueKeysStayInsideMemoryIsFreedRatesHoldOrdersDoNotOverlapProcessesLivePlannedStopCutsNoneInstancesBecomeReadyWithdrawnKeysStopEditsAreInForceEditsAreNotLostRevisionNeverFallsLeavingGetsNoWorkRunsForOwnOrganisationAnswersAreNotCut"
+const _Promise_name = "AnswersAreRightRunsAtMostOnceNotRunIsTrueKeysStayInsideMemoryIsFreedRatesHoldOrdersDoNotOverlapProcessesLivePlannedStopCutsNoneInstancesBecomeReadyWithdrawnKeysStopEditsAreAcceptedEditsAreInForceEditsAreNotLostRevisionNeverFallsLeavingGetsNoWorkRunsForOwnOrganisationAnswersAreNotCut"
 
-var _Promise_index = [...]uint16{0, 15, 29, 41, 55, 68, 77, 95, 108, 127, 147, 164, 179, 194, 212, 229, 251, 267}
+var _Promise_index = [...]uint16{0, 15, 29, 41, 55, 68, 77, 95, 108, 127, 147, 164, 180, 195, 210, 228, 245, 267, 283}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/lab/soak/operators.go
+++ b/lab/soak/operators.go
@@ -13,6 +13,12 @@
 // racers is the number of operators that edit at the same time.
 const racers = 3
 
+// Limits of an organisation that nobody uses.
+const (
+	addedRate  = 10
+	addedBurst = 100
+)
+
 // period is a time during which an endpoint was to get no new work.
 type period struct {
 	endpoint   string
@@ -22,8 +28,9 @@
 // keyWithdrawn returns the row of a key that is withdrawn under traffic.
 func keyWithdrawn() faultEntry {
 	return faultEntry{
-		name: "key-withdrawn",
-		sort: onText,
+		name:  "key-withdrawn",
+		sort:  onText,
+		edits: true,
 		begin: func(ctx context.Context, r *run, _ target) (err error) {
 			r.probe, err = r.newProbe(ctx, r.cfg.Workload.Organisations[0].Name)
 			return err
@@ -42,8 +49,9 @@
 // edit that is accepted must stay in the text.
 func operatorsRace() faultEntry {
 	return faultEntry{
-		name: "operators-race",
-		sort: onText,
+		name:  "operators-race",
+		sort:  onText,
+		edits: true,
 		begin: func(ctx context.Context, r *run, _ target) error {
 			race := r.turn.Add(1)
 			var work sync.WaitGroup
@@ -69,7 +77,7 @@
 // addOrganisation adds an organisation that nobody uses to the text.
 func (r *run) addOrganisation(ctx context.Context, name ident.OrganisationID) error {
 	_, err := r.edit(ctx, string(name), func(t *text.Text) {
-		t.Organisations = append(t.Organisations, text.Organisation{Name: name, Rate: 1, Burst: 1})
+		t.Organisations = append(t.Organisations, text.Organisation{Name: name, Rate: addedRate, Burst: addedBurst})
 	})
 	if err != nil {
 		return err
@@ -83,8 +91,9 @@
 // endpointLeaves returns the row of an endpoint that the text marks as leaving.
 func endpointLeaves(name string, s sort) faultEntry {
 	return faultEntry{
-		name: name,
-		sort: s,
+		name:  name,
+		sort:  s,
+		edits: true,
 		begin: func(ctx context.Context, r *run, t target) error {
 			accepted, err := r.setState(ctx, t.name, text.Leaving)
 			if err != nil {
--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -29,6 +29,7 @@
 type faultEntry struct {
 	name   string
 	sort   sort
+	edits  bool // It edits the text.
 	begin  func(ctx context.Context, r *run, t target) error
 	finish func(ctx context.Context, r *run, t target) error
 }
@@ -44,11 +45,14 @@
 // plan draws the whole schedule from the seed.
 func (r *run) plan() []planned {
 	random := rand.New(rand.NewPCG(r.cfg.Seed, 2))
-	entries := r.entries()
+	faults := newDeck(random, r.entries())
 	var schedule []planned
 	at := firstFault
-	for len(entries) > 0 {
-		entry := entries[random.IntN(len(entries))]
+	for {
+		entry, ok := faults.next()
+		if !ok {
+			break
+		}
 		length := between(random, shortestFault, longestFault)
 		if at+length+quietAtEnd > r.cfg.Length {
 			break
@@ -81,23 +85,28 @@
 	return chosen
 }
 
-// schedule makes all faults of the plan and waits for their ends. At most two
-// are active at a time, and never two on one target.
+// schedule makes the faults of the plan in their order and waits for their ends.
+// At most two are active at a time, and never two on one target: a fault waits
+// for the end of another, and is left out while its target is busy.
 func (r *run) schedule(ctx context.Context) {
 	var active sync.WaitGroup
+	defer active.Wait()
 	slots := make(chan struct{}, 2)
 	start := time.Now()
 	for _, p := range r.plan() {
 		if wait(ctx, time.Until(start.Add(p.at))) != nil {
-			break
-		}
-		if !r.claim(p.target) {
-			continue
+			return
 		}
 		select {
 		case slots <- struct{}{}:
-		default:
-			r.unclaim(p.target)
+		case <-ctx.Done():
+			return
+		}
+		if time.Since(start)+p.length+quietAtEnd > r.cfg.Length {
+			return
+		}
+		if !r.claim(p.target) {
+			<-slots
 			continue
 		}
 		active.Go(func() {
@@ -106,7 +115,6 @@
 			<-slots
 		})
 	}
-	active.Wait()
 }
 
 // makeFault begins a fault and ends it after its length.
