--- a/lab/soak/schedule.go
+++ b/lab/soak/schedule.go
@@ -21,13 +21,15 @@
 // target is what a fault is drawn for: one of the fleet's parts.
 type target struct {
 	name string
-	pick int // Index among the parts of its sort.
+	pick int      // Index among the parts of its sort.
+	also []string // Names of further parts that it touches.
 }
 
 // faultEntry is one row of the table of faults.
 type faultEntry struct {
 	name   string
 	sort   sort
+	edits  bool // It edits the text.
 	begin  func(ctx context.Context, r *run, t target) error
 	finish func(ctx context.Context, r *run, t target) error
 }
@@ -43,11 +45,14 @@
 // plan draws the whole schedule from the seed.
 func (r *run) plan() []planned {
 	random := rand.New(rand.NewPCG(r.cfg.Seed, 2))
-	entries := r.entries()
+	faults := newDeck(random, r.entries())
 	var schedule []planned
 	at := firstFault
-	for len(entries) > 0 {
-		entry := entries[random.IntN(len(entries))]
+	for {
+		entry, ok := faults.next()
+		if !ok {
+			break
+		}
 		length := between(random, shortestFault, longestFault)
 		if at+length+quietAtEnd > r.cfg.Length {
 			break
@@ -80,23 +85,28 @@
 	return chosen
 }
 
-// schedule makes all faults of the plan and waits for their ends. At most two
-// are active at a time, and never two on one target.
+// schedule makes the faults of the plan in their order and waits for their ends.
+// At most two are active at a time, and never two on one target: a fault waits
+// for the end of another, and is left out while its target is busy.
 func (r *run) schedule(ctx context.Context) {
 	var active sync.WaitGroup
+	defer active.Wait()
 	slots := make(chan struct{}, 2)
 	start := time.Now()
 	for _, p := range r.plan() {
 		if wait(ctx, time.Until(start.Add(p.at))) != nil {
-			break
-		}
-		if !r.claim(p.target) {
-			continue
+			return
 		}
 		select {
 		case slots <- struct{}{}:
-		default:
-			r.unclaim(p.target)
+		case <-ctx.Done():
+			return
+		}
+		if time.Since(start)+p.length+quietAtEnd > r.cfg.Length {
+			return
+		}
+		if !r.claim(p.target) {
+			<-slots
 			continue
 		}
 		active.Go(func() {
@@ -105,7 +115,6 @@
 			<-slots
 		})
 	}
-	active.Wait()
 }
 
 // makeFault begins a fault and ends it after its length.
@@ -121,14 +130,19 @@
 	}
 }
 
-// claim marks a target as busy; it fails when it is.
+// claim marks a target as busy; it fails when a part of it is.
 func (r *run) claim(t target) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.busy[t.name] {
-		return false
+	names := append([]string{t.name}, t.also...)
+	for _, name := range names {
+		if r.busy[name] {
+			return false
+		}
+	}
+	for _, name := range names {
+		r.busy[name] = true
 	}
-	r.busy[t.name] = true
 	return true
 }
 
@@ -136,7 +150,9 @@
 func (r *run) unclaim(t target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.busy, t.name)
+	for _, name := range append([]string{t.name}, t.also...) {
+		delete(r.busy, name)
+	}
 }
 
 // isBusy reports whether a fault is on the part with the name.
