--- a/cmd/monsoonfork/verb/roles.go
+++ b/cmd/monsoonfork/verb/roles.go
@@ -7,6 +7,7 @@
 	_ "monsoonfork/core/config/relay" // Config
 	_ "monsoonfork/core/keys"         // Keys
 	_ "monsoonfork/core/membership"   // Membership
+	_ "monsoonfork/core/orders"       // Orders
 	_ "monsoonfork/core/placement"    // Placement
 	_ "monsoonfork/core/reaper"       // Reaper
 	_ "monsoonfork/io/caller"         // Caller
--- /dev/null
+++ b/core/orders/role.go
@@ -0,0 +1,59 @@
+package orders
+
+import (
+	"context"
+
+	"monsoonfork/core/config"
+	"monsoonfork/core/kernel"
+	"monsoonfork/core/membership"
+	"monsoonfork/io/engine"
+	"monsoonfork/io/store"
+)
+
+// ownerKey names the role in the choice of its owner among the live members.
+const ownerKey = "orders"
+
+func init() {
+	kernel.Register(kernel.Role{
+		Name:    "Orders",
+		Summary: "gives orders to the domain's engines until they serve what the text declares",
+		After:   []string{"Membership", "Config", "Engines", "Store"},
+		Start:   start,
+	})
+}
+
+// start is the role's constructor.
+func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
+	table, err := kernel.Need[*membership.Table](n)
+	if err != nil {
+		return nil, err
+	}
+	holder, err := kernel.Need[*config.Holder](n)
+	if err != nil {
+		return nil, err
+	}
+	engines, err := kernel.Need[*engine.Client](n)
+	if err != nil {
+		return nil, err
+	}
+	client, err := kernel.Need[*store.Client](n)
+	if err != nil {
+		return nil, err
+	}
+	domain := n.Settings.Domain
+	c := newController(domain, n.ID, registryOf(client, domain, n.ID), n.Log, WithMetrics(n.Metrics))
+	c.Owner = func() bool {
+		owner, ok := table.View().Owner(domain, ownerKey)
+		return ok && owner.ID == n.ID
+	}
+	c.Snapshot = holder.Current
+	c.State, c.Requests, c.Send = engines.State, engines.Requests, engines.Order
+	kernel.Provide(n, c)
+	c.Run()
+	return &kernel.Running{
+		Leave: c.Leave,
+		Drain: c.Drain,
+		Close: c.Close,
+		Dump:  func() any { return c.Status() },
+	}, nil
+}
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -87,25 +87,37 @@
 	return httpcall.Limits{ConnectBy: now.Add(connectTimeout), WholeBy: now.Add(listTimeout)}
 }
 
-// short makes a call with a small answer and decodes it into answer. The call
-// has no id: it is not an attempt, and engines may refuse a second call with the
-// same id.
+// short makes a call with a small answer and decodes it into answer.
 func (c *Client) short(ctx context.Context, to ident.Address, method, target string, body, answer any, limits httpcall.Limits) error {
+	call, err := c.shortCall(to, method, target, body, limits)
+	if err != nil {
+		return err
+	}
+	return c.decoded(ctx, call, answer)
+}
+
+// shortCall returns a call with a small body. It has no id: it is not an
+// attempt, and engines may refuse a second call with the same id.
+func (c *Client) shortCall(to ident.Address, method, target string, body any, limits httpcall.Limits) (httpcall.Call, error) {
 	var encoded []byte
 	if body != nil {
 		var err error
 		if encoded, err = json.Marshal(body); err != nil {
-			return fault.Wrap(err, fault.Internal, "cannot encode the call").WithRan(fault.NotRun)
+			return httpcall.Call{}, fault.Wrap(err, fault.Internal, "cannot encode the call").WithRan(fault.NotRun)
 		}
 	}
-	call := httpcall.Call{
+	return httpcall.Call{
 		Address: to,
 		Method:  method,
 		Target:  target,
 		Header:  http.Header{"Content-Type": {"application/json"}, HolderHeader: {string(c.holder)}},
 		Body:    encoded,
 		Limits:  limits,
-	}
+	}, nil
+}
+
+// decoded makes a call and decodes its answer.
+func (c *Client) decoded(ctx context.Context, call httpcall.Call, answer any) error {
 	whole, err := c.whole(ctx, call)
 	if err != nil {
 		return err
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -150,15 +150,15 @@
 	address := ident.Address(p.decode.Address())
 	by := time.Now().Add(10 * time.Second)
 	order := Order{ID: "o1", Fencing: 5, Kind: LoadModel, Model: "drafts", Version: "v1"}
-	if err := p.client.Order(t.Context(), address, order, by, by); err != nil {
+	if err := p.client.Order(t.Context(), address, order, Sending{SendBy: by, DoneBy: by}); err != nil {
 		t.Fatal(err)
 	}
 	order.ID, order.Fencing = "o2", 4
-	if err := p.client.Order(t.Context(), address, order, by, by); !fault.Is(err, fault.NotHolder) {
+	if err := p.client.Order(t.Context(), address, order, Sending{SendBy: by, DoneBy: by}); !fault.Is(err, fault.NotHolder) {
 		t.Errorf("stale order: %v", err)
 	}
 	order.ID, order.Fencing = "o3", 6
-	err := p.client.Order(t.Context(), address, order, time.Now().Add(-time.Second), by)
+	err := p.client.Order(t.Context(), address, order, Sending{SendBy: time.Now().Add(-time.Second), DoneBy: by})
 	if err == nil || fault.From(err).Ran != fault.NotRun {
 		t.Errorf("late order: %v", err)
 	}
--- a/io/engine/order.go
+++ b/io/engine/order.go
@@ -46,20 +46,31 @@
 	Adapters []string      `json:"adapters"`
 }
 
-// Order sends an order once and returns when it is done. sendBy is the last
-// moment at which it may leave, checked right before the send; doneBy ends the
-// wait for its confirmation. The error has kind NotHolder when the engine has
-// seen a higher fencing number.
-func (c *Client) Order(ctx context.Context, to ident.Address, o Order, sendBy, doneBy time.Time) error {
+// Sending says when an order may leave and how long it is waited for.
+type Sending struct {
+	SendBy        time.Time     // Last moment at which it may leave, checked right before the send.
+	DeliverWithin time.Duration // After it the kernel drops what the engine's host has not taken.
+	DoneBy        time.Time     // End of the wait for the engine's confirmation.
+	Check         func() error  // Called right before the send; its error keeps the order back. May be nil.
+}
+
+// Order sends an order once and returns when it is done. The error has kind
+// NotHolder when the engine has seen a higher fencing number; its Ran is NotRun
+// when the order did not leave or was refused.
+func (c *Client) Order(ctx context.Context, to ident.Address, o Order, s Sending) error {
 	var answer struct {
 		ID   string `json:"order_id"`
 		Done bool   `json:"done"`
 	}
-	limits := httpcall.Limits{ConnectBy: sendBy, SendBy: sendBy, WholeBy: doneBy}
-	err := c.short(ctx, to, http.MethodPost, "/orders", o, &answer, limits)
+	limits := httpcall.Limits{ConnectBy: s.SendBy, SendBy: s.SendBy, DeliverWithin: s.DeliverWithin, WholeBy: s.DoneBy}
+	call, err := c.shortCall(to, http.MethodPost, "/orders", o, limits)
 	if err != nil {
 		return err
 	}
+	call.BeforeSend = s.Check
+	if err := c.decoded(ctx, call, &answer); err != nil {
+		return err
+	}
 	if answer.ID != o.ID || !answer.Done {
 		return fault.New(fault.AnswerBroken, "the engine did not confirm order %s", o.ID)
 	}
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -29,6 +29,10 @@
 	Body    []byte
 	ID      string // Sent as X-Request-Id; an answer that names another id is refused.
 	Limits  Limits
+
+	// BeforeSend is called right before the write. Its error ends the call, of
+	// which nothing was sent. May be nil.
+	BeforeSend func() error
 }
 
 // Head is the status line and the headers of an answer.
@@ -71,6 +75,10 @@
 	if err != nil {
 		return err
 	}
+	if err := boundDelivery(conn, call.Limits.DeliverWithin); err != nil {
+		_ = conn.Close()
+		return err
+	}
 	x := newExchange(call, c.maxBytes)
 	nbc, err := c.attach(conn, x)
 	if err != nil {
@@ -83,6 +91,11 @@
 	if by := call.Limits.SendBy; !by.IsZero() && !time.Now().Before(by) {
 		return fault.New(fault.DeadlineExceeded, "the time to send the call has passed").WithRan(fault.NotRun)
 	}
+	if call.BeforeSend != nil {
+		if err := call.BeforeSend(); err != nil {
+			return fault.From(err).WithRan(fault.NotRun)
+		}
+	}
 	// From here on the endpoint may have the call, whatever Write returns.
 	if _, err := nbc.Write(message); err != nil {
 		return fault.Wrap(err, fault.EndpointFailed, "the connection failed while the call was sent")
--- a/io/httpcall/client.go
+++ b/io/httpcall/client.go
@@ -119,5 +119,10 @@
 	SendBy      time.Time     // The call leaves; checked right before the write.
 	FirstByteBy time.Time     // The first byte of the answer is here.
 	PieceWithin time.Duration // Longest silence between two pieces of the answer.
+
+	// DeliverWithin is how long bytes of the call may be on their way. After it
+	// the kernel drops them with the connection, also while this process is
+	// paused; and what was not delivered when the call ends is dropped too.
+	DeliverWithin time.Duration
 	WholeBy     time.Time     // The last byte of the answer is here.
 }
