--- a/core/orders/role.go
+++ b/core/orders/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"monsoonfork/core/config"
 	"monsoonfork/core/kernel"
@@ -41,7 +42,12 @@
 		return nil, err
 	}
 	domain := n.Settings.Domain
-	c := newController(domain, n.ID, registryOf(client, domain, n.ID), n.Log, WithMetrics(n.Metrics))
+	tuning := DefaultTuning()
+	if ms := n.Settings.OrderLeaseMS; ms > 0 {
+		tuning = tuning.WithLease(time.Duration(ms) * time.Millisecond)
+	}
+	c := newController(domain, n.ID, registryOf(client, domain, n.ID), n.Log,
+		WithMetrics(n.Metrics), WithNow(n.Now), WithTuning(tuning))
 	c.Owner = func() bool {
 		owner, ok := table.View().Owner(domain, ownerKey)
 		return ok && owner.ID == n.ID
--- a/core/orders/tuning.go
+++ b/core/orders/tuning.go
@@ -23,7 +23,7 @@
 	return Tuning{
 		LeaseTTL:      10 * time.Second,
 		LeaseMargin:   200 * time.Millisecond,
-		RenewEvery:    3 * time.Second,
+		RenewEvery:    2500 * time.Millisecond,
 		TakeEvery:     time.Second,
 		Tick:          200 * time.Millisecond,
 		LookEvery:     10 * time.Second,
@@ -35,3 +35,14 @@
 		Loads:         4,
 	}
 }
+
+// WithLease returns the tuning with another lease. It is renewed often enough
+// that two lost renewals do no harm.
+func (t Tuning) WithLease(ttl time.Duration) Tuning {
+	t.LeaseTTL = ttl
+	t.RenewEvery = ttl / renewalsPerLease
+	return t
+}
+
+// renewalsPerLease is how often a lease is renewed within its length.
+const renewalsPerLease = 4
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -29,6 +29,7 @@
 	AdmissionLog        string          `yaml:"AdmissionLog"`        // File for one line an admission; empty means none.
 	HeartbeatMS         int64           `yaml:"HeartbeatMS"`         // Interval of heartbeats inside the domain.
 	BalancerDelayMS     int64           `yaml:"BalancerDelayMS"`     // Time that the balancer needs to see a stopping instance.
+	OrderLeaseMS        int64           `yaml:"OrderLeaseMS"`        // Lease of the instance that gives orders to the domain's engines.
 	AllowFaults         bool            `yaml:"AllowFaults"`         // Whether tests may command faults on the operator address.
 }
 
@@ -49,6 +50,9 @@
 	maxHeartbeatMS         = 10_000
 	defaultBalancerDelayMS = 2000
 	maxBalancerDelayMS     = 60_000
+	defaultOrderLeaseMS    = 10_000
+	minOrderLeaseMS        = 2_000
+	maxOrderLeaseMS        = 60_000
 	defaultLogLevel        = "info"
 )
 
@@ -70,6 +74,7 @@
 	s := &Settings{
 		HeartbeatMS:     defaultHeartbeatMS,
 		BalancerDelayMS: defaultBalancerDelayMS,
+		OrderLeaseMS:    defaultOrderLeaseMS,
 		LogLevel:        defaultLogLevel,
 	}
 	doc, found := strictyaml.Decode(raw, s)
@@ -107,6 +112,7 @@
 	}
 	c.between("HeartbeatMS", s.HeartbeatMS, minHeartbeatMS, maxHeartbeatMS)
 	c.between("BalancerDelayMS", s.BalancerDelayMS, 0, maxBalancerDelayMS)
+	c.between("OrderLeaseMS", s.OrderLeaseMS, minOrderLeaseMS, maxOrderLeaseMS)
 	if !slices.Contains(logLevels, s.LogLevel) && !c.Failed("LogLevel") {
 		c.Addf("LogLevel", "give debug, info, warn or error", "%q is not a level", s.LogLevel)
 	}
--- a/io/httpcall/client.go
+++ b/io/httpcall/client.go
@@ -124,5 +124,5 @@
 	// the kernel drops them with the connection, also while this process is
 	// paused; and what was not delivered when the call ends is dropped too.
 	DeliverWithin time.Duration
-	WholeBy     time.Time     // The last byte of the answer is here.
+	WholeBy       time.Time // The last byte of the answer is here.
 }
--- a/lab/fleet/instance.go
+++ b/lab/fleet/instance.go
@@ -61,6 +61,7 @@
 		LogLevel:            f.Spec.LogLevel,
 		HeartbeatMS:         f.Spec.HeartbeatMS,
 		BalancerDelayMS:     f.Spec.BalancerWait.Milliseconds(),
+		OrderLeaseMS:        f.Spec.OrderLease.Milliseconds(),
 		AllowFaults:         f.Spec.AllowFaults,
 	}}
 	if instance.Settings.LogLevel == "" {
@@ -69,6 +70,9 @@
 	if instance.Settings.HeartbeatMS == 0 {
 		instance.Settings.HeartbeatMS = 500
 	}
+	if instance.Settings.OrderLeaseMS == 0 {
+		instance.Settings.OrderLeaseMS = 10_000
+	}
 	return instance, nil
 }
 
--- a/lab/fleet/spec.go
+++ b/lab/fleet/spec.go
@@ -39,6 +39,7 @@
 	Env          []string      // Environment of instances, as NAME=VALUE.
 	LogLevel     string        // Of instances; empty means their default.
 	HeartbeatMS  int64         // Of instances; 0 means their default.
+	OrderLease   time.Duration // Of the instances that give orders to engines; 0 means their default.
 	BalancerWait time.Duration // Of instances: time until the balancer has seen a stop.
 	AdmissionLog bool          // Instances write one line for each admission.
 	Seed         uint64
