bench: rounds at the same time, delay of the load tool; simple policies choose over all domains

They kept to the instance's own domain, and two of four domains have a fifth of the slots but a quarter of the traffic. They now choose a decode engine among all domains and a prefill engine of the same domain, and read the load of all engines. The delay of the load tool is a column, so that it is seen when it is the limit.

--- a/cmd/monsoonlab/bench.go
+++ b/cmd/monsoonlab/bench.go
@@ -25,6 +25,7 @@
 	Headroom    int           `default:"-1" help:"Decode slots kept from organisations above their share; -1 takes the default."`
 	EarlyFactor float64       `default:"-1" help:"Predicted wait over slack at which a request is refused at once; -1 takes the default."`
 	Unlimited   bool          `help:"Let requests above the rates through to placement."`
+	Parallel    int           `default:"1" help:"Rounds that run at the same time; each needs about half a core."`
 	CSV         string        `help:"File for the results as CSV."`
 	Plot        string        `help:"File for the plot (PNG or SVG)."`
 }
@@ -45,14 +46,11 @@
 	if err != nil {
 		return err
 	}
-	var results []*bench.Result
-	for _, r := range rounds {
-		result, err := r.Run(ctx)
-		if err != nil {
-			return fmt.Errorf("%s %s: %w", r.Workload.Name, r.Policy, err)
-		}
-		results = append(results, result)
-		_, _ = fmt.Fprintln(os.Stderr, result.Row())
+	results, err := bench.RunAll(ctx, rounds, c.Parallel, func(r *bench.Result) {
+		_, _ = fmt.Fprintln(os.Stderr, r.Row())
+	})
+	if err != nil {
+		return err
 	}
 	if err := bench.Print(os.Stdout, results); err != nil {
 		return err
--- a/core/placement/baseline.go
+++ b/core/placement/baseline.go
@@ -32,11 +32,13 @@
 	return b
 }
 
-// place chooses the engines of a request at once.
+// place chooses the engines of a request at once: a decode engine of any
+// domain, and a prefill engine of the same domain.
 func (b *baseline) place(t *text.Text, r Request) (*Lease, error) {
-	domain := b.domainFor(t, r.Model)
-	prefill, ok := b.choose(t.Policy.Placement, candidates(t, domain, r, text.Prefill))
-	decode, ok2 := b.choose(t.Policy.Placement, candidates(t, domain, r, text.Decode))
+	decode, ok := b.choose(t.Policy.Placement, candidates(t, r, text.Decode, anyDomain(t, r.Model)))
+	domain := decode.Domain
+	inDomain := func(d ident.DomainID) bool { return d == domain }
+	prefill, ok2 := b.choose(t.Policy.Placement, candidates(t, r, text.Prefill, inDomain))
 	if !ok || !ok2 {
 		return nil, fault.New(fault.NoEndpoint, "no engines serve %s", r.Model).
 			WithRetryAfter(b.placement.now().Add(retryFloor))
@@ -47,24 +49,20 @@
 	}, nil
 }
 
-// domainFor returns the own domain if it serves the model, or another one.
-func (b *baseline) domainFor(t *text.Text, model ident.ModelID) ident.DomainID {
-	if serves(t, b.placement.domain, model) {
-		return b.placement.domain
-	}
-	for _, d := range t.Domains {
-		if serves(t, d, model) {
-			return d
-		}
-	}
-	return b.placement.domain
+// anyDomain matches the domains that serve the model with both roles.
+func anyDomain(t *text.Text, model ident.ModelID) func(ident.DomainID) bool {
+	return func(d ident.DomainID) bool { return serves(t, d, model) }
 }
 
-// candidates returns the engines of a role that may get the request.
-func candidates(t *text.Text, domain ident.DomainID, r Request, role text.EngineRole) []text.Engine {
+// candidates returns the engines of a role that may get the request, in the
+// domains that match.
+func candidates(t *text.Text, r Request, role text.EngineRole, match func(ident.DomainID) bool) []text.Engine {
 	var list []text.Engine
-	for _, e := range enginesOf(t, domain, r.Model) {
-		if e.Role == role && e.State == text.Serving && !r.avoids(e.Name) {
+	for _, e := range t.Engines {
+		if e.Role != role || e.State != text.Serving || !servesModel(e, r.Model) || r.avoids(e.Name) {
+			continue
+		}
+		if match(e.Domain) {
 			list = append(list, e)
 		}
 	}
@@ -109,8 +107,7 @@
 	return float64(l.Running+l.Waiting) / float64(max(1, e.Slots))
 }
 
-// pollLoads reads the load reports of the engines of the own domain while a
-// policy needs them.
+// pollLoads reads the load reports of all engines while a policy needs them.
 func (b *baseline) pollLoads(ctx context.Context) {
 	load := b.placement.engines.Load
 	if load == nil {
@@ -131,9 +128,6 @@
 	defer cancel()
 	var wg sync.WaitGroup
 	for _, e := range t.Engines {
-		if e.Domain != b.placement.domain {
-			continue
-		}
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/lab/bench/output.go
+++ b/lab/bench/output.go
@@ -15,7 +15,7 @@
 	return []string{
 		"Workload", "Load", "Faults", "Policy", "Seed", "Arrivals", "Goodput", "GoodputTokens", "Whole",
 		"WastedPrefill", "Worst", "WorstName", "Wrongful", "Broken",
-		"First50ms", "First95ms", "First99ms", "Gap50ms", "Gap95ms", "Gap99ms",
+		"First50ms", "First95ms", "First99ms", "Gap50ms", "Gap95ms", "Gap99ms", "SentLate99ms",
 	}
 }
 
@@ -26,10 +26,10 @@
 		number(r.Goodput), number(r.GoodputTokens), number(r.Whole),
 		number(r.WastedPrefill), number(r.Worst), r.WorstName, number(r.Wrongful), strconv.Itoa(r.Broken),
 	}
-	for _, list := range [][3]time.Duration{r.First, r.Gap} {
-		for _, d := range list {
-			row = append(row, number(float64(d.Microseconds())/1000))
-		}
+	for _, d := range []time.Duration{
+		r.First[0], r.First[1], r.First[2], r.Gap[0], r.Gap[1], r.Gap[2], r.SentLate99,
+	} {
+		row = append(row, number(float64(d.Microseconds())/1000))
 	}
 	return row
 }
--- a/lab/bench/round.go
+++ b/lab/bench/round.go
@@ -102,6 +102,7 @@
 		if !sleep(ctx, time.Until(due)) {
 			return nil, ctx.Err()
 		}
+		sentLate := time.Since(due)
 		if !faulted && a.At > r.Length/2 {
 			faulted = true
 			if err := r.cause(ctx, &wg, all, engines); err != nil {
@@ -116,7 +117,9 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			keep(serveDirect(ctx, e, a, due))
+			s := serveDirect(ctx, e, a, due)
+			s.SentLate = sentLate
+			keep(s)
 		}()
 	}
 	wg.Wait()
--- /dev/null
+++ b/lab/bench/runall.go
@@ -0,0 +1,43 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+)
+
+// RunAll runs rounds in their order, some at the same time, and returns their
+// results in that order. Each result is also given to done.
+func RunAll(ctx context.Context, rounds []Round, parallel int, done func(*Result)) ([]*Result, error) {
+	results := make([]*Result, 0, len(rounds))
+	for len(rounds) > 0 {
+		n := min(max(1, parallel), len(rounds))
+		batch, err := runBatch(ctx, rounds[:n])
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range batch {
+			done(r)
+		}
+		results = append(results, batch...)
+		rounds = rounds[n:]
+	}
+	return results, nil
+}
+
+// runBatch runs rounds at the same time.
+func runBatch(ctx context.Context, rounds []Round) ([]*Result, error) {
+	results := make([]*Result, len(rounds))
+	errs := make([]error, len(rounds))
+	var wg sync.WaitGroup
+	for i, r := range rounds {
+		wg.Go(func() { results[i], errs[i] = r.Run(ctx) })
+	}
+	wg.Wait()
+	for i, err := range errs {
+		if err != nil {
+			return nil, fmt.Errorf("%s %s: %w", rounds[i].Workload.Name, rounds[i].Policy, err)
+		}
+	}
+	return results, nil
+}
--- a/lab/bench/sample.go
+++ b/lab/bench/sample.go
@@ -17,6 +17,7 @@
 	Gaps     []time.Duration
 	Tokens   ident.Tokens // Delivered.
 	Attempts int
+	SentLate time.Duration // Delay of the load tool itself.
 }
 
 // whole reports whether the answer came to its end.
@@ -75,16 +76,18 @@
 	Broken        int     // Admitted requests that ended with another error.
 	First         [3]time.Duration
 	Gap           [3]time.Duration
+	SentLate99    time.Duration // Delay of the load tool itself.
 }
 
 // measure fills the measures that come from samples.
 func (r *Result) measure(samples []Sample) {
-	var first, gaps []time.Duration
+	var first, gaps, sentLate []time.Duration
 	asked := make(map[ident.OrganisationID]float64)
 	served := make(map[ident.OrganisationID]float64)
 	inRate, refused, good, whole := 0, 0, 0, 0
 	for _, s := range samples {
 		o := s.Arrival.Organisation
+		sentLate = append(sentLate, s.SentLate)
 		if s.Arrival.InRate {
 			inRate++
 			asked[o] += s.Arrival.cost()
@@ -113,6 +116,7 @@
 	r.Whole = float64(whole) / r.Seconds
 	r.Wrongful = float64(refused) / float64(max(1, inRate))
 	r.worst(asked, served)
+	r.SentLate99 = percentile(sentLate, 0.99)
 	for i, p := range []float64{0.50, 0.95, 0.99} {
 		r.First[i], r.Gap[i] = percentile(first, p), percentile(gaps, p)
 	}
