Commands for the hand-over of a dispatcher and for status calls beside full engines

bench: round robin used one counter for both roles; with two steps a request it left out half of the engines. Each role has its own now. The list of instances was read while a replaced one was added: it is under a lock.

--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -18,6 +18,8 @@
 		{"load", "Send a workload to a fleet and report.", &loadCommand{}},
 		{"soak", "Run a fleet under random faults and check what must hold.", &soakCommand{}},
 		{"bench", "Measure placement policies.", &benchCommand{}},
+		{"handover", "Measure the hand-over of a dispatcher.", &handoverCommand{}},
+		{"statuslatency", "Measure status calls while the engines are full.", &statusLatencyCommand{}},
 		{"slopes", "Measure what a daemon costs at several sizes.", &slopesCommand{}},
 		{"overhead", "Measure what monsoonfork adds to a call.", &overheadCommand{}},
 		{"help", "Explain a verb.", &helpCommand{}},
--- a/core/placement/baseline.go
+++ b/core/placement/baseline.go
@@ -19,7 +19,7 @@
 // They run in each entry by itself, without a queue or reservations.
 type baseline struct {
 	placement *Placement
-	next      atomic.Uint64 // Round robin counter.
+	next      [2]atomic.Uint64 // Round robin counters, by the role of the engines.
 
 	mu    sync.Mutex
 	loads map[ident.EndpointID]Load
@@ -28,7 +28,9 @@
 // newBaseline returns the simple policies of an entry.
 func newBaseline(p *Placement) *baseline {
 	b := &baseline{placement: p, loads: make(map[ident.EndpointID]Load)}
-	b.next.Store(rand.Uint64N(1 << 20))
+	for i := range b.next {
+		b.next[i].Store(rand.Uint64N(1 << 20))
+	}
 	return b
 }
 
@@ -69,7 +71,7 @@
 	return list
 }
 
-// choose picks one of the engines by a simple policy.
+// choose picks one of the engines, all of one role, by a simple policy.
 func (b *baseline) choose(policy text.PlacementPolicy, list []text.Engine) (text.Engine, bool) {
 	if len(list) == 0 {
 		return text.Engine{}, false
@@ -82,7 +84,7 @@
 		j := rand.IntN(len(list))
 		return b.leastLoaded([]text.Engine{list[i], list[j]}), true
 	}
-	return list[b.next.Add(1)%uint64(len(list))], true
+	return list[b.next[list[0].Role].Add(1)%uint64(len(list))], true
 }
 
 // leastLoaded returns the engine with the least reported load for its slots;
--- a/lab/bench/direct.go
+++ b/lab/bench/direct.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -28,7 +30,7 @@
 	table     *membership.Table
 	holder    *config.Holder
 	member    membership.Member
-	closed    bool
+	closed    atomic.Bool
 }
 
 // newEntry starts an instance whose text is not known yet.
@@ -50,10 +52,9 @@
 
 // close ends the instance at once, as a crash does.
 func (e *entry) close() {
-	if e.closed {
+	if e.closed.Swap(true) {
 		return
 	}
-	e.closed = true
 	_ = e.placement.Close()
 	_ = e.links.Close()
 }
@@ -63,8 +64,30 @@
 	workload Workload
 	text     *text.Text
 	calls    *httpcall.Client
-	list     []*entry
 	opts     []placement.ServiceOption
+
+	mu   sync.Mutex
+	list []*entry
+}
+
+// add adds an instance.
+func (all *entries) add(e *entry) {
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	all.list = append(all.list, e)
+}
+
+// live returns the instances that have not crashed.
+func (all *entries) live() []*entry {
+	all.mu.Lock()
+	defer all.mu.Unlock()
+	var live []*entry
+	for _, e := range all.list {
+		if !e.closed.Load() {
+			live = append(live, e)
+		}
+	}
+	return live
 }
 
 // startEntries starts the instances of a workload and makes them know each
@@ -82,11 +105,11 @@
 				all.close()
 				return nil, err
 			}
-			all.list = append(all.list, e)
+			all.add(e)
 		}
 	}
 	all.meet()
-	for _, e := range all.list {
+	for _, e := range all.live() {
 		e.holder.Offer(&config.Snapshot{Revision: 1, Text: t})
 		e.placement.Start()
 	}
@@ -95,23 +118,20 @@
 
 // meet makes all live instances know each other.
 func (all *entries) meet() {
-	for _, a := range all.list {
-		for _, b := range all.list {
-			if !a.closed && !b.closed {
-				a.table.Heard(b.member)
-			}
+	live := all.live()
+	for _, a := range live {
+		for _, b := range live {
+			a.table.Heard(b.member)
 		}
 	}
 }
 
 // dispatcherOf returns the instance that dispatches in a domain.
 func (all *entries) dispatcherOf(domain ident.DomainID) *entry {
-	for _, e := range all.list {
-		if e.closed {
-			continue
-		}
+	live := all.live()
+	for _, e := range live {
 		owner, _ := e.table.View().Owner(domain, "Placement/"+string(modelName))
-		for _, o := range all.list {
+		for _, o := range live {
 			if o.id == owner.ID {
 				return o
 			}
@@ -127,16 +147,14 @@
 	if !sleep(ctx, notice) {
 		return nil
 	}
-	for _, e := range all.list {
-		if !e.closed {
-			e.table.Ended(old.id)
-		}
+	for _, e := range all.live() {
+		e.table.Ended(old.id)
 	}
 	e, err := newEntry("replaced", old.domain, all.calls, all.opts...)
 	if err != nil {
 		return err
 	}
-	all.list = append(all.list, e)
+	all.add(e)
 	all.meet()
 	e.holder.Offer(&config.Snapshot{Revision: 1, Text: all.text})
 	e.placement.Start()
@@ -145,18 +163,13 @@
 
 // pick returns the live instance that a balancer would choose.
 func (all *entries) pick(caller uint64) *entry {
-	var live []*entry
-	for _, e := range all.list {
-		if !e.closed {
-			live = append(live, e)
-		}
-	}
+	live := all.live()
 	return live[caller%uint64(len(live))]
 }
 
 // close ends all instances.
 func (all *entries) close() {
-	for _, e := range all.list {
+	for _, e := range all.live() {
 		e.close()
 	}
 	all.calls.Close()
--- a/lab/bench/round.go
+++ b/lab/bench/round.go
@@ -24,6 +24,8 @@
 	Warmup    time.Duration // Arrivals of this time are not measured.
 	Admit     bool          // Whether requests above the rate are refused.
 	Placement []placement.ServiceOption
+
+	onReplace func(old *entry) // Called before an instance is replaced, if set.
 }
 
 // Faults says what fails in a round.
@@ -51,6 +53,14 @@
 
 // Run runs the round and returns its measures.
 func (r Round) Run(ctx context.Context) (*Result, error) {
+	return r.run(ctx, func(*entries, map[ident.EndpointID]*engineProcess) {}, func([]Sample) {})
+}
+
+// run runs the round. It calls started when all is running, and ended with the
+// samples.
+func (r Round) run(
+	ctx context.Context, started func(*entries, map[ident.EndpointID]*engineProcess), ended func([]Sample),
+) (*Result, error) {
 	lag := usualLag
 	if r.Faults == ReportsLag {
 		lag = laggingLag
@@ -68,10 +78,12 @@
 	if !sleep(ctx, settleTime) {
 		return nil, ctx.Err()
 	}
+	started(all, engines)
 	samples, err := r.load(ctx, all, engines)
 	if err != nil {
 		return nil, err
 	}
+	ended(samples)
 	result := &Result{
 		Workload: r.Workload.Name, Policy: r.Policy.String(), Faults: r.Faults.String(),
 		Load: r.Load, Seed: r.Seed, Seconds: (r.Length - r.Warmup).Seconds(),
@@ -118,7 +130,7 @@
 		go func() {
 			defer wg.Done()
 			s := serveDirect(ctx, e, a, due)
-			s.SentLate = sentLate
+			s.SentLate, s.Instance = sentLate, e.id
 			keep(s)
 		}()
 	}
@@ -145,6 +157,9 @@
 		}()
 	case InstanceReplaced:
 		old := all.dispatcherOf(first.Name)
+		if r.onReplace != nil {
+			r.onReplace(old)
+		}
 		old.close()
 		wg.Add(1)
 		go func() {
--- a/lab/bench/sample.go
+++ b/lab/bench/sample.go
@@ -17,6 +17,7 @@
 	Gaps     []time.Duration
 	Tokens   ident.Tokens // Delivered.
 	Attempts int
+	Instance ident.InstanceID
 	SentLate time.Duration // Delay of the load tool itself.
 }
 
