settings: one source of defaults for programs that build settings

Daemons that tests start with settings of their own failed to start when the setting OrderLeaseMS came ('0 is out of range'), so that TestProcessesWithTheStoreSilentAndADomainCutOff saw no requests: each place that built settings repeated some defaults. settings.Default gives them all.

--- a/core/budget/process_test.go
+++ b/core/budget/process_test.go
@@ -68,18 +68,16 @@
 	f.t.Helper()
 	f.started++
 	name := fmt.Sprintf("n%d-%d", i, f.started)
-	s := settings.Settings{
-		Name:            name,
-		Domain:          f.domainOf(i),
-		CallerAddress:   "127.0.0.1:1",
-		OperatorAddress: "127.0.0.1:1",
-		PeerAddress:     f.addresses[i],
-		StoreAddresses:  []ident.Address{ident.Address(f.store.Address())},
-		FirstPeers:      f.addresses,
-		AdmissionLog:    filepath.Join(f.dir, name+".log"),
-		HeartbeatMS:     500,
-		LogLevel:        "error",
-	}
+	s := settings.Default()
+	s.Name = name
+	s.Domain = f.domainOf(i)
+	s.CallerAddress = "127.0.0.1:1"
+	s.OperatorAddress = "127.0.0.1:1"
+	s.PeerAddress = f.addresses[i]
+	s.StoreAddresses = []ident.Address{ident.Address(f.store.Address())}
+	s.FirstPeers = f.addresses
+	s.AdmissionLog = filepath.Join(f.dir, name+".log")
+	s.LogLevel = "error"
 	raw, err := yaml.Marshal(s)
 	if err != nil {
 		f.t.Fatal(err)
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -59,6 +59,16 @@
 // logLevels are the values of LogLevel.
 var logLevels = []string{"debug", "info", "warn", "error"}
 
+// Default returns the settings that a file need not give.
+func Default() *Settings {
+	return &Settings{
+		HeartbeatMS:     defaultHeartbeatMS,
+		BalancerDelayMS: defaultBalancerDelayMS,
+		OrderLeaseMS:    defaultOrderLeaseMS,
+		LogLevel:        defaultLogLevel,
+	}
+}
+
 // Load reads and checks the settings in a file.
 func Load(path string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
@@ -71,12 +81,7 @@
 // Decode reads and checks settings. The error lists all problems, each with
 // its line and field.
 func Decode(raw []byte) (*Settings, error) {
-	s := &Settings{
-		HeartbeatMS:     defaultHeartbeatMS,
-		BalancerDelayMS: defaultBalancerDelayMS,
-		OrderLeaseMS:    defaultOrderLeaseMS,
-		LogLevel:        defaultLogLevel,
-	}
+	s := Default()
 	doc, found := strictyaml.Decode(raw, s)
 	c := checker{strictyaml.NewChecker(doc, found)}
 	if !doc.Unreadable {
--- a/lab/fleet/instance.go
+++ b/lab/fleet/instance.go
@@ -50,30 +50,26 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("entry-%d", i+1)
-	instance := &Instance{Name: name, Store: storeRelay, Settings: settings.Settings{
-		Name:                name,
-		Domain:              f.Spec.domain(i),
-		CallerAddress:       addresses[0],
-		PeerAddress:         addresses[1],
-		OperatorAddress:     addresses[2],
-		StoreAddresses:      []ident.Address{ident.Address(storeRelay.Address())},
-		InstanceListAddress: ident.Address(f.List.Address),
-		LogLevel:            f.Spec.LogLevel,
-		HeartbeatMS:         f.Spec.HeartbeatMS,
-		BalancerDelayMS:     f.Spec.BalancerWait.Milliseconds(),
-		OrderLeaseMS:        f.Spec.OrderLease.Milliseconds(),
-		AllowFaults:         f.Spec.AllowFaults,
-	}}
-	if instance.Settings.LogLevel == "" {
-		instance.Settings.LogLevel = "info"
+	s := settings.Default()
+	s.Name = name
+	s.Domain = f.Spec.domain(i)
+	s.CallerAddress = addresses[0]
+	s.PeerAddress = addresses[1]
+	s.OperatorAddress = addresses[2]
+	s.StoreAddresses = []ident.Address{ident.Address(storeRelay.Address())}
+	s.InstanceListAddress = ident.Address(f.List.Address)
+	s.BalancerDelayMS = f.Spec.BalancerWait.Milliseconds()
+	s.AllowFaults = f.Spec.AllowFaults
+	if f.Spec.LogLevel != "" {
+		s.LogLevel = f.Spec.LogLevel
 	}
-	if instance.Settings.HeartbeatMS == 0 {
-		instance.Settings.HeartbeatMS = 500
+	if f.Spec.HeartbeatMS != 0 {
+		s.HeartbeatMS = f.Spec.HeartbeatMS
 	}
-	if instance.Settings.OrderLeaseMS == 0 {
-		instance.Settings.OrderLeaseMS = 10_000
+	if f.Spec.OrderLease != 0 {
+		s.OrderLeaseMS = f.Spec.OrderLease.Milliseconds()
 	}
-	return instance, nil
+	return &Instance{Name: name, Store: storeRelay, Settings: *s}, nil
 }
 
 // StartInstance starts an instance, or starts it anew after it has ended. It
