--- /dev/null
+++ b/core/config/bench_test.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+)
+
+// sizes are parts, in percent, of the full size: 780 engines, 520
+// organisations with two keys each, 21 models.
+var sizes = []int{25, 50, 75, 100}
+
+// sizedText writes a text of a part of the full size.
+func sizedText(percent int) []byte {
+	var b strings.Builder
+	b.WriteString("Domains: [d0, d1, d2, d3, d4, d5, d6, d7]\nModels:\n")
+	for n := range 21 {
+		fmt.Fprintf(&b, "  - {Name: model-%d, Version: v1, MinBytesPerToken: 2, BytesPerKVToken: 131072, MaxTokens: 64000}\n", n)
+	}
+	b.WriteString("Engines:\n")
+	for n := range 780 * percent / 100 {
+		role := [...]string{"Prefill", "Decode", "Decode"}[n%3]
+		fmt.Fprintf(&b, "  - {Name: engine-%d, Domain: d%d, Address: \"10.%d.%d.7:8000\", Role: %s, Models: [model-%d], Slots: 20, MemoryPieces: 2000, TokensPerPiece: 16, LinkBytesPerSecond: 3600000000, PrefillTokensPerSecond: 9000}\n",
+			n, n%8, n/250, n%250, role, n/3%21)
+	}
+	b.WriteString("Services:\n  - {Name: chat, Kind: ModelService, Models: [")
+	for n := range 21 {
+		if n > 0 {
+			b.WriteString(", ")
+		}
+		fmt.Fprintf(&b, "model-%d", n)
+	}
+	b.WriteString("]}\nRoutes:\n  - {Name: completions, Path: /v1/completions, Method: POST, Service: chat, Idempotent: true}\nOrganisations:\n")
+	for n := range 520 * percent / 100 {
+		fmt.Fprintf(&b, "  - {Name: organisation-%d, RateTokensPerSecond: 5000, BurstTokens: 20000}\n", n)
+	}
+	b.WriteString("Keys:\n")
+	for n := range 1040 * percent / 100 {
+		fmt.Fprintf(&b, "  - {Name: key-%d, Organisation: organisation-%d, Salt: %s, Digest: %s}\n", n, n/2, randomHex(16), randomHex(32))
+	}
+	return []byte(b.String())
+}
+
+// randomHex returns n random bytes as digits.
+func randomHex(n int) string {
+	raw := make([]byte, n)
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
+
+// BenchmarkChange shows what one change of the text costs a daemon that takes
+// it, and how much is sent to it.
+func BenchmarkChange(b *testing.B) {
+	for _, percent := range sizes {
+		b.Run(fmt.Sprintf("Percent%d", percent), func(b *testing.B) {
+			raw := sizedText(percent)
+			packed, err := Pack(raw)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				unpacked, err := Unpack(packed)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := NewSnapshot(1, "edit-1", unpacked, time.Now()); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "textbytes")
+			b.ReportMetric(float64(len(packed)), "sentbytes")
+		})
+	}
+}
