Tests take ports from below the range of outgoing connections

Cause: TestEditOfATextFromPlanToForce failed once with 'address already in use': its daemons listen on ports that the kernel had given out and taken back, and any outgoing connection may take such a port meanwhile. lab/process.FreeAddress takes ports that the kernel gives to nobody; the tests of the verbs, of the pages, of core/config/relay and of core/budget use it now.

--- a/cmd/monsoonfork/docs_test.go
+++ b/cmd/monsoonfork/docs_test.go
@@ -7,7 +7,6 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -24,6 +23,7 @@
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
 	"monsoonfork/io/standin/store"
+	"monsoonfork/lab/process"
 )
 
 // Pages and marks.
@@ -165,12 +165,11 @@
 // freeAddress returns a loopback address with a free port.
 func freeAddress(t *testing.T) ident.Address {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := process.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	return ident.Address(listener.Addr().String())
+	return ident.Address(address)
 }
 
 // TestErrorKindsOfThePage checks the table of error kinds against core/fault.
--- a/cmd/monsoonfork/verb/operator_test.go
+++ b/cmd/monsoonfork/verb/operator_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -23,6 +22,7 @@
 	"monsoonfork/io/operator"
 	"monsoonfork/io/standin/control"
 	standin "monsoonfork/io/standin/store"
+	"monsoonfork/lab/process"
 )
 
 // daemon is one daemon in the test process with a stand-in store.
@@ -52,12 +52,12 @@
 }
 
 func freeAddress(t *testing.T) ident.Address {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := process.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
-	return ident.Address(ln.Addr().String())
+	return ident.Address(address)
 }
 
 // run runs a verb and returns its exit code and what it wrote.
--- a/core/budget/links_test.go
+++ b/core/budget/links_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"testing"
@@ -19,6 +18,7 @@
 	"monsoonfork/core/text"
 	"monsoonfork/io/standin/control"
 	"monsoonfork/io/standin/store"
+	"monsoonfork/lab/process"
 )
 
 // linkedNode is a node with real links, and a real client of a store that
@@ -32,12 +32,11 @@
 // freeAddress returns a loopback address that nobody listens on.
 func freeAddress(t *testing.T) ident.Address {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := process.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return ident.Address(l.Addr().String())
+	return ident.Address(address)
 }
 
 // startLinked starts nodes, one for each of the domains named.
--- a/core/config/relay/relay_test.go
+++ b/core/config/relay/relay_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"slices"
 	"testing"
 	"time"
@@ -21,6 +20,7 @@
 	"monsoonfork/io/standin/control"
 	standin "monsoonfork/io/standin/store"
 	"monsoonfork/io/store"
+	"monsoonfork/lab/process"
 )
 
 // inForceBound is the stated bound from acceptance to force everywhere.
@@ -128,12 +128,12 @@
 }
 
 func freeAddress(t *testing.T) ident.Address {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := process.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
-	return ident.Address(ln.Addr().String())
+	return ident.Address(address)
 }
 
 func TestInForceEverywhere(t *testing.T) {
