--- a/lab/quickstart/quickstart.go
+++ b/lab/quickstart/quickstart.go
@@ -59,7 +59,10 @@
 	}
 	_, _ = fmt.Fprintf(out, "\n== %s: %d instances in %d failure domains, %d engines, %d endpoints of the plain service\n",
 		w.Name, len(f.Instances), len(w.Domains), len(f.Engines), len(f.Services))
-	failure := showRequests(ctx, out, f)
+	failure := showText(ctx, out, f)
+	if failure == nil {
+		failure = showRequests(ctx, out, f)
+	}
 	if failure == nil {
 		failure = showStatus(ctx, out, f)
 	}
