--- a/core/claims/log.go
+++ b/core/claims/log.go
@@ -33,12 +33,17 @@
 	holderGone func(ident.InstanceID) bool
 
 	loaded    bool
+	current   bool // Nothing was written since the last read.
 	head      Head
 	headIndex store.Index
 	index     index
 	segments  []segmentAge // Oldest first.
+	nextSweep time.Time    // Of the index.
 }
 
+// sweepInterval is the time between two sweeps of an index.
+const sweepInterval = time.Minute
+
 // segmentAge says when the newest entry of a segment was made.
 type segmentAge struct {
 	seq    int64
@@ -61,6 +66,16 @@
 // refresh reads what was appended since the last read. A process that has
 // just started reads the whole log before it judges any call.
 func (l *shardLog) refresh(ctx context.Context) error {
+	l.current = false
+	if err := l.read(ctx); err != nil {
+		return err
+	}
+	l.current = true
+	return nil
+}
+
+// read reads the head, or the whole log if the head alone does not tell all.
+func (l *shardLog) read(ctx context.Context) error {
 	if !l.loaded {
 		return l.load(ctx)
 	}
@@ -152,6 +167,7 @@
 // write appends entries after the head that was last read. Only when it
 // returns Written do they stand in the log for sure.
 func (l *shardLog) write(ctx context.Context, entries []Entry) (store.Outcome, error) {
+	l.current = false
 	next := Head{Seq: l.head.Seq}
 	if l.full(entries) {
 		outcome, err := l.rotate(ctx)
@@ -196,25 +212,48 @@
 		return store.NotWritten, fault.Wrap(err, fault.Internal, "claims: marshal segment")
 	}
 	key := l.segmentKey(l.head.Seq)
+	outcome, err := l.store.CompareAndSwap(ctx, key, raw, 0)
+	if outcome != store.Conflict {
+		return outcome, err
+	}
+	return l.replaceSegment(ctx, key, raw)
+}
+
+// replaceSegment replaces a segment that stands already.
+func (l *shardLog) replaceSegment(ctx context.Context, key string, raw []byte) (store.Outcome, error) {
 	listing, err := l.store.Get(ctx, key)
 	if err != nil {
 		return store.NotWritten, err
 	}
-	var at store.Index
-	if existing, ok := listing.First(); ok {
-		var segment Segment
-		if err := decode(existing.Value, &segment); err != nil {
-			return store.NotWritten, err
-		}
-		switch {
-		case len(segment.Entries) > len(l.head.Entries):
-			return store.Conflict, nil
-		case len(segment.Entries) == len(l.head.Entries):
-			return store.Written, nil
+	existing, ok := listing.First()
+	if !ok {
+		return store.Conflict, nil
+	}
+	var segment Segment
+	if err := decode(existing.Value, &segment); err != nil {
+		return store.NotWritten, err
+	}
+	switch {
+	case len(segment.Entries) > len(l.head.Entries):
+		return store.Conflict, nil
+	case len(segment.Entries) == len(l.head.Entries):
+		return store.Written, nil
+	}
+	return l.store.CompareAndSwap(ctx, key, raw, existing.ModifyIndex)
+}
+
+// sweep drops the records of calls that are past the retention.
+func (l *shardLog) sweep() {
+	now := l.now()
+	if now.Before(l.nextSweep) {
+		return
+	}
+	l.nextSweep = now.Add(sweepInterval)
+	for call, r := range l.index {
+		if l.expired(r.at) {
+			delete(l.index, call)
 		}
-		at = existing.ModifyIndex
 	}
-	return l.store.CompareAndSwap(ctx, key, raw, at)
 }
 
 // prune deletes the oldest segment if all of it is past the retention twice.
--- a/lab/slopes/slopes.go
+++ b/lab/slopes/slopes.go
@@ -6,8 +6,11 @@
 	"context"
 	"fmt"
 	"io"
+	"path/filepath"
 	"time"
 
+	"github.com/google/pprof/profile"
+
 	"monsoonfork/core/ident"
 	"monsoonfork/lab/fleet"
 	"monsoonfork/lab/load"
@@ -51,13 +54,18 @@
 	fixedInstances     = 4
 	fixedEngines       = 4
 	fixedOrganisations = 5
+	requestEngines     = 24 // Enough for the most requests.
 )
 
+// smallInstance gives each daemon the processors of a small instance.
+const smallInstance = "GOMAXPROCS=2"
+
 // Point is one measurement. Costs are means over the daemons.
 type Point struct {
 	Axis       Axis
 	Value      int
-	CPUPercent float64     // Of one core.
+	CPUPercent float64     // Of one core, all work.
+	ControlCPU float64     // Of that, decisions and messages between instances and with the store.
 	Memory     ident.Bytes // Resident.
 	BytesOut   float64     // To other instances, a second.
 	Reads      float64     // Of the store by all daemons together, a minute.
@@ -72,6 +80,8 @@
 	Settle time.Duration // Time before each measurement.
 	Window time.Duration // Length of each measurement.
 	Seed   uint64
+
+	ProfileDir string // Directory for the profiles; empty means that none are kept.
 }
 
 // Run measures all lines and returns their points.
@@ -109,6 +119,11 @@
 	if err != nil {
 		return Point{}, err
 	}
+	profiles := make(chan profileResult, 1)
+	go func() {
+		p, err := profileFleet(ctx, f, cfg.Window)
+		profiles <- profileResult{p, err}
+	}()
 	served, err := loadFor(ctx, cfg, f, axis, value)
 	if err != nil {
 		return Point{}, err
@@ -117,12 +132,29 @@
 	if err != nil {
 		return Point{}, err
 	}
+	profiled := <-profiles
+	if profiled.err != nil {
+		return Point{}, profiled.err
+	}
+	if cfg.ProfileDir != "" {
+		name := fmt.Sprintf("%s-%d.prof", axis, value)
+		if err := writeProfile(filepath.Join(cfg.ProfileDir, name), profiled.profile); err != nil {
+			return Point{}, err
+		}
+	}
 	p := after.since(before, len(f.Instances))
+	p.ControlCPU = p.CPUPercent * shareOf(count(profiled.profile))
 	p.Axis, p.Value = axis, value
 	p.Served = served / after.at.Sub(before.at).Seconds() / float64(len(f.Instances))
 	return p, nil
 }
 
+// profileResult is what profileFleet returns.
+type profileResult struct {
+	profile *profile.Profile
+	err     error
+}
+
 // loadFor passes the window, with requests if the axis is theirs, and returns
 // how many were answered whole.
 func loadFor(ctx context.Context, cfg Config, f *fleet.Fleet, axis Axis, value int) (float64, error) {
@@ -146,13 +178,16 @@
 func spec(cfg Config, axis Axis, value int) fleet.Spec {
 	sizes := map[Axis]int{Instances: fixedInstances, Engines: fixedEngines, Organisations: fixedOrganisations}
 	sizes[axis] = value
+	if axis == Requests {
+		sizes[Engines] = requestEngines
+	}
 	w := workload.Tatrasoft()
 	w.Domains = w.Domains[:1]
 	w.Prefill = max(1, sizes[Engines]/3)
 	w.Decode = sizes[Engines] - w.Prefill
 	w.Services = 2
 	w.Organisations = organisations(sizes[Organisations])
-	return fleet.Spec{Workload: w, Instances: sizes[Instances], Embedded: true, Seed: cfg.Seed}
+	return fleet.Spec{Workload: w, Instances: sizes[Instances], Embedded: true, Seed: cfg.Seed, Env: []string{smallInstance}}
 }
 
 // organisations returns organisations of equal share whose rates never limit.
