--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -29,14 +29,15 @@
 	AdmissionLog        string          `yaml:"AdmissionLog"`        // File for one line an admission; empty means none.
 	HeartbeatMS         int64           `yaml:"HeartbeatMS"`         // Interval of heartbeats inside the domain.
 	BalancerDelayMS     int64           `yaml:"BalancerDelayMS"`     // Time that the balancer needs to see a stopping instance.
+	OrderLeaseMS        int64           `yaml:"OrderLeaseMS"`        // Lease of the instance that gives orders to the domain's engines.
 	AllowFaults         bool            `yaml:"AllowFaults"`         // Whether tests may command faults on the operator address.
 }
 
 // TLS names the files for mutual TLS between instances.
 type TLS struct {
-	CertFile string `yaml:"CertFile"`
-	KeyFile  string `yaml:"KeyFile"`
-	CAFile   string `yaml:"CAFile"`
+	CertFile string `yaml:"CertFile"` // Certificate of this instance.
+	KeyFile  string `yaml:"KeyFile"`  // Its private key.
+	CAFile   string `yaml:"CAFile"`   // Certificates that sign those of the instances.
 }
 
 // Enabled reports whether links use TLS.
@@ -49,12 +50,25 @@
 	maxHeartbeatMS         = 10_000
 	defaultBalancerDelayMS = 2000
 	maxBalancerDelayMS     = 60_000
+	defaultOrderLeaseMS    = 10_000
+	minOrderLeaseMS        = 2_000
+	maxOrderLeaseMS        = 60_000
 	defaultLogLevel        = "info"
 )
 
 // logLevels are the values of LogLevel.
 var logLevels = []string{"debug", "info", "warn", "error"}
 
+// Default returns the settings that a file need not give.
+func Default() *Settings {
+	return &Settings{
+		HeartbeatMS:     defaultHeartbeatMS,
+		BalancerDelayMS: defaultBalancerDelayMS,
+		OrderLeaseMS:    defaultOrderLeaseMS,
+		LogLevel:        defaultLogLevel,
+	}
+}
+
 // Load reads and checks the settings in a file.
 func Load(path string) (*Settings, error) {
 	raw, err := os.ReadFile(path)
@@ -67,11 +81,7 @@
 // Decode reads and checks settings. The error lists all problems, each with
 // its line and field.
 func Decode(raw []byte) (*Settings, error) {
-	s := &Settings{
-		HeartbeatMS:     defaultHeartbeatMS,
-		BalancerDelayMS: defaultBalancerDelayMS,
-		LogLevel:        defaultLogLevel,
-	}
+	s := Default()
 	doc, found := strictyaml.Decode(raw, s)
 	c := checker{strictyaml.NewChecker(doc, found)}
 	if !doc.Unreadable {
@@ -107,6 +117,7 @@
 	}
 	c.between("HeartbeatMS", s.HeartbeatMS, minHeartbeatMS, maxHeartbeatMS)
 	c.between("BalancerDelayMS", s.BalancerDelayMS, 0, maxBalancerDelayMS)
+	c.between("OrderLeaseMS", s.OrderLeaseMS, minOrderLeaseMS, maxOrderLeaseMS)
 	if !slices.Contains(logLevels, s.LogLevel) && !c.Failed("LogLevel") {
 		c.Addf("LogLevel", "give debug, info, warn or error", "%q is not a level", s.LogLevel)
 	}
