budget: a released slot is not claimed while a successor has this member's promise

Found by reading: a holder that released its slot and ended, a successor without the store, and a member that wakes from a pause of more than 2.5 s while the successor is paused. The record reads free, the member claims it, nobody refuses it, and the successor still has its right when it wakes.

Change: a free record with an older epoch than the member has promised is left alone until that promise has lapsed.

--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -255,7 +255,9 @@
 		k.mu.Unlock()
 		return
 	}
-	free := stored.version == 0 || r.Holder == "" || r.Holder == k.b.self
+	// A holder that the store does not name yet may have this member's promise.
+	promised := r.Epoch < s.epoch && now.Age < s.promisedUntil
+	free := !promised && (stored.version == 0 || r.Holder == "" || r.Holder == k.b.self)
 	lapsed := o.lapsed(now.Age) && now.Age >= s.promisedUntil
 	if !free && !lapsed && !k.ended(r.Holder, s, now.Age) {
 		k.mu.Unlock()
