placement: back home from a domain whose dispatcher has moved

Cause: in TestPlannedStopsCutNoSummary 4 of 520 requests were refused with not_holder. Each had been passed to a domain with room whose instance then began its planned stop. A leaving instance tells its own domain at once, but only one member of each other one, so the asker kept asking the old dispatcher until the time to the first token was over. Ruled out: requests of the own domain, whose members are all told.

A request that finds no dispatcher where it was passed on goes back to its own domain at once, as it does when the room is gone.

--- a/core/placement/entry.go
+++ b/core/placement/entry.go
@@ -75,14 +75,15 @@
 		case ctx.Err() != nil:
 			p.abandon(way.domain, r)
 			return nil, ctx.Err()
+		case way.domain != p.domain && way.moves == 1 && p.hopeful(r):
+			// The room or its dispatcher was gone: back home, to stay there.
+			p.abandon(way.domain, r)
+			way = route{domain: p.domain, moves: maxMoves}
 		case retryable(err) && p.hopeful(r):
 			if !pause(ctx, retryPause) {
 				p.abandon(way.domain, r)
 				return nil, ctx.Err()
 			}
-		case way.domain != p.domain && way.moves == 1 && p.hopeful(r):
-			// The room was gone: back home, to stay there.
-			way = route{domain: p.domain, moves: maxMoves}
 		case fault.Is(err, fault.Overloaded) || fault.Is(err, fault.NoEndpoint):
 			return nil, err
 		default:
--- a/core/placement/service_test.go
+++ b/core/placement/service_test.go
@@ -214,6 +214,28 @@
 	}
 }
 
+// The instance that dispatches in another domain stops, and this one has not
+// heard of it: its requests come back to their own domain.
+func TestRequestComesHomeFromADomainWhoseDispatcherMoved(t *testing.T) {
+	c := newCluster(t, []ident.DomainID{"d1", "d2"})
+	home, _ := c.owner("d1")
+	abroad, _ := c.owner("d2")
+	var held []*Lease
+	for range 2 {
+		l := mustPlace(t, home, serviceRequest())
+		l.PrefillDone()
+		held = append(held, l)
+	}
+	if l := mustPlace(t, home, serviceRequest()); l.Domain != "d2" {
+		t.Fatalf("placed in %s, want d2", l.Domain)
+	}
+	abroad.table.SetLeaving()
+	time.AfterFunc(200*time.Millisecond, func() { held[0].Close(Outcome{Result: Completed, OutputTokens: 100}) })
+	if l := mustPlace(t, home, serviceRequest()); l.Domain != "d1" {
+		t.Fatalf("placed in %s, want d1", l.Domain)
+	}
+}
+
 func TestDomainWithoutEnginesUsesAnother(t *testing.T) {
 	c := newCluster(t, []ident.DomainID{"d1", "d2"})
 	changed := *c.text
