--- a/io/httpcall/call_test.go
+++ b/io/httpcall/call_test.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -265,3 +269,69 @@
 		t.Errorf("err = %v", err)
 	}
 }
+
+// errHeldBack is what a check before the send returns in tests.
+var errHeldBack = fault.New(fault.NotHolder, "held back")
+
+func TestCheckBeforeSendHoldsTheCallBack(t *testing.T) {
+	got := make(chan struct{}, 1)
+	address := serve(t, func(net.Conn, *http.Request) { got <- struct{}{} })
+	var a answer
+	err := newClient(t).Do(t.Context(), Call{
+		Address: address, Method: "POST", Target: "/", Limits: within(10 * time.Second),
+		BeforeSend: func() error { return errHeldBack },
+	}, a.sink())
+	if !fault.Is(err, fault.NotHolder) || fault.From(err).Ran != fault.NotRun {
+		t.Errorf("got %v", err)
+	}
+	select {
+	case <-got:
+		t.Error("the endpoint got the call")
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+// When a call with bounded delivery ends, its connection is reset: what was not
+// delivered is not sent any more.
+func TestBoundedDeliveryResetsTheConnection(t *testing.T) {
+	ended := make(chan error, 1)
+	address := serve(t, func(conn net.Conn, _ *http.Request) {
+		_, err := conn.Read(make([]byte, 1))
+		ended <- err
+	})
+	limits := within(200 * time.Millisecond)
+	limits.DeliverWithin = time.Second
+	var a answer
+	if err := newClient(t).Do(t.Context(), Call{Address: address, Method: "POST", Target: "/", Limits: limits}, a.sink()); !fault.Is(err, fault.EndpointTimeout) {
+		t.Errorf("got %v", err)
+	}
+	select {
+	case err := <-ended:
+		if !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("the connection ended with %v, want a reset", err)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the connection was not closed")
+	}
+}
+
+func TestBoundedDeliverySetsTheKernelsTimeout(t *testing.T) {
+	address := serve(t, respond(""))
+	conn, err := net.Dial("tcp", string(address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if err := boundDelivery(conn, 1500*time.Millisecond); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got int
+	_ = raw.Control(func(fd uintptr) { got, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })
+	if err != nil || got != 1500 {
+		t.Errorf("timeout %d ms, %v", got, err)
+	}
+}
