--- a/cmd/monsoonfork/verb/operator_test.go
+++ b/cmd/monsoonfork/verb/operator_test.go
@@ -19,6 +19,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/orders"
 	"monsoonfork/core/settings"
 	"monsoonfork/io/operator"
 	"monsoonfork/io/standin/control"
@@ -289,3 +290,18 @@
 	}
 	mustFail(t, nil, "key", "new", "planner")
 }
+
+func TestStatusNamesEnginesThatDiffer(t *testing.T) {
+	s := orders.Status{Controller: true, Fencing: 7, Engines: []orders.EngineStatus{
+		{Engine: "decode-1", Phase: orders.Agreed},
+		{Engine: "decode-2", Phase: orders.Waiting, Reason: "decode-1 changes its version first"},
+	}}
+	if got, want := orderState(s), "given by this instance, fencing number 7; 1 of 2 engines agree with the text"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+	var out bytes.Buffer
+	printDiffering(&out, s)
+	if got := out.String(); !strings.Contains(got, "decode-2  Waiting  decode-1 changes its version first") || strings.Contains(got, "decode-1  ") {
+		t.Errorf("got %q", got)
+	}
+}
--- a/cmd/monsoonfork/verb/status.go
+++ b/cmd/monsoonfork/verb/status.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"monsoonfork/core/ident"
+	"monsoonfork/core/orders"
 	"monsoonfork/io/operator"
 )
 
 // status shows what is in force where.
 type status struct {
 	remote
+	Engines bool `help:"Show the orders to the engines of the domain."`
 }
 
 // Help is the usage text of the verb.
@@ -37,6 +39,10 @@
 		return printJSON(std.out, answer)
 	}
 	printStatus(std.out, answer)
+	if s.Engines {
+		_, _ = fmt.Fprintf(std.out, "\nOrders are %s\n", orderState(answer.Orders))
+		printDiffering(std.out, answer.Orders)
+	}
 	return nil
 }
 
@@ -66,6 +72,30 @@
 	_ = w.Flush()
 }
 
+// orderState says whether the instance gives orders to engines, and how many
+// engines agree with the text.
+func orderState(s orders.Status) string {
+	if !s.Controller {
+		return "given by another instance of the domain, or by none while the store is down"
+	}
+	agreed := len(s.Engines) - len(s.Differing())
+	return fmt.Sprintf("given by this instance, fencing number %d; %d of %d engines agree with the text", s.Fencing, agreed, len(s.Engines))
+}
+
+// printDiffering writes the engines that do not agree with the text yet.
+func printDiffering(out io.Writer, s orders.Status) {
+	differing := s.Differing()
+	if len(differing) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "\nENGINE\tORDERS\tREASON")
+	for _, e := range differing {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", e.Engine, e.Phase, e.Reason)
+	}
+	_ = w.Flush()
+}
+
 // readiness says whether the instance gets callers, and why not.
 func readiness(a operator.Status) string {
 	if a.Ready {
--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -12,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
 	"monsoonfork/io/engine"
@@ -82,6 +83,17 @@
 // MarshalText writes a phase.
 func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
 
+// UnmarshalText reads a phase.
+func (p *Phase) UnmarshalText(b []byte) error {
+	for candidate := Unseen; candidate <= Unreachable; candidate++ {
+		if candidate.String() == string(b) {
+			*p = candidate
+			return nil
+		}
+	}
+	return fault.New(fault.BadRequest, "unknown phase %q", b)
+}
+
 // Option changes a new Controller.
 type Option func(*Controller)
 
--- a/core/orders/status.go
+++ b/core/orders/status.go
@@ -44,3 +44,14 @@
 	})
 	return s
 }
+
+// Differing returns the engines that do not agree with the text yet.
+func (s Status) Differing() []EngineStatus {
+	var list []EngineStatus
+	for _, e := range s.Engines {
+		if e.Phase != Agreed {
+			list = append(list, e)
+		}
+	}
+	return list
+}
--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -56,6 +56,7 @@
 		Ready:      true,
 		Config:     s.relay.Survey(context.WithoutCancel(r.Context())),
 		Keys:       s.keyStatus(),
+		Orders:     s.orders.Status(),
 		Violations: invariant.Violations(),
 	}
 	if err := s.node.Ready(); err != nil {
--- a/io/operator/message.go
+++ b/io/operator/message.go
@@ -7,6 +7,7 @@
 
 	"monsoonfork/core/config/relay"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/orders"
 	"monsoonfork/core/strictyaml"
 	"monsoonfork/core/text"
 )
@@ -23,6 +24,7 @@
 	NotReady   string // Why it is not ready.
 	Config     relay.Status
 	Keys       KeyStatus
+	Orders     orders.Status
 	Violations int64 // Invariants violated in this process.
 }
 
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/config/relay"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/orders"
 	"monsoonfork/core/text"
 	"monsoonfork/io/peer"
 )
@@ -35,6 +36,7 @@
 	applier *config.Applier
 	relay   *relay.Service
 	links   *peer.Links
+	orders  *orders.Controller
 	log     log.Logger
 	http    *http.Server
 	wg      sync.WaitGroup
@@ -44,7 +46,7 @@
 	kernel.Register(kernel.Role{
 		Name:    "Operator",
 		Summary: "serves operators: status, dump, metrics, text",
-		After:   []string{"Config", "Membership"},
+		After:   []string{"Config", "Membership", "Orders"},
 		Start:   start,
 	})
 }
@@ -54,6 +56,7 @@
 	s := &server{node: n, log: log.With(n.Log, "part", "Operator")}
 	for _, err := range []error{
 		need(n, &s.holder), need(n, &s.applier), need(n, &s.relay), need(n, &s.links),
+		need(n, &s.orders),
 	} {
 		if err != nil {
 			return nil, err
