--- a/core/config/relay/relay_test.go
+++ b/core/config/relay/relay_test.go
@@ -37,14 +37,14 @@
 
 // fleet is a store and nodes in one process.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *standin.Store
 	peers []ident.Address
 	nodes []*testNode
 }
 
 // newFleet starts a node for each domain named.
-func newFleet(t *testing.T, domains ...ident.DomainID) *fleet {
+func newFleet(t testing.TB, domains ...ident.DomainID) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: standin.New()}
 	if err := f.store.Start(); err != nil {
@@ -127,7 +127,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) ident.Address {
+func freeAddress(t testing.TB) ident.Address {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -173,7 +173,7 @@
 }
 
 // outsideApplier returns an applier of no instance of the fleet.
-func outsideApplier(t *testing.T, f *fleet) *config.Applier {
+func outsideApplier(t testing.TB, f *fleet) *config.Applier {
 	c, err := store.New([]ident.Address{ident.Address(f.store.Address())})
 	if err != nil {
 		t.Fatal(err)
