--- a/core/placement/rooms.go
+++ b/core/placement/rooms.go
@@ -69,7 +69,7 @@
 			if target == "" {
 				return
 			}
-			if w.request.Forwarded || now.Sub(w.arrived) < d.elsewhereAfter(w, now) {
+			if w.request.Forwarded || now.Sub(w.arrived) < d.tuning.ElsewhereAfter {
 				break
 			}
 			d.rooms[target].free--
@@ -79,15 +79,6 @@
 	}
 }
 
-// elsewhereAfter returns how long a request waits before it is passed on: not
-// at all with little slack.
-func (d *Dispatcher) elsewhereAfter(w *waiting, now time.Time) time.Duration {
-	if d.littleSlack(w, now) {
-		return 0
-	}
-	return d.tuning.ElsewhereAfter
-}
-
 // roomiestDomain returns the domain with the most free slots, or "".
 func (d *Dispatcher) roomiestDomain(now time.Time) ident.DomainID {
 	var best ident.DomainID
