--- a/core/placement/check.go
+++ b/core/placement/check.go
@@ -25,15 +25,10 @@
 }
 
 // checkGrant asserts that a grant has not reserved more than its engines hold.
-// Each decode slot beyond them has an answer that ends while the prefill runs.
 func (d *Dispatcher) checkGrant(l *lease) {
 	for _, e := range []*engineState{l.prefill, l.decode} {
-		slots := e.Slots
-		if e == l.decode && e.slots > slots {
-			slots += e.ending(l.granted, l.granted.Add(l.prefill.prefillTime(l.prefillTokens)))
-		}
-		d.check("Placement.Slots", e.slots <= slots,
-			"engine", e.Name, "reserved", e.slots, "slots", slots)
+		d.check("Placement.Slots", e.slots <= e.Slots,
+			"engine", e.Name, "reserved", e.slots, "slots", e.Slots)
 		d.check("Placement.Pieces", e.pieces <= e.MemoryPieces,
 			"engine", e.Name, "reserved", e.pieces, "pieces", e.MemoryPieces)
 	}
--- a/core/placement/dispatcher.go
+++ b/core/placement/dispatcher.go
@@ -237,7 +237,6 @@
 		d.recount(e, now)
 		d.prefixesStored(e.Name, l)
 		l.prefillFreeAt = now.Add(d.transferTime(l))
-		l.predictEnd()
 		d.transfers = append(d.transfers, l)
 	}
 	d.changed()
@@ -261,7 +260,6 @@
 // end gives back what a lease holds and learns from its outcome.
 func (d *Dispatcher) end(l *lease, o Outcome, now time.Time) {
 	wasPrefilling := l.prefilling
-	l.observeDecode(o, now)
 	l.release()
 	delete(d.leases, l.held.Lease)
 	d.counts.Returned++
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -9,15 +9,12 @@
 
 // Settings of the predictions.
 const (
-	tokenTimeGain       = 0.1 // Weight of one observation.
-	leastTokensObserved = 10
-	slowestTokenTime    = 50 * time.Millisecond
-	slowdownGain        = 0.2 // Weight of one observation.
-	slowdownLeast       = 0.5
-	slowdownMost        = 8.0
-	foreignReports      = 3 // Reports that must agree on work of others.
-	defaultPrefillRate  = 10_000.0
-	defaultLinkRate     = 1e9 // Bytes a second.
+	slowdownGain       = 0.2 // Weight of one observation.
+	slowdownLeast      = 0.5
+	slowdownMost       = 8.0
+	foreignReports     = 3 // Reports that must agree on work of others.
+	defaultPrefillRate = 10_000.0
+	defaultLinkRate    = 1e9 // Bytes a second.
 )
 
 // engineState is what the dispatcher counts for one engine.
@@ -31,7 +28,6 @@
 	linkFree time.Time // Predicted end of the transfers on its link.
 	breaker  breaker
 	foreign  foreignWork
-	decodes  decodeTime
 }
 
 // newEngineState returns the state of an engine without work.
@@ -49,7 +45,6 @@
 		Engine:   e,
 		leases:   make(map[LeaseID]*lease),
 		prefills: prefillQueue{slowdown: 1},
-		decodes:  decodeTime{perToken: slowestTokenTime},
 	}
 }
 
@@ -68,26 +63,6 @@
 	return e.slots+e.foreign.slots < e.Slots && e.pieces+e.foreign.pieces+pieces <= e.MemoryPieces
 }
 
-// fitsAt reports whether the pieces are free now, and a slot is free now or by
-// the time at, because the answer that holds it ends before.
-func (e *engineState) fitsAt(pieces ident.Pieces, now, at time.Time) bool {
-	if e.pieces+e.foreign.pieces+pieces > e.MemoryPieces {
-		return false
-	}
-	return e.slots+e.foreign.slots-e.ending(now, at) < e.Slots
-}
-
-// ending returns the number of leases whose longest answer ends by the time at.
-func (e *engineState) ending(now, at time.Time) int {
-	n := 0
-	for _, l := range e.leases {
-		if l.decode == e && l.endsBy(now, at) {
-			n++
-		}
-	}
-	return n
-}
-
 // freeSlots returns the slots that nobody holds.
 func (e *engineState) freeSlots() int { return max(0, e.Slots-e.slots-e.foreign.slots) }
 
@@ -130,20 +105,6 @@
 	q.slowdown += slowdownGain * (ratio - q.slowdown)
 }
 
-// decodeTime is the observed time between two tokens of an engine.
-type decodeTime struct {
-	perToken time.Duration
-}
-
-// observe takes an answer of n tokens.
-func (t *decodeTime) observe(took time.Duration, n ident.Tokens) {
-	if n < leastTokensObserved || took <= 0 {
-		return
-	}
-	perToken := min(took/time.Duration(n), slowestTokenTime)
-	t.perToken += time.Duration(tokenTimeGain * float64(perToken-t.perToken))
-}
-
 // foreignWork is work on an engine that the dispatcher did not place: the
 // least excess of the last reports over its own count.
 type foreignWork struct {
--- a/core/placement/lease.go
+++ b/core/placement/lease.go
@@ -21,39 +21,10 @@
 	granted       time.Time
 	prefillFreeAt time.Time       // Predicted end of the transfer, once prefilled.
 	firstToken    time.Time       // Predicted when granted.
-	decodeEnds    time.Time       // Predicted end of the longest answer, once prefilled.
 	hashes        []string        // Prefix hashes of the prompt.
 	answer        <-chan Decision // Of the newest submission.
 }
 
-// overdueTrust is how long after its predicted end an answer is still expected
-// to end at once.
-const overdueTrust = 50 * time.Millisecond
-
-// endsBy reports whether the longest answer is predicted to end by the time at.
-func (l *lease) endsBy(now, at time.Time) bool {
-	if l.decodeEnds.IsZero() || now.After(l.decodeEnds.Add(overdueTrust)) {
-		return false
-	}
-	return !l.decodeEnds.After(at)
-}
-
-// predictEnd predicts the end of the longest answer of a lease whose prefill
-// is done.
-func (l *lease) predictEnd() {
-	if l.decode == nil {
-		return
-	}
-	l.decodeEnds = l.prefillFreeAt.Add(time.Duration(l.held.MaxTokens) * l.decode.decodes.perToken)
-}
-
-// observeDecode learns from a completed answer how fast its engine is.
-func (l *lease) observeDecode(o Outcome, now time.Time) {
-	if o.Result == Completed && l.decode != nil && !l.decodeEnds.IsZero() {
-		l.decode.decodes.observe(now.Sub(l.prefillFreeAt), o.OutputTokens)
-	}
-}
-
 // reserve counts the lease on its engines.
 func (l *lease) reserve() {
 	if l.decode != nil {
--- a/core/placement/pair.go
+++ b/core/placement/pair.go
@@ -48,7 +48,10 @@
 		if r.avoids(e.Name) || !d.prefillOpen(e, now) || !e.fits(e.piecesFor(r.PromptTokens)) {
 			continue
 		}
-		tokens := r.PromptTokens - d.saved(e, r)
+		tokens := r.PromptTokens
+		if d.tuning.Prefixes {
+			tokens -= d.prefixes.saved(e.Name, r.PrefixHashes, r.PromptTokens)
+		}
 		ends := now.Add(e.prefills.wait(now) + e.prefillTime(tokens))
 		for _, f := range decodes {
 			p := d.predict(r, e, f, tokens, ends)
@@ -65,18 +68,17 @@
 	r := w.request
 	var list []*engineState
 	free, slots := 0, 0
-	needed := now.Add(d.overlap(r))
 	for _, e := range d.decodes {
 		if r.avoids(e.Name) || !e.usable(now) {
 			continue
 		}
 		free += e.freeSlots()
 		slots += e.Slots
-		if !claimed[e.Name] && e.fitsAt(e.piecesFor(r.cost()), now, needed) {
+		if !claimed[e.Name] && e.fits(e.piecesFor(r.cost())) {
 			list = append(list, e)
 		}
 	}
-	if reserve := int(d.tuning.Reserve * float64(slots)); reserve > 0 && free <= reserve && !d.littleSlack(w, now) {
+	if free <= int(d.tuning.Reserve*float64(slots)) && !d.littleSlack(w, now) {
 		return nil
 	}
 	if free <= d.tuning.Headroom && d.loud(r.Organisation) {
@@ -92,27 +94,6 @@
 	return w.request.FirstTokenDeadline.IsZero() || w.expires.Sub(now) <= d.tuning.LittleSlack
 }
 
-// overlap returns the least time from a placement until the request needs its
-// decode slot: that of its prefill. Another answer may hold the slot till then.
-func (d *Dispatcher) overlap(r Request) time.Duration {
-	if !d.tuning.Overlap {
-		return 0
-	}
-	least := longestOverlap
-	for _, e := range d.prefills {
-		least = min(least, e.prefillTime(r.PromptTokens-d.saved(e, r)))
-	}
-	return least
-}
-
-// saved returns the tokens that a prefill engine need not compute.
-func (d *Dispatcher) saved(e *engineState, r Request) ident.Tokens {
-	if !d.tuning.Prefixes {
-		return 0
-	}
-	return d.prefixes.saved(e.Name, r.PrefixHashes, r.PromptTokens)
-}
-
 // predict returns the pair with its predicted times.
 func (d *Dispatcher) predict(r Request, e, f *engineState, tokens ident.Tokens, prefillEnds time.Time) pair {
 	start := latest(prefillEnds, e.linkFree, f.linkFree)
--- a/core/placement/schedule.go
+++ b/core/placement/schedule.go
@@ -17,7 +17,6 @@
 	Headroom       int           // Free decode slots that an organisation above its share may not take.
 	Reserve        float64       // Part of the decode slots that only requests with little slack may take.
 	LittleSlack    time.Duration // Slack at which a request may take reserved slots.
-	Overlap        bool          // Whether a slot is given whose answer ends while the prefill runs.
 	Prefixes       bool          // Whether cached prefixes are considered.
 }
 
@@ -32,7 +31,6 @@
 		Headroom:       0,
 		Reserve:        0.025,
 		LittleSlack:    120 * time.Millisecond,
-		Overlap:        true,
 		Prefixes:       true,
 	}
 }
@@ -40,10 +38,6 @@
 // longestSleep bounds the time between two ticks.
 const longestSleep = time.Second
 
-// longestOverlap bounds how long before the end of an answer its slot is given
-// to another request.
-const longestOverlap = 400 * time.Millisecond
-
 // auditInterval is the least time between two audits of all counts.
 const auditInterval = time.Second
 
@@ -86,9 +80,6 @@
 	for _, e := range d.engines {
 		earlier(e.breaker.until)
 	}
-	if d.tuning.Overlap {
-		earlier(d.nextOverlap(now))
-	}
 	for _, w := range d.waiting {
 		earlier(w.arrived.Add(d.tuning.ElsewhereAfter))
 		earlier(w.expires.Add(-d.tuning.LittleSlack))
@@ -96,24 +87,6 @@
 	return next
 }
 
-// nextOverlap returns when the first waiting request of an organisation can be
-// given the slot of an answer that is about to end.
-func (d *Dispatcher) nextOverlap(now time.Time) time.Time {
-	next := now.Add(longestSleep)
-	for _, f := range d.queue.flows {
-		if len(f.requests) == 0 {
-			continue
-		}
-		overlap := d.overlap(f.requests[0].request)
-		for _, l := range d.leases {
-			if at := l.decodeEnds.Add(-overlap); at.After(now) && at.Before(next) {
-				next = at
-			}
-		}
-	}
-	return next
-}
-
 // admit sets the expiry of a request and refuses one that cannot be served in
 // time.
 func (d *Dispatcher) admit(w *waiting, now time.Time) error {
@@ -253,11 +226,7 @@
 
 // anyRoom reports whether any pair of engines could take any request.
 func (d *Dispatcher) anyRoom(now time.Time) bool {
-	needed := now
-	if d.tuning.Overlap {
-		needed = now.Add(longestOverlap)
-	}
-	return anyEngine(d.decodes, func(e *engineState) bool { return e.usable(now) && e.fitsAt(1, now, needed) }) &&
+	return anyEngine(d.decodes, func(e *engineState) bool { return e.usable(now) && e.fits(1) }) &&
 		anyEngine(d.prefills, func(e *engineState) bool { return d.prefillOpen(e, now) && e.fits(1) })
 }
 
