Callers' address: the last answer of a connection is delivered whole

(1) A poller that has already fetched an event (the caller's close) for the descriptor finds the next connection under the same number and closes that one: its caller gets no answer. (2) Bytes that wait for a slow caller are dropped, so a large answer is cut; a planned stop did the same to all answers that were still being read.

Now the library is not told to close. Drain waits for answers that slow callers still read.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -33,6 +33,9 @@
 	session   *request.Session // Of the request being handled, or nil.
 	handling  int              // Requests read whole and not answered.
 	goneNoted bool
+	last      bool // No request is taken after the one that is being handled.
+	quiet     int  // Sweeps since the last answer in which all of it was delivered.
+	finished  bool // The sending side was closed after the last answer.
 	turned    bool // The connection was turned away: what still comes is dropped.
 }
 
@@ -43,7 +46,7 @@
 
 // feed takes bytes from the poller.
 func (c *conn) feed(data []byte) {
-	if c.turnedAway() {
+	if c.takesNothing() {
 		return
 	}
 	parser, ok := c.nbc.Session().(*nbhttp.Parser)
@@ -68,7 +71,7 @@
 // parse gives bytes to the parser, in pieces of which none goes beyond the head
 // or the body of a request, so that the lines of each head can be checked.
 func (c *conn) parse(parser *nbhttp.Parser, data []byte) error {
-	for len(data) > 0 && !c.refused() {
+	for len(data) > 0 && !c.refused() && !c.takesNothing() {
 		if !c.reading.started {
 			c.startReading()
 		}
@@ -152,22 +155,25 @@
 	shutdownWrite(c.nbc)
 }
 
-// turnedAway reports whether the connection was turned away.
-func (c *conn) turnedAway() bool {
+// takesNothing reports whether the connection was turned away, or its last
+// request has come.
+func (c *conn) takesNothing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.turned
+	return c.turned || c.last
 }
 
-// accept notes that a request was read whole. It reports false if the request
+// accept notes that a request was read whole, and whether its caller wants it to
+// be the last one. It reports false if the request
 // is refused, so that it must not be handled.
-func (c *conn) accept() bool {
+func (c *conn) accept(last bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refusal != nil {
 		return false
 	}
 	c.requestBy = time.Time{}
+	c.last = c.last || last
 	c.handling++
 	return true
 }
@@ -182,6 +188,50 @@
 	c.check(time.Time{})
 }
 
+// closeAfter makes the request that is being handled the last of its
+// connection. The library would close it as soon as the answer is handed to it,
+// from the goroutine of the handler: bytes that wait for a slow caller would be
+// lost, and an event that a poller has already fetched for the descriptor would
+// hit the next connection that gets the same descriptor. So the sending side is
+// closed when the answer is delivered, and the poller closes the rest when the
+// caller has closed too.
+func (c *conn) closeAfter() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = true
+}
+
+// isLast reports whether no request is taken after the one being handled.
+func (c *conn) isLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+// finish closes the sending side of a connection whose last answer is delivered.
+// It is called once a sweep.
+func (c *conn) finish(now time.Time) {
+	c.mu.Lock()
+	waits := c.last && c.handling == 0 && !c.finished && !c.turned
+	c.mu.Unlock()
+	if !waits {
+		return
+	}
+	if unsent(c.nbc) {
+		c.quiet = 0
+		return
+	}
+	c.quiet++
+	if c.quiet < quietSweeps {
+		return
+	}
+	c.mu.Lock()
+	c.finished = true
+	c.closeBy = now.Add(lingerTime)
+	c.mu.Unlock()
+	shutdownWrite(c.nbc)
+}
+
 // end notes that a request was handled.
 func (c *conn) end() {
 	c.mu.Lock()
--- a/io/caller/conntable.go
+++ b/io/caller/conntable.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/lesismal/nbio"
 )
@@ -75,9 +76,11 @@
 	return n
 }
 
-// busy returns the number of requests that are being read or answered.
+// busy returns the number of requests that are being read or answered, with
+// those whose answers wait for slow callers.
 func (t *connTable) busy() int {
 	n := 0
+	now := time.Now()
 	t.each(func(c *conn) {
 		if c.gone() {
 			return
@@ -88,6 +91,9 @@
 			n++
 		}
 		n += c.handling
+		if c.closeBy.After(now) && unsent(c.nbc) {
+			n++
+		}
 	})
 	return n
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -47,16 +47,26 @@
 	s.metrics.requests.Inc(1)
 	received := time.Now()
 	defer func() { s.metrics.answers.UpdateSince(received) }()
-	if s.draining.Load() {
-		r.Close = true
+	if r.Close || s.draining.Load() {
+		// The library would close the connection from this goroutine.
+		r.Close = false
+		c.closeAfter()
 	}
 	x := &exchange{server: s, conn: c, w: response, r: r}
+	x.markLast()
 	if err := x.handle(received); err != nil {
 		x.logRefusal(err)
 		x.fail(err)
 	}
 }
 
+// markLast tells the caller if its connection ends after the answer.
+func (x *exchange) markLast() {
+	if x.conn.isLast() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
 // logRefusal logs a request that was refused before it had a session, which
 // logs its end from then on.
 func (x *exchange) logRefusal(err error) {
--- a/io/caller/limiter.go
+++ b/io/caller/limiter.go
@@ -17,6 +17,7 @@
 	headerBytes int
 	bodyBytes   int
 	expects     bool // The caller waits for "100 Continue".
+	closes      bool // The caller wants the connection to end with the answer.
 	lines       headerLines
 	lengths     int  // Content-Length headers.
 	chunked     bool // There is a Transfer-Encoding.
@@ -61,6 +62,9 @@
 	if key == "Expect" && strings.EqualFold(value, "100-continue") {
 		l.conn.reading.expects = true
 	}
+	if key == "Connection" && strings.EqualFold(value, "close") {
+		l.conn.reading.closes = true
+	}
 	l.Processor.OnHeader(p, key, value)
 }
 
@@ -116,8 +120,9 @@
 // OnComplete implements nbhttp.Processor. It starts the handler, unless the
 // request is refused.
 func (l *limiter) OnComplete(p *nbhttp.Parser) {
+	closes := l.conn.reading.closes
 	l.conn.reading = reading{}
-	if !l.conn.accept() {
+	if !l.conn.accept(closes) {
 		l.Clean(p)
 		return
 	}
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -124,5 +124,6 @@
 		h.Set("Content-Length", length)
 	}
 	h.Set(httpcall.RequestIDHeader, a.shownID)
+	a.markLast()
 	a.w.WriteHeader(knownStatus(a.head.Status))
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -182,7 +182,10 @@
 		case <-s.stop:
 			return
 		case now := <-ticker.C:
-			s.conns.each(func(c *conn) { c.check(now) })
+			s.conns.each(func(c *conn) {
+				c.check(now)
+				c.finish(now)
+			})
 		}
 	}
 }
--- a/io/caller/socket.go
+++ b/io/caller/socket.go
@@ -34,6 +34,14 @@
 	withDescriptor(nbc, func(fd int) { _ = unix.Shutdown(fd, unix.SHUT_WR) })
 }
 
+// unsent reports whether the kernel holds bytes that the caller has not
+// acknowledged. While it does, the library may hold more.
+func unsent(nbc *nbio.Conn) bool {
+	n := 0
+	withDescriptor(nbc, func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	return n > 0
+}
+
 // withDescriptor calls f with the descriptor of an open connection.
 func withDescriptor(nbc *nbio.Conn, f func(fd int)) {
 	raw, err := nbc.SyscallConn()
--- a/lab/endtoend/endtoend_test.go
+++ b/lab/endtoend/endtoend_test.go
@@ -10,6 +10,9 @@
 	"testing"
 	"time"
 
+	// The programs are built by the test. Their code is named here, so that a
+	// result from before a change of it is not taken from the cache.
+	_ "monsoonfork/cmd/monsoonfork/verb"
 	"monsoonfork/io/standin/control"
 	"monsoonfork/io/standin/engine"
 	"monsoonfork/io/standin/service"
