--- a/core/budget/links_test.go
+++ b/core/budget/links_test.go
@@ -60,15 +60,14 @@
 		if err := n.Start(context.Background()); err != nil {
 			t.Fatal(err)
 		}
-		holder, err := kernel.Need[*config.Holder](n)
-		if err != nil {
+		var (
+			holder *config.Holder
+			b      *Budget
+		)
+		if err := n.Need(&holder, &b); err != nil {
 			t.Fatal(err)
 		}
 		holder.Offer(&config.Snapshot{Revision: 1, Text: cfg})
-		b, err := kernel.Need[*Budget](n)
-		if err != nil {
-			t.Fatal(err)
-		}
 		nodes = append(nodes, &linkedNode{n, b, s.AdmissionLog})
 	}
 	return nodes
--- a/core/budget/process_child_test.go
+++ b/core/budget/process_child_test.go
@@ -96,16 +96,12 @@
 	if err := n.Start(context.Background()); err != nil {
 		return err
 	}
-	holder, err := kernel.Need[*config.Holder](n)
-	if err != nil {
-		return err
-	}
-	links, err := kernel.Need[*peer.Links](n)
-	if err != nil {
-		return err
-	}
-	b, err := kernel.Need[*Budget](n)
-	if err != nil {
+	var (
+		holder *config.Holder
+		links  *peer.Links
+		b      *Budget
+	)
+	if err := n.Need(&holder, &links, &b); err != nil {
 		return err
 	}
 	holder.Offer(&config.Snapshot{Revision: 1, Text: processText()})
--- a/core/claims/role.go
+++ b/core/claims/role.go
@@ -22,20 +22,13 @@
 
 // start is the role's constructor.
 func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
-	links, err := kernel.Need[*peer.Links](n)
-	if err != nil {
-		return nil, err
-	}
-	table, err := kernel.Need[*membership.Table](n)
-	if err != nil {
-		return nil, err
-	}
-	holder, err := kernel.Need[*config.Holder](n)
-	if err != nil {
-		return nil, err
-	}
-	client, err := kernel.Need[*store.Client](n)
-	if err != nil {
+	var (
+		links  *peer.Links
+		table  *membership.Table
+		holder *config.Holder
+		client *store.Client
+	)
+	if err := n.Need(&links, &table, &holder, &client); err != nil {
 		return nil, err
 	}
 	s := newService(options{
--- a/core/config/relay/relay_test.go
+++ b/core/config/relay/relay_test.go
@@ -81,12 +81,8 @@
 	}
 	f.t.Cleanup(n.Close)
 	node := &testNode{Node: n}
-	for _, err := range []error{
-		need(n, &node.holder), need(n, &node.service), need(n, &node.applier), need(n, &node.links),
-	} {
-		if err != nil {
-			f.t.Fatal(err)
-		}
+	if err := n.Need(&node.holder, &node.service, &node.applier, &node.links); err != nil {
+		f.t.Fatal(err)
 	}
 	return node
 }
--- a/core/config/relay/service.go
+++ b/core/config/relay/service.go
@@ -80,12 +80,8 @@
 func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
 	s := &Service{log: log.With(n.Log, "part", "Config"), now: n.Now, firstPeers: n.Settings.FirstPeers}
 	var members *membership.Service
-	for _, err := range []error{
-		need(n, &s.holder), need(n, &s.store), need(n, &s.table), need(n, &s.links), need(n, &members),
-	} {
-		if err != nil {
-			return nil, err
-		}
+	if err := n.Need(&s.holder, &s.store, &s.table, &s.links, &members); err != nil {
+		return nil, err
 	}
 	s.prepare(n.Metrics)
 	members.OnRevision(s.hear)
@@ -95,13 +91,6 @@
 	return &kernel.Running{Close: s.Close, Dump: s.dump, Ready: s.ready}, nil
 }
 
-// need sets v to what an earlier role provided.
-func need[T any](n *kernel.Node, v *T) error {
-	got, err := kernel.Need[T](n)
-	*v = got
-	return err
-}
-
 // prepare makes channels and counters and registers the methods.
 func (s *Service) prepare(r metrics.Registry) {
 	s.announce = make(chan struct{}, 1)
--- a/core/kernel/kernel_test.go
+++ b/core/kernel/kernel_test.go
@@ -117,11 +117,18 @@
 
 func TestNeedNamesWhatIsMissing(t *testing.T) {
 	n := newTestNode()
-	if _, err := Need[*settings.Settings](n); err == nil || !strings.Contains(err.Error(), "settings.Settings") {
+	var (
+		found  *settings.Settings
+		absent *Role
+	)
+	if err := n.Need(&found); err == nil || !strings.Contains(err.Error(), "settings.Settings") {
 		t.Errorf("got %v", err)
 	}
 	Provide(n, n.Settings)
-	if s, err := Need[*settings.Settings](n); err != nil || s != n.Settings {
-		t.Errorf("got %v, %v", s, err)
+	if err := n.Need(&found); err != nil || found != n.Settings {
+		t.Errorf("got %v, %v", found, err)
+	}
+	if err := n.Need(&found, &absent); !fault.Is(err, fault.Internal) {
+		t.Errorf("a type that nobody provides: %v", err)
 	}
 }
--- a/core/kernel/node.go
+++ b/core/kernel/node.go
@@ -59,15 +59,20 @@
 	n.provided[reflect.TypeFor[T]()] = v
 }
 
-// Need returns what a role started earlier provided under type T.
-func Need[T any](n *Node) (T, error) {
+// Need sets each target, a pointer, to what a role started earlier provided
+// under the type that it points to.
+func (n *Node) Need(targets ...any) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	v, ok := n.provided[reflect.TypeFor[T]()].(T)
-	if !ok {
-		return v, fault.New(fault.Internal, "no role provides %v", reflect.TypeFor[T]())
+	for _, target := range targets {
+		value := reflect.ValueOf(target).Elem()
+		provided, ok := n.provided[value.Type()]
+		if !ok {
+			return fault.New(fault.Internal, "no role provides %v", value.Type())
+		}
+		value.Set(reflect.ValueOf(provided))
 	}
-	return v, nil
+	return nil
 }
 
 // Start starts all registered roles in order. On an error it closes those
--- a/core/keys/role.go
+++ b/core/keys/role.go
@@ -19,12 +19,11 @@
 
 // start is the role's constructor.
 func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
-	holder, err := kernel.Need[*config.Holder](n)
-	if err != nil {
-		return nil, err
-	}
-	service, err := kernel.Need[*relay.Service](n)
-	if err != nil {
+	var (
+		holder  *config.Holder
+		service *relay.Service
+	)
+	if err := n.Need(&holder, &service); err != nil {
 		return nil, err
 	}
 	t := NewTable(holder, WithNow(n.Now), WithMetrics(n.Metrics), WithConfirmed(service.Confirmed))
--- a/core/orders/role.go
+++ b/core/orders/role.go
@@ -25,20 +25,13 @@
 
 // start is the role's constructor.
 func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
-	table, err := kernel.Need[*membership.Table](n)
-	if err != nil {
-		return nil, err
-	}
-	holder, err := kernel.Need[*config.Holder](n)
-	if err != nil {
-		return nil, err
-	}
-	engines, err := kernel.Need[*engine.Client](n)
-	if err != nil {
-		return nil, err
-	}
-	client, err := kernel.Need[*store.Client](n)
-	if err != nil {
+	var (
+		table   *membership.Table
+		holder  *config.Holder
+		engines *engine.Client
+		client  *store.Client
+	)
+	if err := n.Need(&table, &holder, &engines, &client); err != nil {
 		return nil, err
 	}
 	domain := n.Settings.Domain
--- a/core/reaper/role.go
+++ b/core/reaper/role.go
@@ -45,8 +45,8 @@
 	if err != nil {
 		return nil, err
 	}
-	engines, err := kernel.Need[*engine.Client](n)
-	if err != nil {
+	var engines *engine.Client
+	if err := n.Need(&engines); err != nil {
 		return nil, err
 	}
 	r := New(n.Log, WithMetrics(n.Metrics))
@@ -62,20 +62,13 @@
 
 // findNeighbours collects what other roles provide.
 func findNeighbours(n *kernel.Node) (*neighbours, error) {
-	links, err := kernel.Need[*peer.Links](n)
-	if err != nil {
-		return nil, err
-	}
-	table, err := kernel.Need[*membership.Table](n)
-	if err != nil {
-		return nil, err
-	}
-	holder, err := kernel.Need[*config.Holder](n)
-	if err != nil {
-		return nil, err
-	}
-	path, err := kernel.Need[*request.Path](n)
-	if err != nil {
+	var (
+		links  *peer.Links
+		table  *membership.Table
+		holder *config.Holder
+		path   *request.Path
+	)
+	if err := n.Need(&links, &table, &holder, &path); err != nil {
 		return nil, err
 	}
 	return &neighbours{self: n.ID, links: links, table: table, holder: holder, path: path}, nil
--- a/io/caller/role.go
+++ b/io/caller/role.go
@@ -66,12 +66,11 @@
 
 // wireConfig sets the seams to the text and the keys.
 func wireConfig(n *kernel.Node, path *request.Path) error {
-	holder, err := kernel.Need[*config.Holder](n)
-	if err != nil {
-		return err
-	}
-	table, err := kernel.Need[*keys.Table](n)
-	if err != nil {
+	var (
+		holder *config.Holder
+		table  *keys.Table
+	)
+	if err := n.Need(&holder, &table); err != nil {
 		return err
 	}
 	path.Current = holder.Current
@@ -95,8 +94,8 @@
 
 // wireBudget sets the seam to the budget.
 func wireBudget(n *kernel.Node, path *request.Path) error {
-	b, err := kernel.Need[*budget.Budget](n)
-	if err != nil {
+	var b *budget.Budget
+	if err := n.Need(&b); err != nil {
 		return err
 	}
 	path.Admit = func(ctx context.Context, org ident.OrganisationID, cost ident.Tokens) (func(ident.Tokens), error) {
@@ -111,8 +110,8 @@
 
 // wireClaims sets the seam to the claims.
 func wireClaims(n *kernel.Node, path *request.Path) error {
-	c, err := kernel.Need[*claims.Service](n)
-	if err != nil {
+	var c *claims.Service
+	if err := n.Need(&c); err != nil {
 		return err
 	}
 	path.Claim = func(ctx context.Context, call claims.Call) (*request.Ticket, error) {
@@ -127,8 +126,8 @@
 
 // wirePlacement sets the seam to the placement.
 func wirePlacement(n *kernel.Node, path *request.Path) error {
-	p, err := kernel.Need[*placement.Placement](n)
-	if err != nil {
+	var p *placement.Placement
+	if err := n.Need(&p); err != nil {
 		return err
 	}
 	path.Place = func(ctx context.Context, r placement.Request) (*request.Placed, error) {
@@ -149,12 +148,11 @@
 
 // wireEndpoints sets the seams to engines and plain services.
 func wireEndpoints(n *kernel.Node, path *request.Path) error {
-	engines, err := kernel.Need[*engine.Client](n)
-	if err != nil {
-		return err
-	}
-	calls, err := kernel.Need[*httpcall.Client](n)
-	if err != nil {
+	var (
+		engines *engine.Client
+		calls   *httpcall.Client
+	)
+	if err := n.Need(&engines, &calls); err != nil {
 		return err
 	}
 	path.Prefill, path.Decode, path.Abort = engines.Prefill, engines.Decode, engines.Abort
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -54,13 +54,8 @@
 // start is the role's constructor.
 func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
 	s := &server{node: n, log: log.With(n.Log, "part", "Operator")}
-	for _, err := range []error{
-		need(n, &s.holder), need(n, &s.applier), need(n, &s.relay), need(n, &s.links),
-		need(n, &s.orders),
-	} {
-		if err != nil {
-			return nil, err
-		}
+	if err := n.Need(&s.holder, &s.applier, &s.relay, &s.links, &s.orders); err != nil {
+		return nil, err
 	}
 	listener, err := net.Listen("tcp", string(n.Settings.OperatorAddress))
 	if err != nil {
@@ -75,13 +70,6 @@
 	return &kernel.Running{Close: s.close}, nil
 }
 
-// need sets v to what an earlier role provided.
-func need[T any](n *kernel.Node, v *T) error {
-	got, err := kernel.Need[T](n)
-	*v = got
-	return err
-}
-
 // close stops the server and waits.
 func (s *server) close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
