orders: an order that its engine refused in the end conflicts with nothing

Cause: the test with a successor failed with the waiting in place, at the engine that checks fencing numbers. The trace: order 1/3 received at ...196.455, refused, no effect; order 2/1 received at ...199.055, in effect at ...202.055. The stand-in marks both as overlapping, because the older one was under way when the newer one came; it refuses the older one when it ends, as such engines do. Ruled out: a lost wait, since engines that check are meant to get their order at once. At an engine that ignores numbers nothing is refused, so that nothing changes there.

Shown failing without the waiting, at the engine that ignores numbers: order 1/3 Stale and Overlapping with 2/1 (TestFleetSuccessorWaitsForOrdersUnderWay).

--- a/io/standin/engine/fault_test.go
+++ b/io/standin/engine/fault_test.go
@@ -144,6 +144,9 @@
 		if !orders[0].Overlapping || orders[0].Stale == checks || orders[2].Stale == checks {
 			t.Errorf("checks %v: %+v", checks, orders)
 		}
+		if conflicts := e.Record().ConflictingOrders(); (len(conflicts) == 0) != checks {
+			t.Errorf("checks %v: conflicts %+v", checks, conflicts)
+		}
 		if state := e.orders.state(); state.Models[0].Version != "new" || state.Fencing != 2 {
 			t.Errorf("state: %+v", state)
 		}
--- a/io/standin/engine/orders.go
+++ b/io/standin/engine/orders.go
@@ -237,3 +237,31 @@
 func (e *Engine) handleState(w http.ResponseWriter, _ *http.Request) {
 	control.WriteJSON(w, http.StatusOK, e.orders.state())
 }
+
+// ConflictingOrders returns the orders that took effect after a higher fencing
+// number had come, or that ran while another one with another number did, if
+// both took effect. One that the engine refused in the end has done nothing.
+func (r Record) ConflictingOrders() []OrderRecord {
+	var found []OrderRecord
+	for i, o := range r.Orders {
+		if o.Stale || slices.ContainsFunc(r.Orders, o.conflicts) {
+			found = append(found, r.Orders[i])
+		}
+	}
+	return found
+}
+
+// conflicts reports whether two orders with different fencing numbers ran at
+// once and neither was refused. One without an effect yet may still have it.
+func (o OrderRecord) conflicts(other OrderRecord) bool {
+	if o.Fencing == other.Fencing || o.Refused || other.Refused {
+		return false
+	}
+	return o.startedDuring(other) || other.startedDuring(o)
+}
+
+// startedDuring reports whether an order came while another one ran.
+func (o OrderRecord) startedDuring(other OrderRecord) bool {
+	over := other.EffectUnixMS > 0 && other.EffectUnixMS <= o.ReceivedUnixMS
+	return other.ReceivedUnixMS <= o.ReceivedUnixMS && !over
+}
