placement: 10 ms instead of 30 ms kept free before the first-token deadline

Cause: long prompts have 30 to 130 ms to wait in, of which the margin took 30; the predicted time of a token (33 ms) is already some 7 ms above the observed one.

--- a/core/placement/schedule.go
+++ b/core/placement/schedule.go
@@ -24,7 +24,7 @@
 func DefaultTuning() Tuning {
 	return Tuning{
 		PrefillWindow:  20 * time.Millisecond,
-		Margin:         30 * time.Millisecond,
+		Margin:         10 * time.Millisecond,
 		TokenTime:      33 * time.Millisecond,
 		ElsewhereAfter: 20 * time.Millisecond,
 		EarlyFactor:    2,
