--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -46,15 +47,36 @@
 	s.metrics.requests.Inc(1)
 	received := time.Now()
 	defer func() { s.metrics.answers.UpdateSince(received) }()
-	if s.draining.Load() {
-		r.Close = true
+	if r.Close || s.draining.Load() {
+		// The library would close the connection from this goroutine.
+		r.Close = false
+		c.closeAfter()
 	}
 	x := &exchange{server: s, conn: c, w: response, r: r}
+	x.markLast()
 	if err := x.handle(received); err != nil {
+		x.logRefusal(err)
 		x.fail(err)
 	}
 }
 
+// markLast tells the caller if its connection ends after the answer.
+func (x *exchange) markLast() {
+	if x.conn.isLast() {
+		x.w.Header().Set("Connection", "close")
+	}
+}
+
+// logRefusal logs a request that was refused before it had a session, which
+// logs its end from then on.
+func (x *exchange) logRefusal(err error) {
+	if x.session != nil {
+		return
+	}
+	f := fault.From(err)
+	_ = level.Info(x.server.log).Log("msg", "request refused", "request", string(x.id), "kind", f.Kind, "ran", f.Ran, "err", f)
+}
+
 // connOf returns the connection of a response.
 func connOf(w *nbhttp.Response) *nbio.Conn {
 	if wrapped, ok := w.Parser.Conn.(*nbhttp.Conn); ok {
