--- a/lab/soak/check.go
+++ b/lab/soak/check.go
@@ -123,6 +123,8 @@
 // that overlapped.
 func (r *run) checkEngines(ctx context.Context, report *load.Report) error {
 	seen := make(map[string][]string)
+	orders := 0
+	defer func() { r.note("%d orders at engines", orders) }()
 	for _, e := range r.fleet.Engines {
 		var record engine.Record
 		if err := e.Control.Record(ctx, &record); err != nil {
@@ -131,7 +133,9 @@
 		for _, request := range record.Requests {
 			where := fmt.Sprintf("%s %s %s", e.Name, request.RID, request.Ending)
 			seen[request.PromptHash] = append(seen[request.PromptHash], where)
+			r.checkLeaver(e.Name, &request)
 		}
+		orders += len(record.Orders)
 		for _, order := range record.Orders {
 			if order.Stale || order.Overlapping {
 				r.findings.add(OrdersDoNotOverlap, "%s: %+v", e.Name, order)
--- a/lab/soak/check_test.go
+++ b/lab/soak/check_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"monsoonfork/core/config"
+	"monsoonfork/io/standin/engine"
 	"monsoonfork/lab/load"
 	"monsoonfork/lab/workload"
 )
@@ -128,3 +129,23 @@
 		}
 	}
 }
+
+func TestWorkForCallersThatLeftIsFound(t *testing.T) {
+	left := time.Now()
+	for _, c := range []struct {
+		after time.Duration
+		hash  string
+		found bool
+	}{
+		{memoryFreeBound - time.Second, "h", false},
+		{memoryFreeBound + time.Second, "h", true},
+		{memoryFreeBound + time.Second, "another", false},
+	} {
+		r := newRun(Config{})
+		r.leavers.left = map[string]time.Time{"h": left}
+		r.checkLeaver("decode-a", &engine.RequestRecord{PromptHash: c.hash, EndedUnixMS: left.Add(c.after).UnixMilli()})
+		if got := promises(r); (len(got) > 0) != c.found {
+			t.Errorf("%s %s: %v", c.after, c.hash, got)
+		}
+	}
+}
--- a/lab/soak/operators.go
+++ b/lab/soak/operators.go
@@ -88,6 +88,22 @@
 	return nil
 }
 
+// versionChanges returns the row of a text that wants another version of the
+// model, so that every engine gets an order.
+func versionChanges() faultEntry {
+	return faultEntry{
+		name:  "version-changes",
+		sort:  onText,
+		edits: true,
+		begin: func(ctx context.Context, r *run, _ target) error {
+			version := fmt.Sprintf("version-%d", r.turn.Add(1))
+			_, err := r.edit(ctx, version, func(t *text.Text) { t.Models[0].Version = version })
+			return err
+		},
+		finish: func(context.Context, *run, target) error { return nil },
+	}
+}
+
 // endpointLeaves returns the row of an endpoint that the text marks as leaving.
 func endpointLeaves(name string, s sort) faultEntry {
 	return faultEntry{
--- a/lab/soak/probe.go
+++ b/lab/soak/probe.go
@@ -35,9 +35,10 @@
 	work   sync.WaitGroup
 	client *http.Client
 
+	ending    atomic.Bool  // The withdrawal is under way or accepted.
 	withdrawn atomic.Int64 // Unix nanoseconds of the acceptance; 0 before it.
 	served    atomic.Int64 // Answers and streams that began well before it.
-	ended     atomic.Int64 // Streams that ended without [DONE] after it.
+	ended     atomic.Int64 // Streams that ended without [DONE] from then on.
 }
 
 // newProbe gives an organisation a further key and uses it.
@@ -64,6 +65,7 @@
 	defer p.client.CloseIdleConnections()
 	defer p.work.Wait()
 	defer p.stop()
+	p.ending.Store(true)
 	accepted, err := p.run.edit(ctx, p.name+"-withdrawn", func(t *text.Text) {
 		for i := range t.Keys {
 			if t.Keys[i].Name == ident.KeyID(p.name) {
@@ -139,7 +141,7 @@
 			p.judge(i, time.Now(), "a token")
 		}
 	}
-	if began && !done && p.withdrawn.Load() != 0 {
+	if began && !done && p.ending.Load() {
 		p.ended.Add(1)
 	}
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -63,7 +63,8 @@
 
 	strangers atomic.Int64 // Calls that were refused.
 	turn      atomic.Int64 // Numbers names and choices of instances.
-	probe     *probe       // Of the fault that withdraws a key, while it lasts.
+	leavers   leavers
+	probe     *probe // Of the fault that withdraws a key, while it lasts.
 
 	mu           sync.Mutex
 	faults       []string
@@ -101,6 +102,7 @@
 		findings: &findings{start: time.Now()},
 		busy:     make(map[string]bool),
 		secrets:  make(map[string]ident.OrganisationID),
+		leavers:  leavers{left: make(map[string]time.Time)},
 	}
 	verdict.Dir = runner.Dir()
 	verdict.Report = r.underFaults(ctx)
@@ -140,6 +142,7 @@
 	background.Go(func() { r.watchProcesses(ctx) })
 	background.Go(func() { r.watchRevisions(ctx) })
 	background.Go(func() { r.sendStrangers(ctx) })
+	background.Go(func() { r.sendLeavers(ctx) })
 	faults := make(chan struct{})
 	go func() {
 		defer close(faults)
--- a/lab/soak/table.go
+++ b/lab/soak/table.go
@@ -68,6 +68,7 @@
 		endpointLeaves("service-leaves", onService),
 		keyWithdrawn(),
 		operatorsRace(),
+		versionChanges(),
 	}
 }
 
