--- a/core/config/relay/relay_test.go
+++ b/core/config/relay/relay_test.go
@@ -1,10 +1,10 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"slices"
 	"testing"
 	"time"
@@ -21,6 +21,7 @@
 	"monsoonfork/io/standin/control"
 	standin "monsoonfork/io/standin/store"
 	"monsoonfork/io/store"
+	"monsoonfork/lab/process"
 )
 
 // inForceBound is the stated bound from acceptance to force everywhere.
@@ -37,14 +38,14 @@
 
 // fleet is a store and nodes in one process.
 type fleet struct {
-	t     *testing.T
+	t     testing.TB
 	store *standin.Store
 	peers []ident.Address
 	nodes []*testNode
 }
 
 // newFleet starts a node for each domain named.
-func newFleet(t *testing.T, domains ...ident.DomainID) *fleet {
+func newFleet(t testing.TB, domains ...ident.DomainID) *fleet {
 	t.Helper()
 	f := &fleet{t: t, store: standin.New()}
 	if err := f.store.Start(); err != nil {
@@ -127,13 +128,13 @@
 	}
 }
 
-func freeAddress(t *testing.T) ident.Address {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func freeAddress(t testing.TB) ident.Address {
+	t.Helper()
+	address, err := process.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = ln.Close() }()
-	return ident.Address(ln.Addr().String())
+	return ident.Address(address)
 }
 
 func TestInForceEverywhere(t *testing.T) {
@@ -173,7 +174,7 @@
 }
 
 // outsideApplier returns an applier of no instance of the fleet.
-func outsideApplier(t *testing.T, f *fleet) *config.Applier {
+func outsideApplier(t testing.TB, f *fleet) *config.Applier {
 	c, err := store.New([]ident.Address{ident.Address(f.store.Address())})
 	if err != nil {
 		t.Fatal(err)
@@ -300,9 +301,38 @@
 		{Revision: -1, EditId: "e", Packed: good},
 		{Revision: 5, Packed: good},
 	} {
-		s.taken(reply, "test", nil)
+		s.taken(reply, config.Earlier{}, "test")
 		if got := f.nodes[0].holder.Revision(); got != 0 {
 			t.Errorf("took %v", reply)
 		}
 	}
 }
+
+// TestPullsAreDeltas shows which base a pulled text is packed against.
+func TestPullsAreDeltas(t *testing.T) {
+	holder := config.NewHolder()
+	var replies packedReplies
+	for n := 1; n <= 8; n++ {
+		raw := fmt.Appendf(nil, "Domains: [a, b, c%d]\n", n)
+		s, err := config.NewSnapshot(ident.Revision(n), fmt.Sprintf("edit-%d", n), raw, time.Now())
+		if err != nil {
+			t.Fatal(err)
+		}
+		holder.Offer(s)
+	}
+	newest := holder.Current()
+	for have, delta := range map[ident.Revision]bool{0: false, 2: false, 4: true, 7: true} {
+		reply, err := replies.get(newest, have, holder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		base, _ := holder.Earlier(have)
+		raw, err := config.UnpackFrom(reply.GetPacked(), base)
+		if err != nil || !bytes.Equal(raw, newest.Raw) {
+			t.Errorf("from revision %d: %d bytes, %v", have, len(raw), err)
+		}
+		if _, err := config.Unpack(reply.GetPacked()); (err != nil) != delta {
+			t.Errorf("from revision %d: a whole text: %v", have, err == nil)
+		}
+	}
+}
