budget: not ready before the domain mints

Cause: for some 2 s after a fleet starts nobody holds a minting slot, but /readyz said ready as soon as there was a text, so that the balancer sent requests that were refused inside their rate.

Ready now asks for a holder of each slot of the domain, for 10 s after the start at most, since a store that is down must not keep an instance from callers.

The tests of the verbs expected /readyz at once; now they expect 503 with the reason, and 200 within the 10 s.

--- a/cmd/monsoonfork/verb/operator_test.go
+++ b/cmd/monsoonfork/verb/operator_test.go
@@ -122,6 +122,25 @@
 	return res.StatusCode, string(body)
 }
 
+// readyBound is how long a daemon may take to become ready with a text.
+const readyBound = 10 * time.Second
+
+// waitReady waits until the daemon says that it is ready.
+func (d *daemon) waitReady(t *testing.T) {
+	t.Helper()
+	end := time.Now().Add(readyBound)
+	for {
+		code, body := d.get(t, "/readyz")
+		if code == http.StatusOK {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("/readyz: %d %s", code, body)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 func TestEditOfATextFromPlanToForce(t *testing.T) {
 	d := startDaemon(t)
 	at := []string{"--operator", string(d.address)}
@@ -136,9 +155,10 @@
 	first, second := textFile(t, "north"), textFile(t, "north, south")
 	mustRun(t, []string{"revision 0", "+ Domains north", "--base 0"}, verb("plan", first)...)
 	mustRun(t, []string{"Accepted: revision 1", "In force everywhere: 1 instance in 1 domain."}, verb("apply", first, "--base", "0")...)
-	if code, _ := d.get(t, "/readyz"); code != http.StatusOK {
-		t.Errorf("/readyz with a text: %d", code)
+	if code, body := d.get(t, "/readyz"); code != http.StatusServiceUnavailable || !strings.Contains(body, "minting slots") {
+		t.Errorf("/readyz before the domain mints: %d %s", code, body)
 	}
+	d.waitReady(t)
 	mustRun(t, []string{"+ Domains south", "--base 1"}, verb("plan", second)...)
 	mustRun(t, []string{"Accepted: revision 2", "Not heard from: domain south"},
 		verb("apply", second, "--base", "1", "--wait", "500ms")...)
@@ -158,6 +178,7 @@
 	if err := json.Unmarshal([]byte(out), &applied); err != nil || applied.Accepted.EditID != "edit-7" || !applied.InForce {
 		t.Errorf("apply --json: %v: %s", err, out)
 	}
+	d.waitReady(t)
 	var s operator.Status
 	out = mustRun(t, nil, "status", "--json", "--operator", string(d.address))
 	if err := json.Unmarshal([]byte(out), &s); err != nil || s.Config.Revision != 1 || !s.Ready {
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -49,6 +49,7 @@
 	metrics    *budgetMetrics
 	admissions *admissionLog
 	poke       chan struct{} // Wakes the claim loop.
+	readyBy    Instant       // From then on Ready does not wait for holders of slots.
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/core/budget/options.go
+++ b/core/budget/options.go
@@ -57,6 +57,7 @@
 	for _, o := range opts {
 		o(b)
 	}
+	b.readyBy = b.clock.Now().Age.Add(readyWithin)
 	b.home = newHome(b)
 	b.keeper = newKeeper(b)
 	b.takers = newTakers(b)
--- /dev/null
+++ b/core/budget/ready_test.go
@@ -0,0 +1,37 @@
+package budget
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// An instance is ready once its domain mints, or, when nobody may claim slots,
+// after a bounded time.
+func TestReadyOnceTheDomainMints(t *testing.T) {
+	for name, test := range map[string]struct {
+		storeDown bool
+		within    time.Duration
+	}{
+		"store up":   {false, 5 * time.Second},
+		"store down": {true, readyWithin},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, 1, 4, testOrgs())
+				c.store.set(func(m *memoryStore) { m.down = test.storeDown })
+				n, other := c.add("d0"), c.add("d0")
+				if n.b.Ready() == nil {
+					t.Error("ready before any slot had a holder")
+				}
+				time.Sleep(test.within)
+				for _, n := range []*node{n, other} {
+					if err := n.b.Ready(); err != nil {
+						t.Errorf("after %v: %v", test.within, err)
+					}
+				}
+				c.close()
+			})
+		})
+	}
+}
--- a/core/budget/role.go
+++ b/core/budget/role.go
@@ -57,6 +57,7 @@
 		Drain: b.Drain,
 		Close: b.Close,
 		Dump:  func() any { return b.Dump() },
+		Ready: b.Ready,
 	}, nil
 }
 
