Examples of pages: status is shown once the instance is ready

Since an instance is ready only when its domain mints, the example after the first apply showed 'not ready' for its first seconds, and TestExamplesOfPages failed. The examples wait for /readyz after an apply, for the 10 s that it may take at most. The page is unchanged.

--- a/cmd/monsoonfork/docs_test.go
+++ b/cmd/monsoonfork/docs_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
@@ -125,9 +126,35 @@
 		return string(raw)
 	}
 	printed := runCommand(strings.ReplaceAll(command, shownAddress, address))
+	if strings.Contains(command, " apply ") {
+		waitReady(t, address)
+	}
 	return strings.ReplaceAll(printed, address, shownAddress)
 }
 
+// readyBound is how long a daemon may take to become ready with a text.
+const readyBound = 10 * time.Second
+
+// waitReady waits until a daemon with a text says that it is ready.
+func waitReady(t *testing.T, address string) {
+	t.Helper()
+	end := time.Now().Add(readyBound)
+	for {
+		res, err := http.Get("http://" + address + "/readyz")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("/readyz: status %d after %v", res.StatusCode, readyBound)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // startDaemons starts a daemon in each failure domain of the examples, with a
 // stand-in store, and returns the operator address of the first.
 func startDaemons(t *testing.T) string {
