--- a/cmd/monsoonfork/verb/help.go
+++ b/cmd/monsoonfork/verb/help.go
@@ -7,6 +7,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/settings"
 	"monsoonfork/core/text"
 )
 
@@ -80,7 +81,7 @@
 
 // Run implements the verb.
 func (h *helpRoles) Run(std streams) error {
-	roles, err := kernel.Roles()
+	roles, err := kernel.Roles(settings.OwnText)
 	if err != nil {
 		return err
 	}
--- a/cmd/monsoonfork/verb/roles.go
+++ b/cmd/monsoonfork/verb/roles.go
@@ -12,6 +12,7 @@
 	_ "monsoonfork/core/reaper"       // Reaper
 	_ "monsoonfork/io/caller"         // Caller
 	_ "monsoonfork/io/engine"         // Engines
-	_ "monsoonfork/io/operator"       // Operator
+	_ "monsoonfork/io/operator"       // Operator, Process
 	_ "monsoonfork/io/store"          // Store
+	_ "monsoonfork/platform"          // Routing
 )
--- a/cmd/monsoonfork/verb/serve.go
+++ b/cmd/monsoonfork/verb/serve.go
@@ -15,7 +15,7 @@
 
 // serve runs the daemon.
 type serve struct {
-	Settings string `required:"" help:"Settings file of this instance (YAML)." type:"path"`
+	Settings string `required:"" env:"MONSOONFORK_BOOT" help:"Settings file of this instance (YAML)." type:"path"`
 }
 
 // Help is the usage text of the verb.
--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,188 @@
+// Package catalog holds what operators declare: routes, services,
+// organisations and limits.
+package catalog
+
+import (
+	"crypto/sha256"
+	"slices"
+	"strings"
+	"time"
+
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+)
+
+//go:generate stringer -type=Kind -output=catalog_string.go
+
+// Kind says how often a request of a route may run.
+type Kind int
+
+// The kinds.
+const (
+	Safe   Kind = iota // May run more than once.
+	Once               // May run at most once.
+	Stream             // As Once, answered by a series of events; see Route.Resumable.
+)
+
+// Catalog is one version of what is declared. It is not changed after New.
+type Catalog struct {
+	Version       ident.Revision
+	Raw           []byte // As the operator wrote it; passed on to other instances.
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	Limits        Limits
+
+	byHost    map[string][]*Route // The longest prefix first.
+	byService map[ident.ServiceID]*Service
+	byKey     map[keyDigest]*Organisation
+}
+
+// keyDigest is the digest of a caller's key.
+type keyDigest [sha256.Size]byte
+
+// Route says what may be done with requests for a host and a path prefix.
+type Route struct {
+	Name          string
+	Host          string
+	Prefix        string // Begins and ends with a slash.
+	Kind          Kind
+	Resumable     bool  // A stream may go on at another engine.
+	Open          bool  // No key is asked for.
+	TimeoutMS     int64 // Longest time that a caller is kept waiting.
+	FirstAnswerMS int64 // Objective: time to the answer, of a stream to its first event.
+	PauseMS       int64 // Objective: longest pause between events.
+	Attempts      int   // Most engines that one request may run on.
+	Priority      int   // 0 is the most urgent.
+	Targets       []Target
+}
+
+// Target is a service with its part of a route's requests.
+type Target struct {
+	Service ident.ServiceID
+	Weight  float64
+}
+
+// Service is a set of engines that do the same.
+type Service struct {
+	Name           ident.ServiceID
+	HealthPath     string
+	MaxConnections int        // To one engine, from all callers.
+	Model          *ModelPool // Nil for plain services.
+}
+
+// ModelPool is what all engines of a model service have in common.
+type ModelPool struct {
+	Slots            int
+	MemoryTokens     ident.Tokens
+	TokenBytes       ident.Bytes // KV cache of one token.
+	LinkMbps         float64
+	EventTokens      int     // Tokens in one event of a stream.
+	HandleSeconds    float64 // How long a prefilled prompt is kept.
+	SwitchSeconds    float64 // How long a change of stage takes.
+	ReservationMS    float64 // Longest reservation; 0 if there are none.
+	EventPollsAtOnce int
+}
+
+// Organisation is a customer with keys and a rate.
+type Organisation struct {
+	Name          ident.OrganisationID
+	Keys          []string
+	Priority      int
+	HasPriority   bool                  // Priority goes before that of the route.
+	CountsTokens  bool                  // Rate and Burst are in tokens, else in requests.
+	RequestTokens ident.Tokens          // What a request without a token count costs.
+	Rate          ident.TokensPerSecond // 0 means no limit.
+	Burst         ident.Tokens
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// New indexes a catalog. The error has kind BadText.
+func New(c Catalog) (*Catalog, error) {
+	c.byHost = make(map[string][]*Route)
+	c.byService = make(map[ident.ServiceID]*Service)
+	c.byKey = make(map[keyDigest]*Organisation)
+	for i := range c.Services {
+		c.byService[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if err := c.checkRoute(r); err != nil {
+			return nil, err
+		}
+		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+	}
+	for _, list := range c.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range c.Organisations {
+		for _, key := range c.Organisations[i].Keys {
+			c.byKey[sha256.Sum256([]byte(key))] = &c.Organisations[i]
+		}
+	}
+	return &c, nil
+}
+
+// checkRoute checks what the types of the fields do not show.
+func (c *Catalog) checkRoute(r *Route) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fault.New(fault.BadText, "route %s: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
+	}
+	if len(r.Targets) == 0 {
+		return fault.New(fault.BadText, "route %s has no service", r.Name)
+	}
+	for _, t := range r.Targets {
+		if _, ok := c.byService[t.Service]; !ok {
+			return fault.New(fault.BadText, "route %s: there is no service %s", r.Name, t.Service)
+		}
+	}
+	return nil
+}
+
+// Route returns the route of a request: the one with the longest prefix.
+func (c *Catalog) Route(host, path string) (*Route, bool) {
+	for _, r := range c.byHost[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns a service by name.
+func (c *Catalog) Service(name ident.ServiceID) (*Service, bool) {
+	s, ok := c.byService[name]
+	return s, ok
+}
+
+// Organisation returns whose key it is.
+func (c *Catalog) Organisation(key string) (*Organisation, bool) {
+	o, ok := c.byKey[sha256.Sum256([]byte(key))]
+	return o, ok
+}
+
+// Keyed reports whether requests need a key at all.
+func (c *Catalog) Keyed() bool { return len(c.Organisations) > 0 }
+
+// Choose returns the service for a request. point lies in [0, 1).
+func (r *Route) Choose(point float64) ident.ServiceID {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	rest := point * total
+	for _, t := range r.Targets {
+		if rest < t.Weight {
+			return t.Service
+		}
+		rest -= t.Weight
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/core/engines/engine.go
@@ -0,0 +1,210 @@
+// Package engines holds the engines that an instance knows of and what its own
+// calls have taught it about each.
+package engines
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"monsoonfork/core/ident"
+)
+
+//go:generate stringer -type=State,Stage -output=engines_string.go
+
+// State says whether an engine takes work.
+type State int
+
+// The states.
+const (
+	Ready State = iota
+	Leaving
+)
+
+// Stage is the part of a request that a model engine serves.
+type Stage int
+
+// The stages.
+const (
+	AnyStage Stage = iota // A plain service, or an engine without pools.
+	Prefill
+	Decode
+)
+
+// Entry is what the platform's list says of an engine. State, Stage and
+// AsOf change while it runs, the other fields do not.
+type Entry struct {
+	ID      ident.EndpointID
+	Service ident.ServiceID
+	Address ident.Address
+	Domain  ident.DomainID
+	Slots   int
+	State   State
+	Stage   Stage
+	Started int64 // Unix milliseconds of its start; 0 if unknown.
+	AsOf    int64 // Of the list, when this entry changed.
+}
+
+const (
+	// doubtHalfLife is the time in which doubt falls to a half by itself.
+	doubtHalfLife = 2 * time.Second
+	// softWeight is how much one failed answer counts.
+	softWeight = 0.2
+	// hardWeight is how much an engine that gives no answer counts.
+	hardWeight = 0.6
+)
+
+// Engine is one run of an engine and what is known of it. The fields of Entry
+// are those of the first news; see Now.
+type Engine struct {
+	Entry
+
+	mu        sync.Mutex
+	gone      bool
+	state     State
+	stage     Stage
+	revision  int64
+	doubt     float64
+	doubtAt   time.Time
+	running   int          // Own requests at the engine.
+	memory    ident.Tokens // Own reservations.
+	prefill   ident.Tokens // Prompt tokens of own prefills under way.
+	fullUntil time.Time
+	fullFor   ident.Tokens // Size that was refused last.
+}
+
+// Succeeded notes a good answer.
+func (e *Engine) Succeeded(now time.Time) { e.note(0, softWeight, now) }
+
+// Failed notes an answer that says that the engine failed.
+func (e *Engine) Failed(now time.Time) { e.note(1, softWeight, now) }
+
+// Silent notes a call that got no answer.
+func (e *Engine) Silent(now time.Time) { e.note(1, hardWeight, now) }
+
+// note moves the doubt towards a value.
+func (e *Engine) note(value, weight float64, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := e.decayed(now)
+	e.doubt = d + weight*(value-d)
+	e.doubtAt = now
+}
+
+// Doubt returns how likely the engine fails, from 0 to 1.
+func (e *Engine) Doubt(now time.Time) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.decayed(now)
+}
+
+// decayed returns the doubt now. The caller holds mu.
+func (e *Engine) decayed(now time.Time) float64 {
+	if e.doubt == 0 {
+		return 0
+	}
+	return e.doubt * math.Exp2(-float64(now.Sub(e.doubtAt))/float64(doubtHalfLife))
+}
+
+// Begin counts a request at the engine until the returned function is called.
+func (e *Engine) Begin(memory ident.Tokens) (end func()) {
+	e.add(1, memory, 0)
+	return sync.OnceFunc(func() { e.add(-1, -memory, 0) })
+}
+
+// BeginPrefill counts a prefill at the engine until the returned function is
+// called.
+func (e *Engine) BeginPrefill(prompt ident.Tokens) (end func()) {
+	e.add(1, 0, prompt)
+	return sync.OnceFunc(func() { e.add(-1, 0, -prompt) })
+}
+
+// add changes the counts.
+func (e *Engine) add(running int, memory, prefill ident.Tokens) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running += running
+	e.memory += memory
+	e.prefill += prefill
+}
+
+// Load is this instance's own work at an engine.
+type Load struct {
+	Running int
+	Memory  ident.Tokens
+	Prefill ident.Tokens
+}
+
+// Load returns the own work at the engine.
+func (e *Engine) Load() Load {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Load{e.running, e.memory, e.prefill}
+}
+
+// Refused notes that the engine has no room for a size until a time.
+func (e *Engine) Refused(size ident.Tokens, until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fullUntil, e.fullFor = until, size
+}
+
+// HasRoom reports whether the engine may have room for a size.
+func (e *Engine) HasRoom(size ident.Tokens, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !now.Before(e.fullUntil) || size < e.fullFor
+}
+
+// Usable reports whether the engine may be sent work: it is ready by the list
+// as this instance knows it now.
+func (e *Engine) Usable() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.gone && e.state == Ready
+}
+
+// StageNow returns the stage of the engine.
+func (e *Engine) StageNow() Stage {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stage
+}
+
+// Revision returns the revision of the newest news of the engine.
+func (e *Engine) Revision() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.revision
+}
+
+// Now returns the entry as of the newest news.
+func (e *Engine) Now() Entry {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	entry := e.Entry
+	entry.State, entry.Stage, entry.AsOf = e.state, e.stage, e.revision
+	return entry
+}
+
+// sameRun reports whether an entry speaks of the same run of the engine.
+func (e *Engine) sameRun(n Entry) bool {
+	return e.Started == n.Started && e.Address == n.Address && e.Service == n.Service && e.Domain == n.Domain && e.Slots == n.Slots
+}
+
+// update takes newer news, and reports whether the engine's state or stage
+// changed.
+func (e *Engine) update(n Entry) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	changed := e.state != n.State || e.stage != n.Stage
+	e.state, e.stage, e.revision = n.State, n.Stage, n.AsOf
+	return changed
+}
+
+// leave marks an engine that the list no longer has, or that was replaced.
+func (e *Engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gone = true
+}
--- /dev/null
+++ b/core/engines/table.go
@@ -0,0 +1,166 @@
+package engines
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"monsoonfork/core/ident"
+)
+
+// Change is news of one engine: an entry, or that it was removed.
+type Change struct {
+	Entry   Entry // Of a removed engine only ID and AsOf are set.
+	Removed bool
+}
+
+// Table holds the engines. Readers use an unchanging view.
+type Table struct {
+	view atomic.Pointer[view]
+
+	mu       sync.Mutex
+	engines  map[ident.EndpointID]*Engine
+	removed  map[ident.EndpointID]int64 // Revision of the removal.
+	revision int64
+	known    bool
+}
+
+// view is the engines by service, in the order of their ids.
+type view struct {
+	byService map[ident.ServiceID][]*Engine
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{
+		engines: make(map[ident.EndpointID]*Engine),
+		removed: make(map[ident.EndpointID]int64),
+	}
+	t.publish()
+	return t
+}
+
+// Of returns the engines of a service. The slice must not be changed.
+func (t *Table) Of(service ident.ServiceID) []*Engine { return t.view.Load().byService[service] }
+
+// All returns all engines, by id.
+func (t *Table) All() []*Engine {
+	var all []*Engine
+	for _, list := range t.view.Load().byService {
+		all = append(all, list...)
+	}
+	slices.SortFunc(all, func(a, b *Engine) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return all
+}
+
+// Known reports whether a whole list was taken, and the newest revision of it.
+func (t *Table) Known() (bool, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.known, t.revision
+}
+
+// Apply takes changes. News that is not newer than what is known of an engine is
+// dropped. It returns the changes taken.
+func (t *Table) Apply(changes []Change) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	taken := t.apply(changes)
+	if len(taken) > 0 {
+		t.publish()
+	}
+	return taken
+}
+
+// Replace takes a whole list as of a revision. Engines that it does not name, and
+// that have not changed since, are removed.
+func (t *Table) Replace(entries []Entry, revision int64) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	named := make(map[ident.EndpointID]bool, len(entries))
+	changes := make([]Change, 0, len(entries))
+	for _, e := range entries {
+		named[e.ID] = true
+		changes = append(changes, Change{Entry: e})
+	}
+	for id, e := range t.engines {
+		if !named[id] && e.Revision() <= revision {
+			changes = append(changes, Change{Entry: Entry{ID: id, AsOf: revision}, Removed: true})
+		}
+	}
+	taken := t.apply(changes)
+	t.known = true
+	t.revision = max(t.revision, revision)
+	t.publish()
+	return taken
+}
+
+// MarkKnown notes that a whole list as of a revision was taken.
+func (t *Table) MarkKnown(revision int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.known = true
+	t.revision = max(t.revision, revision)
+}
+
+// Export returns the entries and their newest revision, for another instance.
+func (t *Table) Export() ([]Entry, int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	entries := make([]Entry, 0, len(t.engines))
+	for _, e := range t.engines {
+		entries = append(entries, e.Now())
+	}
+	return entries, t.revision
+}
+
+// apply takes changes. The caller holds mu.
+func (t *Table) apply(changes []Change) []Change {
+	var taken []Change
+	for _, c := range changes {
+		if t.applyOne(c) {
+			taken = append(taken, c)
+			t.revision = max(t.revision, c.Entry.AsOf)
+		}
+	}
+	return taken
+}
+
+// applyOne takes a change and reports whether it changed anything.
+func (t *Table) applyOne(c Change) bool {
+	id := c.Entry.ID
+	old := t.engines[id]
+	if c.Entry.AsOf <= t.removed[id] || (old != nil && c.Entry.AsOf < old.Revision()) {
+		return false
+	}
+	if c.Removed {
+		t.removed[id] = c.Entry.AsOf
+		if old == nil {
+			return false
+		}
+		old.leave()
+		delete(t.engines, id)
+		return true
+	}
+	if old != nil && old.sameRun(c.Entry) {
+		return old.update(c.Entry)
+	}
+	if old != nil {
+		old.leave()
+	}
+	t.engines[id] = &Engine{Entry: c.Entry, state: c.Entry.State, stage: c.Entry.Stage, revision: c.Entry.AsOf}
+	return true
+}
+
+// publish makes the view anew. The caller holds mu.
+func (t *Table) publish() {
+	v := &view{byService: make(map[ident.ServiceID][]*Engine)}
+	for _, e := range t.engines {
+		v.byService[e.Service] = append(v.byService[e.Service], e)
+	}
+	for _, list := range v.byService {
+		slices.SortFunc(list, func(a, b *Engine) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	}
+	t.view.Store(v)
+}
--- a/core/fault/fault_string.go
+++ b/core/fault/fault_string.go
@@ -22,27 +22,28 @@
 	_ = x[NoEndpoint-11]
 	_ = x[EndpointFailed-12]
 	_ = x[EndpointTimeout-13]
-	_ = x[AnswerBroken-14]
-	_ = x[CallInProgress-15]
-	_ = x[CallMismatch-16]
-	_ = x[OutcomeUnknown-17]
-	_ = x[AnswerNotKept-18]
-	_ = x[StoreUnavailable-19]
-	_ = x[RevisionConflict-20]
-	_ = x[BadText-21]
-	_ = x[BadSettings-22]
-	_ = x[PeerUnavailable-23]
-	_ = x[NotHolder-24]
-	_ = x[ShuttingDown-25]
-	_ = x[CallerGone-26]
-	_ = x[DeadlineExceeded-27]
-	_ = x[NotFound-28]
-	_ = x[kindCount-29]
+	_ = x[EndpointRefused-14]
+	_ = x[AnswerBroken-15]
+	_ = x[CallInProgress-16]
+	_ = x[CallMismatch-17]
+	_ = x[OutcomeUnknown-18]
+	_ = x[AnswerNotKept-19]
+	_ = x[StoreUnavailable-20]
+	_ = x[RevisionConflict-21]
+	_ = x[BadText-22]
+	_ = x[BadSettings-23]
+	_ = x[PeerUnavailable-24]
+	_ = x[NotHolder-25]
+	_ = x[ShuttingDown-26]
+	_ = x[CallerGone-27]
+	_ = x[DeadlineExceeded-28]
+	_ = x[NotFound-29]
+	_ = x[kindCount-30]
 }
 
-const _Kind_name = "InternalBadRequestRequestTooLargeRequestTimeoutUnknownRouteUnknownModelUnauthenticatedForbiddenKeyWithdrawnRateExceededOverloadedNoEndpointEndpointFailedEndpointTimeoutAnswerBrokenCallInProgressCallMismatchOutcomeUnknownAnswerNotKeptStoreUnavailableRevisionConflictBadTextBadSettingsPeerUnavailableNotHolderShuttingDownCallerGoneDeadlineExceededNotFoundkindCount"
+const _Kind_name = "InternalBadRequestRequestTooLargeRequestTimeoutUnknownRouteUnknownModelUnauthenticatedForbiddenKeyWithdrawnRateExceededOverloadedNoEndpointEndpointFailedEndpointTimeoutEndpointRefusedAnswerBrokenCallInProgressCallMismatchOutcomeUnknownAnswerNotKeptStoreUnavailableRevisionConflictBadTextBadSettingsPeerUnavailableNotHolderShuttingDownCallerGoneDeadlineExceededNotFoundkindCount"
 
-var _Kind_index = [...]uint16{0, 8, 18, 33, 47, 59, 71, 86, 95, 107, 119, 129, 139, 153, 168, 180, 194, 206, 220, 233, 249, 265, 272, 283, 298, 307, 319, 329, 345, 353, 362}
+var _Kind_index = [...]uint16{0, 8, 18, 33, 47, 59, 71, 86, 95, 107, 119, 129, 139, 153, 168, 183, 195, 209, 221, 235, 248, 264, 280, 287, 298, 313, 322, 334, 344, 360, 368, 377}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -24,6 +24,7 @@
 	NoEndpoint                   // No endpoint is available.
 	EndpointFailed               // The endpoint failed after the request may have reached it.
 	EndpointTimeout              // The endpoint did not answer in time.
+	EndpointRefused              // The endpoint said that it did not run the request.
 	AnswerBroken                 // The answer was cut and could not be completed.
 	CallInProgress               // The same Idempotency-Key is running now.
 	CallMismatch                 // The Idempotency-Key was used with another request.
--- a/core/fault/table.go
+++ b/core/fault/table.go
@@ -18,6 +18,7 @@
 	NoEndpoint:       {http.StatusServiceUnavailable, "no_endpoint", NotRun, true},
 	EndpointFailed:   {http.StatusBadGateway, "endpoint_failed", MayHaveRun, false},
 	EndpointTimeout:  {http.StatusGatewayTimeout, "endpoint_timeout", MayHaveRun, false},
+	EndpointRefused:  {http.StatusServiceUnavailable, "endpoint_refused", NotRun, true},
 	AnswerBroken:     {http.StatusBadGateway, "answer_broken", MayHaveRun, false},
 	CallInProgress:   {http.StatusConflict, "call_in_progress", MayHaveRun, true},
 	CallMismatch:     {http.StatusUnprocessableEntity, "idempotency_key_reused", NotRun, false},
--- /dev/null
+++ b/core/follow/follow.go
@@ -0,0 +1,135 @@
+// Package follow keeps up with a part of the platform's store.
+package follow
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// ErrCompacted says that the store no longer has the history that was asked for.
+var ErrCompacted = errors.New("the history of the store is gone")
+
+// Item is a key of the store, or that it was removed.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	Removed  bool
+}
+
+// Source is the seam to the store.
+type Source struct {
+	// List returns all items, and the revision from which a watch misses nothing.
+	List func(ctx context.Context) (items []Item, revision int64, err error)
+	// Watch waits for changes after a revision and returns where to go on.
+	Watch func(ctx context.Context, after int64) (changes []Item, next int64, err error)
+}
+
+const (
+	firstPause = 100 * time.Millisecond
+	// lastPause bounds the pause after failures: news must be in force within two
+	// seconds of the store's return.
+	lastPause = 500 * time.Millisecond
+)
+
+// Follower follows a Source until its context ends.
+type Follower struct {
+	Name    string
+	Source  Source
+	OnList  func(items []Item, revision int64)
+	OnNews  func(changes []Item)
+	Log     log.Logger
+	Now     func() time.Time
+	Regains func(at time.Time) // Called when the store answers again. May be nil.
+
+	mu      sync.Mutex
+	healthy bool
+	since   time.Time
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		revision, err := f.list(ctx)
+		if err == nil {
+			pause = firstPause
+			err = f.watch(ctx, revision)
+		}
+		if errors.Is(err, ErrCompacted) {
+			_ = level.Info(f.Log).Log("msg", "store history gone, listing anew", "follows", f.Name, "revision", revision)
+			continue
+		}
+		f.set(false, err)
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// list takes the whole list.
+func (f *Follower) list(ctx context.Context) (int64, error) {
+	items, revision, err := f.Source.List(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.set(true, nil)
+	f.OnList(items, revision)
+	return revision, nil
+}
+
+// watch takes news until a call fails. A watch that fails once is tried again
+// from where it was, as it is cheaper than a list.
+func (f *Follower) watch(ctx context.Context, revision int64) error {
+	failed := false
+	for {
+		changes, next, err := f.Source.Watch(ctx, revision)
+		if err != nil {
+			if failed || ctx.Err() != nil || errors.Is(err, ErrCompacted) {
+				return err
+			}
+			failed = true
+			continue
+		}
+		failed = false
+		revision = max(revision, next)
+		if len(changes) > 0 {
+			f.OnNews(changes)
+		}
+	}
+}
+
+// set records whether the store answers, and logs a change.
+func (f *Follower) set(healthy bool, err error) {
+	f.mu.Lock()
+	changed := f.healthy != healthy
+	first := f.since.IsZero()
+	if changed || first {
+		f.healthy, f.since = healthy, f.Now()
+	}
+	f.mu.Unlock()
+	switch {
+	case !changed:
+	case healthy:
+		_ = level.Info(f.Log).Log("msg", "store regained", "follows", f.Name)
+		if f.Regains != nil && !first {
+			f.Regains(f.Now())
+		}
+	default:
+		_ = level.Warn(f.Log).Log("msg", "store lost", "follows", f.Name, "err", err)
+	}
+}
+
+// Healthy reports whether the store answers, and since when that is so.
+func (f *Follower) Healthy() (bool, time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.healthy, f.since
+}
--- a/core/kernel/kernel_test.go
+++ b/core/kernel/kernel_test.go
@@ -88,11 +88,11 @@
 func TestWrongTablesAreErrors(t *testing.T) {
 	r := &recorder{}
 	withRoles(t, r.role("A", "B"), r.role("B", "A"))
-	if _, err := Roles(); err == nil {
+	if _, err := Roles(settings.OwnText); err == nil {
 		t.Error("roles that need each other gave no error")
 	}
 	withRoles(t, r.role("A", "Missing"))
-	if _, err := Roles(); err == nil {
+	if _, err := Roles(settings.OwnText); err == nil {
 		t.Error("a missing role gave no error")
 	}
 }
--- a/core/kernel/node.go
+++ b/core/kernel/node.go
@@ -78,7 +78,7 @@
 // Start starts all registered roles in order. On an error it closes those
 // that had started.
 func (n *Node) Start(ctx context.Context) error {
-	roles, err := Roles()
+	roles, err := Roles(n.Settings.Deployment)
 	if err != nil {
 		return err
 	}
--- a/core/kernel/role.go
+++ b/core/kernel/role.go
@@ -5,15 +5,19 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
+
+	"monsoonfork/core/settings"
 )
 
 // Role is a part of the daemon. A package registers its role from init.
 type Role struct {
 	Name    string
-	Summary string   // One line for help.
-	After   []string // Names of roles that must be started before.
+	Summary string               // One line for help.
+	After   []string             // Names of roles that must be started before.
+	On      settings.Deployments // Where the role runs; none means OwnText.
 	Start   func(ctx context.Context, n *Node) (*Running, error)
 }
 
@@ -41,14 +45,16 @@
 	registry[r.Name] = r
 }
 
-// Roles returns the registered roles in the order in which they start: each
+// Roles returns the roles of a deployment in the order in which they start: each
 // after those that it names, otherwise by name.
-func Roles() ([]Role, error) {
+func Roles(d settings.Deployment) ([]Role, error) {
 	registryMu.Lock()
 	defer registryMu.Unlock()
 	names := make([]string, 0, len(registry))
-	for name := range registry {
-		names = append(names, name)
+	for name, r := range registry {
+		if r.runsOn(d) {
+			names = append(names, name)
+		}
 	}
 	sort.Strings(names)
 	var ordered []Role
@@ -61,6 +67,14 @@
 	return ordered, nil
 }
 
+// runsOn reports whether the role belongs to a deployment.
+func (r Role) runsOn(d settings.Deployment) bool {
+	if len(r.On) == 0 {
+		return d == settings.OwnText
+	}
+	return slices.Contains(r.On, d)
+}
+
 // visit is the progress of the ordering for one role.
 type visit int
 
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/settings"
 	"monsoonfork/io/instancelist"
 	"monsoonfork/io/peer"
 )
@@ -71,6 +72,7 @@
 	kernel.Register(kernel.Role{
 		Name:    "Membership",
 		Summary: "knows the live instances of the domain and some of others",
+		On:      settings.Deployments{settings.OwnText, settings.Platform},
 		Start:   start,
 	})
 }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -31,6 +31,34 @@
 	BalancerDelayMS     int64           `yaml:"BalancerDelayMS"`     // Time that the balancer needs to see a stopping instance.
 	OrderLeaseMS        int64           `yaml:"OrderLeaseMS"`        // Lease of the instance that gives orders to the domain's engines.
 	AllowFaults         bool            `yaml:"AllowFaults"`         // Whether tests may command faults on the operator address.
+	Deployment          Deployment      `yaml:"Deployment"`          // Where declarations and engines come from.
+	MetricsAddress      ident.Address   `yaml:"MetricsAddress"`      // Where metrics are served too; may be empty.
+	Bounds              Bounds          `yaml:"Bounds"`              // What a platform asks for; only under Deployment Platform.
+}
+
+// Deployment says where declarations and engines come from.
+type Deployment string
+
+// Deployments are some of the deployments.
+type Deployments []Deployment
+
+// The deployments.
+const (
+	OwnText  Deployment = "OwnText"  // From the text that operators apply.
+	Platform Deployment = "Platform" // From the platform's store.
+)
+
+// Bounds are what a platform asks of the daemons together.
+type Bounds struct {
+	RepeatRatio    float64      `yaml:"RepeatRatio"`    // Calls beyond the first, of the requests for a service.
+	RepeatSlack    float64      `yaml:"RepeatSlack"`    // Calls beyond the first in a window that are always allowed.
+	RepeatWindowS  float64      `yaml:"RepeatWindowS"`  // Window of both.
+	StopS          float64      `yaml:"StopS"`          // From SIGTERM until the process is killed.
+	OrderLeaseMS   int64        `yaml:"OrderLeaseMS"`   // Shortest time between orders of two holders.
+	RateWindowS    float64      `yaml:"RateWindowS"`    // Window in which tokens of organisations are counted.
+	RateOvershoot  float64      `yaml:"RateOvershoot"`  // Part of a rate that may be exceeded.
+	RateSlack      ident.Tokens `yaml:"RateSlack"`      // Tokens beyond a rate that are allowed in a window.
+	EnginesCheckID bool         `yaml:"EnginesCheckID"` // Engines refuse orders with an old fencing number.
 }
 
 // TLS names the files for mutual TLS between instances.
@@ -66,6 +94,7 @@
 		BalancerDelayMS: defaultBalancerDelayMS,
 		OrderLeaseMS:    defaultOrderLeaseMS,
 		LogLevel:        defaultLogLevel,
+		Deployment:      OwnText,
 	}
 }
 
@@ -115,6 +144,12 @@
 	if s.InstanceListAddress != "" {
 		c.address("InstanceListAddress", s.InstanceListAddress)
 	}
+	if s.Deployment != OwnText && s.Deployment != Platform && !c.Failed("Deployment") {
+		c.Addf("Deployment", "give OwnText or Platform", "%q is not a deployment", s.Deployment)
+	}
+	if s.MetricsAddress != "" {
+		c.address("MetricsAddress", s.MetricsAddress)
+	}
 	c.between("HeartbeatMS", s.HeartbeatMS, minHeartbeatMS, maxHeartbeatMS)
 	c.between("BalancerDelayMS", s.BalancerDelayMS, 0, maxBalancerDelayMS)
 	c.between("OrderLeaseMS", s.OrderLeaseMS, minOrderLeaseMS, maxOrderLeaseMS)
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -9,7 +9,6 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"monsoonfork/core/fault"
-	"monsoonfork/core/request"
 )
 
 // lingerTime is how long a refused connection is read and dropped, so that its
@@ -30,8 +29,8 @@
 	requestBy time.Time // When the request that is being read has to be whole.
 	closeBy   time.Time // When the connection ends unless a request comes.
 	refusal   *fault.Error
-	session   *request.Session // Of the request being handled, or nil.
-	handling  int              // Requests read whole and not answered.
+	cancel    func(*fault.Error) // Ends the request being handled; nil without one.
+	handling  int                // Requests read whole and not answered.
 	goneNoted bool
 	last      bool // No request is taken after the one that is being handled.
 	quiet     int  // Sweeps since the last answer in which all of it was delivered.
@@ -178,11 +177,11 @@
 	return true
 }
 
-// begin notes the session of the request that is being handled. If the caller
-// has gone, the session ends at once.
-func (c *conn) begin(s *request.Session) {
+// begin notes how to end the request that is being handled. If the caller has
+// gone, it ends at once.
+func (c *conn) begin(cancel func(*fault.Error)) {
 	c.mu.Lock()
-	c.session = s
+	c.cancel = cancel
 	c.goneNoted = false
 	c.mu.Unlock()
 	c.check(time.Time{})
@@ -236,7 +235,7 @@
 func (c *conn) end() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.session = nil
+	c.cancel = nil
 	c.handling--
 	c.closeBy = time.Now().Add(c.limits.IdleTime)
 }
@@ -250,17 +249,18 @@
 	return closed
 }
 
-// check ends the session of a caller that has gone, turns away a request that
-// was not read whole in time, and closes an idle connection. The library tells a handler of neither: the
-// context of a request is not cancelled, and Write goes on without an error.
+// check ends the request of a caller that has gone, turns away a request that
+// was not read whole in time, and closes an idle connection. The library tells a
+// handler of neither: the context of a request is not cancelled, and Write goes
+// on without an error.
 func (c *conn) check(now time.Time) {
 	gone := c.gone()
 	c.mu.Lock()
-	session := c.session
+	cancel := c.cancel
 	if !gone || c.goneNoted {
-		session = nil
+		cancel = nil
 	}
-	if session != nil {
+	if cancel != nil {
 		c.goneNoted = true
 	}
 	late := !now.IsZero() && !c.requestBy.IsZero() && now.After(c.requestBy)
@@ -275,9 +275,9 @@
 		_ = c.nbc.Close()
 		return
 	}
-	if session != nil {
+	if cancel != nil {
 		c.metrics.gone.Inc(1)
-		session.Cancel(fault.New(fault.CallerGone, "the caller closed its connection"))
+		cancel(fault.New(fault.CallerGone, "the caller closed its connection"))
 	}
 	if late && !gone {
 		c.turnAway(timeout)
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -54,6 +54,10 @@
 	}
 	x := &exchange{server: s, conn: c, w: response, r: r}
 	x.markLast()
+	if s.forward != nil {
+		s.serveForward(x, received)
+		return
+	}
 	if err := x.handle(received); err != nil {
 		x.logRefusal(err)
 		x.fail(err)
@@ -114,7 +118,7 @@
 		return err
 	}
 	x.session = session
-	x.conn.begin(session)
+	x.conn.begin(session.Cancel)
 	defer func() { session.Close(err) }()
 	body, err := io.ReadAll(x.r.Body)
 	if err != nil {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -56,9 +56,10 @@
 
 // Server serves callers.
 type Server struct {
-	path   *request.Path
-	log    log.Logger
-	limits Limits
+	path    *request.Path
+	forward func(*Forward) // Serves every request in place of path.
+	log     log.Logger
+	limits  Limits
 
 	engine   *nbhttp.Engine
 	conns    connTable
@@ -229,10 +230,13 @@
 
 // Dump returns the state for operators.
 func (s *Server) Dump() Dump {
-	return Dump{
+	d := Dump{
 		Connections:  s.conns.count(),
 		OpenRequests: s.open.Load(),
 		Draining:     s.draining.Load(),
-		Path:         s.path.Dump(),
 	}
+	if s.path != nil {
+		d.Path = s.path.Dump()
+	}
+	return d
 }
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -23,6 +23,7 @@
 // Call is one HTTP call.
 type Call struct {
 	Address ident.Address
+	Host    string // Of the Host header; Address if empty.
 	Method  string
 	Target  string      // Path and query.
 	Header  http.Header // Without hop-by-hop headers.
@@ -33,12 +34,16 @@
 	// BeforeSend is called right before the write. Its error ends the call, of
 	// which nothing was sent. May be nil.
 	BeforeSend func() error
+
+	// UsedSince is for a Pool: a kept connection that was idle before is not used.
+	UsedSince time.Time
 }
 
 // Head is the status line and the headers of an answer.
 type Head struct {
 	Status int
 	Header http.Header
+	Length int64 // Of the body; -1 if unknown. Only a Pool sets it.
 }
 
 // Sink takes an answer as it arrives. An error from either function ends the
@@ -105,15 +110,24 @@
 
 // dial connects within the limits of the call.
 func (c *Client) dial(ctx context.Context, call Call) (net.Conn, error) {
+	started := time.Now()
+	conn, err := dialEndpoint(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	c.counters.dial.UpdateSince(started)
+	return conn, nil
+}
+
+// dialEndpoint connects within the limits of the call.
+func dialEndpoint(ctx context.Context, call Call) (net.Conn, error) {
 	if ctx.Err() != nil {
 		return nil, cancelled(ctx, fault.NotRun)
 	}
 	by := earliest(call.Limits.ConnectBy, call.Limits.WholeBy)
-	started := time.Now()
 	dialer := net.Dialer{Deadline: by}
 	conn, err := dialer.DialContext(ctx, "tcp", string(call.Address))
 	if err == nil {
-		c.counters.dial.UpdateSince(started)
 		return conn, nil
 	}
 	if ctx.Err() != nil {
@@ -152,7 +166,14 @@
 	}
 	var b bytes.Buffer
 	b.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\n")
-	b.WriteString("Host: " + string(call.Address) + "\r\n")
+	host := call.Host
+	if host == "" {
+		host = string(call.Address)
+	}
+	if strings.ContainsAny(host, " \r\n\t\x00") {
+		return nil, fault.New(fault.BadRequest, "invalid host %q", host)
+	}
+	b.WriteString("Host: " + host + "\r\n")
 	h := call.Header.Clone()
 	if h == nil {
 		h = http.Header{}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -7,14 +7,17 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/config"
 	"monsoonfork/core/config/relay"
 	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/orders"
+	"monsoonfork/core/settings"
 	"monsoonfork/core/text"
 	"monsoonfork/io/peer"
 )
@@ -49,6 +52,12 @@
 		After:   []string{"Config", "Membership", "Orders"},
 		Start:   start,
 	})
+	kernel.Register(kernel.Role{
+		Name:    "Process",
+		Summary: "serves the state of the process: readiness, dump, metrics",
+		On:      settings.Deployments{settings.Platform},
+		Start:   startProcess,
+	})
 }
 
 // start is the role's constructor.
@@ -57,17 +66,42 @@
 	if err := n.Need(&s.holder, &s.applier, &s.relay, &s.links, &s.orders); err != nil {
 		return nil, err
 	}
-	listener, err := net.Listen("tcp", string(n.Settings.OperatorAddress))
+	if err := s.serve(n.Settings.OperatorAddress, s.routes()); err != nil {
+		return nil, err
+	}
+	return &kernel.Running{Close: s.close}, nil
+}
+
+// startProcess is the constructor of the role that serves one process's state.
+func startProcess(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
+	s := &server{node: n, log: log.With(n.Log, "part", "Process")}
+	if err := s.serve(n.Settings.OperatorAddress, s.processRoutes()); err != nil {
+		return nil, err
+	}
+	if n.Settings.MetricsAddress == "" {
+		return &kernel.Running{Close: s.close}, nil
+	}
+	m := &server{node: n, log: s.log}
+	if err := m.serve(n.Settings.MetricsAddress, m.processRoutes()); err != nil {
+		_ = s.close()
+		return nil, err
+	}
+	return &kernel.Running{Close: func() error { return errors.CombineErrors(m.close(), s.close()) }}, nil
+}
+
+// serve serves handler on an address.
+func (s *server) serve(address ident.Address, handler http.Handler) error {
+	listener, err := net.Listen("tcp", string(address))
 	if err != nil {
-		return nil, fault.Wrap(err, fault.BadSettings, "cannot listen on operator address %s", n.Settings.OperatorAddress)
+		return fault.Wrap(err, fault.BadSettings, "cannot listen on operator address %s", address)
 	}
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
+	s.http = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout}
 	s.wg.Add(1)
 	go func() {
 		defer s.wg.Done()
 		_ = s.http.Serve(listener)
 	}()
-	return &kernel.Running{Close: s.close}, nil
+	return nil
 }
 
 // close stops the server and waits.
@@ -82,14 +116,21 @@
 	return nil
 }
 
-// routes lists all calls.
-func (s *server) routes() http.Handler {
+// processRoutes lists the calls that speak of this process alone.
+func (s *server) processRoutes() *http.ServeMux {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /livez", s.livez)
 	mux.HandleFunc("GET /readyz", s.readyz)
 	mux.HandleFunc("GET /metrics", s.metrics)
+	mux.HandleFunc("GET /metrics.txt", s.exposition)
 	mux.HandleFunc("GET /dump", s.dump)
 	mux.HandleFunc("GET /profile", s.profile)
+	return mux
+}
+
+// routes lists all calls.
+func (s *server) routes() http.Handler {
+	mux := s.processRoutes()
 	mux.HandleFunc("GET /status", s.status)
 	mux.HandleFunc("GET /text", s.text)
 	mux.HandleFunc("POST /plan", s.plan)
