--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -39,7 +39,6 @@
 
 // Follower follows a Source until its context ends.
 type Follower struct {
-	Name    string
 	Source  Source
 	OnList  func(items []Item, revision int64)
 	OnNews  func(changes []Item)
@@ -62,7 +61,7 @@
 			err = f.watch(ctx, revision)
 		}
 		if errors.Is(err, ErrCompacted) {
-			_ = level.Info(f.Log).Log("msg", "store history gone, listing anew", "follows", f.Name, "revision", revision)
+			_ = level.Info(f.Log).Log("msg", "store history gone, listing anew", "revision", revision)
 			continue
 		}
 		f.set(false, err)
@@ -118,12 +117,12 @@
 	switch {
 	case !changed:
 	case healthy:
-		_ = level.Info(f.Log).Log("msg", "store regained", "follows", f.Name)
+		_ = level.Info(f.Log).Log("msg", "store regained")
 		if f.Regains != nil && !first {
 			f.Regains(f.Now())
 		}
 	default:
-		_ = level.Warn(f.Log).Log("msg", "store lost", "follows", f.Name, "err", err)
+		_ = level.Warn(f.Log).Log("msg", "store lost", "err", err)
 	}
 }
 
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -125,7 +125,7 @@
 		return nil, cancelled(ctx, fault.NotRun)
 	}
 	by := earliest(call.Limits.ConnectBy, call.Limits.WholeBy)
-	dialer := net.Dialer{Deadline: by}
+	dialer := net.Dialer{Deadline: by, KeepAliveConfig: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp", string(call.Address))
 	if err == nil {
 		return conn, nil
@@ -140,6 +140,10 @@
 	return nil, fault.Wrap(err, fault.EndpointFailed, "cannot connect to the endpoint").WithRan(fault.NotRun)
 }
 
+// keepAlive makes the kernel notice a connection that has gone silent while an
+// answer is waited for.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
+
 // attach gives the connection to the poller with x as its processor.
 func (c *Client) attach(conn net.Conn, x *exchange) (*nbio.Conn, error) {
 	nbc, err := nbio.NBConn(conn)
