Register of instances in the store; restarted instances start with empty buckets

Instances now register under a lease, so that their number is known from the same watch, and buckets start empty.

--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -5,6 +5,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -110,8 +111,12 @@
 	waiting  waiting
 	counters counters
 	tuning   Tuning
+	stopping atomic.Bool
 }
 
+// Stop makes the router refuse new requests. Those under way go on.
+func (r *Router) Stop() { r.stopping.Store(true) }
+
 // Tuning are the settings of a router that a deployment gives.
 type Tuning struct {
 	RepeatRatio  float64       // Calls beyond the first, of the requests for a service.
@@ -198,6 +203,9 @@
 // open decides what does not need an engine.
 func (r *Router) open(q *Request, a Answer) (*job, error) {
 	c := r.Catalog()
+	if r.stopping.Load() {
+		return nil, fault.New(fault.ShuttingDown, "the instance is stopping").WithRetryAfter(r.now().Add(stoppingRetry))
+	}
 	if c == nil {
 		return nil, fault.New(fault.StoreUnavailable, "no configuration is known yet").WithRetryAfter(r.now().Add(unknownRetry))
 	}
@@ -220,9 +228,14 @@
 	return j, nil
 }
 
-// unknownRetry is when a caller should come again whom an instance without a
-// configuration has refused.
-const unknownRetry = 300 * time.Millisecond
+const (
+	// unknownRetry is when a caller should come again whom an instance without a
+	// configuration has refused.
+	unknownRetry = 300 * time.Millisecond
+	// stoppingRetry is when a caller should come again whom an instance that stops
+	// has refused. Another one serves it.
+	stoppingRetry = 20 * time.Millisecond
+)
 
 // run admits the request and sends it to engines.
 func (j *job) run(ctx context.Context) error {
--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -28,11 +28,11 @@
 	b.level = min(b.level, b.burst*b.part)
 }
 
-// limit sets the rate and burst. A bucket that is new starts full.
+// limit sets the rate and burst. A bucket that is new starts empty: an instance
+// that was restarted does not know what was used before.
 func (b *bucket) limit(rate, burst, part float64, now time.Time) {
 	if b.at.IsZero() {
 		b.at = now
-		b.level = burst * part
 	} else {
 		b.refill(now)
 	}
--- a/core/share/collect.go
+++ b/core/share/collect.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"monsoonfork/core/ident"
-	"monsoonfork/core/membership"
 )
 
 // source is a member of the own domain, or the collector of another one.
 type source struct {
 	domain  ident.DomainID
+	members int // That a collector hears.
 	heardAt time.Time
 	first   map[ident.OrganisationID]int64 // When it was first heard of.
 	newest  map[ident.OrganisationID]int64
@@ -33,7 +33,7 @@
 }
 
 // take takes over what a source has admitted since it started.
-func (s *sums) take(from ident.InstanceID, domain ident.DomainID, admitted []*Usage) {
+func (s *sums) take(from ident.InstanceID, domain ident.DomainID, members int, admitted []*Usage) {
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -44,7 +44,7 @@
 		s.sources[from] = src
 		s.forget(now)
 	}
-	src.heardAt = now
+	src.heardAt, src.members = now, members
 	for _, u := range admitted {
 		name := ident.OrganisationID(u.GetOrganisation())
 		if fresh {
@@ -71,11 +71,12 @@
 	return s.total(func(id ident.InstanceID, _ *source) bool { return id != but })
 }
 
-// domainTotal returns what the members of a domain have admitted.
-func (s *sums) domainTotal(domain ident.DomainID) []*Usage {
+// ofDomain returns what the members of a domain have admitted, and how many of
+// them are heard.
+func (s *sums) ofDomain(domain ident.DomainID) ([]*Usage, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.total(func(_ ident.InstanceID, src *source) bool { return src.domain == domain })
+	return s.total(func(_ ident.InstanceID, src *source) bool { return src.domain == domain }), s.heardHere(domain)
 }
 
 // total adds up the sources that want accepts. The caller holds mu.
@@ -98,29 +99,45 @@
 }
 
 // part returns the part of rates that those who are heard may use together: all
-// but that of silent members and of domains whose collector is silent.
-func (s *sums) part(v *membership.View) float64 {
-	now := s.now()
-	heardDomains := make(map[ident.DomainID]bool)
-	heard := make(map[ident.InstanceID]bool)
+// but that of instances that are expected and not heard.
+func (s *sums) part(self ident.DomainID, expected int) float64 {
+	return min(1, float64(s.heard(self))/float64(max(1, expected)))
+}
+
+// heard returns how many instances are heard: members of the own domain, and those
+// that the collectors of other domains hear.
+func (s *sums) heard(own ident.DomainID) int {
 	s.mu.Lock()
-	for id, src := range s.sources {
-		if now.Sub(src.heardAt) < unheardAfter {
-			heard[id] = true
-			heardDomains[src.domain] = true
+	defer s.mu.Unlock()
+	return s.heardHere(own) + s.heardElsewhere(own)
+}
+
+// heardHere counts the members of the own domain that are heard. The caller holds
+// mu.
+func (s *sums) heardHere(own ident.DomainID) int {
+	now := s.now()
+	n := 0
+	for _, src := range s.sources {
+		if src.domain == own && now.Sub(src.heardAt) < unheardAfter {
+			n++
 		}
 	}
-	s.mu.Unlock()
-	all, here := 0, 0
-	for _, m := range v.Members() {
-		if m.State == membership.Gone {
-			continue
-		}
-		all++
-		own := m.Domain == v.Self.Domain
-		if m.ID == v.Self.ID || (own && heard[m.ID]) || (!own && heardDomains[m.Domain]) {
-			here++
+	return n
+}
+
+// heardElsewhere counts what the collectors of other domains hear. The caller
+// holds mu.
+func (s *sums) heardElsewhere(own ident.DomainID) int {
+	now := s.now()
+	best := make(map[ident.DomainID]int)
+	for _, src := range s.sources {
+		if src.domain != own && now.Sub(src.heardAt) < unheardAfter {
+			best[src.domain] = max(best[src.domain], src.members)
 		}
 	}
-	return float64(here) / float64(max(1, all))
+	n := 0
+	for _, members := range best {
+		n += members
+	}
+	return n
 }
--- a/core/share/loop.go
+++ b/core/share/loop.go
@@ -77,7 +77,7 @@
 				_ = level.Debug(s.log).Log("msg", "no exchange of rates", "domain", domain, "err", err)
 				return
 			}
-			s.sums.take(other.ID, domain, reply.GetExchange().GetAdmitted())
+			s.take(other.ID, reply.GetExchange())
 		})
 	}
 	wg.Wait()
@@ -85,18 +85,24 @@
 
 // exchange returns what this instance tells collectors of other domains.
 func (s *Shares) exchange(v *membership.View) *Exchange {
-	return &Exchange{Domain: string(v.Self.Domain), Admitted: s.sums.domainTotal(v.Self.Domain)}
+	admitted, members := s.sums.ofDomain(v.Self.Domain)
+	return &Exchange{Domain: string(v.Self.Domain), Admitted: admitted, Members: int64(members)}
+}
+
+// take takes over what another domain's collector tells.
+func (s *Shares) take(from ident.InstanceID, e *Exchange) {
+	s.sums.take(from, ident.DomainID(e.GetDomain()), int(e.GetMembers()), e.GetAdmitted())
 }
 
 // ServeReport answers a member's report.
 func (s *Shares) ServeReport(_ context.Context, from ident.InstanceID, r *Report) (proto.Message, error) {
 	v := s.view()
-	s.sums.take(from, v.Self.Domain, r.GetAdmitted())
-	return &ReportReply{Others: s.sums.others(from), Part: s.sums.part(v)}, nil
+	s.sums.take(from, v.Self.Domain, 0, r.GetAdmitted())
+	return &ReportReply{Others: s.sums.others(from), Part: s.sums.part(v.Self.Domain, Expected(v, s.listed()))}, nil
 }
 
 // ServeExchange answers the collector of another domain.
 func (s *Shares) ServeExchange(_ context.Context, from ident.InstanceID, e *Exchange) (proto.Message, error) {
-	s.sums.take(from, ident.DomainID(e.GetDomain()), e.GetAdmitted())
+	s.take(from, e)
 	return &ExchangeReply{Exchange: s.exchange(s.view())}, nil
 }
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -25,10 +25,11 @@
 
 // Shares admits tokens of organisations. It is safe for concurrent use.
 type Shares struct {
-	log  log.Logger
-	now  func() time.Time
-	view func() *membership.View
-	call Caller
+	log    log.Logger
+	now    func() time.Time
+	view   func() *membership.View
+	listed func() int // Instances that are registered.
+	call   Caller
 
 	mu        sync.Mutex
 	buckets   map[ident.OrganisationID]*bucket
@@ -39,12 +40,14 @@
 	sums sums
 }
 
-// New returns shares of an instance among the members of view.
-func New(view func() *membership.View, call Caller, logger log.Logger, now func() time.Time) *Shares {
+// New returns shares of an instance among the members of view and those that are
+// registered.
+func New(view func() *membership.View, listed func() int, call Caller, logger log.Logger, now func() time.Time) *Shares {
 	return &Shares{
 		log:     log.With(logger, "part", "Share"),
 		now:     now,
 		view:    view,
+		listed:  listed,
 		call:    call,
 		buckets: make(map[ident.OrganisationID]*bucket),
 		sums:    newSums(now),
@@ -89,18 +92,19 @@
 	if now.Sub(s.heardAt) < unheardAfter {
 		return s.part
 	}
-	return 1 / float64(max(1, countLiving(s.view())))
+	return 1 / float64(Expected(s.view(), s.listed()))
 }
 
-// countLiving returns the number of members that may live.
-func countLiving(v *membership.View) int {
-	n := 0
+// Expected returns how many instances share the fleet's budgets: those that are
+// registered, or those that may live by the view if they are more.
+func Expected(v *membership.View, listed int) int {
+	living := 0
 	for _, m := range v.Members() {
 		if m.State != membership.Gone {
-			n++
+			living++
 		}
 	}
-	return n
+	return max(1, living, listed)
 }
 
 // report returns what this instance has admitted.
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -200,6 +200,15 @@
 	c.last = true
 }
 
+// leaveIdle makes a connection without a request take none any more.
+func (c *conn) leaveIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.handling == 0 && c.requestBy.IsZero() {
+		c.last = true
+	}
+}
+
 // isLast reports whether no request is taken after the one being handled.
 func (c *conn) isLast() bool {
 	c.mu.Lock()
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -61,6 +61,8 @@
 	log     log.Logger
 	limits  Limits
 
+	closesIdle bool // A drain closes connections without a request.
+
 	engine   *nbhttp.Engine
 	conns    connTable
 	open     atomic.Int64 // Requests in a handler.
@@ -85,6 +87,11 @@
 // WithLimits sets the limits.
 func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
 
+// WithIdleClose makes a drain close the connections that carry no request. Where
+// the balancer keeps callers on open connections they would send more until the
+// process ends.
+func WithIdleClose() Option { return func(s *Server) { s.closesIdle = true } }
+
 // WithMetrics registers the metrics in r.
 func WithMetrics(r metrics.Registry) Option {
 	return func(s *Server) { s.metrics = newServerMetrics(r) }
@@ -183,7 +190,11 @@
 		case <-s.stop:
 			return
 		case now := <-ticker.C:
+			leave := s.closesIdle && s.draining.Load()
 			s.conns.each(func(c *conn) {
+				if leave {
+					c.leaveIdle()
+				}
 				c.check(now)
 				c.finish(now)
 			})
