--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -224,7 +224,7 @@
 	if !q.Deadline.IsZero() && q.Deadline.Before(j.deadline) {
 		j.deadline = q.Deadline
 	}
-	j.log = log.With(r.log, "request", q.ID, "route", route.Name, "config", int64(c.Version))
+	j.log = log.With(r.log, "request", q.ID, "route", route.Name, "config", int64(c.Version), "organisation", j.organisation(), "prompt", q.Prompt, "output", q.MaxOutput)
 	return j, nil
 }
 
--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -15,7 +15,6 @@
 	at    time.Time
 
 	admitted int64 // By this instance since it started.
-	others   int64 // Reported by the collector last.
 }
 
 // refill adds what has come up since the last call. The steady clock is used, so
@@ -60,11 +59,8 @@
 	b.admitted -= int64(cost)
 }
 
-// heard takes over what the others have admitted. A new collector's first word is
-// where counting starts.
-func (b *bucket) heard(others int64, known bool) {
-	if known {
-		b.level -= float64(others - b.others)
-	}
-	b.others = others
+// used takes out what others have admitted.
+func (b *bucket) used(tokens int64, now time.Time) {
+	b.refill(now)
+	b.level -= float64(tokens)
 }
--- a/core/share/collect.go
+++ b/core/share/collect.go
@@ -41,8 +41,8 @@
 	fresh := src == nil
 	if fresh {
 		src = &source{domain: domain, first: make(map[ident.OrganisationID]int64), newest: make(map[ident.OrganisationID]int64)}
-		s.sources[from] = src
 		s.forget(now)
+		s.sources[from] = src
 	}
 	src.heardAt, src.members = now, members
 	for _, u := range admitted {
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/catalog"
 	"monsoonfork/core/forward"
@@ -36,6 +37,7 @@
 	collector ident.InstanceID // Who answered last.
 	part      float64          // That the collector told.
 	heardAt   time.Time
+	others    map[ident.OrganisationID]int64 // What all others have admitted, by the collector's last word.
 
 	sums sums
 }
@@ -50,6 +52,7 @@
 		listed:  listed,
 		call:    call,
 		buckets: make(map[ident.OrganisationID]*bucket),
+		others:  make(map[ident.OrganisationID]int64),
 		sums:    newSums(now),
 	}
 }
@@ -123,14 +126,18 @@
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// A new collector's first word is where counting starts.
 	known := s.collector == collector && now.Sub(s.heardAt) < unheardAfter
 	for _, u := range r.GetOthers() {
-		b := s.buckets[ident.OrganisationID(u.GetOrganisation())]
-		if b == nil {
-			continue
+		name := ident.OrganisationID(u.GetOrganisation())
+		since := u.GetTokens() - s.others[name]
+		s.others[name] = u.GetTokens()
+		if b := s.buckets[name]; b != nil && known {
+			b.used(since, now)
 		}
-		b.refill(now)
-		b.heard(u.GetTokens(), known)
+	}
+	if r.GetPart() != s.part || collector != s.collector {
+		_ = level.Info(s.log).Log("msg", "part of rates", "part", r.GetPart(), "was", s.part, "collector", collector, "expected", Expected(s.view(), s.listed()))
 	}
 	s.collector, s.part, s.heardAt = collector, r.GetPart(), now
 }
