--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -244,7 +244,7 @@
 		share = j.router.Admit(j.org, j.cost())
 	}
 	if !share.Granted {
-		return fault.New(fault.RateExceeded, "organisation %s is above its rate", j.org.Name).WithRetryAfter(share.RetryAt)
+		return fault.New(fault.RateExceeded, "organisation %s is above its rate of %.0f a second with a burst of %d", j.org.Name, j.org.Rate, j.org.Burst).WithRetryAfter(share.RetryAt)
 	}
 	j.router.repeats.earn(j.service.Name, j.router.now())
 	var err error
--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -27,14 +27,13 @@
 	b.level = min(b.level, b.burst*b.part)
 }
 
-// limit sets the rate and burst. A bucket that is new starts empty: an instance
-// that was restarted does not know what was used before.
+// limit sets the rate and burst. A new bucket holds what came up since the
+// instance started, which does not know what was used before.
 func (b *bucket) limit(rate, burst, part float64, now time.Time) {
-	if b.at.IsZero() {
-		b.at = now
-	} else {
-		b.refill(now)
+	if b.rate == 0 {
+		b.rate, b.burst, b.part = rate, burst, part
 	}
+	b.refill(now)
 	b.rate, b.burst, b.part = rate, burst, part
 	b.level = min(b.level, burst*part)
 }
--- a/core/share/loop.go
+++ b/core/share/loop.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 )
@@ -36,18 +37,27 @@
 		case <-ticker.C:
 		}
 		v := s.view()
-		owner, ok := v.Owner(v.Self.Domain, ownerKey)
-		if ok && owner.ID == v.Self.ID {
-			s.exchangeAll(ctx, v)
-		}
-		err := s.reportTo(ctx, owner.ID)
+		owner, err := s.round(ctx, v)
 		if now := err == nil; now != heard {
 			heard = now
-			_ = level.Info(s.log).Log("msg", "collector of rates", "collector", owner.ID, "heard", heard, "err", err)
+			_ = level.Info(s.log).Log("msg", "collector of rates", "collector", owner, "heard", heard, "err", err)
 		}
 	}
 }
 
+// round reports once to the collector of the domain. If this instance is it, it
+// tells those of the other domains too.
+func (s *Shares) round(ctx context.Context, v *membership.View) (collector ident.InstanceID, err error) {
+	owner, ok := v.Owner(v.Self.Domain, ownerKey)
+	if !ok {
+		return "", fault.New(fault.PeerUnavailable, "no member collects for domain %s", v.Self.Domain)
+	}
+	if owner.ID == v.Self.ID {
+		s.exchangeAll(ctx, v)
+	}
+	return owner.ID, s.reportTo(ctx, owner.ID)
+}
+
 // reportTo reports to the collector of the domain.
 func (s *Shares) reportTo(ctx context.Context, collector ident.InstanceID) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -32,6 +32,8 @@
 	listed func() int // Instances that are registered.
 	call   Caller
 
+	started time.Time
+
 	mu        sync.Mutex
 	buckets   map[ident.OrganisationID]*bucket
 	collector ident.InstanceID // Who answered last.
@@ -51,6 +53,7 @@
 		view:    view,
 		listed:  listed,
 		call:    call,
+		started: now(),
 		buckets: make(map[ident.OrganisationID]*bucket),
 		others:  make(map[ident.OrganisationID]int64),
 		sums:    newSums(now),
@@ -82,7 +85,7 @@
 func (s *Shares) bucket(o *catalog.Organisation, now time.Time) *bucket {
 	b := s.buckets[o.Name]
 	if b == nil {
-		b = &bucket{}
+		b = &bucket{at: s.started}
 		s.buckets[o.Name] = b
 	}
 	b.limit(float64(o.Rate), float64(max(o.Burst, 1)), s.partNow(now), now)
