--- a/core/catalog/holder.go
+++ b/core/catalog/holder.go
@@ -4,6 +4,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"monsoonfork/core/ident"
 )
 
 // Holder keeps the newest catalog of a process.
@@ -46,3 +48,18 @@
 	defer h.mu.Unlock()
 	return h.takenAt
 }
+
+// ModelServices returns the names of the services that run models.
+func (h *Holder) ModelServices() []ident.ServiceID {
+	c := h.Current()
+	if c == nil {
+		return nil
+	}
+	var names []ident.ServiceID
+	for _, s := range c.Services {
+		if s.Model != nil {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
