--- a/core/engines/engine.go
+++ b/core/engines/engine.go
@@ -66,9 +66,11 @@
 	revision  int64
 	doubt     float64
 	doubtAt   time.Time
-	running   int          // Own requests at the engine.
-	memory    ident.Tokens // Own reservations.
-	prefill   ident.Tokens // Prompt tokens of own prefills under way.
+	running   int           // Own requests at the engine.
+	memory    ident.Tokens  // Own reservations.
+	prefill   ident.Tokens  // Prompt tokens of own prefills under way.
+	delay     time.Duration // Time that prompts waited before they were read.
+	delayAt   time.Time
 	fullUntil time.Time
 	fullFor   ident.Tokens // Size that was refused last.
 }
@@ -128,6 +130,35 @@
 	e.prefill += prefill
 }
 
+const (
+	// delayHalfLife is the time in which a queue that was seen falls to a half in
+	// the estimate.
+	delayHalfLife = 700 * time.Millisecond
+	// delayWeight is how much the newest wait counts.
+	delayWeight = 0.6
+)
+
+// Waited notes how long a prompt waited before it was read.
+func (e *Engine) Waited(d time.Duration, now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.decayedDelay(now)
+	e.delay = old + time.Duration(delayWeight*float64(d-old))
+	e.delayAt = now
+}
+
+// Wait returns how long a prompt is likely to wait before it is read.
+func (e *Engine) Wait(now time.Time) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.decayedDelay(now)
+}
+
+// decayedDelay returns the estimate now. The caller holds mu.
+func (e *Engine) decayedDelay(now time.Time) time.Duration {
+	return time.Duration(float64(e.delay) * math.Exp2(-float64(now.Sub(e.delayAt))/float64(delayHalfLife)))
+}
+
 // Load is this instance's own work at an engine.
 type Load struct {
 	Running int
--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -79,21 +79,3 @@
 		return float64(e.Load().Memory) / memory, true
 	})
 }
-
-// prefillQueueFull is the own prefill work that counts as a full engine, in
-// tokens.
-const prefillQueueFull = 20_000
-
-// choosePrefill returns the prefill engine to use, or nil.
-func (j *job) choosePrefill(avoid map[ident.EndpointID]bool) *engines.Engine {
-	list := j.rank(func(e *engines.Engine) (float64, bool) {
-		if e.StageNow() != engines.Prefill || avoid[e.ID] {
-			return 0, false
-		}
-		return float64(e.Load().Prefill) / prefillQueueFull, true
-	})
-	if len(list) == 0 {
-		return nil
-	}
-	return list[0]
-}
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -8,19 +8,12 @@
 
 	"github.com/go-kit/log/level"
 
-	"monsoonfork/core/engines"
 	"monsoonfork/core/fault"
-	"monsoonfork/core/ident"
 )
 
 const (
 	// maxModelTries bounds the tries of one request at decode engines.
 	maxModelTries = 4
-	// prefillTries is how many prefill engines are tried before the decode engine
-	// reads the prompt.
-	prefillTries = 2
-	// prefillLimit bounds one prefill.
-	prefillLimit = 900 * time.Millisecond
 	// stallLimit is the silence after which a stream that may be resumed goes on
 	// at another engine.
 	stallLimit = 900 * time.Millisecond
@@ -32,6 +25,8 @@
 	split  splitter
 	events bool // The answer is a series of events.
 	runs   int  // Engines that may have run it.
+
+	reading *localRead // While the decode engine reads the prompt.
 }
 
 // model sends the request to the engines of a model service.
@@ -88,7 +83,7 @@
 		return err
 	}
 	defer place.end()
-	prompt, err := s.prefill(ctx)
+	prompt, err := s.prefill(ctx, place.engine)
 	if err != nil {
 		s.router.Calls.Release(place.engine.Entry, place.reservation)
 		return err
@@ -96,49 +91,6 @@
 	return s.decode(ctx, place, prompt)
 }
 
-// prompt is a prefilled prompt, or none.
-type prompt struct {
-	engine *engines.Engine
-	source Source
-}
-
-// prefill has the prompt read. Without an engine for it the decode engine reads
-// the prompt itself.
-func (s *stream) prefill(ctx context.Context) (prompt, error) {
-	avoid := make(map[ident.EndpointID]bool)
-	for try := range prefillTries {
-		e := s.choosePrefill(avoid)
-		if e == nil || (try > 0 && !s.router.mayRepeat(s.service.Name)) {
-			break
-		}
-		handle, err := s.callPrefill(ctx, e)
-		if err == nil {
-			return prompt{e, Source{Address: e.Address, Handle: handle}}, nil
-		}
-		if ctx.Err() != nil {
-			return prompt{}, fault.From(context.Cause(ctx)).WithRan(fault.NotRun)
-		}
-		avoid[e.ID] = true
-		_ = level.Info(s.log).Log("msg", "prefill failed", "engine", e.ID, "err", err)
-	}
-	s.router.counters.localRead.Inc(1)
-	return prompt{}, nil
-}
-
-// callPrefill has one engine read the prompt. It does not run the request.
-func (s *stream) callPrefill(ctx context.Context, e *engines.Engine) (string, error) {
-	defer e.BeginPrefill(s.Prompt)()
-	ctx, cancel := context.WithTimeout(ctx, prefillLimit)
-	defer cancel()
-	handle, err := s.router.Calls.Prefill(ctx, s.call(e))
-	if err != nil {
-		s.judge(e, result{err: err})
-		return "", err
-	}
-	e.Succeeded(s.router.now())
-	return handle, nil
-}
-
 // decode has the stream made and passes it on.
 func (s *stream) decode(ctx context.Context, place room, p prompt) error {
 	e := place.engine
@@ -154,6 +106,10 @@
 	s.calls++
 	s.runs++
 	s.split.rest = nil
+	if p.source.Handle == "" {
+		s.reading = s.beginLocal(e)
+		defer s.endLocal()
+	}
 	err := s.send(ctx, call)
 	if err == nil {
 		e.Succeeded(s.router.now())
@@ -245,6 +201,7 @@
 	if len(events) == 0 {
 		return nil
 	}
+	s.endLocal()
 	if !s.begun {
 		h.Length = -1
 		s.begin(h)
--- a/core/forward/repeats.go
+++ b/core/forward/repeats.go
@@ -63,6 +63,16 @@
 	return true
 }
 
+// charge takes a call out of the budget that was made already.
+func (r *Router) charge(service ident.ServiceID) {
+	b := &r.repeats
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.of(service)
+	w.repeats = append(w.repeats, r.now())
+	r.counters.repeated.Inc(1)
+}
+
 // after returns the part of an ordered list that is later than a time.
 func after(list []time.Time, t time.Time) []time.Time {
 	i := 0
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -101,8 +101,19 @@
 	return room{}, false
 }
 
-// size is the memory that the stream needs at its decode engine.
-func (j *job) size() ident.Tokens { return j.Prompt + j.MaxOutput }
+// size is the memory that the stream is likely to need at its decode engine.
+func (j *job) size() ident.Tokens { return j.Prompt + j.output() }
+
+// output is the likely length of the answer.
+func (j *job) output() ident.Tokens {
+	if j.Estimate == 0 {
+		return j.MaxOutput
+	}
+	return min(j.MaxOutput, ident.Tokens(estimateFactor*float64(j.Estimate)))
+}
+
+// estimateFactor covers answers that are longer than their callers think.
+const estimateFactor = 1.3
 
 // waiting is the requests that wait for room, in the order of their arrival.
 type waiting struct {
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -34,6 +34,7 @@
 	Sized     bool         // Prompt and MaxOutput were given.
 	Prompt    ident.Tokens // Size of the prompt.
 	MaxOutput ident.Tokens // Most tokens of the answer.
+	Estimate  ident.Tokens // What the caller thinks the answer will have; 0 if it did not say.
 	LastEvent string       // The caller has the events up to this id.
 }
 
@@ -108,6 +109,7 @@
 	log      log.Logger
 	now      func() time.Time
 	repeats  repeats
+	speed    prefillSpeed
 	waiting  waiting
 	counters counters
 	tuning   Tuning
