--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -25,7 +25,7 @@
 	localSpeed = 0.5
 	// localPenalty is how much faster a decode engine has to be done to read the
 	// prompt itself: it slows the streams that it makes.
-	localPenalty = 1.5
+	localPenalty = 2.0
 	// prefillSlack and prefillFactor bound a prefill by its estimate.
 	prefillSlack  = 200 * time.Millisecond
 	prefillFactor = 2.0
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -113,7 +113,7 @@
 }
 
 // estimateFactor covers answers that are longer than their callers think.
-const estimateFactor = 1.3
+const estimateFactor = 1.1
 
 // waiting is the requests that wait for room, in the order of their arrival.
 type waiting struct {
--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -27,8 +27,8 @@
 	b.level = min(b.level, b.burst*b.part)
 }
 
-// limit sets the rate and burst. A new bucket holds what came up since the
-// instance started, which does not know what was used before.
+// limit sets the rate and burst. A new bucket is full for its part, so that an
+// instance that was restarted adds that part of one burst.
 func (b *bucket) limit(rate, burst, part float64, now time.Time) {
 	if b.rate == 0 {
 		b.rate, b.burst, b.part = rate, burst, part
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -2,6 +2,7 @@
 package share
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -32,8 +33,6 @@
 	listed func() int // Instances that are registered.
 	call   Caller
 
-	started time.Time
-
 	mu        sync.Mutex
 	buckets   map[ident.OrganisationID]*bucket
 	collector ident.InstanceID // Who answered last.
@@ -53,7 +52,6 @@
 		view:    view,
 		listed:  listed,
 		call:    call,
-		started: now(),
 		buckets: make(map[ident.OrganisationID]*bucket),
 		others:  make(map[ident.OrganisationID]int64),
 		sums:    newSums(now),
@@ -85,7 +83,7 @@
 func (s *Shares) bucket(o *catalog.Organisation, now time.Time) *bucket {
 	b := s.buckets[o.Name]
 	if b == nil {
-		b = &bucket{at: s.started}
+		b = &bucket{at: now, level: math.Inf(1)}
 		s.buckets[o.Name] = b
 	}
 	b.limit(float64(o.Rate), float64(max(o.Burst, 1)), s.partNow(now), now)
