--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -27,7 +27,7 @@
 	// prompt itself: it slows the streams that it makes.
 	localPenalty = 2.0
 	// prefillSlack and prefillFactor bound a prefill by its estimate.
-	prefillSlack  = 200 * time.Millisecond
+	prefillSlack  = 500 * time.Millisecond
 	prefillFactor = 2.0
 	// doubtful is the doubt from which a prefill engine is not used while the
 	// decode engine can read the prompt.
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"monsoonfork/core/engines"
@@ -22,8 +21,12 @@
 	askAgain = 30 * time.Millisecond
 	// askCallTime bounds one request for room.
 	askCallTime = 250 * time.Millisecond
-	// prefillReserve is the part of the objective that is kept for the prefill.
-	prefillReserve = 0.3
+	// readReserve is how many times the time of the prefill is kept for it.
+	readReserve = 1.5
+	// firstEventTime is kept for transfer and first event.
+	firstEventTime = 80 * time.Millisecond
+	// waitPart is the part of its time that a request waits for room.
+	waitPart = 0.4
 )
 
 // room is a place for a stream at a decode engine.
@@ -34,41 +37,55 @@
 }
 
 // reserve waits for room at a decode engine.
-func (j *job) reserve(ctx context.Context) (room, error) {
-	r := j.router
+func (s *stream) reserve(ctx context.Context) (room, error) {
+	r := s.router
 	started := r.now()
 	defer func() { r.counters.queued.UpdateSince(started) }()
-	giveUp := j.giveUpAt()
-	turn := r.waiting.join()
-	defer turn.leave()
+	t := &turn{order: float64(s.size()) * float64(s.output()), onTimeUntil: s.onTimeUntil()}
+	line := r.waiting.join(s.service.Name, t)
+	defer line.leave(t)
+	giveUp := s.giveUpAt()
 	for {
-		found, ok := j.tryReserve(ctx)
-		if ok {
-			return found, nil
+		now := r.now()
+		if line.mayAsk(t, now) {
+			found, ok := s.tryReserve(ctx)
+			if ok {
+				return found, nil
+			}
+			line.refused(r.now())
 		}
 		if ctx.Err() != nil {
 			return room{}, fault.From(context.Cause(ctx)).WithRan(fault.NotRun)
 		}
-		now := r.now()
-		if !now.Before(giveUp) {
-			return room{}, fault.New(fault.Overloaded, "no decode engine has room").WithRetryAfter(now.Add(j.comeAgain()))
+		if now = r.now(); !now.Before(giveUp) {
+			return room{}, fault.New(fault.Overloaded, "no decode engine has room").WithRetryAfter(now.Add(refusedRetry))
 		}
-		turn.wait(ctx, askAgain+time.Duration(rand.Int64N(int64(askAgain/2))))
+		pause(ctx, askAgain+time.Duration(rand.Int64N(int64(askAgain/2))))
 	}
 }
 
+// onTimeUntil returns until when room is of use for an answer within the
+// objective.
+func (s *stream) onTimeUntil() time.Time {
+	objective := time.Duration(s.route.FirstAnswerMS) * time.Millisecond
+	need := time.Duration(readReserve*float64(s.readTime(s.Prompt, 1))) + firstEventTime
+	return s.Received.Add(objective - need)
+}
+
 // giveUpAt returns until when a request waits for room.
-func (j *job) giveUpAt() time.Time {
-	objective := time.Duration(j.route.FirstAnswerMS) * time.Millisecond
-	at := j.Received.Add(time.Duration((1 - prefillReserve) * float64(objective)))
-	if at.After(j.deadline) {
-		return j.deadline
-	}
-	return at
+func (s *stream) giveUpAt() time.Time {
+	return s.Received.Add(time.Duration(waitPart * float64(s.deadline.Sub(s.Received))))
 }
 
-// comeAgain returns after which time a refused caller should come again.
-func (j *job) comeAgain() time.Duration { return refusedRetry }
+// pause returns after a time, or when ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
 
 // tryReserve asks engines for room, the best first.
 func (j *job) tryReserve(ctx context.Context) (room, bool) {
@@ -114,45 +131,3 @@
 
 // estimateFactor covers answers that are longer than their callers think.
 const estimateFactor = 1.1
-
-// waiting is the requests that wait for room, in the order of their arrival.
-type waiting struct {
-	mu    sync.Mutex
-	count int
-	wake  chan struct{} // Closed when a place was given back.
-}
-
-// turn is a request's place among those that wait.
-type turn struct{ w *waiting }
-
-// join enters a request.
-func (w *waiting) join() turn {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.wake == nil {
-		w.wake = make(chan struct{})
-	}
-	w.count++
-	return turn{w}
-}
-
-// leave takes a request out.
-func (t turn) leave() {
-	t.w.mu.Lock()
-	defer t.w.mu.Unlock()
-	t.w.count--
-}
-
-// wait returns after a pause, or when a place was given back.
-func (t turn) wait(ctx context.Context, pause time.Duration) {
-	t.w.mu.Lock()
-	wake := t.w.wake
-	t.w.mu.Unlock()
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-wake:
-	case <-ctx.Done():
-	}
-}
