--- a/cmd/monsoonfork/verb/serve.go
+++ b/cmd/monsoonfork/verb/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -12,6 +13,7 @@
 
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
+	"monsoonfork/io/logwriter"
 )
 
 // serve runs the daemon.
@@ -23,7 +25,8 @@
 func (s *serve) Help() string {
 	return `Runs the daemon until SIGTERM or SIGINT. The signal begins a planned stop: the
 instance reports not ready, waits for the balancer, finishes every request,
-hands over its roles and exits. A second signal changes nothing.
+hands over its roles and exits. A second signal changes nothing. SIGHUP, and a
+changed settings file, are taken up as far as settings may change while it runs.
 
 Example:
   monsoonfork serve --settings instance.yaml`
@@ -35,7 +38,9 @@
 	if err != nil {
 		return err
 	}
-	logger := newLogger(std, cfg.LogLevel)
+	out := logwriter.New(std.out)
+	defer func() { _ = out.Close() }()
+	logger := newLogger(out, cfg.LogLevel)
 	n := kernel.NewNode(cfg, logger)
 	if err := n.Start(context.Background()); err != nil {
 		return err
@@ -120,8 +125,8 @@
 }
 
 // newLogger returns the structured log of the daemon.
-func newLogger(std streams, name string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(std.err))
+func newLogger(out io.Writer, name string) log.Logger {
+	logger := log.NewLogfmtLogger(out)
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
 	return log.With(logger, "ts", log.DefaultTimestampUTC)
 }
--- a/core/kernel/role.go
+++ b/core/kernel/role.go
@@ -70,6 +70,9 @@
 
 // runsOn reports whether the role belongs to a deployment.
 func (r Role) runsOn(d settings.Deployment) bool {
+	if d == "" {
+		d = settings.OwnText
+	}
 	if len(r.On) == 0 {
 		return d == settings.OwnText
 	}
