The store's news are spread by one follower in each domain

One member of each domain follows the store; the others pull from it, and follow the store themselves when nobody healthy answers. Instances that the store turns away learn from others.

--- a/core/catalog/holder.go
+++ b/core/catalog/holder.go
@@ -63,3 +63,19 @@
 	}
 	return names
 }
+
+// Version returns the version of the newest catalog, or 0 before the first.
+func (h *Holder) Version() ident.Revision {
+	if c := h.Current(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Raw returns the newest catalog as its operator wrote it, or nil.
+func (h *Holder) Raw() []byte {
+	if c := h.Current(); c != nil {
+		return c.Raw
+	}
+	return nil
+}
--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -21,9 +21,18 @@
 
 	mu       sync.Mutex
 	engines  map[ident.EndpointID]*Engine
-	removed  map[ident.EndpointID]int64 // Revision of the removal.
+	removed  map[ident.EndpointID]removal
 	revision int64
 	known    bool
+	sequence int64                      // Changes of this table.
+	changed  map[ident.EndpointID]int64 // Sequence of the last change of each engine.
+	news     chan struct{}              // Closed at the next change.
+}
+
+// removal is when an engine was removed.
+type removal struct {
+	revision int64 // Of the list.
+	sequence int64 // Of the table.
 }
 
 // view is the engines by service, in the order of their ids.
@@ -35,7 +44,9 @@
 func NewTable() *Table {
 	t := &Table{
 		engines: make(map[ident.EndpointID]*Engine),
-		removed: make(map[ident.EndpointID]int64),
+		removed: make(map[ident.EndpointID]removal),
+		changed: make(map[ident.EndpointID]int64),
+		news:    make(chan struct{}),
 	}
 	t.publish()
 	return t
@@ -104,15 +115,36 @@
 	t.revision = max(t.revision, revision)
 }
 
-// Export returns the entries and their newest revision, for another instance.
-func (t *Table) Export() ([]Entry, int64) {
+// News is what has changed in a table.
+type News struct {
+	Known    bool
+	Whole    bool // Changes are all entries.
+	Sequence int64
+	Revision int64
+	Changes  []Change
+	Next     <-chan struct{} // Closed at the next change.
+}
+
+// Since returns what has changed after a sequence of this table; all entries if the
+// sequence is negative.
+func (t *Table) Since(sequence int64) News {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	entries := make([]Entry, 0, len(t.engines))
-	for _, e := range t.engines {
-		entries = append(entries, e.Now())
+	n := News{Known: t.known, Whole: sequence < 0, Sequence: t.sequence, Revision: t.revision, Next: t.news}
+	for id, e := range t.engines {
+		if t.changed[id] > sequence {
+			n.Changes = append(n.Changes, Change{Entry: e.Now()})
+		}
+	}
+	if n.Whole {
+		return n
 	}
-	return entries, t.revision
+	for id, r := range t.removed {
+		if _, back := t.engines[id]; !back && r.sequence > sequence {
+			n.Changes = append(n.Changes, Change{Entry: Entry{ID: id, AsOf: r.revision}, Removed: true})
+		}
+	}
+	return n
 }
 
 // apply takes changes. The caller holds mu.
@@ -124,6 +156,10 @@
 			t.revision = max(t.revision, c.Entry.AsOf)
 		}
 	}
+	if len(taken) > 0 {
+		close(t.news)
+		t.news = make(chan struct{})
+	}
 	return taken
 }
 
@@ -131,21 +167,29 @@
 func (t *Table) applyOne(c Change) bool {
 	id := c.Entry.ID
 	old := t.engines[id]
-	if c.Entry.AsOf <= t.removed[id] || (old != nil && c.Entry.AsOf < old.Revision()) {
+	if c.Entry.AsOf <= t.removed[id].revision || (old != nil && c.Entry.AsOf < old.Revision()) {
 		return false
 	}
 	if c.Removed {
-		t.removed[id] = c.Entry.AsOf
 		if old == nil {
 			return false
 		}
+		t.sequence++
+		t.removed[id] = removal{c.Entry.AsOf, t.sequence}
 		old.leave()
 		delete(t.engines, id)
 		return true
 	}
 	if old != nil && old.sameRun(c.Entry) {
-		return old.update(c.Entry)
+		if !old.update(c.Entry) {
+			return false
+		}
+		t.sequence++
+		t.changed[id] = t.sequence
+		return true
 	}
+	t.sequence++
+	t.changed[id] = t.sequence
 	if old != nil {
 		old.leave()
 	}
--- a/core/presence/register.go
+++ b/core/presence/register.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"monsoonfork/core/fault"
-	"monsoonfork/core/ident"
 )
 
 // rememberFor is how long an entry counts that is no longer listed.
@@ -18,6 +17,7 @@
 
 	mu      sync.Mutex
 	entries map[string]entry // By name.
+	told    int              // Entries that another instance knows.
 }
 
 // entry is a listed instance.
@@ -62,22 +62,16 @@
 	}
 }
 
-// Count returns the number of instances that are or were listed lately.
-func (g *Register) Count() int {
+// Told takes over how many entries an instance knows that follows the store.
+func (g *Register) Told(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.entries)
+	g.told = n
 }
 
-// Addresses returns the peer addresses of the listed instances.
-func (g *Register) Addresses() []ident.Address {
+// Count returns the number of instances that are or were listed lately.
+func (g *Register) Count() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var list []ident.Address
-	for _, e := range g.entries {
-		if e.goneAt.IsZero() {
-			list = append(list, e.record.PeerAddress)
-		}
-	}
-	return list
+	return max(len(g.entries), g.told)
 }
--- /dev/null
+++ b/core/spread/generate.go
@@ -0,0 +1,3 @@
+package spread
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative spread.proto
--- /dev/null
+++ b/core/spread/spread.go
@@ -0,0 +1,337 @@
+// Package spread spreads what the platform's store says over the instances.
+package spread
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"monsoonfork/core/engines"
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membership"
+)
+
+// MethodPull is the method that instances call for news.
+const MethodPull = "Spread.Pull"
+
+const (
+	// watchKey ranks the members that follow the store.
+	watchKey = "watch"
+	// followers is how many members of a domain follow the store while all is well.
+	followers = 1
+	// pullWait is how long a call waits for news.
+	pullWait = 400 * time.Millisecond
+	// pullTime bounds a call.
+	pullTime = pullWait + 300*time.Millisecond
+	// staleAfter is when an instance that nobody healthy has told anything follows
+	// the store itself.
+	staleAfter = 850 * time.Millisecond
+	// handOver is how long healthy news have to come from another member before an
+	// instance stops following the store.
+	handOver = 2 * time.Second
+	// retryPause is the pause after a failed call.
+	retryPause = 100 * time.Millisecond
+	// farEvery is the pause between calls to other domains.
+	farEvery = 200 * time.Millisecond
+)
+
+// Caller calls a method of another instance.
+type Caller func(ctx context.Context, to ident.InstanceID, method string, req, resp proto.Message) error
+
+// Spread keeps an instance up to date. All fields are set before Run.
+type Spread struct {
+	View    func() *membership.View
+	Call    Caller
+	Table   *engines.Table
+	Version func() ident.Revision     // Of the configuration in force; 0 before the first.
+	Config  func() []byte             // The configuration in force, as its operator wrote it.
+	Take    func(raw []byte)          // Takes a configuration.
+	Taken   func([]engines.Change)    // Told of changes; may be nil.
+	Follow  func(ctx context.Context) // Follows the store until ctx ends.
+	Healthy func() (bool, time.Time)  // Whether the store answers, and since when.
+	Expect  func() int                // Instances that are registered.
+	Told    func(n int)               // Takes over how many are registered.
+	Now     func() time.Time
+	Log     log.Logger
+
+	mu        sync.Mutex
+	heardAt   time.Time // When a healthy instance answered last.
+	heardFrom time.Time // Since when one answers without a gap.
+	of        ident.InstanceID
+	sequence  int64
+	following context.CancelFunc // Nil while the store is not followed.
+	done      chan struct{}
+}
+
+// Run keeps up until ctx ends.
+func (s *Spread) Run(ctx context.Context) {
+	defer s.setFollowing(ctx, false, "")
+	farAt := time.Time{}
+	for ctx.Err() == nil {
+		v := s.View()
+		rank, others := s.near(v)
+		s.decide(ctx, rank)
+		fresh := s.isFollowing() && s.healthyNow()
+		if fresh {
+			// The store is followed: nobody has to be asked.
+			sleep(ctx, retryPause)
+			continue
+		}
+		if s.pullAny(ctx, others) {
+			continue
+		}
+		if now := s.Now(); now.Sub(farAt) > farEvery {
+			farAt = now
+			if s.pullAny(ctx, s.far(v)) {
+				continue
+			}
+		}
+		sleep(ctx, retryPause)
+	}
+}
+
+// sleep returns after a time, or when ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// near returns this instance's rank in its domain, and the others that follow the
+// store there.
+func (s *Spread) near(v *membership.View) (rank int, others []ident.InstanceID) {
+	rank = followers
+	for i, m := range v.Ranked(v.Self.Domain, watchKey) {
+		if m.ID == v.Self.ID {
+			rank = i
+		} else if i < followers {
+			others = append(others, m.ID)
+		}
+	}
+	return rank, others
+}
+
+// far returns who follows the store in other domains.
+func (s *Spread) far(v *membership.View) []ident.InstanceID {
+	var list []ident.InstanceID
+	for _, domain := range v.Domains() {
+		if domain == v.Self.Domain {
+			continue
+		}
+		if m, ok := v.Owner(domain, watchKey); ok {
+			list = append(list, m.ID)
+		}
+	}
+	return list
+}
+
+// decide begins or ends following the store.
+func (s *Spread) decide(ctx context.Context, rank int) {
+	now := s.Now()
+	s.mu.Lock()
+	stale := now.Sub(s.heardAt) > staleAfter
+	steady := !stale && now.Sub(s.heardFrom) > handOver
+	s.mu.Unlock()
+	switch {
+	case rank < followers:
+		s.setFollowing(ctx, true, "one of the first of its domain")
+	case stale:
+		s.setFollowing(ctx, true, "nobody healthy answers")
+	case steady:
+		s.setFollowing(ctx, false, "others follow it")
+	}
+}
+
+// setFollowing starts or stops following the store.
+func (s *Spread) setFollowing(ctx context.Context, follow bool, why string) {
+	s.mu.Lock()
+	cancel, done := s.following, s.done
+	if follow == (cancel != nil) {
+		s.mu.Unlock()
+		return
+	}
+	if follow {
+		followCtx, stop := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		s.following, s.done = stop, ended
+		go func() {
+			defer close(ended)
+			s.Follow(followCtx)
+		}()
+	} else {
+		s.following = nil
+	}
+	s.mu.Unlock()
+	if !follow {
+		cancel()
+		<-done
+	}
+	_ = level.Info(s.Log).Log("msg", "following the store", "follows", follow, "why", why)
+}
+
+// isFollowing reports whether this instance follows the store.
+func (s *Spread) isFollowing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.following != nil
+}
+
+// healthyNow reports whether the store answers.
+func (s *Spread) healthyNow() bool {
+	healthy, _ := s.Healthy()
+	return healthy
+}
+
+// pullAny pulls from the first instance that is healthy, and reports whether there
+// was one.
+func (s *Spread) pullAny(ctx context.Context, from []ident.InstanceID) bool {
+	for _, id := range from {
+		healthy, err := s.pull(ctx, id)
+		if err == nil && healthy {
+			return true
+		}
+	}
+	return false
+}
+
+// pull takes over the news of another instance.
+func (s *Spread) pull(ctx context.Context, from ident.InstanceID) (healthy bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTime)
+	defer cancel()
+	s.mu.Lock()
+	req := &PullRequest{Of: string(s.of), Sequence: s.sequence, Version: int64(s.Version())}
+	s.mu.Unlock()
+	if ident.InstanceID(req.GetOf()) != from {
+		req.Sequence = -1
+	}
+	reply := &PullReply{}
+	if err := s.Call(ctx, from, MethodPull, req, reply); err != nil {
+		return false, err
+	}
+	s.apply(from, reply)
+	return reply.GetHealthy(), nil
+}
+
+// apply takes over a reply.
+func (s *Spread) apply(from ident.InstanceID, r *PullReply) {
+	if len(r.GetConfiguration()) > 0 {
+		s.Take(r.GetConfiguration())
+	}
+	changes := make([]engines.Change, 0, len(r.GetEngines()))
+	for _, e := range r.GetEngines() {
+		changes = append(changes, e.change())
+	}
+	var taken []engines.Change
+	switch {
+	case r.GetWhole() && r.GetKnown() && r.GetHealthy():
+		entries := make([]engines.Entry, 0, len(changes))
+		for _, c := range changes {
+			entries = append(entries, c.Entry)
+		}
+		taken = s.Table.Replace(entries, r.GetRevision())
+	default:
+		taken = s.Table.Apply(changes)
+		if r.GetWhole() && r.GetKnown() {
+			s.Table.MarkKnown(r.GetRevision())
+		}
+	}
+	if s.Taken != nil && len(taken) > 0 {
+		s.Taken(taken)
+	}
+	s.Told(int(r.GetExpected()))
+	now := s.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.of, s.sequence = from, r.GetSequence()
+	if !r.GetHealthy() {
+		return
+	}
+	if now.Sub(s.heardAt) > staleAfter {
+		s.heardFrom = now
+	}
+	s.heardAt = now
+}
+
+// Serve answers a call for news. It waits until there are some.
+func (s *Spread) Serve(ctx context.Context, _ ident.InstanceID, r *PullRequest) (proto.Message, error) {
+	until := s.Now().Add(pullWait)
+	sequence := r.GetSequence()
+	if ident.InstanceID(r.GetOf()) != s.View().Self.ID {
+		sequence = -1
+	}
+	for {
+		news := s.Table.Since(sequence)
+		healthy := s.isFollowing() && s.healthyNow()
+		reply := &PullReply{
+			Healthy: healthy, Known: news.Known, Whole: news.Whole, Sequence: news.Sequence,
+			Revision: news.Revision, Expected: int64(s.Expect()),
+		}
+		for _, c := range news.Changes {
+			reply.Engines = append(reply.Engines, record(c))
+		}
+		if s.Version() > ident.Revision(r.GetVersion()) {
+			reply.Configuration = s.Config()
+		}
+		left := until.Sub(s.Now())
+		if len(reply.Engines) > 0 || len(reply.Configuration) > 0 || news.Whole || !healthy || left <= 0 {
+			return reply, nil
+		}
+		if err := s.await(ctx, news.Next, ident.Revision(r.GetVersion()), left); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// configPoll is the time between two looks at the configuration while a call waits.
+const configPoll = 50 * time.Millisecond
+
+// await returns when there may be news.
+func (s *Spread) await(ctx context.Context, next <-chan struct{}, version ident.Revision, left time.Duration) error {
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	ticker := time.NewTicker(configPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-next:
+			return nil
+		case <-timer.C:
+			return nil
+		case <-ticker.C:
+			if s.Version() > version || !s.healthyNow() {
+				return nil
+			}
+		case <-ctx.Done():
+			return fault.From(ctx.Err())
+		}
+	}
+}
+
+// record returns a change as a message.
+func record(c engines.Change) *EngineRecord {
+	e := c.Entry
+	if c.Removed {
+		return &EngineRecord{Id: string(e.ID), AsOf: e.AsOf, Removed: true}
+	}
+	return &EngineRecord{
+		Id: string(e.ID), Service: string(e.Service), Address: string(e.Address), Domain: string(e.Domain),
+		Slots: int32(e.Slots), State: int32(e.State), Stage: int32(e.Stage), Started: e.Started, AsOf: e.AsOf,
+	}
+}
+
+// change returns the change that a message describes.
+func (e *EngineRecord) change() engines.Change {
+	return engines.Change{Removed: e.GetRemoved(), Entry: engines.Entry{
+		ID: ident.EndpointID(e.GetId()), Service: ident.ServiceID(e.GetService()), Address: ident.Address(e.GetAddress()),
+		Domain: ident.DomainID(e.GetDomain()), Slots: int(e.GetSlots()), State: engines.State(e.GetState()),
+		Stage: engines.Stage(e.GetStage()), Started: e.GetStarted(), AsOf: e.GetAsOf(),
+	}}
+}
