spread: an instance that follows the store hands over to the first of its domain

Cause: it asked nobody while the store answered it, so that it never learned that others follow the store: all instances kept following. core/spread's test of one follower a domain fails without the change (10 followers, 2 wanted).

--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -77,14 +77,18 @@
 		rank, others := s.near(v)
 		s.decide(ctx, rank)
 		fresh := s.isFollowing() && s.healthyNow()
-		if fresh {
-			// The store is followed: nobody has to be asked.
+		if fresh && rank < followers {
+			// Nobody else has to be asked.
 			sleep(ctx, retryPause)
 			continue
 		}
 		if s.pullAny(ctx, others) {
 			continue
 		}
+		if fresh {
+			sleep(ctx, retryPause)
+			continue
+		}
 		if now := s.Now(); now.Sub(farAt) > farEvery {
 			farAt = now
 			if s.pullAny(ctx, s.far(v)) {
--- /dev/null
+++ b/core/spread/spread_test.go
@@ -0,0 +1,208 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
+
+	"monsoonfork/core/engines"
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membership"
+)
+
+// store is a store that instances follow.
+type store struct {
+	mu      sync.Mutex
+	version ident.Revision
+	away    map[ident.InstanceID]bool // Instances that it turns away.
+	follows map[ident.InstanceID]bool
+}
+
+// instance is one instance of a fleet.
+type instance struct {
+	*Spread
+	id ident.InstanceID
+
+	mu      sync.Mutex
+	version ident.Revision
+	healthy bool
+}
+
+// take takes a configuration.
+func (i *instance) take(v ident.Revision) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.version = max(i.version, v)
+}
+
+func (i *instance) known() ident.Revision {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.version
+}
+
+// newFleet starts instances in two domains.
+func newFleet(t *testing.T, st *store, members int) map[ident.InstanceID]*instance {
+	t.Helper()
+	fleet := make(map[ident.InstanceID]*instance)
+	var all []membership.Member
+	for _, domain := range []string{"a", "b"} {
+		for m := range members {
+			id := ident.InstanceID(fmt.Sprintf("%s%d", domain, m))
+			all = append(all, membership.Member{ID: id, Domain: ident.DomainID(domain), PeerAddress: ident.Address(id)})
+			fleet[id] = &instance{id: id}
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, self := range all {
+		table := membership.NewTable(self, log.NewNopLogger(), time.Now)
+		for _, m := range all {
+			if m.ID != self.ID {
+				table.Heard(m)
+			}
+		}
+		fleet[self.ID].Spread = newSpread(fleet, st, fleet[self.ID], table)
+	}
+	for _, i := range fleet {
+		wg.Go(func() { i.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return fleet
+}
+
+// newSpread returns the spread of one instance.
+func newSpread(fleet map[ident.InstanceID]*instance, st *store, i *instance, table *membership.Table) *Spread {
+	return &Spread{
+		View: table.View,
+		Call: func(ctx context.Context, to ident.InstanceID, _ string, req, resp proto.Message) error {
+			answer, err := fleet[to].Serve(ctx, i.id, req.(*PullRequest))
+			if err == nil {
+				proto.Merge(resp, answer)
+			}
+			return err
+		},
+		Table:   engines.NewTable(),
+		Version: i.known,
+		Config:  func() []byte { return fmt.Append(nil, i.known()) },
+		Take: func(raw []byte) {
+			var v ident.Revision
+			_, _ = fmt.Sscan(string(raw), &v)
+			i.take(v)
+		},
+		Follow:  func(ctx context.Context) { st.follow(ctx, i) },
+		Healthy: func() (bool, time.Time) { i.mu.Lock(); defer i.mu.Unlock(); return i.healthy, time.Time{} },
+		Expect:  func() int { return len(fleet) },
+		Told:    func(int) {},
+		Now:     time.Now,
+		Log:     log.NewNopLogger(),
+	}
+}
+
+// follow gives an instance the store's version until ctx ends.
+func (s *store) follow(ctx context.Context, i *instance) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		s.follows[i.id] = true
+		away, v := s.away[i.id], s.version
+		s.mu.Unlock()
+		i.mu.Lock()
+		i.healthy = !away
+		i.mu.Unlock()
+		if !away {
+			i.take(v)
+			i.Table.Replace([]engines.Entry{{ID: "e", Service: "s", AsOf: int64(v)}}, int64(v))
+		}
+		sleep(ctx, 5*time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.follows, i.id)
+}
+
+// set changes the store.
+func (s *store) set(v ident.Revision, away ...ident.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = v
+	s.away = make(map[ident.InstanceID]bool)
+	for _, id := range away {
+		s.away[id] = true
+	}
+}
+
+func (s *store) followers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.follows)
+}
+
+// awaitVersion waits until all instances know a version, and returns how long it
+// took.
+func awaitVersion(t *testing.T, fleet map[ident.InstanceID]*instance, v ident.Revision) time.Duration {
+	t.Helper()
+	started := time.Now()
+	for _, i := range fleet {
+		for i.known() < v {
+			if time.Since(started) > 5*time.Second {
+				t.Fatalf("%s knows version %d, not %d", i.id, i.known(), v)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+	return time.Since(started)
+}
+
+// TestOneFollowerADomain wants few followers, and news in force everywhere.
+func TestOneFollowerADomain(t *testing.T) {
+	st := &store{version: 1, follows: make(map[ident.InstanceID]bool)}
+	fleet := newFleet(t, st, 5)
+	awaitVersion(t, fleet, 1)
+	time.Sleep(handOver + 2*staleAfter)
+	if n := st.followers(); n != 2 {
+		t.Errorf("%d instances follow the store, want one in each of two domains", n)
+	}
+	st.set(2)
+	if took := awaitVersion(t, fleet, 2); took > 500*time.Millisecond {
+		t.Errorf("a change took %v", took)
+	}
+	for _, i := range fleet {
+		if known, _ := i.Table.Known(); !known || len(i.Table.Of("s")) != 1 {
+			t.Errorf("%s does not know the engines", i.id)
+		}
+	}
+}
+
+// TestTurnedAway turns all of one domain away from the store.
+func TestTurnedAway(t *testing.T) {
+	st := &store{version: 1, follows: make(map[ident.InstanceID]bool)}
+	fleet := newFleet(t, st, 3)
+	awaitVersion(t, fleet, 1)
+	st.set(1, "a0", "a1", "a2")
+	time.Sleep(2 * staleAfter)
+	st.set(3, "a0", "a1", "a2")
+	if took := awaitVersion(t, fleet, 3); took > 2*time.Second {
+		t.Errorf("a change took %v where the store turns instances away", took)
+	}
+}
+
+// TestUnhealthyIsSaid asks an instance that has no fresh news.
+func TestUnhealthyIsSaid(t *testing.T) {
+	st := &store{follows: make(map[ident.InstanceID]bool)}
+	i := &instance{id: "a0", version: 4}
+	i.Spread = newSpread(nil, st, i, membership.NewTable(membership.Member{ID: "a0", Domain: "a"}, log.NewNopLogger(), time.Now))
+	answer, err := i.Serve(context.Background(), "b0", &PullRequest{Of: "a0"})
+	r, ok := answer.(*PullReply)
+	if err != nil || !ok || r.GetHealthy() || string(r.GetConfiguration()) != "4" {
+		t.Errorf("%v, %v", answer, err)
+	}
+	if !fault.Is(fault.From(context.Canceled), fault.CallerGone) {
+		t.Error("a cancelled call has another kind")
+	}
+}
