--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -64,7 +64,7 @@
 			_ = level.Info(f.Log).Log("msg", "store history gone, listing anew", "revision", revision)
 			continue
 		}
-		f.set(false, err)
+		f.set(ctx, false, err)
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
@@ -79,7 +79,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.set(true, nil)
+	f.set(ctx, true, nil)
 	f.OnList(items, revision)
 	return revision, nil
 }
@@ -105,8 +105,9 @@
 	}
 }
 
-// set records whether the store answers, and logs a change.
-func (f *Follower) set(healthy bool, err error) {
+// set records whether the store answers, and logs a change unless it is no longer
+// followed.
+func (f *Follower) set(ctx context.Context, healthy bool, err error) {
 	f.mu.Lock()
 	changed := f.healthy != healthy
 	first := f.since.IsZero()
@@ -115,7 +116,7 @@
 	}
 	f.mu.Unlock()
 	switch {
-	case !changed:
+	case !changed, ctx.Err() != nil:
 	case healthy:
 		_ = level.Info(f.Log).Log("msg", "store regained")
 		if f.Regains != nil && !first {
