Kept connections to an address are closed when one of them has gone silent

Seen from the log: no configuration between 2.6 and 7.1 s in domains b and c. Test: TestPoolSilentConnections fails without the change.

--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -117,9 +117,23 @@
 	} else {
 		_ = c.Close()
 	}
+	if fault.Is(err, fault.EndpointTimeout) {
+		p.flush(call.Address)
+	}
 	return err
 }
 
+// flush closes the connections to an address that carry no call. When one has gone
+// silent the others are likely silent too, while new ones work.
+func (p *Pool) flush(a ident.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle[a] {
+		_ = c.Close()
+	}
+	delete(p.idle, a)
+}
+
 // take returns a connection to the endpoint.
 func (p *Pool) take(ctx context.Context, call Call) (*poolConn, error) {
 	if ctx.Err() != nil {
--- a/io/httpcall/pool_test.go
+++ b/io/httpcall/pool_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -232,3 +233,35 @@
 		t.Error("the endpoint still works on it")
 	}
 }
+
+// TestPoolSilentConnections has all open connections go silent at once, while new
+// ones work.
+func TestPoolSilentConnections(t *testing.T) {
+	var silent atomic.Bool
+	old := sync.Map{}
+	e := newEndpoint(t, func(c net.Conn, r *http.Request, number int) bool {
+		if number == 1 && !silent.Load() {
+			old.Store(c, true)
+			time.Sleep(30 * time.Millisecond) // So that calls made together get connections of their own.
+		}
+		if _, isOld := old.Load(c); isOld && silent.Load() {
+			time.Sleep(time.Second)
+			return false
+		}
+		return answerWith(c, r.Header.Get(RequestIDHeader), "x")
+	})
+	p := newTestPool(t)
+	var wg sync.WaitGroup
+	for i := range 3 {
+		wg.Go(func() { _, _ = poolCall(t, p, e, fmt.Sprint(i), nil) })
+	}
+	wg.Wait()
+	silent.Store(true)
+	soon := func(c *Call) { c.Limits.WholeBy = time.Now().Add(100 * time.Millisecond) }
+	if _, err := poolCall(t, p, e, "first", soon); !fault.Is(err, fault.EndpointTimeout) {
+		t.Errorf("a call on a silent connection: %v", err)
+	}
+	if _, err := poolCall(t, p, e, "second", soon); err != nil {
+		t.Errorf("the call after it: %v", err)
+	}
+}
