--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -47,8 +47,9 @@
 	Regains func(at time.Time) // Called when the store answers again. May be nil.
 
 	mu      sync.Mutex
-	healthy bool
-	since   time.Time
+	healthy  bool
+	doubtful bool // The last watch failed; the next may not.
+	since    time.Time
 }
 
 // Run follows until ctx ends.
@@ -95,9 +96,11 @@
 				return err
 			}
 			failed = true
+			f.doubt(true)
 			continue
 		}
 		failed = false
+		f.doubt(false)
 		revision = max(revision, next)
 		if len(changes) > 0 {
 			f.OnNews(changes)
@@ -105,10 +108,19 @@
 	}
 }
 
+// doubt records whether the last watch failed. Others must not rely on this
+// instance's news then, but nothing has been missed yet.
+func (f *Follower) doubt(doubtful bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.doubtful = doubtful
+}
+
 // set records whether the store answers, and logs a change unless it is no longer
 // followed.
 func (f *Follower) set(ctx context.Context, healthy bool, err error) {
 	f.mu.Lock()
+	f.doubtful = false
 	changed := f.healthy != healthy
 	first := f.since.IsZero()
 	if changed || first {
@@ -131,5 +143,5 @@
 func (f *Follower) Healthy() (bool, time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.healthy, f.since
+	return f.healthy && !f.doubtful, f.since
 }
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -97,6 +97,32 @@
 	}
 }
 
+// TestFailedWatchIsNotRelied hangs the second try of a watch: others have to be told
+// that this instance's news are not fresh, but the store is not lost.
+func TestFailedWatchIsNotRelied(t *testing.T) {
+	regained := 0
+	s := &script{
+		list: func(int) ([]Item, int64, error) { return nil, 5, nil },
+		watch: func(n int) ([]Item, int64, error) {
+			if n == 1 {
+				return nil, 0, errors.New("no answer")
+			}
+			return nil, 0, nil
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := &Follower{
+		Source: s.source(), Log: log.NewNopLogger(), Now: time.Now,
+		OnList: func([]Item, int64) {}, OnNews: func([]Item) {}, Regains: func(time.Time) { regained++ },
+	}
+	go f.Run(ctx)
+	time.Sleep(100 * time.Millisecond)
+	if healthy, _ := f.Healthy(); healthy || regained != 0 {
+		t.Errorf("healthy %v, regained %d times", healthy, regained)
+	}
+}
+
 // TestStoreAway has the store fail for a while.
 func TestStoreAway(t *testing.T) {
 	s := &script{
