follow: the first list has to do until an instance knows its domain's members

Cause: at the start of a fleet every instance takes itself for the first of its domain and watches while hundreds of entries are written.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -45,8 +45,13 @@
 	Log     log.Logger
 	Now     func() time.Time
 	Regains func(at time.Time) // Called when the store answers again. May be nil.
+	// Settle is how long the first list has to do: an instance that has just started
+	// does not know yet whether it is the one to watch.
+	Settle time.Duration
 
-	mu      sync.Mutex
+	settled bool // Used by Run alone.
+
+	mu       sync.Mutex
 	healthy  bool
 	doubtful bool // The last watch failed; the next may not.
 	since    time.Time
@@ -59,6 +64,7 @@
 		revision, err := f.list(ctx)
 		if err == nil {
 			pause = firstPause
+			f.settle(ctx)
 			err = f.watch(ctx, revision)
 		}
 		if errors.Is(err, ErrCompacted) {
@@ -74,6 +80,21 @@
 	}
 }
 
+// settle waits after the first list. Others must not rely on this instance's news
+// meanwhile.
+func (f *Follower) settle(ctx context.Context) {
+	if f.settled {
+		return
+	}
+	f.settled = true
+	f.doubt(true)
+	defer f.doubt(false)
+	select {
+	case <-time.After(f.Settle):
+	case <-ctx.Done():
+	}
+}
+
 // list takes the whole list.
 func (f *Follower) list(ctx context.Context) (int64, error) {
 	items, revision, err := f.Source.List(ctx)
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -33,7 +33,7 @@
 	staleAfter = 850 * time.Millisecond
 	// handOver is how long healthy news have to come from another member before an
 	// instance stops following the store.
-	handOver = 2 * time.Second
+	handOver = 500 * time.Millisecond
 	// retryPause is the pause after a failed call.
 	retryPause = 100 * time.Millisecond
 	// farEvery is the pause between calls to other domains.
