forward: one answer is passed on, and calls end before their request does

Large answers of calls that may be repeated were held without a bound, and a call could write to the caller after its request had ended. Found by reading; test: TestLargeAnswerIsPassedOn, under the race detector.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -279,3 +279,30 @@
 		t.Error("a late request asks before those in time")
 	}
 }
+
+// TestLargeAnswerIsPassedOn has an answer that is too large to be held, while a
+// second call is under way.
+func TestLargeAnswerIsPassedOn(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		r := newRig(t)
+		piece := string(make([]byte, heldBytes/2))
+		r.send = func(n int, _ Call, sink Sink) error {
+			if n == 2 {
+				time.Sleep(300 * time.Millisecond)
+				return answer(sink, 200, "small")
+			}
+			time.Sleep(200 * time.Millisecond)
+			if err := answer(sink, 200, piece, piece, piece); err != nil {
+				return err
+			}
+			if broken {
+				return errBroken
+			}
+			return nil
+		}
+		got := r.serve("safe")
+		if got.body.Len() != 3*len(piece) || got.err != nil || got.cut != broken {
+			t.Errorf("broken %v: %d bytes, %v, cut %v", broken, got.body.Len(), got.err, got.cut)
+		}
+	}
+}
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -55,7 +56,10 @@
 		select {
 		case res := <-p.results:
 			p.pending--
-			if !res.failed() {
+			if !p.counts(res) {
+				continue
+			}
+			if res.passed || !res.failed() {
 				return j.give(res)
 			}
 			if p.take(res); p.mayFollow(res) {
@@ -66,12 +70,28 @@
 				j.router.counters.hedged.Inc(1)
 			}
 		case <-ctx.Done():
+			p.drain()
 			return j.interrupted(ctx)
 		}
 	}
 	return p.conclude()
 }
 
+// counts reports whether a result is still of use: once an answer is passed on as
+// it comes, no other is.
+func (p *plainRun) counts(res result) bool {
+	passing := p.passing.Load()
+	return passing == nil || passing == res.engine
+}
+
+// drain waits for the calls of a request that has ended, so that none of them
+// writes to the caller any more.
+func (p *plainRun) drain() {
+	for ; p.pending > 0; p.pending-- {
+		<-p.results
+	}
+}
+
 // plainRun is the calls of one request to a plain service.
 type plainRun struct {
 	*job
@@ -81,6 +101,7 @@
 	notRun  int     // Calls that engines have refused.
 	answer  *result // The best of those that failed.
 	lastErr error
+	passing atomic.Pointer[engines.Engine] // Whose answer is passed on as it comes.
 }
 
 // runs returns how many engines may have run the request.
@@ -95,14 +116,14 @@
 // launch calls the next engine, if there is one and the budget allows it.
 func (p *plainRun) launch() bool {
 	e := p.choosePlain()
-	if e == nil || (p.calls > 0 && !p.router.mayRepeat(p.service.Name)) {
+	if e == nil || p.passing.Load() != nil || (p.calls > 0 && !p.router.mayRepeat(p.service.Name)) {
 		return false
 	}
 	p.tried[e.ID] = true
 	p.calls++
 	p.pending++
 	call := p.call(e)
-	go func() { p.results <- p.callPlain(p.ctx, e, call) }()
+	go func() { p.results <- p.callOne(p.ctx, e, call) }()
 	return true
 }
 
@@ -138,16 +159,16 @@
 	return p.noEngine(p.lastErr)
 }
 
-// callPlain calls one engine and holds its answer.
-func (j *job) callPlain(ctx context.Context, e *engines.Engine, call Call) result {
+// callOne calls one engine and holds its answer, unless it is too large.
+func (p *plainRun) callOne(ctx context.Context, e *engines.Engine, call Call) result {
 	res := result{engine: e}
 	end := e.Begin(0)
 	defer end()
-	err := j.router.Calls.Send(ctx, call, Sink{
+	err := p.router.Calls.Send(ctx, call, Sink{
 		OnHead: func(h Head) error { res.head = h; return nil },
 		OnPiece: func(piece []byte) error {
-			if len(res.body)+len(piece) > heldBytes && j.route.Kind != catalog.Safe {
-				return j.passOn(&res, piece)
+			if len(res.body)+len(piece) > heldBytes || res.passed {
+				return p.passOn(&res, piece)
 			}
 			res.body = append(res.body, piece...)
 			return nil
@@ -155,22 +176,26 @@
 	})
 	res.err = err
 	if ctx.Err() == nil {
-		j.judge(e, res)
+		p.judge(e, res)
 	}
 	return res
 }
 
-// passOn gives an answer to the caller that is too large to be held.
-func (j *job) passOn(res *result, piece []byte) error {
+// passOn gives an answer to the caller that is too large to be held. Only one call
+// of a request may do so.
+func (p *plainRun) passOn(res *result, piece []byte) error {
 	if !res.passed {
+		if !p.passing.CompareAndSwap(nil, res.engine) {
+			return fault.New(fault.AnswerBroken, "another engine's answer is passed on")
+		}
 		res.passed = true
-		j.begin(res.head)
-		if err := j.answer.Write(res.body); err != nil {
+		p.begin(res.head)
+		if err := p.job.answer.Write(res.body); err != nil {
 			return err
 		}
 		res.body = nil
 	}
-	return j.answer.Write(piece)
+	return p.job.answer.Write(piece)
 }
 
 // judge notes what a call says about its engine.
--- a/core/forward/rig_test.go
+++ b/core/forward/rig_test.go
@@ -95,11 +95,13 @@
 			n := len(r.sent)
 			r.mu.Unlock()
 			done := make(chan error, 1)
-			go func() { done <- r.send(n, c, sink) }()
+			g := &guarded{Sink: sink}
+			go func() { done <- r.send(n, c, g.sink()) }()
 			select {
 			case err := <-done:
 				return err
 			case <-ctx.Done():
+				g.end()
 				return fault.From(context.Cause(ctx)).WithRan(fault.MayHaveRun)
 			}
 		},
@@ -118,6 +120,36 @@
 	}
 }
 
+// guarded is a sink that takes nothing after the end of its call, as a real call
+// does not.
+type guarded struct {
+	Sink
+	mu    sync.Mutex
+	ended bool
+}
+
+func (g *guarded) sink() Sink {
+	return Sink{
+		OnHead:  func(h Head) error { return g.while(func() error { return g.OnHead(h) }) },
+		OnPiece: func(b []byte) error { return g.while(func() error { return g.OnPiece(b) }) },
+	}
+}
+
+func (g *guarded) while(f func() error) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ended {
+		return errBroken
+	}
+	return f()
+}
+
+func (g *guarded) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ended = true
+}
+
 // reply is what the caller got.
 type reply struct {
 	status int
