Settings that nothing reads are gone; orders apart by their setting; imports go one way

Read as a newcomer: four bounds were decoded and used nowhere, and the time between holders was a constant. A test keeps core/ from importing io/ and platform/, but for nine older packages that are listed.

--- /dev/null
+++ b/cmd/monsoonfork/imports_test.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// importsIO are the packages of core/ that still import io/. The list may only
+// shrink.
+var importsIO = map[string]bool{
+	"core/budget": true, "core/claims": true, "core/config": true, "core/config/relay": true, "core/membership": true,
+	"core/orders": true, "core/placement": true, "core/reaper": true, "core/request": true,
+}
+
+// TestImportsGoOneWay keeps decisions apart from protocols: no package of core/
+// imports io/ or platform/, and nothing but cmd/ imports platform/.
+func TestImportsGoOneWay(t *testing.T) {
+	for _, dir := range []string{"core", "io", "lab", "platform"} {
+		err := filepath.WalkDir(root+dir, func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return err
+			}
+			checkImports(t, path)
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// checkImports checks the imports of one file.
+func checkImports(t *testing.T, path string) {
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.ToSlash(strings.TrimPrefix(filepath.Dir(path), root))
+	for _, spec := range file.Imports {
+		name, err := strconv.Unquote(spec.Path.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if strings.HasPrefix(name, "monsoonfork/platform") {
+			t.Errorf("%s imports %s", path, name)
+		}
+		if strings.HasPrefix(dir, "core/") && strings.HasPrefix(name, "monsoonfork/io/") && !importsIO[dir] {
+			t.Errorf("%s imports %s", path, name)
+		}
+	}
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -50,15 +50,11 @@
 
 // Bounds are what a platform asks of the daemons together.
 type Bounds struct {
-	RepeatRatio    float64      `yaml:"RepeatRatio"`    // Calls beyond the first, of the requests for a service.
-	RepeatSlack    float64      `yaml:"RepeatSlack"`    // Calls beyond the first in a window that are always allowed.
-	RepeatWindowS  float64      `yaml:"RepeatWindowS"`  // Window of both.
-	StopS          float64      `yaml:"StopS"`          // From SIGTERM until the process is killed.
-	OrderLeaseMS   int64        `yaml:"OrderLeaseMS"`   // Shortest time between orders of two holders.
-	RateWindowS    float64      `yaml:"RateWindowS"`    // Window in which tokens of organisations are counted.
-	RateOvershoot  float64      `yaml:"RateOvershoot"`  // Part of a rate that may be exceeded.
-	RateSlack      ident.Tokens `yaml:"RateSlack"`      // Tokens beyond a rate that are allowed in a window.
-	EnginesCheckID bool         `yaml:"EnginesCheckID"` // Engines refuse orders with an old fencing number.
+	RepeatRatio   float64 `yaml:"RepeatRatio"`   // Calls beyond the first, of the requests for a service.
+	RepeatSlack   float64 `yaml:"RepeatSlack"`   // Calls beyond the first in a window that are always allowed.
+	RepeatWindowS float64 `yaml:"RepeatWindowS"` // Window of both.
+	StopS         float64 `yaml:"StopS"`         // From SIGTERM until the process is killed.
+	OrderLeaseMS  int64   `yaml:"OrderLeaseMS"`  // Shortest time between orders of two holders.
 }
 
 // TLS names the files for mutual TLS between instances.
--- a/core/staging/controller.go
+++ b/core/staging/controller.go
@@ -42,8 +42,9 @@
 	Order   func(ctx context.Context, e engines.Entry, o Order) error
 	Boot    func() boottime.Instant
 
-	Self ident.InstanceID
-	Log  log.Logger
+	Apart time.Duration // Least time between orders of two holders.
+	Self  ident.InstanceID
+	Log   log.Logger
 
 	dueSince boottime.Instant // When a change was first due; 0 while none is.
 	ordered  map[ident.EndpointID]ordered
@@ -61,11 +62,11 @@
 	lookEvery = 500 * time.Millisecond
 	// settleTime is how long a change has to be due before it is ordered.
 	settleTime = 1500 * time.Millisecond
-	// holdTime is the lease of the right to give orders. It is never renewed.
-	holdTime = 10 * time.Second
-	// useTime is the first part of it, in which orders may leave. The rest keeps
-	// orders of two holders apart.
+	// useTime is how long orders may leave under a right. The rest of its lease, which
+	// is never renewed, keeps orders of two holders apart.
 	useTime = 5 * time.Second
+	// apartMargin covers orders that are on their way and clocks that run unequally.
+	apartMargin = 2 * time.Second
 	// restTime is how long an engine rests after an order: it changes its stage,
 	// and an order without an answer may be carried out late.
 	restTime = 15 * time.Second
@@ -129,13 +130,14 @@
 // change takes the right and gives orders.
 func (c *Controller) change(ctx context.Context) {
 	started := c.Boot()
-	fencing, err := c.Acquire(ctx, holdTime)
+	hold := useTime + c.Apart + apartMargin
+	fencing, err := c.Acquire(ctx, hold)
 	if err != nil {
 		c.restTo = c.Boot().Add(failedRest)
 		_ = level.Info(c.Log).Log("msg", "no right to give orders", "err", err)
 		return
 	}
-	c.restTo = started.Add(holdTime)
+	c.restTo = started.Add(hold)
 	_ = level.Info(c.Log).Log("msg", "right to give orders", "fencing", fencing)
 	until := started.Add(useTime)
 	for _, s := range c.Services() {
