budget: no question to a slot holder begins while the budget closes

Cause: an admission under way added to the group that Close was waiting for. Ruled out: load, as the report names both places (take.go, ask; loops.go, Close). Ask and close now agree under the lock. The package's tests of claims and pauses pass under the race detector.

--- a/core/budget/loops.go
+++ b/core/budget/loops.go
@@ -26,7 +26,7 @@
 func (b *Budget) Close() error {
 	b.cancel()
 	b.wg.Wait()
-	b.takers.wg.Wait()
+	b.takers.close()
 	return b.admissions.close()
 }
 
--- a/core/budget/take.go
+++ b/core/budget/take.go
@@ -15,10 +15,11 @@
 // takers asks the slot holders of this domain for tokens. While a question to a
 // holder is under way, further organisations gather for the next one.
 type takers struct {
-	b  *Budget
-	mu sync.Mutex
-	to map[ident.InstanceID]*taker
-	wg sync.WaitGroup
+	b      *Budget
+	mu     sync.Mutex
+	to     map[ident.InstanceID]*taker
+	closed bool
+	wg     sync.WaitGroup // Added to under mu while not closed.
 }
 
 // taker gathers the questions to one holder.
@@ -57,7 +58,15 @@
 	return got
 }
 
-// ask queues a question to a holder.
+// close lets no more questions begin, and waits for those under way.
+func (t *takers) close() {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	t.wg.Wait()
+}
+
+// ask queues a question to a holder. After close it is answered at once.
 func (t *takers) ask(holder ident.InstanceID, org ident.OrganisationID) *taking {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -67,11 +76,16 @@
 		t.to[holder] = k
 	}
 	q, ok := k.waiting[org]
+	if t.closed && !ok {
+		q = &taking{done: make(chan struct{})}
+		close(q.done)
+		return q
+	}
 	if !ok {
 		q = &taking{done: make(chan struct{})}
 		k.waiting[org] = q
 	}
-	if !k.busy {
+	if !k.busy && !t.closed {
 		k.busy = true
 		t.wg.Add(1)
 		go t.run(holder, k)
