--- a/core/share/bucket_test.go
+++ b/core/share/bucket_test.go
@@ -22,7 +22,7 @@
 func TestBucketHoldsItsRate(t *testing.T) {
 	now := time.Now()
 	b := &bucket{at: now}
-	b.limit(1000, 500, 0.5, now)
+	b.limit(1000, 500, 0, 0.5, now)
 	taken := ident.Tokens(0)
 	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
@@ -39,7 +39,7 @@
 func TestDebtIsRepaid(t *testing.T) {
 	now := time.Now()
 	b := &bucket{at: now}
-	b.limit(1000, 1000, 1, now.Add(time.Second))
+	b.limit(1000, 1000, 0, 1, now.Add(time.Second))
 	now = now.Add(time.Second)
 	b.used(2000, now)
 	if ok, at := b.take(100, now.Add(time.Second)); ok || at.Sub(now) < time.Second {
@@ -54,7 +54,7 @@
 func TestLargeRequestNeedsAFullBucket(t *testing.T) {
 	now := time.Now()
 	b := &bucket{at: now}
-	b.limit(1000, 1000, 0.1, now) // Empty.
+	b.limit(1000, 1000, 0, 0.1, now) // Empty.
 	if ok, _ := b.take(700, now.Add(50*time.Millisecond)); ok {
 		t.Error("granted with a bucket that is half full")
 	}
@@ -71,7 +71,7 @@
 func TestAdmitHoldsTheRate(t *testing.T) {
 	now := time.Now()
 	view := membership.NewTable(membership.Member{ID: "a1", Domain: "a"}, nopLogger, time.Now).View
-	s := New(view, func() int { return 4 }, nil, nopLogger, func() time.Time { return now })
+	s := New(view, func() int { return 4 }, nil, Tolerance{}, nopLogger, func() time.Time { return now })
 	o := organisation(1000, 1000)
 	taken := ident.Tokens(0)
 	for range 800 {
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -37,7 +37,7 @@
 				table.Heard(m)
 			}
 		}
-		f.shares[self.ID] = New(table.View, func() int { return len(all) }, f.caller(self.ID), nopLogger, func() time.Time { return f.now })
+		f.shares[self.ID] = New(table.View, func() int { return len(all) }, f.caller(self.ID), Tolerance{}, nopLogger, func() time.Time { return f.now })
 	}
 	return f
 }
