--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -46,11 +46,16 @@
 	}
 }
 
-// take takes tokens out, or returns when they will have come up. A request that is
-// larger than the bucket needs a full one.
-func (b *bucket) take(cost ident.Tokens, now time.Time) (ok bool, at time.Time) {
+// take takes tokens out, or returns when they will have come up. The slack may only
+// be used when it is spare. A request that is larger than the bucket needs a full
+// one.
+func (b *bucket) take(cost ident.Tokens, spare bool, now time.Time) (ok bool, at time.Time) {
 	b.refill(now)
-	need := min(float64(cost), b.size())
+	kept := b.slack * b.part
+	if spare {
+		kept = 0
+	}
+	need := kept + min(float64(cost), b.size()-kept)
 	if b.level >= need {
 		b.level -= float64(cost)
 		b.admitted += int64(cost)
--- a/core/share/bucket_test.go
+++ b/core/share/bucket_test.go
@@ -26,7 +26,7 @@
 	taken := ident.Tokens(0)
 	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
-		if ok, _ := b.take(40, now); ok {
+		if ok, _ := b.take(40, true, now); ok {
 			taken += 40
 		}
 	}
@@ -42,10 +42,10 @@
 	b.limit(1000, 1000, 0, 1, now.Add(time.Second))
 	now = now.Add(time.Second)
 	b.used(2000, now)
-	if ok, at := b.take(100, now.Add(time.Second)); ok || at.Sub(now) < time.Second {
+	if ok, at := b.take(100, true, now.Add(time.Second)); ok || at.Sub(now) < time.Second {
 		t.Errorf("granted %v at %v, want a refusal until the debt is repaid", ok, at.Sub(now))
 	}
-	if ok, _ := b.take(100, now.Add(1200*time.Millisecond)); !ok {
+	if ok, _ := b.take(100, true, now.Add(1200*time.Millisecond)); !ok {
 		t.Error("refused after the debt was repaid")
 	}
 }
@@ -55,13 +55,13 @@
 	now := time.Now()
 	b := &bucket{at: now}
 	b.limit(1000, 1000, 0, 0.1, now) // Empty.
-	if ok, _ := b.take(700, now.Add(50*time.Millisecond)); ok {
+	if ok, _ := b.take(700, true, now.Add(50*time.Millisecond)); ok {
 		t.Error("granted with a bucket that is half full")
 	}
-	if ok, _ := b.take(700, now.Add(time.Second)); !ok {
+	if ok, _ := b.take(700, true, now.Add(time.Second)); !ok {
 		t.Error("never granted")
 	}
-	if ok, _ := b.take(1, now.Add(5*time.Second)); ok {
+	if ok, _ := b.take(1, true, now.Add(5*time.Second)); ok {
 		t.Error("granted before the debt was repaid")
 	}
 }
@@ -76,7 +76,7 @@
 	taken := ident.Tokens(0)
 	for range 800 {
 		now = now.Add(10 * time.Millisecond)
-		if s.Admit(o, 50).Granted {
+		if s.Admit(o, 50, true).Granted {
 			taken += 50
 		}
 	}
--- a/core/share/collect_test.go
+++ b/core/share/collect_test.go
@@ -53,7 +53,7 @@
 	s.heard("c", &ReportReply{Part: 1, Others: usages(2_000_000)})
 	o := organisation(1000, 1000)
 	time.Sleep(20 * time.Millisecond)
-	if got := s.Admit(o, ident.Tokens(1)); !got.Granted {
+	if got := s.Admit(o, ident.Tokens(1), true); !got.Granted {
 		t.Error("refused for what others had admitted before")
 	}
 }
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -79,7 +79,7 @@
 	for i := range seconds * int(time.Second/step) {
 		f.now = f.now.Add(step)
 		for _, s := range f.shares {
-			if s.Admit(o, 300).Granted {
+			if s.Admit(o, 300, true).Granted {
 				total += 300
 			}
 		}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -76,8 +76,9 @@
 	}
 }
 
-// Admit takes tokens of an organisation.
-func (s *Shares) Admit(o *catalog.Organisation, cost ident.Tokens) forward.Share {
+// Admit takes tokens of an organisation. What it asks beyond its rate and burst, but
+// within the tolerance, is granted if there is spare room for it.
+func (s *Shares) Admit(o *catalog.Organisation, cost ident.Tokens, spare bool) forward.Share {
 	if o.Rate <= 0 {
 		return forward.Share{Granted: true, Refund: func() {}}
 	}
@@ -85,7 +86,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(o, now)
-	ok, at := b.take(cost, now)
+	ok, at := b.take(cost, spare, now)
 	if !ok {
 		return forward.Share{RetryAt: at}
 	}
