--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -131,7 +131,7 @@
 	if got := r.serve("nowhere"); !fault.Is(got.err, fault.UnknownRoute) {
 		t.Errorf("unknown route: %v", got.err)
 	}
-	r.router.Admit = func(*catalog.Organisation, ident.Tokens, bool) Share { return Share{RetryAt: time.Now()} }
+	r.router.Admit = func(*catalog.Organisation, ident.Tokens) Share { return Share{RetryAt: time.Now()} }
 	if got := r.serve("once"); !fault.Is(got.err, fault.RateExceeded) || fault.From(got.err).Ran != fault.NotRun {
 		t.Errorf("above the rate: %v", got.err)
 	}
--- a/core/forward/rig_test.go
+++ b/core/forward/rig_test.go
@@ -63,7 +63,7 @@
 	r.router.Catalog = func() *catalog.Catalog { return c }
 	r.router.Engines = r.table.Of
 	r.router.Live = func() int { return 1 }
-	r.router.Admit = func(*catalog.Organisation, ident.Tokens, bool) Share {
+	r.router.Admit = func(*catalog.Organisation, ident.Tokens) Share {
 		return Share{Granted: true, Refund: func() { r.refunds++ }}
 	}
 	r.router.Calls = r.calls()
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -101,7 +101,7 @@
 type Router struct {
 	Catalog func() *catalog.Catalog
 	Engines func(ident.ServiceID) []*engines.Engine
-	Admit   func(o *catalog.Organisation, cost ident.Tokens, spare bool) Share // Spare: nobody waits for room.
+	Admit   func(o *catalog.Organisation, cost ident.Tokens) Share
 	Calls   Calls
 	Live    func() int // Instances that share the budget of repeats.
 
@@ -243,7 +243,7 @@
 func (j *job) run(ctx context.Context) error {
 	share := Share{Granted: true, Refund: func() {}}
 	if j.org != nil {
-		share = j.router.Admit(j.org, j.cost(), j.router.waiting.none(j.service.Name, j.router.now()))
+		share = j.router.Admit(j.org, j.cost())
 	}
 	if !share.Granted {
 		return fault.New(fault.RateExceeded, "organisation %s is above its rate of %.0f a second with a burst of %d", j.org.Name, j.org.Rate, j.org.Burst).WithRetryAfter(share.RetryAt)
--- a/core/forward/waiting.go
+++ b/core/forward/waiting.go
@@ -35,20 +35,6 @@
 	onTimeUntil time.Time
 }
 
-// none reports whether nobody waits for room at a service, and nobody was refused a
-// moment ago.
-func (w *waiting) none(s ident.ServiceID, now time.Time) bool {
-	w.mu.Lock()
-	l := w.lines[s]
-	w.mu.Unlock()
-	if l == nil {
-		return true
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.turns) == 0 && now.Sub(l.refusedAt) > lateQuiet
-}
-
 // join enters a request.
 func (w *waiting) join(s ident.ServiceID, t *turn) *line {
 	w.mu.Lock()
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -53,9 +53,6 @@
 	RepeatRatio   float64 `yaml:"RepeatRatio"`   // Calls beyond the first, of the requests for a service.
 	RepeatSlack   float64 `yaml:"RepeatSlack"`   // Calls beyond the first in a window that are always allowed.
 	RepeatWindowS float64 `yaml:"RepeatWindowS"` // Window of both.
-	RateRatio     float64 `yaml:"RateRatio"`     // Excess over what rate and burst allow in a window.
-	RateSlack     float64 `yaml:"RateSlack"`     // Tokens in a window beyond that.
-	RateWindowS   float64 `yaml:"RateWindowS"`   // Window of both.
 	StopS         float64 `yaml:"StopS"`         // From SIGTERM until the process is killed.
 	OrderLeaseMS  int64   `yaml:"OrderLeaseMS"`  // Shortest time between orders of two holders.
 }
--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -10,8 +10,7 @@
 type bucket struct {
 	rate  float64 // Tokens a second, of the whole fleet.
 	burst float64
-	slack float64 // Tokens beyond the burst that may be admitted too.
-	part  float64 // Of all three, that those who are heard may use.
+	part  float64 // Of rate and burst, that those who are heard may use.
 	level float64 // Below 0 while others have used more than was known.
 	at    time.Time
 
@@ -25,37 +24,25 @@
 		b.level += passed * b.rate * b.part
 		b.at = now
 	}
-	b.level = min(b.level, b.size())
+	b.level = min(b.level, b.burst*b.part)
 }
 
-// size is what a full bucket holds.
-func (b *bucket) size() float64 { return (b.burst + b.slack) * b.part }
-
-// limit sets the rate, the burst and the slack. A new bucket holds its part of one
-// burst, so that an instance that was restarted adds no more than that.
-func (b *bucket) limit(rate, burst, slack, part float64, now time.Time) {
-	fresh := b.rate == 0
-	if fresh {
-		b.rate, b.burst, b.slack, b.part = rate, burst, slack, part
+// limit sets the rate and burst. A new bucket is full for its part, so that an
+// instance that was restarted adds that part of one burst.
+func (b *bucket) limit(rate, burst, part float64, now time.Time) {
+	if b.rate == 0 {
+		b.rate, b.burst, b.part = rate, burst, part
 	}
 	b.refill(now)
-	b.rate, b.burst, b.slack, b.part = rate, burst, slack, part
-	b.level = min(b.level, b.size())
-	if fresh {
-		b.level = min(b.level, burst*part)
-	}
+	b.rate, b.burst, b.part = rate, burst, part
+	b.level = min(b.level, burst*part)
 }
 
-// take takes tokens out, or returns when they will have come up. The slack may only
-// be used when it is spare. A request that is larger than the bucket needs a full
-// one.
-func (b *bucket) take(cost ident.Tokens, spare bool, now time.Time) (ok bool, at time.Time) {
+// take takes tokens out, or returns when they will have come up. A request that is
+// larger than the bucket needs a full one.
+func (b *bucket) take(cost ident.Tokens, now time.Time) (ok bool, at time.Time) {
 	b.refill(now)
-	kept := b.slack * b.part
-	if spare {
-		kept = 0
-	}
-	need := kept + min(float64(cost), b.size()-kept)
+	need := min(float64(cost), b.burst*b.part)
 	if b.level >= need {
 		b.level -= float64(cost)
 		b.admitted += int64(cost)
--- a/core/share/bucket_test.go
+++ b/core/share/bucket_test.go
@@ -22,11 +22,11 @@
 func TestBucketHoldsItsRate(t *testing.T) {
 	now := time.Now()
 	b := &bucket{at: now}
-	b.limit(1000, 500, 0, 0.5, now)
+	b.limit(1000, 500, 0.5, now)
 	taken := ident.Tokens(0)
 	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
-		if ok, _ := b.take(40, true, now); ok {
+		if ok, _ := b.take(40, now); ok {
 			taken += 40
 		}
 	}
@@ -39,13 +39,13 @@
 func TestDebtIsRepaid(t *testing.T) {
 	now := time.Now()
 	b := &bucket{at: now}
-	b.limit(1000, 1000, 0, 1, now.Add(time.Second))
+	b.limit(1000, 1000, 1, now.Add(time.Second))
 	now = now.Add(time.Second)
 	b.used(2000, now)
-	if ok, at := b.take(100, true, now.Add(time.Second)); ok || at.Sub(now) < time.Second {
+	if ok, at := b.take(100, now.Add(time.Second)); ok || at.Sub(now) < time.Second {
 		t.Errorf("granted %v at %v, want a refusal until the debt is repaid", ok, at.Sub(now))
 	}
-	if ok, _ := b.take(100, true, now.Add(1200*time.Millisecond)); !ok {
+	if ok, _ := b.take(100, now.Add(1200*time.Millisecond)); !ok {
 		t.Error("refused after the debt was repaid")
 	}
 }
@@ -54,14 +54,14 @@
 func TestLargeRequestNeedsAFullBucket(t *testing.T) {
 	now := time.Now()
 	b := &bucket{at: now}
-	b.limit(1000, 1000, 0, 0.1, now) // Empty.
-	if ok, _ := b.take(700, true, now.Add(50*time.Millisecond)); ok {
+	b.limit(1000, 1000, 0.1, now) // Empty.
+	if ok, _ := b.take(700, now.Add(50*time.Millisecond)); ok {
 		t.Error("granted with a bucket that is half full")
 	}
-	if ok, _ := b.take(700, true, now.Add(time.Second)); !ok {
+	if ok, _ := b.take(700, now.Add(time.Second)); !ok {
 		t.Error("never granted")
 	}
-	if ok, _ := b.take(1, true, now.Add(5*time.Second)); ok {
+	if ok, _ := b.take(1, now.Add(5*time.Second)); ok {
 		t.Error("granted before the debt was repaid")
 	}
 }
@@ -71,12 +71,12 @@
 func TestAdmitHoldsTheRate(t *testing.T) {
 	now := time.Now()
 	view := membership.NewTable(membership.Member{ID: "a1", Domain: "a"}, nopLogger, time.Now).View
-	s := New(view, func() int { return 4 }, nil, Tolerance{}, nopLogger, func() time.Time { return now })
+	s := New(view, func() int { return 4 }, nil, nopLogger, func() time.Time { return now })
 	o := organisation(1000, 1000)
 	taken := ident.Tokens(0)
 	for range 800 {
 		now = now.Add(10 * time.Millisecond)
-		if s.Admit(o, 50, true).Granted {
+		if s.Admit(o, 50).Granted {
 			taken += 50
 		}
 	}
--- a/core/share/collect_test.go
+++ b/core/share/collect_test.go
@@ -48,12 +48,12 @@
 // this instance sees a request of it.
 func TestUnknownOrganisationStartsNoDebt(t *testing.T) {
 	view := membership.NewTable(membership.Member{ID: "a1", Domain: "a"}, nopLogger, time.Now).View
-	s := New(view, func() int { return 2 }, nil, Tolerance{}, nopLogger, time.Now)
+	s := New(view, func() int { return 2 }, nil, nopLogger, time.Now)
 	s.heard("c", &ReportReply{Part: 1, Others: usages(1_000_000)})
 	s.heard("c", &ReportReply{Part: 1, Others: usages(2_000_000)})
 	o := organisation(1000, 1000)
 	time.Sleep(20 * time.Millisecond)
-	if got := s.Admit(o, ident.Tokens(1), true); !got.Granted {
+	if got := s.Admit(o, ident.Tokens(1)); !got.Granted {
 		t.Error("refused for what others had admitted before")
 	}
 }
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -37,7 +37,7 @@
 				table.Heard(m)
 			}
 		}
-		f.shares[self.ID] = New(table.View, func() int { return len(all) }, f.caller(self.ID), Tolerance{}, nopLogger, func() time.Time { return f.now })
+		f.shares[self.ID] = New(table.View, func() int { return len(all) }, f.caller(self.ID), nopLogger, func() time.Time { return f.now })
 	}
 	return f
 }
@@ -79,7 +79,7 @@
 	for i := range seconds * int(time.Second/step) {
 		f.now = f.now.Add(step)
 		for _, s := range f.shares {
-			if s.Admit(o, 300, true).Granted {
+			if s.Admit(o, 300).Granted {
 				total += 300
 			}
 		}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -25,30 +25,13 @@
 	callTime = 400 * time.Millisecond
 )
 
-// Tolerance is how far a rate may be exceeded in a window, over all instances.
-type Tolerance struct {
-	Window time.Duration
-	Ratio  float64 // Of what rate and burst allow in the window.
-	Tokens float64 // Beyond that.
-}
-
-// slackPart is the part of a tolerance that is admitted knowingly. The rest covers
-// what is admitted between two reports and the buckets of restarted instances.
-const slackPart = 0.5
-
-// slack returns what may be admitted beyond the burst.
-func (t Tolerance) slack(rate, burst float64) float64 {
-	return slackPart * (t.Ratio*(rate*t.Window.Seconds()+burst) + t.Tokens)
-}
-
 // Shares admits tokens of organisations. It is safe for concurrent use.
 type Shares struct {
-	log       log.Logger
-	now       func() time.Time
-	view      func() *membership.View
-	listed    func() int // Instances that are registered.
-	call      Caller
-	tolerance Tolerance
+	log    log.Logger
+	now    func() time.Time
+	view   func() *membership.View
+	listed func() int // Instances that are registered.
+	call   Caller
 
 	mu        sync.Mutex
 	buckets   map[ident.OrganisationID]*bucket
@@ -61,24 +44,22 @@
 }
 
 // New returns shares of an instance among the members of view and those that are
-// registered, that may exceed rates by a tolerance.
-func New(view func() *membership.View, listed func() int, call Caller, t Tolerance, logger log.Logger, now func() time.Time) *Shares {
+// registered.
+func New(view func() *membership.View, listed func() int, call Caller, logger log.Logger, now func() time.Time) *Shares {
 	return &Shares{
-		log:       log.With(logger, "part", "Share"),
-		now:       now,
-		view:      view,
-		listed:    listed,
-		call:      call,
-		tolerance: t,
-		buckets:   make(map[ident.OrganisationID]*bucket),
-		others:    make(map[ident.OrganisationID]int64),
-		sums:      newSums(now),
+		log:     log.With(logger, "part", "Share"),
+		now:     now,
+		view:    view,
+		listed:  listed,
+		call:    call,
+		buckets: make(map[ident.OrganisationID]*bucket),
+		others:  make(map[ident.OrganisationID]int64),
+		sums:    newSums(now),
 	}
 }
 
-// Admit takes tokens of an organisation. What it asks beyond its rate and burst, but
-// within the tolerance, is granted if there is spare room for it.
-func (s *Shares) Admit(o *catalog.Organisation, cost ident.Tokens, spare bool) forward.Share {
+// Admit takes tokens of an organisation.
+func (s *Shares) Admit(o *catalog.Organisation, cost ident.Tokens) forward.Share {
 	if o.Rate <= 0 {
 		return forward.Share{Granted: true, Refund: func() {}}
 	}
@@ -86,7 +67,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(o, now)
-	ok, at := b.take(cost, spare, now)
+	ok, at := b.take(cost, now)
 	if !ok {
 		return forward.Share{RetryAt: at}
 	}
@@ -105,8 +86,7 @@
 		b = &bucket{at: now, level: math.Inf(1)}
 		s.buckets[o.Name] = b
 	}
-	rate, burst := float64(o.Rate), float64(max(o.Burst, 1))
-	b.limit(rate, burst, s.tolerance.slack(rate, burst), s.partNow(now), now)
+	b.limit(float64(o.Rate), float64(max(o.Burst, 1)), s.partNow(now), now)
 	return b
 }
 
