follow, spread: news is gathered; few ask for an absent store

Ruled out: engines' heartbeats (they change no entry), renewals (a tenth each).

Now 150 ms pass between news and the next watch, and an instance of rank r in its domain waits 0.85 s * 2^(r-1) before it follows the store itself; the second of a domain is asked for news too. Two tests failed before: 24 of 24 instances asked for an absent store; with the first of a domain turned away and domains cut off from each other, the others did not learn of a change within 5 s.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -35,6 +35,9 @@
 	// lastPause bounds the pause after failures: news must be in force within two
 	// seconds of the store's return.
 	lastPause = 500 * time.Millisecond
+	// gather is the pause between news and the next watch. Changes often come many
+	// at a time, and each call is paid for.
+	gather = 150 * time.Millisecond
 )
 
 // Follower follows a Source until its context ends.
@@ -72,10 +75,7 @@
 			continue
 		}
 		f.set(ctx, false, err)
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
-		}
+		sleep(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 }
@@ -89,10 +89,7 @@
 	f.settled = true
 	f.doubt(true)
 	defer f.doubt(false)
-	select {
-	case <-time.After(f.Settle):
-	case <-ctx.Done():
-	}
+	sleep(ctx, f.Settle)
 }
 
 // list takes the whole list.
@@ -110,7 +107,7 @@
 // from where it was, as it is cheaper than a list.
 func (f *Follower) watch(ctx context.Context, revision int64) error {
 	failed := false
-	for {
+	for ctx.Err() == nil {
 		changes, next, err := f.Source.Watch(ctx, revision)
 		if err != nil {
 			if failed || ctx.Err() != nil || errors.Is(err, ErrCompacted) {
@@ -125,8 +122,20 @@
 		revision = max(revision, next)
 		if len(changes) > 0 {
 			f.OnNews(changes)
+			sleep(ctx, gather)
 		}
 	}
+	return ctx.Err()
+}
+
+// sleep returns after a time, or when ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // doubt records whether the last watch failed. Others must not rely on this
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -138,3 +138,15 @@
 		t.Errorf("listed %v after %d tries", listed, s.lists)
 	}
 }
+
+// TestNewsIsGathered has changes come one by one, faster than calls should be made.
+func TestNewsIsGathered(t *testing.T) {
+	s := &script{
+		list:  func(int) ([]Item, int64, error) { return nil, 0, nil },
+		watch: func(n int) ([]Item, int64, error) { return []Item{{Key: "k", Revision: int64(n)}}, int64(n), nil },
+	}
+	_, news, _ := run(t, s)
+	if most := int(500*time.Millisecond/gather) + 1; len(news) == 0 || len(s.watches) > most {
+		t.Errorf("%d watches in 0.5 s, want 1 to %d", len(s.watches), most)
+	}
+}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -28,9 +28,16 @@
 	pullWait = 400 * time.Millisecond
 	// pullTime bounds a call.
 	pullTime = pullWait + 300*time.Millisecond
+	// askedNear is how many members of the own domain are asked for news: the one
+	// that follows the store, and the one that does so if that one can't.
+	askedNear = 2
 	// staleAfter is when an instance that nobody healthy has told anything follows
-	// the store itself.
+	// the store itself, if it is the second of its domain. Each one after it waits
+	// twice as long as the one before: while the store is away for all, few of them
+	// ask for it.
 	staleAfter = 850 * time.Millisecond
+	// longestWait bounds how long an instance waits for others to reach the store.
+	longestWait = 20 * time.Second
 	// handOver is how long healthy news have to come from another member before an
 	// instance stops following the store.
 	handOver = 500 * time.Millisecond
@@ -109,14 +116,15 @@
 	}
 }
 
-// near returns this instance's rank in its domain, and the others that follow the
-// store there.
+// near returns this instance's rank in its domain, and the others that are asked
+// for news there.
 func (s *Spread) near(v *membership.View) (rank int, others []ident.InstanceID) {
-	rank = followers
-	for i, m := range v.Ranked(v.Self.Domain, watchKey) {
+	ranked := v.Ranked(v.Self.Domain, watchKey)
+	rank = len(ranked)
+	for i, m := range ranked {
 		if m.ID == v.Self.ID {
 			rank = i
-		} else if i < followers {
+		} else if i < askedNear {
 			others = append(others, m.ID)
 		}
 	}
@@ -141,7 +149,7 @@
 func (s *Spread) decide(ctx context.Context, rank int) {
 	now := s.Now()
 	s.mu.Lock()
-	stale := now.Sub(s.heardAt) > staleAfter
+	stale := now.Sub(s.heardAt) > waitFor(rank)
 	steady := !stale && now.Sub(s.heardFrom) > handOver
 	s.mu.Unlock()
 	switch {
@@ -154,6 +162,16 @@
 	}
 }
 
+// waitFor returns how long an instance of a rank waits for news of others before it
+// follows the store itself.
+func waitFor(rank int) time.Duration {
+	wait := staleAfter
+	for ; rank > followers && wait < longestWait; rank-- {
+		wait *= 2
+	}
+	return min(wait, longestWait)
+}
+
 // setFollowing starts or stops following the store.
 func (s *Spread) setFollowing(ctx context.Context, follow bool, why string) {
 	s.mu.Lock()
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -22,6 +22,7 @@
 	version ident.Revision
 	away    map[ident.InstanceID]bool // Instances that it turns away.
 	follows map[ident.InstanceID]bool
+	apart   bool // Whether the domains are cut off from each other.
 }
 
 // instance is one instance of a fleet.
@@ -82,6 +83,9 @@
 	return &Spread{
 		View: table.View,
 		Call: func(ctx context.Context, to ident.InstanceID, _ string, req, resp proto.Message) error {
+			if st.cut(i.id, to) {
+				return fault.New(fault.PeerUnavailable, "cut off")
+			}
 			answer, err := fleet[to].Serve(ctx, i.id, req.(*PullRequest))
 			if err == nil {
 				proto.Merge(resp, answer)
@@ -137,6 +141,13 @@
 	}
 }
 
+// cut reports whether two instances can't reach each other.
+func (s *store) cut(x, y ident.InstanceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.apart && x[0] != y[0]
+}
+
 func (s *store) followers() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -192,6 +203,51 @@
 	}
 }
 
+// TestFewAskAnAbsentStore has the store turn all instances away: each of its calls is
+// paid for, and the answer is the same for all.
+func TestFewAskAnAbsentStore(t *testing.T) {
+	const members = 12
+	st := &store{version: 1, follows: make(map[ident.InstanceID]bool)}
+	fleet := newFleet(t, st, members)
+	awaitVersion(t, fleet, 1)
+	time.Sleep(handOver + 2*staleAfter)
+	var all []ident.InstanceID
+	for id := range fleet {
+		all = append(all, id)
+	}
+	st.set(1, all...)
+	time.Sleep(3 * staleAfter)
+	if n := st.followers(); n > members/2 {
+		t.Errorf("%d of %d instances ask for an absent store", n, 2*members)
+	}
+	st.set(2)
+	if took := awaitVersion(t, fleet, 2); took > time.Second {
+		t.Errorf("a change took %v after the store's return", took)
+	}
+}
+
+// TestSecondFollows turns the first of each domain away while the domains are cut
+// off from each other.
+func TestSecondFollows(t *testing.T) {
+	st := &store{version: 1, follows: make(map[ident.InstanceID]bool), apart: true}
+	fleet := newFleet(t, st, 6)
+	awaitVersion(t, fleet, 1)
+	time.Sleep(handOver + 2*staleAfter)
+	var first []ident.InstanceID
+	for _, domain := range []ident.DomainID{"a", "b"} {
+		m, _ := fleet["a0"].View().Owner(domain, watchKey)
+		first = append(first, m.ID)
+	}
+	st.set(2, first...)
+	if took := awaitVersion(t, fleet, 2); took > 2*time.Second {
+		t.Errorf("a change took %v", took)
+	}
+	time.Sleep(staleAfter)
+	if n := st.followers(); n > 2*askedNear {
+		t.Errorf("%d instances follow the store", n)
+	}
+}
+
 // TestUnhealthyIsSaid asks an instance that has no fresh news.
 func TestUnhealthyIsSaid(t *testing.T) {
 	st := &store{follows: make(map[ident.InstanceID]bool)}
