forward: requests wait for room for two objectives at most; more room for answers

Now it waits for two objectives, is told to come again in 1 s, and asks for 1.5 times the answer's estimate. The test fails first: refused after 5.6 s with an objective of 0.3 s.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -204,6 +204,25 @@
 	}
 }
 
+// TestRefusedBeforeTheCallerLeaves has no room for a caller with plenty of time. It is
+// told within a few objectives, when it can still come again.
+func TestRefusedBeforeTheCallerLeaves(t *testing.T) {
+	r := newRig(t)
+	r.reserve = func(engines.Entry) (string, error) { return "", fault.New(fault.EndpointRefused, "full") }
+	route, _ := r.router.Catalog().Route("h", "/stream/x")
+	route.TimeoutMS = 14_000
+	started := time.Now()
+	got := r.serve("stream")
+	took := time.Since(started)
+	objective := 300 * time.Millisecond
+	if took < objective || took > 3*objective {
+		t.Errorf("refused after %v, with an objective of %v", took, objective)
+	}
+	if f := fault.From(got.err); f.Kind != fault.Overloaded || f.Ran != fault.NotRun || f.RetryAfter.IsZero() {
+		t.Errorf("refused with %v", got.err)
+	}
+}
+
 // TestDecodeReadsWithoutPrefill has no prefill engine that works.
 func TestDecodeReadsWithoutPrefill(t *testing.T) {
 	r := newRig(t)
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -25,8 +25,14 @@
 	readReserve = 1.5
 	// firstEventTime is kept for transfer and first event.
 	firstEventTime = 80 * time.Millisecond
-	// waitPart is the part of its time that a request waits for room.
+	// waitPart is the part of its time that a request waits for room at most.
 	waitPart = 0.4
+	// waitObjectives is how many times its objective a request waits for room: callers
+	// leave by themselves a while after that, and have to be told before.
+	waitObjectives = 2
+	// roomRetry is when a caller should come again for whom there was no room. Room
+	// comes as streams end, which takes seconds.
+	roomRetry = time.Second
 )
 
 // room is a place for a stream at a decode engine.
@@ -58,7 +64,7 @@
 			return room{}, fault.From(context.Cause(ctx)).WithRan(fault.NotRun)
 		}
 		if now = r.now(); !now.Before(giveUp) {
-			return room{}, fault.New(fault.Overloaded, "no decode engine has room").WithRetryAfter(now.Add(refusedRetry))
+			return room{}, fault.New(fault.Overloaded, "no decode engine has room").WithRetryAfter(now.Add(roomRetry))
 		}
 		pause(ctx, askAgain+time.Duration(rand.Int64N(int64(askAgain/2))))
 	}
@@ -74,7 +80,11 @@
 
 // giveUpAt returns until when a request waits for room.
 func (s *stream) giveUpAt() time.Time {
-	return s.Received.Add(time.Duration(waitPart * float64(s.deadline.Sub(s.Received))))
+	wait := time.Duration(waitPart * float64(s.deadline.Sub(s.Received)))
+	if objective := time.Duration(s.route.FirstAnswerMS) * time.Millisecond; objective > 0 {
+		wait = min(wait, waitObjectives*objective)
+	}
+	return s.Received.Add(wait)
 }
 
 // pause returns after a time, or when ctx ends.
@@ -129,5 +139,6 @@
 	return min(j.MaxOutput, ident.Tokens(estimateFactor*float64(j.Estimate)))
 }
 
-// estimateFactor covers answers that are longer than their callers think.
-const estimateFactor = 1.1
+// estimateFactor covers answers that are longer than their callers think: a stream
+// that outgrows its room is put back, and its prompt is read again.
+const estimateFactor = 1.5
