--- a/io/caller/close_test.go
+++ b/io/caller/close_test.go
@@ -12,6 +12,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/go-kit/log"
 )
 
 // Sizes of the tests.
@@ -133,3 +135,60 @@
 		t.Error(err)
 	}
 }
+
+// TestIdleCloseIsPrompt stops a server whose callers go on sending on connections
+// that were idle. A request that isn't answered has to end with its connection at
+// once, so that its caller can go elsewhere in time.
+func TestIdleCloseIsPrompt(t *testing.T) {
+	const (
+		callers  = 40
+		promptly = 120 * time.Millisecond
+	)
+	s := NewForwarding(func(f *Forward) { f.Begin(http.StatusOK, http.Header{}, 0) }, log.NewNopLogger(), WithIdleClose())
+	address, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = s.Close() }()
+	var conns []net.Conn
+	for range callers {
+		conn, err := net.Dial("tcp", string(address))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		conns = append(conns, conn)
+		askOnce(t, conn, true)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	for i, conn := range conns {
+		time.Sleep(sweepInterval / 10)
+		started := time.Now()
+		askOnce(t, conn, false)
+		if took := time.Since(started); took > promptly {
+			t.Errorf("caller %d learned after %v that its request was not read", i, took)
+		}
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// askOnce sends a request and reads until its answer or the end of the connection.
+func askOnce(t *testing.T, conn net.Conn, answered bool) {
+	t.Helper()
+	if _, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil && answered {
+		t.Fatal(err)
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		if answered {
+			t.Fatal(err)
+		}
+		return
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+}
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -200,13 +200,19 @@
 	c.last = true
 }
 
-// leaveIdle makes a connection without a request take none any more.
-func (c *conn) leaveIdle() {
+// leaveIdle makes a connection without a request take none any more, and closes its
+// sending side at once: a request that comes from now on is not read, and its caller
+// has to learn of it without delay.
+func (c *conn) leaveIdle(now time.Time) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.handling == 0 && c.requestBy.IsZero() {
+	idle := c.handling == 0 && c.requestBy.IsZero() && !c.last && !c.turned
+	if idle {
 		c.last = true
 	}
+	c.mu.Unlock()
+	if idle && !unsent(c.nbc) {
+		c.closeSending(now)
+	}
 }
 
 // isLast reports whether no request is taken after the one being handled.
@@ -233,6 +239,12 @@
 	if c.quiet < quietSweeps {
 		return
 	}
+	c.closeSending(now)
+}
+
+// closeSending closes the sending side. The rest is closed when the caller has closed
+// too, or after a while.
+func (c *conn) closeSending(now time.Time) {
 	c.mu.Lock()
 	c.finished = true
 	c.closeBy = now.Add(lingerTime)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -193,7 +193,7 @@
 			leave := s.closesIdle && s.draining.Load()
 			s.conns.each(func(c *conn) {
 				if leave {
-					c.leaveIdle()
+					c.leaveIdle(now)
 				}
 				c.check(now)
 				c.finish(now)
