forward: a prompt goes to another prefill engine when one did not take it

The decode engine then read the prompt itself: at half the speed, and between the tokens of its streams.

Ruled out: the estimate (the failed ones were estimated at 24 to 240 ms) and handles that lapse (21 of 2,330).

Now up to three prefill engines are called, and one that did not take a call is left out for 0.5 s. A call that never arrived is no longer charged to the budget of repeats. The test fails first: the decode engine read the prompt.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -223,6 +223,34 @@
 	}
 }
 
+// TestPrefillMovesOn has one prefill engine refuse, as it changes its stage: the other
+// one reads the prompt, and the one that refused is not asked at once again.
+func TestPrefillMovesOn(t *testing.T) {
+	r := newRig(t)
+	var asked []ident.EndpointID
+	r.prefill = func(n int, c Call) (string, error) {
+		asked = append(asked, c.Engine.ID)
+		if n == 1 {
+			return "", errRefused
+		}
+		return "handle", nil
+	}
+	r.send = func(_ int, _ Call, sink Sink) error { return answer(sink, 200, "id: 1\n\n") }
+	for range 2 {
+		if got := r.serve("stream"); got.err != nil {
+			t.Fatal(got.err)
+		}
+	}
+	if len(asked) != 3 || asked[0] == asked[1] || asked[2] == asked[0] {
+		t.Errorf("asked %v", asked)
+	}
+	for _, c := range r.sent {
+		if c.Source.Handle == "" {
+			t.Error("the decode engine read a prompt itself")
+		}
+	}
+}
+
 // TestDecodeReadsWithoutPrefill has no prefill engine that works.
 func TestDecodeReadsWithoutPrefill(t *testing.T) {
 	r := newRig(t)
--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -32,6 +32,11 @@
 	// doubtful is the doubt from which a prefill engine is not used while the
 	// decode engine can read the prompt.
 	doubtful = 0.3
+	// maxPrefillTries bounds the prefill engines that are called for one prompt.
+	maxPrefillTries = 3
+	// prefillRefused is how long an engine is not called that did not take a prefill:
+	// it is full, changes its stage, or can't be reached.
+	prefillRefused = 500 * time.Millisecond
 	// farRead is what a prefill engine in another failure domain counts.
 	farRead = 10 * time.Millisecond
 )
@@ -96,7 +101,7 @@
 	var best *engines.Engine
 	var soonest time.Duration
 	for _, e := range s.router.Engines(s.service.Name) {
-		if e.StageNow() != engines.Prefill || !e.Usable() || e.Doubt(now) > doubtful {
+		if e.StageNow() != engines.Prefill || !e.Usable() || e.Doubt(now) > doubtful || !e.HasRoom(s.Prompt, now) {
 			continue
 		}
 		if t := s.estimate(e, 1); best == nil || t < soonest {
@@ -109,10 +114,14 @@
 	return best, soonest
 }
 
-// prefill has the prompt read. Without an engine for it the decode engine reads
-// the prompt itself.
+// prefill has the prompt read. Engines that do not take the call are followed by
+// others; without an engine for it the decode engine reads the prompt itself.
 func (s *stream) prefill(ctx context.Context, decode *engines.Engine) (prompt, error) {
-	if e, soonest := s.choosePrefill(decode); e != nil {
+	for range maxPrefillTries {
+		e, soonest := s.choosePrefill(decode)
+		if e == nil {
+			break
+		}
 		handle, err := s.callPrefill(ctx, e, soonest)
 		if err == nil {
 			return prompt{e, Source{Address: e.Address, Handle: handle}}, nil
@@ -120,8 +129,15 @@
 		if ctx.Err() != nil {
 			return prompt{}, fault.From(context.Cause(ctx)).WithRan(fault.NotRun)
 		}
-		s.router.charge(s.service.Name)
-		_ = level.Info(s.log).Log("msg", "prefill failed", "engine", e.ID, "estimate_ms", soonest.Milliseconds(), "err", err)
+		f := fault.From(err)
+		_ = level.Info(s.log).Log("msg", "prefill failed", "engine", e.ID, "estimate_ms", soonest.Milliseconds(), "ran", f.Ran, "err", err)
+		if f.Kind == fault.EndpointRefused || f.Ran != fault.NotRun {
+			s.router.charge(s.service.Name)
+		}
+		if f.Ran != fault.NotRun {
+			break
+		}
+		e.Refused(0, s.router.now().Add(prefillRefused))
 	}
 	s.router.counters.localRead.Inc(1)
 	return prompt{}, nil
