--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -78,11 +78,13 @@
 
 // attempt makes one try: room first, then the prompt, then the stream.
 func (s *stream) attempt(ctx context.Context) error {
+	started := s.router.now()
 	place, err := s.reserve(ctx)
 	if err != nil {
 		return err
 	}
 	defer place.end()
+	s.passed("room", place.engine, started)
 	prompt, err := s.prefill(ctx, place.engine)
 	if err != nil {
 		s.router.Calls.Release(place.engine.Entry, place.reservation)
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -60,6 +60,7 @@
 				continue
 			}
 			if res.passed || !res.failed() {
+				j.way = append(j.way, "engine", res.engine.ID)
 				return j.give(res)
 			}
 			if p.take(res); p.mayFollow(res) {
@@ -215,7 +216,7 @@
 
 // begin gives the head of an answer to the caller.
 func (j *job) begin(h Head) {
-	j.begun = true
+	j.begun, j.first = true, j.router.now()
 	j.router.counters.first.UpdateSince(j.Received)
 	j.answer.Begin(h.Status, h.Header, h.Length)
 }
--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -122,8 +122,10 @@
 		if e == nil {
 			break
 		}
+		started := s.router.now()
 		handle, err := s.callPrefill(ctx, e, soonest)
 		if err == nil {
+			s.passed("read", e, started)
 			return prompt{e, Source{Address: e.Address, Handle: handle}}, nil
 		}
 		if ctx.Err() != nil {
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -176,8 +176,15 @@
 	log      log.Logger
 
 	begun bool                      // The head was given to the caller.
+	first time.Time                 // When the head was given to the caller.
 	tried map[ident.EndpointID]bool // Engines that were called.
 	calls int                       // Calls that engines may have got.
+	way   []any                     // What the log says of the way of the request, as keys and values.
+}
+
+// passed notes a stage of the request's way for its line in the log.
+func (j *job) passed(stage string, e *engines.Engine, since time.Time) {
+	j.way = append(j.way, stage, e.ID, stage+"_ms", j.router.now().Sub(since).Milliseconds())
 }
 
 // Serve takes a request through its stages. An error means that nothing was
@@ -292,9 +299,13 @@
 func (j *job) end(err error) {
 	r := j.router
 	tookMS := r.now().Sub(j.Received).Milliseconds()
+	if j.begun {
+		j.way = append(j.way, "first_ms", j.first.Sub(j.Received).Milliseconds())
+	}
+	line := log.With(j.log, j.way...)
 	if err == nil {
 		r.counters.answered.Inc(1)
-		_ = level.Info(j.log).Log("msg", "answered", "took_ms", tookMS, "calls", j.calls)
+		_ = level.Info(line).Log("msg", "answered", "took_ms", tookMS, "calls", j.calls)
 		return
 	}
 	f := fault.From(err)
@@ -305,7 +316,7 @@
 	} else {
 		r.counters.failed.Inc(1)
 	}
-	_ = level.Info(j.log).Log("msg", outcome, "kind", f.Kind, "ran", f.Ran, "begun", j.begun, "took_ms", tookMS,
+	_ = level.Info(line).Log("msg", outcome, "kind", f.Kind, "ran", f.Ran, "begun", j.begun, "took_ms", tookMS,
 		"left_ms", j.deadline.Sub(r.now()).Milliseconds(), "calls", j.calls, "err", f)
 }
 
