--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/pause"
 )
 
 // ErrCompacted says that the store no longer has the history that was asked for.
@@ -75,7 +77,7 @@
 			continue
 		}
 		f.set(ctx, false, err)
-		sleep(ctx, pause)
+		pause.For(ctx, pause)
 		pause = min(2*pause, lastPause)
 	}
 }
@@ -89,7 +91,7 @@
 	f.settled = true
 	f.doubt(true)
 	defer f.doubt(false)
-	sleep(ctx, f.Settle)
+	pause.For(ctx, f.Settle)
 }
 
 // list takes the whole list.
@@ -122,22 +124,12 @@
 		revision = max(revision, next)
 		if len(changes) > 0 {
 			f.OnNews(changes)
-			sleep(ctx, gather)
+			pause.For(ctx, gather)
 		}
 	}
 	return ctx.Err()
 }
 
-// sleep returns after a time, or when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // doubt records whether the last watch failed. Others must not rely on this
 // instance's news then, but nothing has been missed yet.
 func (f *Follower) doubt(doubtful bool) {
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -8,6 +8,7 @@
 	"monsoonfork/core/engines"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/pause"
 )
 
 const (
@@ -66,7 +67,7 @@
 		if now = r.now(); !now.Before(giveUp) {
 			return room{}, fault.New(fault.Overloaded, "no decode engine has room").WithRetryAfter(now.Add(roomRetry))
 		}
-		pause(ctx, askAgain+time.Duration(rand.Int64N(int64(askAgain/2))))
+		pause.For(ctx, askAgain+time.Duration(rand.Int64N(int64(askAgain/2))))
 	}
 }
 
@@ -87,16 +88,6 @@
 	return s.Received.Add(wait)
 }
 
-// pause returns after a time, or when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // tryReserve asks engines for room, the best first.
 func (j *job) tryReserve(ctx context.Context) (room, bool) {
 	r := j.router
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
+	"monsoonfork/core/pause"
 )
 
 // MethodPull is the method that instances call for news.
@@ -86,14 +87,14 @@
 		fresh := s.isFollowing() && s.healthyNow()
 		if fresh && rank < followers {
 			// Nobody else has to be asked.
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		if s.pullAny(ctx, others) {
 			continue
 		}
 		if fresh {
-			sleep(ctx, retryPause)
+			pause.For(ctx, retryPause)
 			continue
 		}
 		if now := s.Now(); now.Sub(farAt) > farEvery {
@@ -102,17 +103,7 @@
 				continue
 			}
 		}
-		sleep(ctx, retryPause)
-	}
-}
-
-// sleep returns after a time, or when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		pause.For(ctx, retryPause)
 	}
 }
 
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
+	"monsoonfork/core/pause"
 )
 
 // store is a store that instances follow.
@@ -123,7 +124,7 @@
 			i.take(v)
 			i.Table.Replace([]engines.Entry{{ID: "e", Service: "s", AsOf: int64(v)}}, int64(v))
 		}
-		sleep(ctx, 5*time.Millisecond)
+		pause.For(ctx, 5*time.Millisecond)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
