--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -64,11 +64,11 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
-	pause := firstPause
+	wait := firstPause
 	for ctx.Err() == nil {
 		revision, err := f.list(ctx)
 		if err == nil {
-			pause = firstPause
+			wait = firstPause
 			f.settle(ctx)
 			err = f.watch(ctx, revision)
 		}
@@ -77,8 +77,8 @@
 			continue
 		}
 		f.set(ctx, false, err)
-		pause.For(ctx, pause)
-		pause = min(2*pause, lastPause)
+		pause.For(ctx, wait)
+		wait = min(2*wait, lastPause)
 	}
 }
 
