httpcall: what a call hands to the poller is ordered before its first use

A call makes its exchange and parser and gives them to the poller without a lock that both take; the first one is taken by the write. If the endpoint closes before that, the poller's end of the connection reads them unordered.

The connection's lock is now held while they are handed over.

--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -151,12 +151,17 @@
 		_ = conn.Close()
 		return nil, fault.Wrap(err, fault.Internal, "cannot hand the connection to the poller").WithRan(fault.NotRun)
 	}
+	// The lock orders all of this before the poller's first use of it, also when the
+	// endpoint closes the connection before anything is written: the poller takes the
+	// lock when a connection ends.
+	nbc.Lock()
 	parser := nbhttp.NewParser(nbc, c.engine, x, true, nbc.Execute)
 	nbc.SetSession(parser)
 	nbc.OnData(func(conn *nbio.Conn, data []byte) {
 		x.touch()
 		c.engine.DataHandler(conn, data)
 	})
+	nbc.Unlock()
 	if _, err := c.engine.AddConn(nbc); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "cannot hand the connection to the poller").WithRan(fault.NotRun)
 	}
--- a/io/httpcall/call_test.go
+++ b/io/httpcall/call_test.go
@@ -335,3 +335,40 @@
 		t.Errorf("timeout %d ms, %v", got, err)
 	}
 }
+
+// TestClosedBeforeTheCallIsSent has the endpoint close the connection before the call
+// is written. The poller then is the first to use what the call has handed to it, which
+// the race detector checks.
+func TestClosedBeforeTheCallIsSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	c, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for range 20 {
+		call := Call{
+			Address:    ident.Address(ln.Addr().String()),
+			Method:     http.MethodGet,
+			Target:     "/",
+			BeforeSend: func() error { time.Sleep(10 * time.Millisecond); return nil },
+		}
+		err := c.Do(t.Context(), call, Sink{})
+		if fault.KindOf(err) != fault.EndpointFailed {
+			t.Errorf("%v, want EndpointFailed", err)
+		}
+	}
+}
