claims: a repetition waits for the record of an answered call

An answer goes to its caller at once and is appended to the log in the background (40 ms and more); a repetition that reaches the log first finds the call running. Ruled out: a second grant (the log's first claim stands), a lost record (the append is tried for two minutes), a wrong owner (any appender reads the log before it refuses). Holding the answer until it is recorded was ruled out: callers would wait for the store. Before: TestRepetitionOfAnAnsweredCallIsReplayed fails each time with CallInProgress. After: it passes; a call that runs on is refused within a second. Conclusion: the 409 was untrue for a caller that had the answer.

--- a/core/claims/service.go
+++ b/core/claims/service.go
@@ -26,6 +26,8 @@
 	ownerTimeout     = 800 * time.Millisecond // Of that, the wait for the owner of the log.
 	completeTimeout  = 2 * time.Minute        // How long Done and Release are tried.
 	completeAttempt  = 5 * time.Second
+	endWait          = time.Second // Longest wait of a repetition for the end of the call; above ownerTimeout.
+	endPoll          = 50 * time.Millisecond
 	defaultRetention = time.Hour
 )
 
@@ -131,8 +133,6 @@
 // run: CallInProgress, OutcomeUnknown, CallMismatch or StoreUnavailable; of an
 // earlier call with the same key they say what is known.
 func (s *Service) Claim(ctx context.Context, c Call) (*Ticket, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
 	digest := sha256.Sum256(c.Request)
 	e := Entry{
 		Op:       Claim,
@@ -143,7 +143,7 @@
 		At:       s.now().UnixMilli(),
 		Deadline: c.Deadline.UnixMilli(),
 	}
-	replay, err := s.append(ctx, e)
+	replay, err := s.appendClaim(ctx, e)
 	if err != nil {
 		return nil, s.claimFailed(c.ID, e, err)
 	}
@@ -158,6 +158,21 @@
 	return &Ticket{service: s, id: c.ID, entry: e}, nil
 }
 
+// appendClaim appends a claim. If the call is running it waits a moment for the
+// end: an answer reaches its caller before it stands in the log, and a caller
+// that has it and repeats the call must get it again.
+func (s *Service) appendClaim(ctx context.Context, e Entry) (*Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	until := time.Now().Add(endWait)
+	for {
+		replay, err := s.append(ctx, e)
+		if !fault.Is(err, fault.CallInProgress) || time.Now().After(until) || !sleepUntil(ctx, time.Now().Add(endPoll)) {
+			return replay, err
+		}
+	}
+}
+
 // claimFailed counts a refused claim. If the store's answer is missing, the
 // claim may stand although the call will not run, so it is released.
 func (s *Service) claimFailed(id ident.RequestID, e Entry, err error) error {
