forward: prefill engines that look alike are chosen at random

An instance sees its own prefills only, so that most engines look alike to it, and the first of the list got all of them. Ruled out: engines that were slow or dark (others were read by them at the same time), orders of stages (none in those seconds), the limit itself (twice the estimate and 0.5 s). TestInstancesSpreadTheirPrefills had 0 of 40 prompts at the second engine before.

--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -353,3 +353,28 @@
 		}
 	}
 }
+
+// TestInstancesSpreadTheirPrefills has the first request of many instances, to
+// which all prefill engines look alike.
+func TestInstancesSpreadTheirPrefills(t *testing.T) {
+	const instances = 40
+	read := make(map[ident.Address]int)
+	for range instances {
+		r := newRig(t)
+		r.send = func(_ int, _ Call, sink Sink) error { return answer(sink, 200, "id: 1\n\n") }
+		calls := r.router.Calls
+		calls.Prefill = func(_ context.Context, c Call) (string, error) {
+			read[c.Engine.Address]++
+			return "handle", nil
+		}
+		r.router.Calls = calls
+		if got := r.serve("stream"); got.err != nil {
+			t.Fatal(got.err)
+		}
+	}
+	for _, e := range []ident.Address{"f1", "f2"} {
+		if read[e] < instances/5 {
+			t.Errorf("%s read %d of %d prompts", e, read[e], instances)
+		}
+	}
+}
--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -39,6 +40,9 @@
 	prefillRefused = 500 * time.Millisecond
 	// farRead is what a prefill engine in another failure domain counts.
 	farRead = 10 * time.Millisecond
+	// readSpread keeps instances from all choosing the first of the prefill engines
+	// that look alike: an instance sees its own prefills only.
+	readSpread = 12 * time.Millisecond
 )
 
 // prompt is a prefilled prompt, or none.
@@ -99,19 +103,20 @@
 func (s *stream) choosePrefill(decode *engines.Engine) (*engines.Engine, time.Duration) {
 	now := s.router.now()
 	var best *engines.Engine
-	var soonest time.Duration
+	var soonest, estimated time.Duration
 	for _, e := range s.router.Engines(s.service.Name) {
 		if e.StageNow() != engines.Prefill || !e.Usable() || e.Doubt(now) > doubtful || !e.HasRoom(s.Prompt, now) {
 			continue
 		}
-		if t := s.estimate(e, 1); best == nil || t < soonest {
-			best, soonest = e, t
+		t := s.estimate(e, 1)
+		if apart := t + rand.N(readSpread); best == nil || apart < soonest {
+			best, soonest, estimated = e, apart, t
 		}
 	}
-	if best == nil || float64(soonest) > localPenalty*float64(s.estimate(decode, localSpeed)) {
+	if best == nil || float64(estimated) > localPenalty*float64(s.estimate(decode, localSpeed)) {
 		return nil, 0
 	}
-	return best, soonest
+	return best, estimated
 }
 
 // prefill has the prompt read. Engines that do not take the call are followed by
