--- a/core/share/loop.go
+++ b/core/share/loop.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"sync"
-	"time"
 
-	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
-	"monsoonfork/core/fault"
+	"monsoonfork/core/collect"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 )
@@ -26,42 +23,18 @@
 type Caller func(ctx context.Context, to ident.InstanceID, method string, req, resp proto.Message) error
 
 // Run reports until ctx ends.
-func (s *Shares) Run(ctx context.Context) {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	heard := true
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		v := s.view()
-		owner, err := s.round(ctx, v)
-		if now := err == nil; now != heard {
-			heard = now
-			_ = level.Info(s.log).Log("msg", "collector of rates", "collector", owner, "heard", heard, "err", err)
-		}
-	}
-}
+func (s *Shares) Run(ctx context.Context) { s.rounds().Run(ctx) }
 
-// round reports once to the collector of the domain. If this instance is it, it
-// tells those of the other domains too.
-func (s *Shares) round(ctx context.Context, v *membership.View) (collector ident.InstanceID, err error) {
-	owner, ok := v.Owner(v.Self.Domain, ownerKey)
-	if !ok {
-		return "", fault.New(fault.PeerUnavailable, "no member collects for domain %s", v.Self.Domain)
-	}
-	if owner.ID == v.Self.ID {
-		s.exchangeAll(ctx, v)
+// rounds returns the rounds of reports.
+func (s *Shares) rounds() *collect.Rounds {
+	return &collect.Rounds{
+		View: s.view, Key: ownerKey, Every: reportEvery, CallTime: callTime,
+		Report: s.reportTo, Exchange: s.exchangeWith, Log: s.log,
 	}
-	return owner.ID, s.reportTo(ctx, owner.ID)
 }
 
 // reportTo reports to the collector of the domain.
 func (s *Shares) reportTo(ctx context.Context, collector ident.InstanceID) error {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
 	reply := &ReportReply{}
 	if err := s.call(ctx, collector, MethodReport, &Report{Admitted: s.report()}, reply); err != nil {
 		return err
@@ -70,27 +43,15 @@
 	return nil
 }
 
-// exchangeAll tells the collectors of the other domains.
-func (s *Shares) exchangeAll(ctx context.Context, v *membership.View) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, domain := range v.Domains() {
-		other, ok := v.Owner(domain, ownerKey)
-		if !ok || domain == v.Self.Domain {
-			continue
-		}
-		wg.Go(func() {
-			reply := &ExchangeReply{}
-			// A collector that does not answer keeps its domain's part: see part.
-			if err := s.call(ctx, other.ID, MethodExchange, s.exchange(v), reply); err != nil {
-				_ = level.Debug(s.log).Log("msg", "no exchange of rates", "domain", domain, "err", err)
-				return
-			}
-			s.take(other.ID, reply.GetExchange())
-		})
+// exchangeWith tells the collector of another domain. One that does not answer
+// keeps its domain's part: see part.
+func (s *Shares) exchangeWith(ctx context.Context, _ ident.DomainID, other ident.InstanceID) error {
+	reply := &ExchangeReply{}
+	if err := s.call(ctx, other, MethodExchange, s.exchange(s.view()), reply); err != nil {
+		return err
 	}
-	wg.Wait()
+	s.take(other, reply.GetExchange())
+	return nil
 }
 
 // exchange returns what this instance tells collectors of other domains.
