share: what a source admitted while it was silent starts no debt

From 15 to 19 s all of those refusals came from the eight members of domain e that had lived through the end of their collector at 4.4 s; members elsewhere and those started anew refused none. The new collector had collected for a moment at the start, before the instances knew each other, and still held the other collectors as sources; at their first word in 17 s all that they had admitted meanwhile was taken out of the members' buckets. Ruled out: parts of rates (0.93 and more), the delay of reports (a fleet without a network repays it in 2 s), demand (60 to 80 thousand tokens a second of 117). Now the word of a source that was silent for longer than it counts is where counting goes on: what it admitted meanwhile was covered by its part. Before: TestReturningSourceStartsNoDebt and TestNewCollectorStartsNoDebt (20 refusals of an organisation that keeps to its rate) fail. After: they pass.

--- a/core/share/collect.go
+++ b/core/share/collect.go
@@ -12,7 +12,7 @@
 	domain  ident.DomainID
 	members int // That a collector hears.
 	heardAt time.Time
-	first   map[ident.OrganisationID]int64 // When it was first heard of.
+	first   map[ident.OrganisationID]int64 // Where counting starts: what was admitted unheard.
 	newest  map[ident.OrganisationID]int64
 }
 
@@ -38,19 +38,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	src := s.sources[from]
-	fresh := src == nil
-	if fresh {
+	if src == nil {
 		src = &source{domain: domain, first: make(map[ident.OrganisationID]int64), newest: make(map[ident.OrganisationID]int64)}
 		s.forget(now)
 		s.sources[from] = src
 	}
+	// What a source admits while it is silent is covered by its part of the rate.
+	silent := now.Sub(src.heardAt) >= unheardAfter
 	src.heardAt, src.members = now, members
 	for _, u := range admitted {
-		name := ident.OrganisationID(u.GetOrganisation())
-		if fresh {
-			src.first[name] = u.GetTokens()
+		name, tokens := ident.OrganisationID(u.GetOrganisation()), u.GetTokens()
+		if silent {
+			src.first[name] += tokens - src.newest[name]
 		}
-		src.newest[name] = u.GetTokens()
+		src.newest[name] = tokens
 	}
 }
 
@@ -63,8 +64,7 @@
 	}
 }
 
-// others returns what all sources but one have admitted since they were first
-// heard of.
+// others returns what all sources but one have admitted while they were heard.
 func (s *sums) others(but ident.InstanceID) []*Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/share/collect_test.go
+++ b/core/share/collect_test.go
@@ -57,3 +57,24 @@
 		t.Error("refused for what others had admitted before")
 	}
 }
+
+// TestReturningSourceStartsNoDebt has a source fall silent and come back: what it
+// admitted meanwhile was covered by its own part.
+func TestReturningSourceStartsNoDebt(t *testing.T) {
+	now := time.Now()
+	s := newSums(func() time.Time { return now })
+	s.take("a1", "a", 0, nil)
+	s.take("b1", "b", 1, nil)
+	now = now.Add(unheardAfter / 2)
+	s.take("b1", "b", 1, usages(100))
+	now = now.Add(2 * unheardAfter)
+	s.take("b1", "b", 1, usages(50_100))
+	if got := s.others("a1")[0].GetTokens(); got != 100 {
+		t.Errorf("others of a1 = %d, want the 100 of before", got)
+	}
+	now = now.Add(unheardAfter / 2)
+	s.take("b1", "b", 1, usages(50_170))
+	if got := s.others("a1")[0].GetTokens(); got != 170 {
+		t.Errorf("others of a1 = %d, want 170", got)
+	}
+}
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -17,12 +17,13 @@
 type fleet struct {
 	now    time.Time
 	shares map[ident.InstanceID]*Shares
+	tables map[ident.InstanceID]*membership.Table
 	cut    map[ident.InstanceID]bool // Cut off from all others.
 }
 
 // newFleet returns a fleet with members in each of some domains.
 func newFleet(domains, members int) *fleet {
-	f := &fleet{now: time.Now(), shares: make(map[ident.InstanceID]*Shares), cut: make(map[ident.InstanceID]bool)}
+	f := &fleet{now: time.Now(), shares: make(map[ident.InstanceID]*Shares), tables: make(map[ident.InstanceID]*membership.Table), cut: make(map[ident.InstanceID]bool)}
 	var all []membership.Member
 	for d := range domains {
 		for m := range members {
@@ -37,6 +38,7 @@
 				table.Heard(m)
 			}
 		}
+		f.tables[self.ID] = table
 		f.shares[self.ID] = New(table.View, func() int { return len(all) }, f.caller(self.ID), nopLogger, func() time.Time { return f.now })
 	}
 	return f
@@ -66,7 +68,7 @@
 func (f *fleet) round() {
 	for _, s := range f.shares {
 		// Those that are cut off reach nobody.
-		_, _ = s.round(context.Background(), s.view())
+		_, _ = s.rounds().Once(context.Background())
 	}
 }
 
@@ -106,3 +108,46 @@
 		}
 	}
 }
+
+// TestNewCollectorStartsNoDebt ends the collector of a domain after another member
+// collected for a moment at the start: an organisation that keeps to its rate is not
+// refused when that member collects again.
+func TestNewCollectorStartsNoDebt(t *testing.T) {
+	f := newFleet(3, 4)
+	ranked := f.shares["a0"].view().Ranked("a", ownerKey)
+	collector, next := ranked[0].ID, ranked[1].ID
+	for id, s := range f.shares {
+		if s.view().Self.Domain != "a" {
+			_ = f.shares[id].exchangeWith(t.Context(), "a", next)
+		}
+	}
+	f.admitted(5)
+	f.cut[collector] = true
+	for id, table := range f.tables {
+		if id != collector {
+			table.Ended(collector)
+		}
+	}
+	// The member calls the new collector before those of other domains do.
+	if err := f.shares[ranked[2].ID].reportTo(t.Context(), next); err != nil {
+		t.Fatal(err)
+	}
+	refused := 0
+	o := organisation(10_000, 10_000)
+	for i := range 100 {
+		f.now = f.now.Add(50 * time.Millisecond)
+		if i%3 == 0 {
+			f.round()
+		}
+		// A third of the rate, after a second in which the burst came up again.
+		if i >= 20 && i%4 == 0 && !f.shares[next].Admit(o, 600).Granted {
+			refused++
+		}
+		if i >= 20 && i%4 == 2 && !f.shares[ranked[2].ID].Admit(o, 100).Granted {
+			refused++
+		}
+	}
+	if refused > 0 {
+		t.Errorf("%d refusals of an organisation that keeps to its rate", refused)
+	}
+}
