--- /dev/null
+++ b/cmd/monsoonlab/platformsoak.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"monsoonfork/lab/platformsoak"
+)
+
+// platformSoakCommand runs instances as on the platform under random faults.
+type platformSoakCommand struct {
+	Seed      uint64        `default:"1" help:"Seed of requests and faults."`
+	Length    time.Duration `default:"40s" help:"Time during which requests are sent; the last 12 s are without faults."`
+	Rate      float64       `default:"40" help:"Requests a second."`
+	Instances int           `default:"8" help:"Instances of monsoonfork."`
+	Faults    []string      `help:"Faults to draw from; none means all."`
+	Keep      bool          `help:"Keep the logs of all processes."`
+}
+
+// Help is the usage text of the verb.
+func (c *platformSoakCommand) Help() string {
+	return `Starts instances as they run on the platform, with stand-ins of its store, engines
+and callers, sends requests, and meanwhile makes faults that follow from the seed. Then
+checks what callers and engines have seen. Prints each fault, the answers by status, and
+one line for each broken promise; fails when there is one. Run it in the repository.`
+}
+
+// Run implements the verb.
+func (c *platformSoakCommand) Run(ctx context.Context) error {
+	verdict, err := platformsoak.Run(ctx, platformsoak.Config{
+		Seed: c.Seed, Length: c.Length, Rate: c.Rate, Instances: c.Instances, Faults: c.Faults, Keep: c.Keep,
+	}, os.Stdout)
+	if err != nil {
+		return err
+	}
+	fmt.Println("answers by status (0: none):", verdict.Answers)
+	for _, finding := range verdict.Findings {
+		fmt.Println("FINDING", finding)
+	}
+	if c.Keep {
+		fmt.Println("logs:", verdict.Dir)
+	}
+	if n := len(verdict.Findings); n > 0 {
+		return fmt.Errorf("%d findings; repeat: %s", n, c.command())
+	}
+	fmt.Println("no findings:", c.command())
+	return nil
+}
+
+// command returns the command that makes the same run.
+func (c *platformSoakCommand) command() string {
+	command := fmt.Sprintf("monsoonlab platform-soak --seed %d --length %v --rate %v --instances %d", c.Seed, c.Length, c.Rate, c.Instances)
+	if len(c.Faults) > 0 {
+		command += " --faults " + strings.Join(c.Faults, ",")
+	}
+	return command
+}
--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -17,6 +17,7 @@
 		{"quickstart", "Show a small fleet at work.", &quickstartCommand{}},
 		{"load", "Send a workload to a fleet and report.", &loadCommand{}},
 		{"soak", "Run a fleet under random faults and check what must hold.", &soakCommand{}},
+		{"platform-soak", "Run instances as on the platform under random faults and check what must hold.", &platformSoakCommand{}},
 		{"rates", "Send above an organisation's rate under faults and check every window.", &ratesCommand{}},
 		{"bench", "Measure placement policies.", &benchCommand{}},
 		{"handover", "Measure the hand-over of a dispatcher.", &handoverCommand{}},
--- a/lab/relay/relay.go
+++ b/lab/relay/relay.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"time"
 )
 
 // bufferBytes is the size of the pieces that are passed on.
@@ -17,16 +18,19 @@
 	listener net.Listener
 	work     sync.WaitGroup
 
-	mu     sync.Mutex
-	cut    bool
-	closed bool
-	pairs  map[*pair]bool
+	mu      sync.Mutex
+	cut     bool
+	cutBack bool          // Of new connections, only what the target answers is lost.
+	delay   time.Duration // Of each piece, in both directions.
+	closed  bool
+	pairs   map[*pair]bool
 }
 
 // pair is a connection and the one it is passed on to.
 type pair struct {
 	near, far net.Conn
 	silent    bool // Under the lock of the Relay; once true, it stays so.
+	mute      bool // The same, for what the target answers.
 }
 
 // New returns a relay to target that listens on a free loopback port.
@@ -54,11 +58,44 @@
 	}
 }
 
-// Heal lets new connections through.
+// CutAnswers loses what the target answers, on all connections. Connections that
+// were cut stay so for good.
+func (r *Relay) CutAnswers() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cutBack = true
+	for p := range r.pairs {
+		p.mute = true
+	}
+}
+
+// Delay delays each piece, in both directions.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Reset resets all connections.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		for _, c := range []net.Conn{p.near, p.far} {
+			if tcp, ok := c.(*net.TCPConn); ok {
+				// The reset is best effort: the connection is closed in any case.
+				_ = tcp.SetLinger(0)
+			}
+		}
+		p.close()
+	}
+}
+
+// Heal lets new connections through, without delay.
 func (r *Relay) Heal() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut = false
+	r.cut, r.cutBack, r.delay = false, false, 0
 }
 
 // Close ends all connections and waits.
@@ -111,7 +148,7 @@
 func (r *Relay) add(p *pair) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p.silent = r.cut
+	p.silent, p.mute = r.cut, r.cutBack
 	r.pairs[p] = true
 	return !r.closed
 }
@@ -124,11 +161,12 @@
 	delete(r.pairs, p)
 }
 
-// isSilent reports whether what the pair carries is lost.
-func (r *Relay) isSilent(p *pair) bool {
+// state returns whether what the pair carries to one of its ends is lost, and how
+// long it takes.
+func (r *Relay) state(p *pair, to net.Conn) (lost bool, delay time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return p.silent
+	return p.silent || p.mute && to == p.near, r.delay
 }
 
 // copy passes on what comes from one end until that end closes. Then it closes
@@ -137,7 +175,9 @@
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !r.isSilent(p) {
+		lost, delay := r.state(p, to)
+		if n > 0 && !lost {
+			time.Sleep(delay)
 			if _, failed := to.Write(buffer[:n]); failed != nil {
 				err = failed
 			}
@@ -146,7 +186,7 @@
 			break
 		}
 	}
-	if !r.isSilent(p) {
+	if lost, _ := r.state(p, to); !lost {
 		p.close()
 	}
 }
--- a/lab/relay/relay_test.go
+++ b/lab/relay/relay_test.go
@@ -44,3 +44,47 @@
 		t.Error(err)
 	}
 }
+
+// TestOneWayDelayAndReset loses answers only, delays, and resets connections.
+func TestOneWayDelayAndReset(t *testing.T) {
+	arrived := make(chan struct{}, 8)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		_, _ = io.WriteString(w, "ok")
+	}))
+	defer server.Close()
+	r, err := New(server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+	call := func() error {
+		response, err := client.Get("http://" + r.Address())
+		if err != nil {
+			return err
+		}
+		_, _ = io.ReadAll(response.Body)
+		return response.Body.Close()
+	}
+	r.CutAnswers()
+	if err := call(); !os.IsTimeout(err) || len(arrived) != 1 {
+		t.Errorf("cut one way: %v after %d arrivals, want a time-out after one", err, len(arrived))
+	}
+	r.Heal()
+	const delay = 50 * time.Millisecond
+	r.Delay(delay)
+	begun := time.Now()
+	if err := call(); err != nil || time.Since(begun) < 2*delay {
+		t.Errorf("delayed: %v after %v", err, time.Since(begun))
+	}
+	go func() {
+		time.Sleep(delay)
+		r.Reset()
+	}()
+	if err := call(); err == nil || os.IsTimeout(err) {
+		t.Errorf("reset: %v, want an error at once", err)
+	}
+	if err := r.Close(); err != nil {
+		t.Error(err)
+	}
+}
