spread: at the start only the first of a domain watches the store

The log shows all 66 instances following from their start until others are steady, 3 to 5 s later: an instance alone takes itself for the first of its domain, and a follower that settles is not yet one that others may stop for. Now an instance that learns of another first one while its own first list has to do stops before its first watch, and waits until that one has settled. Ruled out: news of engines in steady state (7 calls a second from 2 to 20 s). TestOthersDoNotWatchAtTheStart fails without it.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -59,6 +59,7 @@
 	mu       sync.Mutex
 	healthy  bool
 	doubtful bool // The last watch failed; the next may not.
+	settling bool
 	since    time.Time
 }
 
@@ -89,11 +90,25 @@
 		return
 	}
 	f.settled = true
-	f.doubt(true)
-	defer f.doubt(false)
+	f.setSettling(true)
+	defer f.setSettling(false)
 	pause.For(ctx, f.Settle)
 }
 
+// setSettling records whether the first list has to do.
+func (f *Follower) setSettling(settling bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.settling, f.doubtful = settling, settling
+}
+
+// Settling reports whether the first list has to do.
+func (f *Follower) Settling() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.settling
+}
+
 // list takes the whole list.
 func (f *Follower) list(ctx context.Context) (int64, error) {
 	items, revision, err := f.Source.List(ctx)
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -62,10 +62,14 @@
 	Taken   func([]engines.Change)    // Told of changes; may be nil.
 	Follow  func(ctx context.Context) // Follows the store until ctx ends.
 	Healthy func() (bool, time.Time)  // Whether the store answers, and since when.
-	Expect  func() int                // Instances that are registered.
-	Told    func(n int)               // Takes over how many are registered.
-	Now     func() time.Time
-	Log     log.Logger
+	// Settling reports whether this instance has listed and does not watch yet, which
+	// lasts for Settle at most.
+	Settling func() bool
+	Settle   time.Duration
+	Expect   func() int  // Instances that are registered.
+	Told     func(n int) // Takes over how many are registered.
+	Now      func() time.Time
+	Log      log.Logger
 
 	mu        sync.Mutex
 	heardAt   time.Time // When a healthy instance answered last.
@@ -146,6 +150,13 @@
 	switch {
 	case rank < followers:
 		s.setFollowing(ctx, true, "one of the first of its domain")
+	case s.Settling():
+		// The first of the domain has started at about the same time: its news count
+		// when it has settled.
+		s.mu.Lock()
+		s.heardAt = now.Add(s.Settle)
+		s.mu.Unlock()
+		s.setFollowing(ctx, false, "another one is the first of its domain")
 	case stale:
 		s.setFollowing(ctx, true, "nobody healthy answers")
 	case steady:
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -101,12 +101,13 @@
 			_, _ = fmt.Sscan(string(raw), &v)
 			i.take(v)
 		},
-		Follow:  func(ctx context.Context) { st.follow(ctx, i) },
-		Healthy: func() (bool, time.Time) { i.mu.Lock(); defer i.mu.Unlock(); return i.healthy, time.Time{} },
-		Expect:  func() int { return len(fleet) },
-		Told:    func(int) {},
-		Now:     time.Now,
-		Log:     log.NewNopLogger(),
+		Follow:   func(ctx context.Context) { st.follow(ctx, i) },
+		Healthy:  func() (bool, time.Time) { i.mu.Lock(); defer i.mu.Unlock(); return i.healthy, time.Time{} },
+		Settling: func() bool { return false },
+		Expect:   func() int { return len(fleet) },
+		Told:     func(int) {},
+		Now:      time.Now,
+		Log:      log.NewNopLogger(),
 	}
 }
 
@@ -263,3 +264,28 @@
 		t.Error("a cancelled call has another kind")
 	}
 }
+
+// TestOthersDoNotWatchAtTheStart has an instance learn, while its first list has to
+// do, that another one is the first of its domain.
+func TestOthersDoNotWatchAtTheStart(t *testing.T) {
+	now := time.Now()
+	settling := true
+	s := &Spread{
+		Now: func() time.Time { return now }, Log: log.NewNopLogger(), Settle: 2 * time.Second,
+		Settling: func() bool { return settling }, Follow: func(ctx context.Context) { <-ctx.Done() },
+	}
+	decide := func(rank int, want bool, why string) {
+		t.Helper()
+		if s.decide(t.Context(), rank); s.isFollowing() != want {
+			t.Errorf("%s: follows %v, want %v", why, !want, want)
+		}
+	}
+	decide(0, true, "alone")
+	decide(followers, false, "another one is first")
+	settling = false
+	now = now.Add(s.Settle)
+	decide(followers, false, "the first one has settled just now")
+	now = now.Add(staleAfter + time.Millisecond)
+	decide(followers, true, "nobody healthy answers")
+	s.setFollowing(t.Context(), false, "end of the test")
+}
