--- /dev/null
+++ b/core/occupancy/generate.go
@@ -0,0 +1,3 @@
+package occupancy
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative occupancy.proto
