--- a/core/engines/engine.go
+++ b/core/engines/engine.go
@@ -73,8 +73,6 @@
 	delayAt   time.Time
 	fullUntil time.Time
 	fullFor   ident.Tokens // Size that was refused last.
-	others    Load         // Of the other instances, as they told last.
-	othersAt  time.Time
 }
 
 // Succeeded notes a good answer.
@@ -161,11 +159,11 @@
 	return time.Duration(float64(e.delay) * math.Exp2(-float64(now.Sub(e.delayAt))/float64(delayHalfLife)))
 }
 
-// Load is the work of some instances at an engine.
+// Load is this instance's own work at an engine.
 type Load struct {
 	Running int
-	Memory  ident.Tokens // Of streams.
-	Prefill ident.Tokens // Of prompts that are being read or wait for it.
+	Memory  ident.Tokens
+	Prefill ident.Tokens
 }
 
 // Load returns the own work at the engine.
@@ -175,27 +173,6 @@
 	return Load{e.running, e.memory, e.prefill}
 }
 
-// othersFor is how long what other instances told of their work counts.
-const othersFor = time.Second
-
-// SetOthers notes the work of the other instances at the engine.
-func (e *Engine) SetOthers(l Load, now time.Time) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.others, e.othersAt = l, now
-}
-
-// Others returns the work of the other instances at the engine; zero if nothing was
-// heard of it lately.
-func (e *Engine) Others(now time.Time) Load {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if now.Sub(e.othersAt) > othersFor {
-		return Load{}
-	}
-	return e.others
-}
-
 // Refused notes that the engine has no room for a size until a time.
 func (e *Engine) Refused(size ident.Tokens, until time.Time) {
 	e.mu.Lock()
--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -76,6 +76,6 @@
 		if e.StageNow() == engines.Prefill || !e.HasRoom(size, now) {
 			return 0, false
 		}
-		return float64(e.Load().Memory+e.Others(now).Memory) / memory, true
+		return float64(e.Load().Memory) / memory, true
 	})
 }
--- a/core/occupancy/generate.go
+++ /dev/null
@@ -1,3 +0,0 @@
-package occupancy
-
-//go:generate protoc --go_out=. --go_opt=paths=source_relative occupancy.proto
