platform-soak: a planned stop that cuts a request is a finding

PlannedStopCutsNone only held the time to end against an instance. Now a request that an engine ran and whose answer ends without its end, after SIGTERM of its instance and with no other fault on the instance or its engines, is one too; shown able to fail in check_test.go.

--- a/lab/platformsoak/check.go
+++ b/lab/platformsoak/check.go
@@ -54,6 +54,22 @@
 		}
 	}
 	r.checkGone(a, runs)
+	r.checkStop(a, runs)
+}
+
+// checkStop checks that a planned stop of its instance did not cut a request.
+func (r *run) checkStop(a *ask, runs []standin.Run) {
+	r.mu.Lock()
+	at, stopped := r.stops[a.process]
+	r.mu.Unlock()
+	if !stopped || a.answer.Err == nil || len(runs) == 0 || !a.left.IsZero() {
+		return
+	}
+	// What an engine does not end in the last part of the time to stop may be cut.
+	inTime := a.ended.After(at) && a.ended.Before(at.Add(stopTime*5/6))
+	if inTime && r.calm(a.instance, a.at, at.Add(-observeSlack)) && r.enginesCalm(runs, a.at, a.ended) {
+		r.find(PlannedStopCutsNone, "%s was cut %.1fs after SIGTERM: %s", a.describe(), a.ended.Sub(at).Seconds(), describe(runs))
+	}
 }
 
 // checkGone checks that work ends when its caller has left.
--- a/lab/platformsoak/check_test.go
+++ b/lab/platformsoak/check_test.go
@@ -1,6 +1,7 @@
 package platformsoak
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	return &run{
 		cfg: Config{Length: time.Minute}, start: time.Now().Add(-time.Minute), world: &world{},
 		asks: make(map[string]*ask), touched: make(map[string][]span),
+		stops: make(map[string]time.Time),
 	}
 }
 
@@ -59,6 +61,10 @@
 			runs[0].Ended = a.left.Add(goneWithin + 2*observeSlack)
 			return runs
 		}, WorkEndsWithItsCaller},
+		"cut by a planned stop": {func(a *ask, runs []standin.Run) []standin.Run {
+			a.answer.Err = errors.New("EOF")
+			return runs
+		}, PlannedStopCutsNone},
 	}
 	for name, c := range cases {
 		r := testRun()
@@ -67,6 +73,7 @@
 		if len(r.findings) != 0 {
 			t.Fatalf("a good request: %v", r.findings)
 		}
+		r.stops[a.process] = a.at.Add(time.Millisecond)
 		r.checkAsk(a, c.spoil(a, runs))
 		if got := r.found(); got[c.want] != 1 || len(r.findings) != 1 {
 			t.Errorf("%s: found %v, want one %v", name, r.findings, c.want)
--- a/lab/platformsoak/soak.go
+++ b/lab/platformsoak/soak.go
@@ -54,6 +54,7 @@
 	busy     map[string]bool
 	touched  map[string][]span // Faults by the name of what they touch.
 	expected map[string]expectation
+	stops    map[string]time.Time // Of planned stops, by process.
 	findings []Finding
 }
 
@@ -83,6 +84,7 @@
 	r := &run{
 		cfg: cfg, out: out, world: w, start: time.Now(),
 		asks: make(map[string]*ask), busy: make(map[string]bool), touched: make(map[string][]span),
+		stops: make(map[string]time.Time),
 	}
 	r.underFaults(ctx)
 	time.Sleep(settleTime)
--- a/lab/platformsoak/table.go
+++ b/lab/platformsoak/table.go
@@ -80,6 +80,9 @@
 func stopped(r *run, t target) (func() error, error) {
 	p := t.instance.intend()
 	begun := time.Now()
+	r.mu.Lock()
+	r.stops[p.Name] = begun
+	r.mu.Unlock()
 	if err := p.Terminate(); err != nil {
 		return nil, err
 	}
