--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -76,7 +76,7 @@
 func (s *stream) onTimeUntil() time.Time {
 	objective := time.Duration(s.route.FirstAnswerMS) * time.Millisecond
 	need := time.Duration(readReserve*float64(s.readTime(s.Prompt, 1))) + firstEventTime
-	return s.Received.Add(objective - need - s.spent)
+	return s.Received.Add(objective - need)
 }
 
 // giveUpAt returns until when a request waits for room.
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -111,7 +111,6 @@
 	repeats  repeats
 	speed    prefillSpeed
 	waiting  waiting
-	patience patience
 	counters counters
 	tuning   Tuning
 	stopping atomic.Bool
@@ -173,7 +172,6 @@
 	org      *catalog.Organisation
 	version  ident.Revision
 	deadline time.Time
-	spent    time.Duration // Of the caller's time, before the request came.
 	answer   Answer
 	log      log.Logger
 
@@ -232,11 +230,8 @@
 	}
 	j.service, _ = c.Service(route.Choose(rand.Float64()))
 	j.deadline = q.Received.Add(time.Duration(route.TimeoutMS) * time.Millisecond)
-	if !q.Deadline.IsZero() {
-		j.spent = r.patience.spent(route.Name, q.Deadline.Sub(q.Received))
-		if q.Deadline.Before(j.deadline) {
-			j.deadline = q.Deadline
-		}
+	if !q.Deadline.IsZero() && q.Deadline.Before(j.deadline) {
+		j.deadline = q.Deadline
 	}
 	j.log = log.With(r.log, "request", q.ID, "route", route.Name, "config", int64(c.Version), "organisation", j.organisation(), "prompt", q.Prompt, "output", q.MaxOutput)
 	return j, nil
