presence: the first of each domain registers it, not each instance itself

Now the first member of a domain (the one that follows the store) keeps one key: how many members live and its own address, at once when they grow, 20 s late when they are fewer. What was listed before counts for a minute more. Instances look for others at these addresses too: first peers may all have been replaced (TestMembersFindEachOtherThrough- ARegister fails without it).

--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -11,12 +11,15 @@
 )
 
 // discoveryLoop looks for instances that are not known yet: at the first peers
-// of the settings, and in the platform's instance list.
+// of the settings, in a register, and in the platform's instance list.
 func (s *Service) discoveryLoop() {
 	ticker := time.NewTicker(firstPeersInterval)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
 		s.askUnknown(*s.firstPeers.Load())
+		if f := s.registered.Load(); f != nil {
+			s.askUnknown((*f)())
+		}
 		if round%listEvery == 0 && s.readsList() {
 			s.askUnknown(s.listedAddresses(s.listed))
 		}
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -214,3 +214,12 @@
 	waitState(t, a, b.Table.Self().ID, Live)
 	waitState(t, b, a.Table.Self().ID, Live)
 }
+
+// TestMembersFindEachOtherThroughARegister has first peers that are all gone.
+func TestMembersFindEachOtherThroughARegister(t *testing.T) {
+	a := testService(t, "a", "d1", "")
+	b := testService(t, "b", "d2", "", "127.0.0.1:1")
+	b.FindAlsoAt(func() []ident.Address { return []ident.Address{a.Table.Self().PeerAddress} })
+	waitState(t, a, b.Table.Self().ID, Live)
+	waitState(t, b, a.Table.Self().ID, Live)
+}
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -51,6 +51,7 @@
 	now        func() time.Time
 	interval   time.Duration
 	firstPeers atomic.Pointer[[]ident.Address]
+	registered atomic.Pointer[func() []ident.Address]                 // See FindAlsoAt.
 	listed     func(context.Context) ([]instancelist.Instance, error) // Nil without an instance list.
 
 	hookMu sync.Mutex
@@ -152,6 +153,10 @@
 	return s
 }
 
+// FindAlsoAt has instances looked for at the addresses that f returns too, such as those
+// of a register: first peers may all have been replaced.
+func (s *Service) FindAlsoAt(f func() []ident.Address) { s.registered.Store(&f) }
+
 // run starts the loops.
 func (s *Service) run() {
 	s.spawn(s.heartbeatLoop)
--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -1,5 +1,5 @@
-// Package presence registers this instance at the platform and knows which others
-// are registered.
+// Package presence registers the failure domains' instances at the platform and knows
+// how many there are.
 package presence
 
 import (
@@ -18,74 +18,124 @@
 // ErrLapsed says that a lease has ended.
 var ErrLapsed = errors.New("the lease has ended")
 
-// Record is what an instance registers.
+// Record is what one instance registers of its domain.
 type Record struct {
-	Name        string // Of the machine; a restart keeps it.
-	Instance    ident.InstanceID
 	Domain      ident.DomainID
-	PeerAddress ident.Address
+	Members     int              // Instances of the domain that live.
+	Instance    ident.InstanceID // Who registers.
+	PeerAddress ident.Address    // Of that instance.
 }
 
 // Store is the seam to the platform's store.
 type Store struct {
 	Lease func(ctx context.Context, ttl time.Duration) (id int64, err error)
 	Renew func(ctx context.Context, id int64) error // ErrLapsed if it has ended.
-	Put   func(ctx context.Context, name string, value []byte, lease int64) error
-	End   func(ctx context.Context, id int64) error
+	Put   func(ctx context.Context, domain ident.DomainID, value []byte, lease int64) error
 }
 
 const (
-	// leaseTTL bounds how long an ended instance is listed.
+	// leaseTTL bounds how long a domain is listed after all of it has ended.
 	leaseTTL = 15 * time.Second
 	// renewEvery is the time between renewals.
 	renewEvery = 5 * time.Second
-	// registerAgain is the pause after a failure.
-	registerAgain = time.Second
+	// lookEvery is the time between two looks at the members, and the pause after a
+	// failure.
+	lookEvery = time.Second
+	// lowerAfter is how long there have to be fewer members until that is written:
+	// those that are restarted are back before.
+	lowerAfter = 20 * time.Second
 )
 
-// Keep registers the instance until ctx ends, and takes the entry away then.
-func Keep(ctx context.Context, s Store, r Record, logger log.Logger) {
-	value, err := json.Marshal(r)
-	if err != nil {
-		_ = level.Error(logger).Log("msg", "not registered", "err", fault.Wrap(err, fault.Internal, "cannot encode the record"))
-		return
-	}
-	lease := int64(0)
-	for ctx.Err() == nil {
-		pause := renewEvery
-		if err := keepOnce(ctx, s, r.Name, value, &lease); err != nil {
-			_ = level.Debug(logger).Log("msg", "registration", "err", err)
-			pause = registerAgain
-		}
+// Keeper registers a domain while its instance is the first of it. All fields but the
+// last are set before Run.
+type Keeper struct {
+	Store   Store
+	Record  Record // But for Members.
+	Members func() int
+	IsFirst func() bool // Whether this instance registers.
+	Now     func() time.Time
+	Log     log.Logger
+
+	lease      int64 // 0: none.
+	renewAt    time.Time
+	registered int // Members that were written.
+	lowerSince time.Time
+}
+
+// Run registers until ctx ends. The entry is left to the next first one.
+func (k *Keeper) Run(ctx context.Context) {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
 		select {
-		case <-time.After(pause):
 		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if err := k.look(ctx); err != nil {
+			_ = level.Debug(k.Log).Log("msg", "registration", "err", err)
 		}
-	}
-	if lease != 0 {
-		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), registerAgain)
-		defer cancel()
-		// An entry that is not taken away lapses.
-		_ = s.End(end, lease)
 	}
 }
 
-// keepOnce renews the lease, or registers anew.
-func keepOnce(ctx context.Context, s Store, name string, value []byte, lease *int64) error {
-	if *lease != 0 {
-		err := s.Renew(ctx, *lease)
-		if !errors.Is(err, ErrLapsed) {
+// look writes what has changed, or renews the lease.
+func (k *Keeper) look(ctx context.Context) error {
+	if !k.IsFirst() {
+		k.lease = 0
+		return nil
+	}
+	now := k.Now()
+	switch n := k.wanted(now); {
+	case k.lease == 0:
+		lease, err := k.Store.Lease(ctx, leaseTTL)
+		if err != nil {
 			return err
 		}
-		*lease = 0
+		return k.put(ctx, n, lease)
+	case n != k.registered:
+		return k.put(ctx, n, k.lease)
+	case now.Before(k.renewAt):
+		return nil
+	}
+	err := k.Store.Renew(ctx, k.lease)
+	if errors.Is(err, ErrLapsed) {
+		k.lease = 0
 	}
-	id, err := s.Lease(ctx, leaseTTL)
+	if err == nil {
+		k.renewAt = now.Add(renewEvery)
+	}
+	return err
+}
+
+// wanted returns the members to be written.
+func (k *Keeper) wanted(now time.Time) int {
+	n := k.Members()
+	if k.lease == 0 || n >= k.registered {
+		k.lowerSince = time.Time{}
+		return n
+	}
+	if k.lowerSince.IsZero() {
+		k.lowerSince = now
+	}
+	if now.Sub(k.lowerSince) < lowerAfter {
+		return k.registered
+	}
+	return n
+}
+
+// put writes the entry under a lease.
+func (k *Keeper) put(ctx context.Context, members int, lease int64) error {
+	r := k.Record
+	r.Members = members
+	value, err := json.Marshal(r)
 	if err != nil {
-		return err
+		return fault.Wrap(err, fault.Internal, "cannot encode the record")
 	}
-	if err := s.Put(ctx, name, value, id); err != nil {
+	// After a write without an answer a new lease is taken.
+	k.lease = 0
+	if err := k.Store.Put(ctx, r.Domain, value, lease); err != nil {
 		return err
 	}
-	*lease = id
+	k.lease, k.registered, k.renewAt = lease, members, k.Now().Add(renewEvery)
 	return nil
 }
--- a/core/presence/register.go
+++ b/core/presence/register.go
@@ -6,63 +6,75 @@
 	"time"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
 )
 
-// rememberFor is how long an entry counts that is no longer listed.
+// rememberFor is how long members count that are no longer listed: leases lapse in an
+// outage of the store while their holders live.
 const rememberFor = time.Minute
 
-// Register is the instances that are or were listed lately.
+// Register is the domains that are or were listed lately.
 type Register struct {
 	now func() time.Time
 
 	mu      sync.Mutex
-	entries map[string]entry // By name.
-	told    int              // Entries that another instance knows.
+	entries map[ident.DomainID]entry
+	told    int // Members that another instance knows.
 }
 
-// entry is a listed instance.
+// entry is a listed domain.
 type entry struct {
-	record  Record
-	goneAt  time.Time // Zero while it is listed.
-	changed int64     // Revision of the news.
+	record     Record
+	changed    int64 // Revision of the news.
+	before     int   // Members that were listed before, if they were more.
+	beforeTill time.Time
 }
 
 // NewRegister returns an empty register.
 func NewRegister(now func() time.Time) *Register {
-	return &Register{now: now, entries: make(map[string]entry)}
+	return &Register{now: now, entries: make(map[ident.DomainID]entry)}
 }
 
 // Put takes an entry of the store.
-func (g *Register) Put(name string, value []byte, revision int64) error {
+func (g *Register) Put(domain ident.DomainID, value []byte, revision int64) error {
 	var r Record
-	if err := json.Unmarshal(value, &r); err != nil || r.Name == "" {
-		return fault.New(fault.BadRequest, "entry %s of the register can't be read", name)
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.entries[name].changed <= revision {
-		g.entries[name] = entry{record: r, changed: revision}
+	if err := json.Unmarshal(value, &r); err != nil || r.Domain != domain || r.Members < 1 {
+		return fault.New(fault.BadRequest, "entry %s of the register can't be read", domain)
 	}
+	g.set(domain, r, revision)
 	return nil
 }
 
-// Remove notes that an entry is no longer listed.
-func (g *Register) Remove(name string, revision int64) {
+// Remove notes that a domain is no longer listed.
+func (g *Register) Remove(domain ident.DomainID, revision int64) {
+	g.set(domain, Record{Domain: domain}, revision)
+}
+
+// set takes news of a domain.
+func (g *Register) set(domain ident.DomainID, r Record, revision int64) {
 	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if e, ok := g.entries[name]; ok && e.changed < revision && e.goneAt.IsZero() {
-		e.goneAt, e.changed = now, revision
-		g.entries[name] = e
+	old := g.entries[domain]
+	if revision < old.changed {
+		return
 	}
-	for other, e := range g.entries {
-		if !e.goneAt.IsZero() && now.Sub(e.goneAt) > rememberFor {
-			delete(g.entries, other)
-		}
+	e := entry{record: r, changed: revision}
+	if counted := old.members(now); counted > r.Members {
+		e.before, e.beforeTill = counted, now.Add(rememberFor)
+	}
+	g.entries[domain] = e
+}
+
+// members returns the members that count.
+func (e entry) members(now time.Time) int {
+	if now.Before(e.beforeTill) {
+		return max(e.before, e.record.Members)
 	}
+	return e.record.Members
 }
 
-// Told takes over how many entries an instance knows that follows the store.
+// Told takes over how many members an instance knows that follows the store.
 func (g *Register) Told(n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -71,7 +83,25 @@
 
 // Count returns the number of instances that are or were listed lately.
 func (g *Register) Count() int {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := 0
+	for _, e := range g.entries {
+		n += e.members(now)
+	}
+	return max(n, g.told)
+}
+
+// Addresses returns where one instance of each listed domain is reached.
+func (g *Register) Addresses() []ident.Address {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return max(len(g.entries), g.told)
+	var list []ident.Address
+	for _, e := range g.entries {
+		if e.record.PeerAddress != "" {
+			list = append(list, e.record.PeerAddress)
+		}
+	}
+	return list
 }
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -111,6 +111,13 @@
 	}
 }
 
+// IsFirst reports whether an instance is the first of its domain, by its own view: the
+// one that follows the store while all is well.
+func IsFirst(v *membership.View) bool {
+	first, ok := v.Owner(v.Self.Domain, watchKey)
+	return ok && first.ID == v.Self.ID
+}
+
 // near returns this instance's rank in its domain, and the others that are asked
 // for news there.
 func (s *Spread) near(v *membership.View) (rank int, others []ident.InstanceID) {
