--- a/cmd/monsoonfork/imports_test.go
+++ b/cmd/monsoonfork/imports_test.go
@@ -13,8 +13,7 @@
 // importsIO are the packages of core/ that still import io/. The list may only
 // shrink.
 var importsIO = map[string]bool{
-	"core/budget": true, "core/claims": true, "core/config": true, "core/config/relay": true, "core/membership": true,
-	"core/orders": true, "core/placement": true, "core/reaper": true, "core/request": true,
+	"core/membership": true, "core/orders": true, "core/placement": true, "core/reaper": true, "core/request": true,
 }
 
 // TestImportsGoOneWay keeps decisions apart from protocols: no package of core/
--- a/core/budget/announce.go
+++ b/core/budget/announce.go
@@ -9,8 +9,8 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/membership"
-	"monsoonfork/io/store"
 )
 
 // announceLoop tells the members of the domain which slots are held here, and
@@ -207,7 +207,7 @@
 		return fault.New(fault.NotHolder, "slot %d is held by %s", number, r.Holder)
 	}
 	r.Beat++
-	if k.b.store.swap(ctx, number, r, stored.version) != store.Written {
+	if k.b.store.swap(ctx, number, r, stored.version) != keyvalue.Written {
 		return fault.New(fault.StoreUnavailable, "slot %d was not renewed", number)
 	}
 	return nil
--- a/core/budget/bench_test.go
+++ b/core/budget/bench_test.go
@@ -13,9 +13,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/membership"
 	"monsoonfork/io/peer"
-	"monsoonfork/io/store"
 )
 
 // loneBudget returns a Budget that holds the only slot, with a rate that no
@@ -29,8 +29,8 @@
 		orgs:   func() []ident.OrganisationID { return nil },
 		layout: func() (int, int) { return 1, 1 },
 		peers:  func(context.Context, ident.InstanceID, string, proto.Message, proto.Message) error { return nil },
-		store: slotStore{swap: func(context.Context, int, slotRecord, uint64) store.Outcome {
-			return store.Written
+		store: slotStore{swap: func(context.Context, int, slotRecord, uint64) keyvalue.Outcome {
+			return keyvalue.Written
 		}},
 	}
 	b := newBudget("a", "d0", s)
@@ -87,7 +87,7 @@
 func BenchmarkAdmitOverLink(b *testing.B) {
 	home := loneBudget(1)
 	server := peer.New("a", "d0", log.NewNopLogger())
-	home.register(server)
+	home.register(server.Seam())
 	address, err := server.Listen("127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 )
 
@@ -25,9 +26,6 @@
 	tidyEvery     = time.Second
 )
 
-// caller calls a method of another instance.
-type caller func(ctx context.Context, to ident.InstanceID, method string, req, resp proto.Message) error
-
 // Budget admits requests on this instance. It is a home for some organisations
 // of its domain, and may hold minting slots.
 type Budget struct {
@@ -40,7 +38,7 @@
 	limits func(ident.OrganisationID) (Limit, bool) // From the text.
 	orgs   func() []ident.OrganisationID            // From the text.
 	layout func() (domains, slotsPerDomain int)     // From the text; 0 before the first one.
-	peers  caller
+	peers  link.Caller
 	store  slotStore
 
 	home       *home
--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -8,8 +8,8 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/membership"
-	"monsoonfork/io/store"
 )
 
 // Times of claims.
@@ -125,7 +125,7 @@
 	if !ok || h.record.Epoch != next.Epoch {
 		return true
 	}
-	if outcome == store.Written {
+	if outcome == keyvalue.Written {
 		if h.displaced != "" {
 			h.displaced = ""
 			h.slot.Restart(now.Mint)
@@ -135,7 +135,7 @@
 		k.b.metrics.renewals.Inc(1)
 		return true
 	}
-	if outcome == store.Unknown {
+	if outcome == keyvalue.Unknown {
 		h.doubt(asked.Age)
 	}
 	return false
@@ -273,11 +273,11 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch outcome {
-	case store.Written:
+	case keyvalue.Written:
 		k.hold(number, next, now, done)
-	case store.Conflict, store.NotWritten:
+	case keyvalue.Conflict, keyvalue.NotWritten:
 		s.claimEpoch = 0
-	case store.Unknown:
+	case keyvalue.Unknown:
 		// The next reading shows whether the claim took effect.
 	}
 }
@@ -329,7 +329,7 @@
 	}
 	k.abandon(number, "released")
 	next := slotRecord{Epoch: stored.record.Epoch, Beat: stored.record.Beat + 1}
-	if k.b.store.swap(ctx, number, next, stored.version) == store.Written {
+	if k.b.store.swap(ctx, number, next, stored.version) == keyvalue.Written {
 		k.tellOwner(ctx, number)
 	}
 	return true
--- a/core/budget/memorystore_test.go
+++ b/core/budget/memorystore_test.go
@@ -7,7 +7,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // memoryStore holds slot records, and fails on command.
@@ -45,7 +45,7 @@
 			return list[slot], err
 		},
 		list: func(ctx context.Context) (map[int]storedSlot, error) { return m.list(ctx, n, domain) },
-		swap: func(ctx context.Context, slot int, r slotRecord, version uint64) store.Outcome {
+		swap: func(ctx context.Context, slot int, r slotRecord, version uint64) keyvalue.Outcome {
 			return m.swap(ctx, n, domain, slot, r, version)
 		},
 	}
@@ -67,10 +67,10 @@
 }
 
 // swap writes a record if its version has not changed.
-func (m *memoryStore) swap(ctx context.Context, n *node, domain ident.DomainID, slot int, r slotRecord, version uint64) store.Outcome {
+func (m *memoryStore) swap(ctx context.Context, n *node, domain ident.DomainID, slot int, r slotRecord, version uint64) keyvalue.Outcome {
 	n.wait()
 	if !m.reach(ctx, n) {
-		return store.Unknown
+		return keyvalue.Unknown
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -78,14 +78,14 @@
 		m.records[domain] = make(map[int]storedSlot)
 	}
 	if m.records[domain][slot].version != version {
-		return store.Conflict
+		return keyvalue.Conflict
 	}
 	m.version++
 	m.records[domain][slot] = storedSlot{record: r, version: m.version}
 	if m.loseReply {
-		return store.Unknown
+		return keyvalue.Unknown
 	}
-	return store.Written
+	return keyvalue.Written
 }
 
 // reach waits as a call does and reports whether it reached the store.
--- a/core/budget/options.go
+++ b/core/budget/options.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 )
 
@@ -16,7 +17,7 @@
 	limits func(ident.OrganisationID) (Limit, bool)
 	orgs   func() []ident.OrganisationID
 	layout func() (domains, slotsPerDomain int)
-	peers  caller
+	peers  link.Caller
 	store  slotStore
 }
 
--- a/core/budget/process_child_test.go
+++ b/core/budget/process_child_test.go
@@ -23,6 +23,7 @@
 	"monsoonfork/core/settings"
 	"monsoonfork/core/text"
 	"monsoonfork/io/peer"
+	_ "monsoonfork/io/store" // Registers the role Store.
 )
 
 // Environment variables by which the test binary runs as a daemon.
--- a/core/budget/role.go
+++ b/core/budget/role.go
@@ -7,10 +7,10 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/keyvalue"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 	"monsoonfork/core/text"
-	"monsoonfork/io/peer"
-	"monsoonfork/io/store"
 )
 
 // defaultSlotsPerDomain is the number of minting slots of a domain when the
@@ -29,10 +29,10 @@
 // start is the role's constructor.
 func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
 	var (
-		links  *peer.Links
+		links  *link.Links
 		table  *membership.Table
 		holder *config.Holder
-		client *store.Client
+		client *keyvalue.Client
 	)
 	if err := n.Need(&links, &table, &holder, &client); err != nil {
 		return nil, err
--- a/core/budget/serve.go
+++ b/core/budget/serve.go
@@ -7,20 +7,20 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/peer"
+	"monsoonfork/core/link"
 )
 
 // register adds the methods to the links.
-func (b *Budget) register(l *peer.Links) {
-	peer.Handle(l, methodAdmit, b.serveAdmit)
-	peer.Handle(l, methodSettle, b.serveSettle)
-	peer.Handle(l, methodTake, b.serveTake)
-	peer.Handle(l, methodSpare, b.serveSpare)
-	peer.Handle(l, methodOffer, b.serveOffer)
-	peer.Handle(l, methodPull, b.servePull)
-	peer.Handle(l, methodAnnounce, b.serveAnnounce)
-	peer.Handle(l, methodRenew, b.serveRenew)
-	peer.Handle(l, methodReleased, b.serveReleased)
+func (b *Budget) register(l *link.Links) {
+	link.Handle(l, methodAdmit, b.serveAdmit)
+	link.Handle(l, methodSettle, b.serveSettle)
+	link.Handle(l, methodTake, b.serveTake)
+	link.Handle(l, methodSpare, b.serveSpare)
+	link.Handle(l, methodOffer, b.serveOffer)
+	link.Handle(l, methodPull, b.servePull)
+	link.Handle(l, methodAnnounce, b.serveAnnounce)
+	link.Handle(l, methodRenew, b.serveRenew)
+	link.Handle(l, methodReleased, b.serveReleased)
 }
 
 // serveAdmit charges an organisation for another instance of the domain.
--- a/core/budget/slotstore.go
+++ b/core/budget/slotstore.go
@@ -9,7 +9,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // slotRecord is a slot's value in the store. The holder renews it by raising
@@ -30,7 +30,7 @@
 type slotStore struct {
 	get  func(ctx context.Context, slot int) (storedSlot, error)
 	list func(ctx context.Context) (map[int]storedSlot, error)
-	swap func(ctx context.Context, slot int, r slotRecord, version uint64) store.Outcome
+	swap func(ctx context.Context, slot int, r slotRecord, version uint64) keyvalue.Outcome
 }
 
 // decodeSlotRecord decodes and checks a record.
@@ -51,7 +51,7 @@
 }
 
 // slotStoreOf returns the records of a domain's slots in the platform's store.
-func slotStoreOf(c *store.Client, domain ident.DomainID) slotStore {
+func slotStoreOf(c *keyvalue.Client, domain ident.DomainID) slotStore {
 	prefix := slotPrefix(domain)
 	return slotStore{
 		get: func(ctx context.Context, slot int) (storedSlot, error) {
@@ -72,19 +72,19 @@
 			}
 			return decodeListing(prefix, listing)
 		},
-		swap: func(ctx context.Context, slot int, r slotRecord, version uint64) store.Outcome {
+		swap: func(ctx context.Context, slot int, r slotRecord, version uint64) keyvalue.Outcome {
 			raw, err := json.Marshal(r)
 			if err != nil {
-				return store.NotWritten
+				return keyvalue.NotWritten
 			}
-			outcome, _ := c.CompareAndSwap(ctx, prefix+strconv.Itoa(slot), raw, store.Index(version))
+			outcome, _ := c.CompareAndSwap(ctx, prefix+strconv.Itoa(slot), raw, keyvalue.Index(version))
 			return outcome
 		},
 	}
 }
 
 // decodeEntry decodes one record of the store.
-func decodeEntry(e store.Entry) (storedSlot, error) {
+func decodeEntry(e keyvalue.Entry) (storedSlot, error) {
 	r, err := decodeSlotRecord(e.Value)
 	if err != nil {
 		return storedSlot{}, err
@@ -93,7 +93,7 @@
 }
 
 // decodeListing decodes all records of a domain, by slot.
-func decodeListing(prefix string, listing store.Listing) (map[int]storedSlot, error) {
+func decodeListing(prefix string, listing keyvalue.Listing) (map[int]storedSlot, error) {
 	slots := make(map[int]storedSlot, len(listing.Entries))
 	for _, e := range listing.Entries {
 		number, err := strconv.Atoi(strings.TrimPrefix(e.Key, prefix))
--- a/core/claims/bench_test.go
+++ b/core/claims/bench_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"monsoonfork/core/ident"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // countingStore counts the calls to a store and the bytes of their values.
@@ -21,7 +21,7 @@
 func counting(s Store) *countingStore {
 	c := &countingStore{}
 	c.Store = Store{
-		Get: func(ctx context.Context, key string) (store.Listing, error) {
+		Get: func(ctx context.Context, key string) (keyvalue.Listing, error) {
 			l, err := s.Get(ctx, key)
 			c.reads.Add(1)
 			for _, e := range l.Entries {
@@ -29,7 +29,7 @@
 			}
 			return l, err
 		},
-		List: func(ctx context.Context, prefix string) (store.Listing, error) {
+		List: func(ctx context.Context, prefix string) (keyvalue.Listing, error) {
 			l, err := s.List(ctx, prefix)
 			c.reads.Add(1)
 			for _, e := range l.Entries {
@@ -37,12 +37,12 @@
 			}
 			return l, err
 		},
-		CompareAndSwap: func(ctx context.Context, key string, value []byte, at store.Index) (store.Outcome, error) {
+		CompareAndSwap: func(ctx context.Context, key string, value []byte, at keyvalue.Index) (keyvalue.Outcome, error) {
 			c.writes.Add(1)
 			c.bytes.Add(int64(len(value)))
 			return s.CompareAndSwap(ctx, key, value, at)
 		},
-		Delete: func(ctx context.Context, key string, at store.Index) (store.Outcome, error) {
+		Delete: func(ctx context.Context, key string, at keyvalue.Index) (keyvalue.Outcome, error) {
 			c.writes.Add(1)
 			return s.Delete(ctx, key, at)
 		},
--- a/core/claims/claims_test.go
+++ b/core/claims/claims_test.go
@@ -16,7 +16,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // memoryStore is a key-value service in memory that loses answers and refuses
@@ -26,8 +26,8 @@
 	random   *rand.Rand
 	lose     float64 // Part of the writes whose answer is lost.
 	fail     float64 // Part of the calls that fail before they do anything.
-	index    store.Index
-	values   map[string]store.Entry
+	index    keyvalue.Index
+	values   map[string]keyvalue.Entry
 	writes   int
 	attempts int
 }
@@ -37,7 +37,7 @@
 		random: rand.New(rand.NewPCG(seed, 1)),
 		lose:   lose,
 		fail:   fail,
-		values: make(map[string]store.Entry),
+		values: make(map[string]keyvalue.Entry),
 	}
 }
 
@@ -46,14 +46,14 @@
 
 func (m *memoryStore) failing() bool { return m.random.Float64() < m.fail }
 
-func (m *memoryStore) list(_ context.Context, prefix string) (store.Listing, error) {
+func (m *memoryStore) list(_ context.Context, prefix string) (keyvalue.Listing, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failing() {
-		return store.Listing{}, errStore
+		return keyvalue.Listing{}, errStore
 	}
-	var l store.Listing
-	for i := store.Index(1); i <= m.index; i++ {
+	var l keyvalue.Listing
+	for i := keyvalue.Index(1); i <= m.index; i++ {
 		for key, e := range m.values {
 			if strings.HasPrefix(key, prefix) && e.ModifyIndex == i {
 				l.Entries = append(l.Entries, e)
@@ -63,45 +63,45 @@
 	return l, nil
 }
 
-func (m *memoryStore) get(_ context.Context, key string) (store.Listing, error) {
+func (m *memoryStore) get(_ context.Context, key string) (keyvalue.Listing, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failing() {
-		return store.Listing{}, errStore
+		return keyvalue.Listing{}, errStore
 	}
 	if e, ok := m.values[key]; ok {
-		return store.Listing{Entries: []store.Entry{e}}, nil
+		return keyvalue.Listing{Entries: []keyvalue.Entry{e}}, nil
 	}
-	return store.Listing{}, nil
+	return keyvalue.Listing{}, nil
 }
 
-func (m *memoryStore) compareAndSwap(_ context.Context, key string, value []byte, at store.Index) (store.Outcome, error) {
+func (m *memoryStore) compareAndSwap(_ context.Context, key string, value []byte, at keyvalue.Index) (keyvalue.Outcome, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.attempts++
 	if m.failing() {
-		return store.NotWritten, errStore
+		return keyvalue.NotWritten, errStore
 	}
 	if m.values[key].ModifyIndex != at {
-		return store.Conflict, nil
+		return keyvalue.Conflict, nil
 	}
 	m.index++
 	m.writes++
-	m.values[key] = store.Entry{Key: key, Value: value, ModifyIndex: m.index}
+	m.values[key] = keyvalue.Entry{Key: key, Value: value, ModifyIndex: m.index}
 	if m.random.Float64() < m.lose {
-		return store.Unknown, errStore
+		return keyvalue.Unknown, errStore
 	}
-	return store.Written, nil
+	return keyvalue.Written, nil
 }
 
-func (m *memoryStore) remove(_ context.Context, key string, at store.Index) (store.Outcome, error) {
+func (m *memoryStore) remove(_ context.Context, key string, at keyvalue.Index) (keyvalue.Outcome, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.values[key].ModifyIndex != at {
-		return store.Conflict, nil
+		return keyvalue.Conflict, nil
 	}
 	delete(m.values, key)
-	return store.Written, nil
+	return keyvalue.Written, nil
 }
 
 // calls returns the store's calls for a log.
@@ -268,7 +268,7 @@
 	m := newMemoryStore(1, 0, 0)
 	l := &shardLog{store: m.calls(), now: time.Now, retention: func() time.Duration { return time.Hour }}
 	stale := &shardLog{store: m.calls(), now: time.Now, retention: l.retention}
-	write := func(l *shardLog, key string) store.Outcome {
+	write := func(l *shardLog, key string) keyvalue.Outcome {
 		if err := l.refresh(t.Context()); err != nil {
 			t.Fatal(err)
 		}
@@ -287,7 +287,7 @@
 	}
 	write(l, "last")
 	write(l, "next")
-	if outcome, _ := stale.rotate(t.Context()); outcome == store.Written {
+	if outcome, _ := stale.rotate(t.Context()); outcome == keyvalue.Written {
 		t.Error("a stale appender replaced a longer segment")
 	}
 	fresh := &shardLog{store: m.calls(), now: time.Now, retention: l.retention}
--- a/core/claims/log.go
+++ b/core/claims/log.go
@@ -9,7 +9,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // keyPrefix is where the logs stand in the store.
@@ -17,10 +17,10 @@
 
 // Store is what a log needs of the key-value service.
 type Store struct {
-	Get            func(ctx context.Context, key string) (store.Listing, error)
-	List           func(ctx context.Context, prefix string) (store.Listing, error)
-	CompareAndSwap func(ctx context.Context, key string, value []byte, index store.Index) (store.Outcome, error)
-	Delete         func(ctx context.Context, key string, index store.Index) (store.Outcome, error)
+	Get            func(ctx context.Context, key string) (keyvalue.Listing, error)
+	List           func(ctx context.Context, prefix string) (keyvalue.Listing, error)
+	CompareAndSwap func(ctx context.Context, key string, value []byte, index keyvalue.Index) (keyvalue.Outcome, error)
+	Delete         func(ctx context.Context, key string, index keyvalue.Index) (keyvalue.Outcome, error)
 }
 
 // shardLog is one log as far as this process has read it. Only the goroutine
@@ -35,7 +35,7 @@
 	loaded    bool
 	current   bool // Nothing was written since the last read.
 	head      Head
-	headIndex store.Index
+	headIndex keyvalue.Index
 	index     index
 	segments  []segmentAge // Oldest first.
 	nextSweep time.Time    // Of the index.
@@ -46,13 +46,13 @@
 
 // unknownIndex is the index of a segment that this process has written and not
 // read since.
-const unknownIndex store.Index = 0
+const unknownIndex keyvalue.Index = 0
 
 // segmentAge says when the newest entry of a segment was made.
 type segmentAge struct {
 	seq    int64
 	newest time.Time
-	index  store.Index
+	index  keyvalue.Index
 }
 
 // headKey returns the key of the head.
@@ -135,7 +135,7 @@
 
 // loadSegment applies one segment of a listing. A segment with the number of
 // the head is a rotation that was not finished: the head holds its entries.
-func (l *shardLog) loadSegment(e store.Entry) error {
+func (l *shardLog) loadSegment(e keyvalue.Entry) error {
 	var seq int64
 	name := e.Key[strings.LastIndex(e.Key, "/")+1:]
 	if _, err := fmt.Sscanf(name, "%d", &seq); err != nil {
@@ -151,7 +151,7 @@
 }
 
 // ageOf returns the age of a segment.
-func ageOf(seq int64, entries []Entry, at store.Index) segmentAge {
+func ageOf(seq int64, entries []Entry, at keyvalue.Index) segmentAge {
 	age := segmentAge{seq: seq, index: at}
 	for i := range entries {
 		if t := entries[i].time(); t.After(age.newest) {
@@ -171,13 +171,13 @@
 // write appends entries after the head that was last read. Only when it
 // returns Written do they stand in the log for sure, and are applied. The index
 // of the new head is not known before the next read.
-func (l *shardLog) write(ctx context.Context, entries []Entry) (store.Outcome, error) {
+func (l *shardLog) write(ctx context.Context, entries []Entry) (keyvalue.Outcome, error) {
 	l.current = false
 	next := Head{Seq: l.head.Seq}
 	rotating := l.full(entries)
 	if rotating {
 		outcome, err := l.rotate(ctx)
-		if outcome != store.Written {
+		if outcome != keyvalue.Written {
 			return outcome, err
 		}
 		next.Seq++
@@ -187,10 +187,10 @@
 	next.Entries = append(next.Entries, entries...)
 	raw, err := json.Marshal(next)
 	if err != nil {
-		return store.NotWritten, fault.Wrap(err, fault.Internal, "claims: marshal head")
+		return keyvalue.NotWritten, fault.Wrap(err, fault.Internal, "claims: marshal head")
 	}
 	outcome, err := l.store.CompareAndSwap(ctx, l.headKey(), raw, l.headIndex)
-	if outcome != store.Written {
+	if outcome != keyvalue.Written {
 		return outcome, err
 	}
 	if rotating {
@@ -198,7 +198,7 @@
 	}
 	l.head = next
 	l.applyAll(entries)
-	return store.Written, nil
+	return keyvalue.Written, nil
 }
 
 // full reports whether the head has no room for entries.
@@ -221,38 +221,38 @@
 // rotate copies the head to its segment. The segment may stand there already,
 // from a rotation that was not finished: it is replaced only by one that holds
 // more, so that an appender with an old head cannot take entries away.
-func (l *shardLog) rotate(ctx context.Context) (store.Outcome, error) {
+func (l *shardLog) rotate(ctx context.Context) (keyvalue.Outcome, error) {
 	raw, err := json.Marshal(Segment{Entries: l.head.Entries})
 	if err != nil {
-		return store.NotWritten, fault.Wrap(err, fault.Internal, "claims: marshal segment")
+		return keyvalue.NotWritten, fault.Wrap(err, fault.Internal, "claims: marshal segment")
 	}
 	key := l.segmentKey(l.head.Seq)
 	outcome, err := l.store.CompareAndSwap(ctx, key, raw, 0)
-	if outcome != store.Conflict {
+	if outcome != keyvalue.Conflict {
 		return outcome, err
 	}
 	return l.replaceSegment(ctx, key, raw)
 }
 
 // replaceSegment replaces a segment that stands already.
-func (l *shardLog) replaceSegment(ctx context.Context, key string, raw []byte) (store.Outcome, error) {
+func (l *shardLog) replaceSegment(ctx context.Context, key string, raw []byte) (keyvalue.Outcome, error) {
 	listing, err := l.store.Get(ctx, key)
 	if err != nil {
-		return store.NotWritten, err
+		return keyvalue.NotWritten, err
 	}
 	existing, ok := listing.First()
 	if !ok {
-		return store.Conflict, nil
+		return keyvalue.Conflict, nil
 	}
 	var segment Segment
 	if err := decode(existing.Value, &segment); err != nil {
-		return store.NotWritten, err
+		return keyvalue.NotWritten, err
 	}
 	switch {
 	case len(segment.Entries) > len(l.head.Entries):
-		return store.Conflict, nil
+		return keyvalue.Conflict, nil
 	case len(segment.Entries) == len(l.head.Entries):
-		return store.Written, nil
+		return keyvalue.Written, nil
 	}
 	return l.store.CompareAndSwap(ctx, key, raw, existing.ModifyIndex)
 }
@@ -290,7 +290,7 @@
 		oldest.index = segment.ModifyIndex
 	}
 	outcome, err := l.store.Delete(ctx, key, oldest.index)
-	if err == nil && outcome != store.Unknown {
+	if err == nil && outcome != keyvalue.Unknown {
 		l.segments = l.segments[1:]
 	}
 }
--- a/core/claims/role.go
+++ b/core/claims/role.go
@@ -6,9 +6,9 @@
 
 	"monsoonfork/core/config"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/keyvalue"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
-	"monsoonfork/io/peer"
-	"monsoonfork/io/store"
 )
 
 func init() {
@@ -23,10 +23,10 @@
 // start is the role's constructor.
 func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
 	var (
-		links  *peer.Links
+		links  *link.Links
 		table  *membership.Table
 		holder *config.Holder
-		client *store.Client
+		client *keyvalue.Client
 	)
 	if err := n.Need(&links, &table, &holder, &client); err != nil {
 		return nil, err
@@ -46,7 +46,7 @@
 }
 
 // storeOf returns the calls of a client that logs use.
-func storeOf(c *store.Client) Store {
+func storeOf(c *keyvalue.Client) Store {
 	return Store{Get: c.Get, List: c.List, CompareAndSwap: c.CompareAndSwap, Delete: c.Delete}
 }
 
--- a/core/claims/service.go
+++ b/core/claims/service.go
@@ -15,8 +15,8 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
-	"monsoonfork/io/peer"
 )
 
 // Times and names of the service.
@@ -37,7 +37,7 @@
 	log     log.Logger
 	now     func() time.Time
 	view    func() *membership.View
-	links   *peer.Links
+	links   *link.Links
 	shards  [shardCount]*shard
 	metrics serviceMetrics
 
@@ -80,7 +80,7 @@
 	logger    log.Logger
 	now       func() time.Time
 	view      func() *membership.View
-	links     *peer.Links
+	links     *link.Links
 	store     Store
 	retention func() time.Duration
 	registry  metrics.Registry
@@ -118,7 +118,7 @@
 			s.shards[i].run(ctx)
 		}()
 	}
-	peer.Handle(o.links, methodAppend, s.serveAppend)
+	link.Handle(o.links, methodAppend, s.serveAppend)
 	return s
 }
 
--- a/core/claims/shard.go
+++ b/core/claims/shard.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"monsoonfork/core/fault"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // Limits of a shard.
@@ -128,7 +128,7 @@
 		return
 	}
 	outcome, _ := s.log.write(ctx, entries)
-	if outcome != store.Written {
+	if outcome != keyvalue.Written {
 		s.retryLater(writing)
 		return
 	}
--- a/core/config/apply.go
+++ b/core/config/apply.go
@@ -8,8 +8,8 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/text"
-	"monsoonfork/io/store"
 )
 
 // readBackPause is the time between two reads for the outcome of a write.
@@ -23,7 +23,7 @@
 
 // Applier makes new revisions.
 type Applier struct {
-	Store  *store.Client
+	Store  *keyvalue.Client
 	Holder *Holder
 	Now    func() time.Time
 }
@@ -99,12 +99,12 @@
 	}
 	outcome, err := a.Store.CompareAndSwap(ctx, HeadKey, value, stored.Modify)
 	switch outcome {
-	case store.Written:
+	case keyvalue.Written:
 		a.deleteTexts(ctx, dropped)
 		return a.take(next, Edit{editID, next.Revision}, raw)
-	case store.Unknown:
+	case keyvalue.Unknown:
 		*unknown = true
-	case store.Conflict, store.NotWritten:
+	case keyvalue.Conflict, keyvalue.NotWritten:
 	}
 	return Accepted{}, false, err
 }
@@ -155,10 +155,10 @@
 	}
 	for {
 		outcome, err := a.Store.CompareAndSwap(ctx, textPrefix+editID, packed, 0)
-		if outcome == store.Written {
+		if outcome == keyvalue.Written {
 			return nil
 		}
-		if outcome == store.Conflict {
+		if outcome == keyvalue.Conflict {
 			return a.checkStoredText(ctx, editID, raw)
 		}
 		select {
--- a/core/config/apply_test.go
+++ b/core/config/apply_test.go
@@ -40,7 +40,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	return &Applier{Store: c, Holder: NewHolder(), Now: time.Now}
+	return &Applier{Store: c.Seam(), Holder: NewHolder(), Now: time.Now}
 }
 
 func within(t *testing.T, d time.Duration) context.Context {
--- a/core/config/head.go
+++ b/core/config/head.go
@@ -13,8 +13,8 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/text"
-	"monsoonfork/io/store"
 )
 
 // HeadKey is the store's key of the head.
@@ -81,12 +81,12 @@
 // stands for a store without a text.
 type StoredHead struct {
 	Head   Head
-	Modify store.Index // ModifyIndex of the key; 0 when it does not exist.
-	Watch  store.Index
+	Modify keyvalue.Index // ModifyIndex of the key; 0 when it does not exist.
+	Watch  keyvalue.Index
 }
 
 // ReadHead reads the head from the store.
-func ReadHead(ctx context.Context, c *store.Client) (StoredHead, error) {
+func ReadHead(ctx context.Context, c *keyvalue.Client) (StoredHead, error) {
 	l, err := c.Get(ctx, HeadKey)
 	if err != nil {
 		return StoredHead{}, err
@@ -95,7 +95,7 @@
 }
 
 // WatchHead waits until the head's index passes after, at most for wait.
-func WatchHead(ctx context.Context, c *store.Client, after store.Index, wait time.Duration) (StoredHead, error) {
+func WatchHead(ctx context.Context, c *keyvalue.Client, after keyvalue.Index, wait time.Duration) (StoredHead, error) {
 	l, err := c.Watch(ctx, HeadKey, after, wait)
 	if err != nil {
 		return StoredHead{}, err
@@ -104,7 +104,7 @@
 }
 
 // storedHead decodes the answer to a read of HeadKey.
-func storedHead(l store.Listing) (StoredHead, error) {
+func storedHead(l keyvalue.Listing) (StoredHead, error) {
 	s := StoredHead{Watch: l.Index}
 	e, found := l.First()
 	if !found {
@@ -120,7 +120,7 @@
 
 // ReadSnapshot fetches the text of a head's newest revision and checks it
 // against the head's digest.
-func ReadSnapshot(ctx context.Context, c *store.Client, h Head, now time.Time) (*Snapshot, error) {
+func ReadSnapshot(ctx context.Context, c *keyvalue.Client, h Head, now time.Time) (*Snapshot, error) {
 	l, err := c.Get(ctx, textPrefix+h.Newest())
 	if err != nil {
 		return nil, err
--- a/core/config/relay/peers.go
+++ b/core/config/relay/peers.go
@@ -11,8 +11,8 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
-	"monsoonfork/io/peer"
 )
 
 // Names of the methods that instances call.
@@ -25,10 +25,10 @@
 
 // register registers the methods.
 func (s *Service) register() {
-	peer.Handle(s.links, methodAnnounce, s.serveAnnounce)
-	peer.Handle(s.links, methodPull, s.servePull)
-	peer.Handle(s.links, methodSurvey, s.serveSurvey)
-	peer.Handle(s.links, methodConfirm, s.serveConfirm)
+	link.Handle(s.links, methodAnnounce, s.serveAnnounce)
+	link.Handle(s.links, methodPull, s.servePull)
+	link.Handle(s.links, methodSurvey, s.serveSurvey)
+	link.Handle(s.links, methodConfirm, s.serveConfirm)
 }
 
 // announceLoop announces each new revision.
--- a/core/config/relay/relay_test.go
+++ b/core/config/relay/relay_test.go
@@ -34,6 +34,7 @@
 	service *Service
 	applier *config.Applier
 	links   *peer.Links
+	client  *store.Client
 }
 
 // fleet is a store and nodes in one process.
@@ -81,7 +82,7 @@
 	}
 	f.t.Cleanup(n.Close)
 	node := &testNode{Node: n}
-	if err := n.Need(&node.holder, &node.service, &node.applier, &node.links); err != nil {
+	if err := n.Need(&node.holder, &node.service, &node.applier, &node.links, &node.client); err != nil {
 		f.t.Fatal(err)
 	}
 	return node
@@ -176,7 +177,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = c.Close() })
-	return &config.Applier{Store: c, Holder: config.NewHolder(), Now: time.Now}
+	return &config.Applier{Store: c.Seam(), Holder: config.NewHolder(), Now: time.Now}
 }
 
 // TestStoreDownWhileAllAreReplaced replaces every node, one by one, without a
@@ -235,7 +236,7 @@
 	}
 	for _, n := range f.nodes[2:] {
 		n.links.Gate().Cut("a")
-		_ = n.applier.Store.Close()
+		_ = n.client.Close()
 	}
 	revision := f.apply(f.nodes[0], "a, b, c")
 	f.waitInForce(revision, f.nodes[:2]...)
--- a/core/config/relay/service.go
+++ b/core/config/relay/service.go
@@ -17,9 +17,9 @@
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/keyvalue"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
-	"monsoonfork/io/peer"
-	"monsoonfork/io/store"
 )
 
 // Times and numbers of the role.
@@ -40,9 +40,9 @@
 // Service is the running role.
 type Service struct {
 	holder     *config.Holder
-	store      *store.Client
+	store      *keyvalue.Client
 	table      *membership.Table
-	links      *peer.Links
+	links      *link.Links
 	log        log.Logger
 	now        func() time.Time
 	firstPeers []ident.Address
--- a/core/config/relay/store.go
+++ b/core/config/relay/store.go
@@ -8,12 +8,12 @@
 
 	"monsoonfork/core/config"
 	"monsoonfork/core/invariant"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // watchLoop keeps a watch on the head while this instance is a relay.
 func (s *Service) watchLoop() {
-	var after store.Index
+	var after keyvalue.Index
 	for s.ctx.Err() == nil {
 		if !s.isRelay() {
 			after = 0
--- a/core/membership/heartbeat.go
+++ b/core/membership/heartbeat.go
@@ -11,7 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"monsoonfork/core/ident"
-	"monsoonfork/io/peer"
+	"monsoonfork/core/link"
 )
 
 // heartbeatLoop sends heartbeats until the service closes.
@@ -224,4 +224,4 @@
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // isReplaced reports whether another process answered at the address.
-func isReplaced(err error) bool { return errors.Is(err, peer.ErrReplaced) }
+func isReplaced(err error) bool { return errors.Is(err, link.ErrReplaced) }
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/link"
 	"monsoonfork/core/settings"
 	"monsoonfork/io/instancelist"
 	"monsoonfork/io/peer"
@@ -95,6 +96,7 @@
 	}
 	s := newService(NewTable(self, n.Log, n.Now), links, holder, n)
 	kernel.Provide(n, links)
+	kernel.Provide(n, links.Seam())
 	kernel.Provide(n, holder)
 	kernel.Provide(n, s.Table)
 	kernel.Provide(n, s)
@@ -148,8 +150,9 @@
 	}
 	links.AddressOf = t.AddressOf
 	links.Unreachable = s.unreachable
-	peer.Handle(links, methodHeartbeat, s.serveHeartbeat)
-	peer.Handle(links, methodView, s.serveView)
+	seam := links.Seam()
+	link.Handle(seam, methodHeartbeat, s.serveHeartbeat)
+	link.Handle(seam, methodView, s.serveView)
 	return s
 }
 
--- a/core/orders/fake_test.go
+++ b/core/orders/fake_test.go
@@ -10,9 +10,9 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/text"
 	"monsoonfork/io/engine"
-	"monsoonfork/io/store"
 )
 
 // clock is a clock that tests move.
@@ -27,8 +27,8 @@
 // fakeStore keeps the keys of one domain. Tests use it from one goroutine.
 type fakeStore struct {
 	clock    *clock
-	expires  map[store.LeaseID]time.Time
-	holder   store.LeaseID
+	expires  map[keyvalue.LeaseID]time.Time
+	holder   keyvalue.LeaseID
 	number   storedNumber
 	revision ident.Revision
 	down     bool // No call has an effect.
@@ -37,18 +37,18 @@
 }
 
 func newFakeStore(c *clock) *fakeStore {
-	return &fakeStore{clock: c, expires: map[store.LeaseID]time.Time{}}
+	return &fakeStore{clock: c, expires: map[keyvalue.LeaseID]time.Time{}}
 }
 
 // outcome returns what a write that took effect looks like to its caller.
-func (f *fakeStore) outcome(done bool) store.Outcome {
+func (f *fakeStore) outcome(done bool) keyvalue.Outcome {
 	switch {
 	case f.lost:
-		return store.Unknown
+		return keyvalue.Unknown
 	case done:
-		return store.Written
+		return keyvalue.Written
 	}
-	return store.Conflict
+	return keyvalue.Conflict
 }
 
 // failure returns the error of a call now, or nil.
@@ -68,7 +68,7 @@
 	}
 }
 
-func (f *fakeStore) end(id store.LeaseID) {
+func (f *fakeStore) end(id keyvalue.LeaseID) {
 	delete(f.expires, id)
 	if f.holder == id {
 		f.holder = ""
@@ -85,13 +85,13 @@
 		return f.failure()
 	}
 	return registry{
-		create: func(context.Context, time.Duration) (store.Lease, error) {
+		create: func(context.Context, time.Duration) (keyvalue.Lease, error) {
 			f.sequence++
-			l := store.Lease{ID: store.LeaseID(strconv.Itoa(f.sequence)), Deadline: f.clock.now.Add(ttl)}
+			l := keyvalue.Lease{ID: keyvalue.LeaseID(strconv.Itoa(f.sequence)), Deadline: f.clock.now.Add(ttl)}
 			err := call(func() { f.expires[l.ID] = l.Deadline })
 			return l, err
 		},
-		renew: func(_ context.Context, l store.Lease) (store.Lease, error) {
+		renew: func(_ context.Context, l keyvalue.Lease) (keyvalue.Lease, error) {
 			known := false
 			err := call(func() {
 				if _, known = f.expires[l.ID]; known {
@@ -106,28 +106,28 @@
 			}
 			return l, err
 		},
-		destroy: func(_ context.Context, id store.LeaseID) error { return call(func() { f.end(id) }) },
+		destroy: func(_ context.Context, id keyvalue.LeaseID) error { return call(func() { f.end(id) }) },
 		held:    func(context.Context) (bool, error) { err := call(func() {}); return f.holder != "", err },
-		acquire: func(_ context.Context, id store.LeaseID) store.Outcome {
+		acquire: func(_ context.Context, id keyvalue.LeaseID) keyvalue.Outcome {
 			done := false
 			if call(func() {
 				if _, known := f.expires[id]; known && f.holder == "" {
 					f.holder, done = id, true
 				}
 			}) != nil && f.down {
-				return store.NotWritten
+				return keyvalue.NotWritten
 			}
 			return f.outcome(done)
 		},
 		number: func(context.Context) (storedNumber, error) { err := call(func() {}); return f.number, err },
-		swap: func(_ context.Context, next storedNumber) store.Outcome {
+		swap: func(_ context.Context, next storedNumber) keyvalue.Outcome {
 			done := false
 			if call(func() {
 				if next.version == f.number.version {
 					f.number, done = storedNumber{next.record, next.version + 1}, true
 				}
 			}) != nil && f.down {
-				return store.NotWritten
+				return keyvalue.NotWritten
 			}
 			return f.outcome(done)
 		},
--- a/core/orders/registry.go
+++ b/core/orders/registry.go
@@ -8,7 +8,7 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // numberRecord is the value that outlives each lease: the newest fencing number
@@ -21,27 +21,27 @@
 // storedNumber is a record with its version in the store.
 type storedNumber struct {
 	record  numberRecord
-	version store.Index // 0 when the record does not exist.
+	version keyvalue.Index // 0 when the record does not exist.
 }
 
 // registry is what a controller needs of the store. Its fields are seams.
 type registry struct {
-	create   func(ctx context.Context, ttl time.Duration) (store.Lease, error)
-	renew    func(ctx context.Context, l store.Lease) (store.Lease, error)
-	destroy  func(ctx context.Context, id store.LeaseID) error
+	create   func(ctx context.Context, ttl time.Duration) (keyvalue.Lease, error)
+	renew    func(ctx context.Context, l keyvalue.Lease) (keyvalue.Lease, error)
+	destroy  func(ctx context.Context, id keyvalue.LeaseID) error
 	held     func(ctx context.Context) (bool, error)                         // Whether any lease holds the domain.
-	acquire  func(ctx context.Context, id store.LeaseID) store.Outcome       // Locks the domain under a lease.
+	acquire  func(ctx context.Context, id keyvalue.LeaseID) keyvalue.Outcome // Locks the domain under a lease.
 	number   func(ctx context.Context) (storedNumber, error)                 // Newest fencing number.
-	swap     func(ctx context.Context, next storedNumber) store.Outcome      // Writes record if version still holds.
+	swap     func(ctx context.Context, next storedNumber) keyvalue.Outcome   // Writes record if version still holds.
 	revision func(ctx context.Context) (newest ident.Revision, failed error) // Newest accepted revision of the text.
 }
 
 // registryOf returns the registry of a domain in the platform's store.
-func registryOf(c *store.Client, domain ident.DomainID, self ident.InstanceID) registry {
+func registryOf(c *keyvalue.Client, domain ident.DomainID, self ident.InstanceID) registry {
 	prefix := "monsoonfork/orders/" + string(domain) + "/"
 	lockKey, numberKey := prefix+"holder", prefix+"number"
 	return registry{
-		create: func(ctx context.Context, ttl time.Duration) (store.Lease, error) {
+		create: func(ctx context.Context, ttl time.Duration) (keyvalue.Lease, error) {
 			return c.CreateLease(ctx, "orders/"+string(domain), ttl)
 		},
 		renew:   c.RenewLease,
@@ -51,15 +51,15 @@
 			entry, found := listing.First()
 			return found && entry.Session != "", err
 		},
-		acquire: func(ctx context.Context, id store.LeaseID) store.Outcome {
+		acquire: func(ctx context.Context, id keyvalue.LeaseID) keyvalue.Outcome {
 			outcome, _ := c.Acquire(ctx, lockKey, []byte(self), id)
 			return outcome
 		},
 		number: func(ctx context.Context) (storedNumber, error) { return readNumber(ctx, c, numberKey) },
-		swap: func(ctx context.Context, next storedNumber) store.Outcome {
+		swap: func(ctx context.Context, next storedNumber) keyvalue.Outcome {
 			raw, err := json.Marshal(next.record)
 			if err != nil {
-				return store.NotWritten
+				return keyvalue.NotWritten
 			}
 			outcome, _ := c.CompareAndSwap(ctx, numberKey, raw, next.version)
 			return outcome
@@ -72,7 +72,7 @@
 }
 
 // readNumber reads and checks the record of the newest fencing number.
-func readNumber(ctx context.Context, c *store.Client, key string) (storedNumber, error) {
+func readNumber(ctx context.Context, c *keyvalue.Client, key string) (storedNumber, error) {
 	listing, err := c.Get(ctx, key)
 	if err != nil {
 		return storedNumber{}, err
--- a/core/orders/role.go
+++ b/core/orders/role.go
@@ -6,9 +6,9 @@
 
 	"monsoonfork/core/config"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/membership"
 	"monsoonfork/io/engine"
-	"monsoonfork/io/store"
 )
 
 // ownerKey names the role in the choice of its owner among the live members.
@@ -29,7 +29,7 @@
 		table   *membership.Table
 		holder  *config.Holder
 		engines *engine.Client
-		client  *store.Client
+		client  *keyvalue.Client
 	)
 	if err := n.Need(&table, &holder, &engines, &client); err != nil {
 		return nil, err
--- a/core/orders/tenure.go
+++ b/core/orders/tenure.go
@@ -11,7 +11,7 @@
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
-	"monsoonfork/io/store"
+	"monsoonfork/core/keyvalue"
 )
 
 // Grant is the right to give orders in the domain until a deadline.
@@ -33,7 +33,7 @@
 
 	mu      sync.Mutex
 	grant   *Grant // Nil when this instance is not the controller.
-	lease   store.Lease
+	lease   keyvalue.Lease
 	renewAt time.Time
 	last    ident.Epoch // Highest fencing number that this process was given.
 	floor   ident.Epoch // Highest fencing number that an engine has reported.
@@ -109,7 +109,7 @@
 }
 
 // renew moves the deadline of the grant.
-func (t *tenure) renew(ctx context.Context, lease store.Lease) {
+func (t *tenure) renew(ctx context.Context, lease keyvalue.Lease) {
 	renewed, err := t.registry.renew(ctx, lease)
 	if fault.Is(err, fault.NotHolder) {
 		t.drop("the store says that the lease has lapsed")
@@ -156,8 +156,8 @@
 }
 
 // takeUnder locks the domain under a lease and draws a fencing number.
-func (t *tenure) takeUnder(ctx context.Context, lease store.Lease) (*Grant, error) {
-	if outcome := t.registry.acquire(ctx, lease.ID); outcome != store.Written {
+func (t *tenure) takeUnder(ctx context.Context, lease keyvalue.Lease) (*Grant, error) {
+	if outcome := t.registry.acquire(ctx, lease.ID); outcome != keyvalue.Written {
 		return nil, fault.New(fault.NotHolder, "the lock was not taken: %v", outcome)
 	}
 	acquired := t.now()
@@ -173,7 +173,7 @@
 		version: stored.version,
 	}
 	// A lost answer may have used the number up: it is not given to anybody then.
-	if outcome := t.registry.swap(ctx, next); outcome != store.Written {
+	if outcome := t.registry.swap(ctx, next); outcome != keyvalue.Written {
 		return nil, fault.New(fault.NotHolder, "the fencing number was not written: %v", outcome)
 	}
 	revision, err := t.registry.revision(ctx)
--- a/core/placement/handlers.go
+++ b/core/placement/handlers.go
@@ -9,15 +9,15 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/peer"
+	"monsoonfork/core/link"
 )
 
 // registerHandlers registers the methods that other instances call.
 func (p *Placement) registerHandlers() {
-	peer.Handle(p.links, methodPlace, p.handlePlace)
-	peer.Handle(p.links, methodEvents, p.handleEvents)
-	peer.Handle(p.links, methodHeld, p.handleHeld)
-	peer.Handle(p.links, methodRoom, p.handleRoom)
+	link.Handle(p.links, methodPlace, p.handlePlace)
+	link.Handle(p.links, methodEvents, p.handleEvents)
+	link.Handle(p.links, methodHeld, p.handleHeld)
+	link.Handle(p.links, methodRoom, p.handleRoom)
 }
 
 // handlePlace queues a request and answers when it is decided. When the caller
--- a/core/placement/role.go
+++ b/core/placement/role.go
@@ -5,9 +5,9 @@
 
 	"monsoonfork/core/config"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 	"monsoonfork/io/engine"
-	"monsoonfork/io/peer"
 )
 
 func init() {
@@ -22,7 +22,7 @@
 // start is the role's constructor.
 func start(_ context.Context, n *kernel.Node) (*kernel.Running, error) {
 	var (
-		links  *peer.Links
+		links  *link.Links
 		table  *membership.Table
 		holder *config.Holder
 		client *engine.Client
--- a/core/placement/service.go
+++ b/core/placement/service.go
@@ -11,9 +11,9 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 	"monsoonfork/core/text"
-	"monsoonfork/io/peer"
 )
 
 // Names of the methods that instances call.
@@ -30,7 +30,7 @@
 	self     ident.InstanceID
 	domain   ident.DomainID
 	log      log.Logger
-	links    *peer.Links
+	links    *link.Links
 	table    *membership.Table
 	holder   *config.Holder
 	engines  Engines
@@ -101,7 +101,7 @@
 
 // New returns the placement of a daemon and registers its methods with links.
 // Start has to be called next.
-func New(links *peer.Links, table *membership.Table, holder *config.Holder, logger log.Logger, opts ...ServiceOption) *Placement {
+func New(links *link.Links, table *membership.Table, holder *config.Holder, logger log.Logger, opts ...ServiceOption) *Placement {
 	ctx, cancel := context.WithCancel(context.Background())
 	self := table.Self()
 	p := &Placement{
--- a/core/reaper/role.go
+++ b/core/reaper/role.go
@@ -11,11 +11,11 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 	"monsoonfork/core/request"
 	"monsoonfork/core/text"
 	"monsoonfork/io/engine"
-	"monsoonfork/io/peer"
 )
 
 // methodHolds asks an instance which attempts it serves.
@@ -33,7 +33,7 @@
 // neighbours is what the reaper needs of other roles.
 type neighbours struct {
 	self   ident.InstanceID
-	links  *peer.Links
+	links  *link.Links
 	table  *membership.Table
 	holder *config.Holder
 	path   *request.Path
@@ -55,7 +55,7 @@
 	r.HolderState = with.holderState
 	r.Ask = with.ask
 	r.List, r.Abort = engines.Requests, engines.Abort
-	peer.Handle(with.links, methodHolds, with.serveHolds)
+	link.Handle(with.links, methodHolds, with.serveHolds)
 	r.Run()
 	return &kernel.Running{Close: r.Close, Dump: func() any { return r.Dump() }}, nil
 }
@@ -63,7 +63,7 @@
 // findNeighbours collects what other roles provide.
 func findNeighbours(n *kernel.Node) (*neighbours, error) {
 	var (
-		links  *peer.Links
+		links  *link.Links
 		table  *membership.Table
 		holder *config.Holder
 		path   *request.Path
@@ -132,7 +132,7 @@
 	reply := &HoldsReply{}
 	err := b.links.Call(ctx, holder, methodHolds, &HoldsRequest{Attempts: attempts}, reply)
 	if err != nil {
-		return Answer{Ended: errors.Is(err, peer.ErrReplaced) || errors.Is(err, syscall.ECONNREFUSED)}
+		return Answer{Ended: errors.Is(err, link.ErrReplaced) || errors.Is(err, syscall.ECONNREFUSED)}
 	}
 	return Answer{Held: reply.GetHeld()}
 }
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -10,6 +10,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 )
 
@@ -45,7 +46,7 @@
 }
 
 // caller returns the calls of an instance.
-func (f *fleet) caller(from ident.InstanceID) Caller {
+func (f *fleet) caller(from ident.InstanceID) link.Caller {
 	return func(ctx context.Context, to ident.InstanceID, method string, req, resp proto.Message) error {
 		if to != from && (f.cut[from] || f.cut[to]) {
 			return fault.New(fault.PeerUnavailable, "cut off")
--- a/core/share/loop.go
+++ b/core/share/loop.go
@@ -19,9 +19,6 @@
 // ownerKey is what the owner of, by rendezvous hashing, collects for its domain.
 const ownerKey = "share"
 
-// Caller calls a method of another instance, or of this one.
-type Caller func(ctx context.Context, to ident.InstanceID, method string, req, resp proto.Message) error
-
 // Run reports until ctx ends.
 func (s *Shares) Run(ctx context.Context) { s.rounds().Run(ctx) }
 
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -12,6 +12,7 @@
 	"monsoonfork/core/catalog"
 	"monsoonfork/core/forward"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 )
 
@@ -31,7 +32,7 @@
 	now    func() time.Time
 	view   func() *membership.View
 	listed func() int // Instances that are registered.
-	call   Caller
+	call   link.Caller
 
 	mu        sync.Mutex
 	buckets   map[ident.OrganisationID]*bucket
@@ -45,7 +46,7 @@
 
 // New returns shares of an instance among the members of view and those that are
 // registered.
-func New(view func() *membership.View, listed func() int, call Caller, logger log.Logger, now func() time.Time) *Shares {
+func New(view func() *membership.View, listed func() int, call link.Caller, logger log.Logger, now func() time.Time) *Shares {
 	return &Shares{
 		log:     log.With(logger, "part", "Share"),
 		now:     now,
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -13,6 +13,7 @@
 	"monsoonfork/core/engines"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 	"monsoonfork/core/pause"
 )
@@ -48,13 +49,10 @@
 	farEvery = 200 * time.Millisecond
 )
 
-// Caller calls a method of another instance.
-type Caller func(ctx context.Context, to ident.InstanceID, method string, req, resp proto.Message) error
-
 // Spread keeps an instance up to date. All fields are set before Run.
 type Spread struct {
 	View    func() *membership.View
-	Call    Caller
+	Call    link.Caller
 	Table   *engines.Table
 	Version func() ident.Revision     // Of the configuration in force; 0 before the first.
 	Config  func() []byte             // The configuration in force, as its operator wrote it.
--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -14,11 +14,9 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 )
 
-// ErrReplaced says that another process answers at an instance's address.
-var ErrReplaced = errors.New("another process answers at this address")
-
 // dialedSession is the session to one address. Its lock serialises dialling.
 type dialedSession struct {
 	address ident.Address
@@ -38,12 +36,6 @@
 	idleOwner *yamux.Session // The session that the idle streams belong to.
 }
 
-// Remote says who answered at an address.
-type Remote struct {
-	Instance ident.InstanceID
-	Domain   ident.DomainID
-}
-
 // Call calls a method of the instance to, and fills resp. A missing deadline
 // is set to two seconds from now. The error has kind PeerUnavailable when the
 // instance cannot be reached or its process was replaced.
@@ -63,7 +55,7 @@
 }
 
 // CallAddress calls a method of whoever answers at an address.
-func (l *Links) CallAddress(ctx context.Context, address ident.Address, method string, req, resp proto.Message) (Remote, error) {
+func (l *Links) CallAddress(ctx context.Context, address ident.Address, method string, req, resp proto.Message) (link.Remote, error) {
 	return l.call(ctx, address, "", method, req, resp)
 }
 
@@ -80,7 +72,7 @@
 
 // call makes one call on the session to address. If want is given, nothing is
 // sent to another instance.
-func (l *Links) call(ctx context.Context, address ident.Address, want ident.InstanceID, method string, req, resp proto.Message) (Remote, error) {
+func (l *Links) call(ctx context.Context, address ident.Address, want ident.InstanceID, method string, req, resp proto.Message) (link.Remote, error) {
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
@@ -95,7 +87,7 @@
 	}
 	if want != "" && remote.Instance != want {
 		l.metrics.failures.Inc(1)
-		err := errors.Wrapf(ErrReplaced, "%s at %s", remote.Instance, address)
+		err := errors.Wrapf(link.ErrReplaced, "%s at %s", remote.Instance, address)
 		return remote, fault.Wrap(err, fault.PeerUnavailable, "instance %s is not there", want)
 	}
 	reply, err := exchange(ctx, d, session, method, req)
@@ -203,24 +195,24 @@
 }
 
 // get returns the live session, dialling if there is none.
-func (d *dialedSession) get(ctx context.Context, l *Links) (*yamux.Session, Remote, error) {
+func (d *dialedSession) get(ctx context.Context, l *Links) (*yamux.Session, link.Remote, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.session != nil && !d.session.IsClosed() {
-		return d.session, Remote{d.remote, d.domain}, nil
+		return d.session, link.Remote{Instance: d.remote, Domain: d.domain}, nil
 	}
 	if d.closed {
-		return nil, Remote{}, fault.New(fault.PeerUnavailable, "link to %s closed", d.address)
+		return nil, link.Remote{}, fault.New(fault.PeerUnavailable, "link to %s closed", d.address)
 	}
 	if time.Now().Before(d.redialAt) {
-		return nil, Remote{}, fault.Wrap(d.lastErr, fault.PeerUnavailable, "link to %s is down", d.address)
+		return nil, link.Remote{}, fault.Wrap(d.lastErr, fault.PeerUnavailable, "link to %s is down", d.address)
 	}
 	if err := d.dial(ctx, l); err != nil {
 		d.lastErr = err
 		d.redialAt = time.Now().Add(redialPause)
-		return nil, Remote{}, fault.Wrap(err, fault.PeerUnavailable, "dial %s", d.address)
+		return nil, link.Remote{}, fault.Wrap(err, fault.PeerUnavailable, "dial %s", d.address)
 	}
-	return d.session, Remote{d.remote, d.domain}, nil
+	return d.session, link.Remote{Instance: d.remote, Domain: d.domain}, nil
 }
 
 // dial connects, exchanges hellos and starts the session.
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -13,10 +13,10 @@
 	"github.com/go-kit/log/level"
 	"github.com/hashicorp/yamux"
 	"github.com/rcrowley/go-metrics"
-	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 )
 
 // Times and sizes of links.
@@ -33,9 +33,6 @@
 	defaultCallTimeout = 2 * time.Second
 )
 
-// Handler answers one call of a method.
-type Handler func(ctx context.Context, from ident.InstanceID, payload []byte) (proto.Message, error)
-
 // Links holds the sessions of one daemon. State is guarded by mu; each session
 // serialises its own streams.
 type Links struct {
@@ -55,7 +52,7 @@
 	Unreachable func(ident.InstanceID, error)
 
 	mu       sync.Mutex
-	handlers map[string]Handler
+	handlers map[string]link.Handler
 	sessions map[ident.Address]*dialedSession
 	accepted map[*yamux.Session]struct{}
 	listener net.Listener
@@ -110,7 +107,7 @@
 		log:      log.With(logger, "part", "Peer"),
 		gate:     NewGate(),
 		metrics:  newLinkMetrics(metrics.NewRegistry()),
-		handlers: make(map[string]Handler),
+		handlers: make(map[string]link.Handler),
 		sessions: make(map[ident.Address]*dialedSession),
 		accepted: make(map[*yamux.Session]struct{}),
 		ctx:      ctx,
--- a/io/peer/links_test.go
+++ b/io/peer/links_test.go
@@ -16,6 +16,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 )
 
 // testLinks returns listening links and their address.
@@ -38,7 +39,7 @@
 func TestCallReachesHandlerAndNamesTheCaller(t *testing.T) {
 	a, _ := testLinks(t, "a-1", "d1")
 	b, address := testLinks(t, "b-1", "d2")
-	Handle(b, "Test.Echo", echo)
+	link.Handle(b.Seam(), "Test.Echo", echo)
 	resp := &Hello{}
 	remote, err := a.CallAddress(t.Context(), address, "Test.Echo", &Hello{Instance: "x"}, resp)
 	if err != nil {
@@ -52,7 +53,7 @@
 func TestFailureKeepsKindRanAndRetryAfter(t *testing.T) {
 	a, _ := testLinks(t, "a-1", "d1")
 	b, address := testLinks(t, "b-1", "d1")
-	Handle(b, "Test.Fail", func(context.Context, ident.InstanceID, *Hello) (proto.Message, error) {
+	link.Handle(b.Seam(), "Test.Fail", func(context.Context, ident.InstanceID, *Hello) (proto.Message, error) {
 		return nil, fault.New(fault.RateExceeded, "too much").WithRan(fault.MayHaveRun).WithRetryAfter(time.Now().Add(time.Minute))
 	})
 	_, err := a.CallAddress(t.Context(), address, "Test.Fail", &Hello{}, &Hello{})
@@ -75,13 +76,13 @@
 	a, _ := testLinks(t, "a-1", "d1")
 	b, address := testLinks(t, "b-2", "d1")
 	served := false
-	Handle(b, "Test.Echo", func(ctx context.Context, from ident.InstanceID, req *Hello) (proto.Message, error) {
+	link.Handle(b.Seam(), "Test.Echo", func(ctx context.Context, from ident.InstanceID, req *Hello) (proto.Message, error) {
 		served = true
 		return echo(ctx, from, req)
 	})
 	a.AddressOf = func(ident.InstanceID) (ident.Address, bool) { return address, true }
 	err := a.Call(t.Context(), "b-1", "Test.Echo", &Hello{}, &Hello{})
-	if !errors.Is(err, ErrReplaced) || served {
+	if !errors.Is(err, link.ErrReplaced) || served {
 		t.Errorf("got %v, served %v; want ErrReplaced and nothing served", err, served)
 	}
 }
@@ -90,7 +91,7 @@
 	a, _ := testLinks(t, "a-1", "d1")
 	b, address := testLinks(t, "b-1", "d1")
 	cancelled := make(chan struct{})
-	Handle(b, "Test.Wait", func(ctx context.Context, _ ident.InstanceID, _ *Hello) (proto.Message, error) {
+	link.Handle(b.Seam(), "Test.Wait", func(ctx context.Context, _ ident.InstanceID, _ *Hello) (proto.Message, error) {
 		<-ctx.Done()
 		close(cancelled)
 		return nil, ctx.Err()
@@ -110,7 +111,7 @@
 func TestCutLinkIsSilentAndHeals(t *testing.T) {
 	a, _ := testLinks(t, "a-1", "d1")
 	b, address := testLinks(t, "b-1", "d2")
-	Handle(b, "Test.Echo", echo)
+	link.Handle(b.Seam(), "Test.Echo", echo)
 	call := func() error {
 		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 		defer cancel()
@@ -172,7 +173,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	Handle(server, "Test.Echo", echo)
+	link.Handle(server.Seam(), "Test.Echo", echo)
 	client := New("a-1", "d1", log.NewNopLogger())
 	b.Cleanup(func() {
 		_ = client.Close()
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -11,28 +11,23 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 )
 
-// Handle registers h for a method, such as "Budget.Take". Methods are
-// registered while roles start.
-func Handle[Req any, ReqPtr interface {
-	*Req
-	proto.Message
-}](l *Links, method string, h func(ctx context.Context, from ident.InstanceID, req ReqPtr) (proto.Message, error),
-) {
+// serve registers a method.
+func (l *Links) serve(method string, h link.Handler) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.handlers[method] = func(ctx context.Context, from ident.InstanceID, payload []byte) (proto.Message, error) {
-		req := ReqPtr(new(Req))
-		if err := proto.Unmarshal(payload, req); err != nil {
-			return nil, fault.Wrap(err, fault.BadRequest, "malformed %s", method)
-		}
-		return h(ctx, from, req)
-	}
+	l.handlers[method] = h
+}
+
+// Seam returns the links as roles name them.
+func (l *Links) Seam() *link.Links {
+	return &link.Links{Call: l.Call, CallAddress: l.CallAddress, Serve: l.serve}
 }
 
 // handler returns the handler of a method, or nil.
-func (l *Links) handler(method string) Handler {
+func (l *Links) handler(method string) link.Handler {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.handlers[method]
--- a/io/peer/tls_test.go
+++ b/io/peer/tls_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-kit/log"
 
+	"monsoonfork/core/link"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/settings"
@@ -109,7 +110,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	Handle(l, "Test.Echo", echo)
+	link.Handle(l.Seam(), "Test.Echo", echo)
 	return l, address
 }
 
--- a/io/store/client.go
+++ b/io/store/client.go
@@ -23,9 +23,6 @@
 	maxAnswerBytes      = 16 << 20
 )
 
-// Index is the version of a key or of the store, as the store counts it.
-type Index uint64
-
 // Client calls the store. It is safe for concurrent use.
 type Client struct {
 	addresses    []ident.Address
--- a/io/store/client_test.go
+++ b/io/store/client_test.go
@@ -13,6 +13,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 )
 
 func newTestClient(t *testing.T, addresses ...ident.Address) *Client {
@@ -26,7 +27,7 @@
 }
 
 // mustSwap writes and wants the outcome.
-func mustSwap(t *testing.T, c *Client, key, value string, index Index, want Outcome) {
+func mustSwap(t *testing.T, c *Client, key, value string, index keyvalue.Index, want keyvalue.Outcome) {
 	t.Helper()
 	got, err := c.CompareAndSwap(context.Background(), key, []byte(value), index)
 	if got != want {
@@ -34,7 +35,7 @@
 	}
 }
 
-func mustGet(t *testing.T, c *Client, key string) (Entry, bool) {
+func mustGet(t *testing.T, c *Client, key string) (keyvalue.Entry, bool) {
 	t.Helper()
 	l, err := c.Get(context.Background(), key)
 	if err != nil {
@@ -49,23 +50,23 @@
 	if _, found := mustGet(t, c, "a/b"); found {
 		t.Fatal("found a key that does not exist")
 	}
-	mustSwap(t, c, "a/b", "one", 0, Written)
-	mustSwap(t, c, "a/b", "two", 0, Conflict)
+	mustSwap(t, c, "a/b", "one", 0, keyvalue.Written)
+	mustSwap(t, c, "a/b", "two", 0, keyvalue.Conflict)
 	e, _ := mustGet(t, c, "a/b")
 	if string(e.Value) != "one" {
 		t.Errorf("value = %q", e.Value)
 	}
-	mustSwap(t, c, "a/b", "two", e.ModifyIndex, Written)
-	mustSwap(t, c, "a/c d", strings.Repeat("x", 600_000), 0, Written)
+	mustSwap(t, c, "a/b", "two", e.ModifyIndex, keyvalue.Written)
+	mustSwap(t, c, "a/c d", strings.Repeat("x", 600_000), 0, keyvalue.Written)
 	l, err := c.List(context.Background(), "a/")
 	if err != nil || len(l.Entries) != 2 {
 		t.Errorf("List = %d entries, %v", len(l.Entries), err)
 	}
 	e, _ = mustGet(t, c, "a/b")
-	if o, err := c.Delete(context.Background(), "a/b", e.ModifyIndex-1); o != Conflict {
+	if o, err := c.Delete(context.Background(), "a/b", e.ModifyIndex-1); o != keyvalue.Conflict {
 		t.Errorf("Delete with an old index = %v, %v", o, err)
 	}
-	if o, err := c.Delete(context.Background(), "a/b", e.ModifyIndex); o != Written {
+	if o, err := c.Delete(context.Background(), "a/b", e.ModifyIndex); o != keyvalue.Written {
 		t.Errorf("Delete = %v, %v", o, err)
 	}
 	if got := c.CallCounts()["CompareAndSwap"]; got != 4 {
@@ -76,18 +77,18 @@
 func TestWatch(t *testing.T) {
 	f := newFakeStore(t)
 	c := newTestClient(t, f.address())
-	mustSwap(t, c, "k", "one", 0, Written)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Written)
 	e, _ := mustGet(t, c, "k")
 	l, err := c.Watch(context.Background(), "k", e.ModifyIndex, 400*time.Millisecond)
 	if err != nil || l.Index != e.ModifyIndex {
 		t.Fatalf("Watch without a change = %v, %v", l.Index, err)
 	}
-	got := make(chan Listing, 1)
+	got := make(chan keyvalue.Listing, 1)
 	go func() {
 		l, _ := c.Watch(context.Background(), "k", e.ModifyIndex, 10*time.Second)
 		got <- l
 	}()
-	mustSwap(t, c, "k", "two", e.ModifyIndex, Written)
+	mustSwap(t, c, "k", "two", e.ModifyIndex, keyvalue.Written)
 	select {
 	case l := <-got:
 		if e, _ := l.First(); string(e.Value) != "two" {
@@ -101,7 +102,7 @@
 func TestCancelledWatchEnds(t *testing.T) {
 	f := newFakeStore(t)
 	c := newTestClient(t, f.address())
-	mustSwap(t, c, "k", "one", 0, Written)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Written)
 	e, _ := mustGet(t, c, "k")
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
@@ -116,7 +117,7 @@
 	f := newFakeStore(t)
 	c := newTestClient(t, f.address())
 	f.faults(nil, func(r *http.Request) bool { return r.Method == http.MethodPut })
-	mustSwap(t, c, "k", "one", 0, Unknown)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Unknown)
 	f.faults(nil, nil)
 	if e, found := mustGet(t, c, "k"); !found || string(e.Value) != "one" {
 		t.Errorf("entry = %+v, want the written value", e)
@@ -130,7 +131,7 @@
 	f := newFakeStore(t)
 	c := newTestClient(t, f.address())
 	f.faults(func(*http.Request) bool { return true }, nil)
-	mustSwap(t, c, "k", "one", 0, Unknown)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Unknown)
 }
 
 // TestStalledStoreEndsAtStageLimit holds every call.
@@ -140,7 +141,7 @@
 	release := make(chan struct{})
 	t.Cleanup(func() { close(release) })
 	f.faults(func(*http.Request) bool { <-release; return true }, nil)
-	mustSwap(t, c, "k", "one", 0, Unknown)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Unknown)
 	if _, err := c.Get(context.Background(), "k"); !fault.Is(err, fault.StoreUnavailable) {
 		t.Errorf("error = %v, want kind StoreUnavailable", err)
 	}
@@ -150,7 +151,7 @@
 func TestRateLimitIsNotWritten(t *testing.T) {
 	server := httptestStatus(t, http.StatusTooManyRequests)
 	c := newTestClient(t, server)
-	mustSwap(t, c, "k", "one", 0, NotWritten)
+	mustSwap(t, c, "k", "one", 0, keyvalue.NotWritten)
 	if _, err := c.Get(context.Background(), "k"); !fault.Is(err, fault.StoreUnavailable) {
 		t.Errorf("error = %v, want kind StoreUnavailable", err)
 	}
@@ -158,14 +159,14 @@
 
 func TestRefusedDialIsNotWritten(t *testing.T) {
 	c := newTestClient(t, closedAddress(t))
-	mustSwap(t, c, "k", "one", 0, NotWritten)
+	mustSwap(t, c, "k", "one", 0, keyvalue.NotWritten)
 }
 
 // TestSecondAddress has one address that refuses and one that answers.
 func TestSecondAddress(t *testing.T) {
 	f := newFakeStore(t)
 	c := newTestClient(t, closedAddress(t), f.address())
-	mustSwap(t, c, "k", "one", 0, Written)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Written)
 	if _, found := mustGet(t, c, "k"); !found {
 		t.Error("the written key was not found")
 	}
@@ -182,7 +183,7 @@
 		return func() bool { return number <= silent.Load() }
 	})
 	c := newTestClient(t, proxy)
-	mustSwap(t, c, "k", "one", 0, Written)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Written)
 	if _, found := mustGet(t, c, "k"); !found {
 		t.Fatal("the written key was not found")
 	}
@@ -191,7 +192,7 @@
 		t.Error("a read after the connection fell silent did not find the key")
 	}
 	e, _ := mustGet(t, c, "k")
-	mustSwap(t, c, "k", "two", e.ModifyIndex, Written)
+	mustSwap(t, c, "k", "two", e.ModifyIndex, keyvalue.Written)
 }
 
 func TestLease(t *testing.T) {
@@ -210,10 +211,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if o, err := c.Acquire(ctx, "lock", []byte("a"), a.ID); o != Written {
+	if o, err := c.Acquire(ctx, "lock", []byte("a"), a.ID); o != keyvalue.Written {
 		t.Fatalf("Acquire = %v, %v", o, err)
 	}
-	if o, err := c.Acquire(ctx, "lock", []byte("b"), b.ID); o != Conflict {
+	if o, err := c.Acquire(ctx, "lock", []byte("b"), b.ID); o != keyvalue.Conflict {
 		t.Fatalf("second Acquire = %v, %v", o, err)
 	}
 	if a, err = c.RenewLease(ctx, a); err != nil {
@@ -228,7 +229,7 @@
 	if _, err := c.RenewLease(ctx, a); !fault.Is(err, fault.NotHolder) {
 		t.Errorf("renewal after the end: %v, want kind NotHolder", err)
 	}
-	if o, err := c.Acquire(ctx, "lock", []byte("b"), b.ID); o != Written {
+	if o, err := c.Acquire(ctx, "lock", []byte("b"), b.ID); o != keyvalue.Written {
 		t.Errorf("Acquire after the end = %v, %v", o, err)
 	}
 }
@@ -237,13 +238,13 @@
 	for _, body := range []string{"", "maybe", "[{", strings.Repeat("[", 1000)} {
 		address := rawServer(t, "HTTP/1.1 200 OK\r\nX-Consul-Index: 7\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
 		c := newTestClient(t, address)
-		mustSwap(t, c, "k", "one", 0, Unknown)
+		mustSwap(t, c, "k", "one", 0, keyvalue.Unknown)
 		if _, err := c.Get(context.Background(), "k"); !fault.Is(err, fault.StoreUnavailable) {
 			t.Errorf("Get with answer %q: %v", body, err)
 		}
 	}
 	c := newTestClient(t, rawServer(t, "not http at all\r\n\r\n"))
-	mustSwap(t, c, "k", "one", 0, Unknown)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Unknown)
 }
 
 func TestCallsTogetherGetTheirOwnAnswers(t *testing.T) {
@@ -255,7 +256,7 @@
 		go func() {
 			defer wg.Done()
 			key := "key-" + itoa(i)
-			mustSwap(t, c, key, key, 0, Written)
+			mustSwap(t, c, key, key, 0, keyvalue.Written)
 			for range 10 {
 				if e, _ := mustGet(t, c, key); !bytes.Equal(e.Value, []byte(key)) {
 					t.Errorf("Get(%s) = %q", key, e.Value)
@@ -273,7 +274,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	mustSwap(t, c, "k", "one", 0, Written)
+	mustSwap(t, c, "k", "one", 0, keyvalue.Written)
 	ended := make(chan error, 1)
 	go func() {
 		_, err := c.Watch(context.Background(), "k", 1000, time.Minute)
@@ -304,7 +305,7 @@
 	if err := c.Close(); err != nil {
 		t.Fatal(err)
 	}
-	mustSwap(t, c, "k", "one", 0, NotWritten)
+	mustSwap(t, c, "k", "one", 0, keyvalue.NotWritten)
 	if _, err := New(nil); !fault.Is(err, fault.BadSettings) {
 		t.Errorf("New without addresses: %v", err)
 	}
--- a/io/store/fake_test.go
+++ b/io/store/fake_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 )
 
 // fakeStore is a store in the test process that can lose and delay answers.
@@ -19,9 +20,9 @@
 	*httptest.Server
 
 	mu       sync.Mutex
-	index    Index
-	entries  map[string]Entry
-	sessions map[LeaseID]bool
+	index    keyvalue.Index
+	entries  map[string]keyvalue.Entry
+	sessions map[keyvalue.LeaseID]bool
 	changed  chan struct{}            // Closed at each write.
 	before   func(*http.Request) bool // Reports whether to answer 500 without trying; may block.
 	after    func(*http.Request) bool // Reports whether to lose the answer.
@@ -29,7 +30,7 @@
 }
 
 func newFakeStore(t *testing.T) *fakeStore {
-	f := &fakeStore{index: 1, entries: map[string]Entry{}, sessions: map[LeaseID]bool{}, changed: make(chan struct{})}
+	f := &fakeStore{index: 1, entries: map[string]keyvalue.Entry{}, sessions: map[keyvalue.LeaseID]bool{}, changed: make(chan struct{})}
 	f.Server = httptest.NewServer(f)
 	t.Cleanup(f.Close)
 	return f
@@ -83,8 +84,8 @@
 	deadline := time.After(wait)
 	for {
 		f.mu.Lock()
-		var found []Entry
-		newest := Index(1)
+		var found []keyvalue.Entry
+		newest := keyvalue.Index(1)
 		for k, e := range f.entries {
 			if k == key || recurse && strings.HasPrefix(k, key) {
 				found, newest = append(found, e), max(newest, e.ModifyIndex)
@@ -92,7 +93,7 @@
 		}
 		changed := f.changed
 		f.mu.Unlock()
-		if newest > Index(after) || wait == 0 {
+		if newest > keyvalue.Index(after) || wait == 0 {
 			w.Header().Set(indexHeader, strconv.FormatUint(uint64(newest), 10))
 			if len(found) == 0 {
 				w.WriteHeader(http.StatusNotFound)
@@ -118,9 +119,9 @@
 	key, q := strings.TrimPrefix(r.URL.Path, "/v1/kv/"), r.URL.Query()
 	old := f.entries[key]
 	cas, _ := strconv.ParseUint(q.Get("cas"), 10, 64)
-	session := LeaseID(q.Get("acquire") + q.Get("release"))
+	session := keyvalue.LeaseID(q.Get("acquire") + q.Get("release"))
 	switch {
-	case q.Has("cas") && old.ModifyIndex != Index(cas),
+	case q.Has("cas") && old.ModifyIndex != keyvalue.Index(cas),
 		q.Has("acquire") && (old.Session != "" && old.Session != session || !f.sessions[session]),
 		q.Has("release") && old.Session != session:
 		_, _ = io.WriteString(w, "false")
@@ -130,7 +131,7 @@
 	if r.Method == http.MethodDelete {
 		delete(f.entries, key)
 	} else {
-		f.entries[key] = Entry{Key: key, Value: value, ModifyIndex: f.index, CreateIndex: f.index, Session: LeaseID(q.Get("acquire"))}
+		f.entries[key] = keyvalue.Entry{Key: key, Value: value, ModifyIndex: f.index, CreateIndex: f.index, Session: keyvalue.LeaseID(q.Get("acquire"))}
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
@@ -141,13 +142,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	parts := strings.Split(r.URL.Path, "/")
-	id := LeaseID(parts[len(parts)-1])
+	id := keyvalue.LeaseID(parts[len(parts)-1])
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/v1/session/create"):
 		f.index++
-		id = LeaseID(strconv.FormatUint(uint64(f.index), 10))
+		id = keyvalue.LeaseID(strconv.FormatUint(uint64(f.index), 10))
 		f.sessions[id] = true
-		_ = json.NewEncoder(w).Encode(struct{ ID LeaseID }{id})
+		_ = json.NewEncoder(w).Encode(struct{ ID keyvalue.LeaseID }{id})
 	case !f.sessions[id]:
 		w.WriteHeader(http.StatusNotFound)
 	case strings.HasPrefix(r.URL.Path, "/v1/session/destroy"):
--- a/io/store/kv.go
+++ b/io/store/kv.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/keyvalue"
 )
 
 // watchMargin is how long after the wait of a watch its answer is awaited.
@@ -19,79 +20,55 @@
 // indexHeader carries the store's index of an answer.
 const indexHeader = "X-Consul-Index"
 
-// Entry is one key with its value.
-type Entry struct {
-	Key         string
-	Value       []byte // Base64 in JSON.
-	CreateIndex Index
-	ModifyIndex Index
-	Session     LeaseID // The lease that holds the key as a lock, if any.
-}
-
-// Listing is the answer to a read: the entries found, and the index to watch
-// from.
-type Listing struct {
-	Entries []Entry
-	Index   Index
-}
-
-// First returns the only entry of a listing of one key.
-func (l Listing) First() (Entry, bool) {
-	if len(l.Entries) == 0 {
-		return Entry{}, false
-	}
-	return l.Entries[0], true
-}
-
 // Get reads a key. A key that does not exist gives an empty listing. Errors
 // have kind StoreUnavailable or CallerGone.
-func (c *Client) Get(ctx context.Context, key string) (Listing, error) {
+func (c *Client) Get(ctx context.Context, key string) (keyvalue.Listing, error) {
 	return c.list(ctx, call{kind: callGet, path: kvPath(key, ""), limit: c.stageTimeout})
 }
 
 // List reads all keys that begin with prefix.
-func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+func (c *Client) List(ctx context.Context, prefix string) (keyvalue.Listing, error) {
 	return c.list(ctx, call{kind: callList, path: kvPath(prefix, "recurse=true"), limit: c.stageTimeout})
 }
 
 // Watch waits until the index of key passes after, at most for wait, and reads
 // it. An answer with an index not above after says that nothing changed.
-func (c *Client) Watch(ctx context.Context, key string, after Index, wait time.Duration) (Listing, error) {
+func (c *Client) Watch(ctx context.Context, key string, after keyvalue.Index, wait time.Duration) (keyvalue.Listing, error) {
 	return c.watch(ctx, key, "", after, wait)
 }
 
 // WatchPrefix is Watch for all keys that begin with prefix.
-func (c *Client) WatchPrefix(ctx context.Context, prefix string, after Index, wait time.Duration) (Listing, error) {
+func (c *Client) WatchPrefix(ctx context.Context, prefix string, after keyvalue.Index, wait time.Duration) (keyvalue.Listing, error) {
 	return c.watch(ctx, prefix, "recurse=true&", after, wait)
 }
 
 // watch makes a long poll.
-func (c *Client) watch(ctx context.Context, key, query string, after Index, wait time.Duration) (Listing, error) {
+func (c *Client) watch(ctx context.Context, key, query string, after keyvalue.Index, wait time.Duration) (keyvalue.Listing, error) {
 	query += fmt.Sprintf("index=%d&wait=%dms", after, wait.Milliseconds())
 	return c.list(ctx, call{kind: callWatch, path: kvPath(key, query), limit: wait + watchMargin})
 }
 
 // list makes a read and decodes its entries.
-func (c *Client) list(ctx context.Context, cl call) (Listing, error) {
+func (c *Client) list(ctx context.Context, cl call) (keyvalue.Listing, error) {
 	cl.method = http.MethodGet
 	a, err := c.read(ctx, cl)
 	if err != nil {
-		return Listing{}, err
+		return keyvalue.Listing{}, err
 	}
 	index, err := strconv.ParseUint(a.header.Get(indexHeader), 10, 64)
 	if err != nil {
-		return Listing{}, fault.Wrap(err, fault.StoreUnavailable, "the store's answer has no index")
+		return keyvalue.Listing{}, fault.Wrap(err, fault.StoreUnavailable, "the store's answer has no index")
 	}
-	listing := Listing{Index: Index(index)}
+	listing := keyvalue.Listing{Index: keyvalue.Index(index)}
 	switch a.status {
 	case http.StatusNotFound:
 		return listing, nil
 	case http.StatusOK:
 	default:
-		return Listing{}, fault.New(fault.StoreUnavailable, "the store answered status %d", a.status)
+		return keyvalue.Listing{}, fault.New(fault.StoreUnavailable, "the store answered status %d", a.status)
 	}
 	if err := json.Unmarshal(a.body, &listing.Entries); err != nil {
-		return Listing{}, fault.Wrap(err, fault.StoreUnavailable, "the store's answer is malformed")
+		return keyvalue.Listing{}, fault.Wrap(err, fault.StoreUnavailable, "the store's answer is malformed")
 	}
 	return listing, nil
 }
@@ -99,41 +76,41 @@
 // CompareAndSwap writes value if the key's ModifyIndex is index; 0 means that
 // the key must not exist. The error says why the outcome is Unknown or
 // NotWritten, and is nil otherwise.
-func (c *Client) CompareAndSwap(ctx context.Context, key string, value []byte, index Index) (Outcome, error) {
+func (c *Client) CompareAndSwap(ctx context.Context, key string, value []byte, index keyvalue.Index) (keyvalue.Outcome, error) {
 	query := fmt.Sprintf("cas=%d", index)
 	return c.change(ctx, call{kind: callCompareAndSwap, method: http.MethodPut, path: kvPath(key, query), body: value})
 }
 
 // Put writes value whatever the key held before.
-func (c *Client) Put(ctx context.Context, key string, value []byte) (Outcome, error) {
+func (c *Client) Put(ctx context.Context, key string, value []byte) (keyvalue.Outcome, error) {
 	return c.change(ctx, call{kind: callPut, method: http.MethodPut, path: kvPath(key, ""), body: value})
 }
 
 // Delete removes the key if its ModifyIndex is index.
-func (c *Client) Delete(ctx context.Context, key string, index Index) (Outcome, error) {
+func (c *Client) Delete(ctx context.Context, key string, index keyvalue.Index) (keyvalue.Outcome, error) {
 	query := fmt.Sprintf("cas=%d", index)
 	return c.change(ctx, call{kind: callDelete, method: http.MethodDelete, path: kvPath(key, query)})
 }
 
 // change makes a write that answers true or false.
-func (c *Client) change(ctx context.Context, cl call) (Outcome, error) {
+func (c *Client) change(ctx context.Context, cl call) (keyvalue.Outcome, error) {
 	cl.limit = c.stageTimeout
 	a, sent, err := c.write(ctx, cl)
 	switch {
 	case !sent:
-		return NotWritten, err
+		return keyvalue.NotWritten, err
 	case a != nil && refusedUntried(a.status):
-		return NotWritten, fault.New(fault.StoreUnavailable, "the store refused the write with status %d", a.status)
+		return keyvalue.NotWritten, fault.New(fault.StoreUnavailable, "the store refused the write with status %d", a.status)
 	case err != nil:
-		return Unknown, err
+		return keyvalue.Unknown, err
 	}
 	switch strings.TrimSpace(string(a.body)) {
 	case "true":
-		return Written, nil
+		return keyvalue.Written, nil
 	case "false":
-		return Conflict, nil
+		return keyvalue.Conflict, nil
 	}
-	return Unknown, fault.New(fault.StoreUnavailable, "the store's answer to a write is malformed")
+	return keyvalue.Unknown, fault.New(fault.StoreUnavailable, "the store's answer to a write is malformed")
 }
 
 // refusedUntried reports whether a status says that the store did not try the
--- a/io/store/role.go
+++ b/io/store/role.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"monsoonfork/core/kernel"
+	"monsoonfork/core/keyvalue"
 )
 
 func init() {
@@ -21,8 +22,19 @@
 		return nil, err
 	}
 	kernel.Provide(n, c)
+	kernel.Provide(n, c.Seam())
 	return &kernel.Running{
 		Close: c.Close,
 		Dump:  func() any { return c.CallCounts() },
 	}, nil
 }
+
+// Seam returns the calls as roles name them.
+func (c *Client) Seam() *keyvalue.Client {
+	return &keyvalue.Client{
+		Get: c.Get, List: c.List, Watch: c.Watch,
+		CompareAndSwap: c.CompareAndSwap, Put: c.Put, Delete: c.Delete,
+		CreateLease: c.CreateLease, RenewLease: c.RenewLease, DestroyLease: c.DestroyLease,
+		Acquire: c.Acquire, Release: c.Release, CallCounts: c.CallCounts,
+	}
+}
