--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -17,7 +17,7 @@
 	// reserveTime is how long a reservation is needed: prefill and its queue.
 	reserveTime = 1500 * time.Millisecond
 	// refusedFor is how long an engine that has no room is not asked again.
-	refusedFor = 30 * time.Millisecond
+	refusedFor = 150 * time.Millisecond
 	// askAgain is the pause before engines are asked again.
 	askAgain = 30 * time.Millisecond
 	// askCallTime bounds one request for room.
