--- a/lab/platformsoak/table.go
+++ b/lab/platformsoak/table.go
@@ -105,8 +105,9 @@
 // reloaded tells an instance that its settings may have changed.
 func reloaded(_ *run, t target) (func() error, error) { return nil, t.instance.reload() }
 
-// allKilled kills all instances at once.
+// allKilled kills all instances at once, but those that another fault holds.
 func allKilled(r *run, _ target) (func() error, error) {
+	var killed []*instance
 	for _, i := range r.world.instances {
 		defer r.touch(i.name)()
 		if !r.claim(i.name) {
@@ -116,15 +117,12 @@
 		if err := i.intend().Kill(); err != nil {
 			return nil, err
 		}
+		killed = append(killed, i)
 	}
 	time.Sleep(quickRestart)
+	// What another fault has ended is started by that one.
 	var all sync.WaitGroup
-	for _, i := range r.world.instances {
-		select {
-		case <-i.current().Ended():
-		default:
-			continue
-		}
+	for _, i := range killed {
 		all.Go(func() {
 			if err := r.restart(i); err != nil {
 				r.note("%s: %v", i.name, err)
