platform-soak: a stop may end with the silence of an engine

Traced with the requests that were open (now part of the finding): one, a stream that may run once, open for 9.2 s at an engine whose link was cut one way at 12.9 s; connections of before stay silent. The stop waited for it until its own time ended, inside the platform's 8 s, which is right: the silence of an engine is no reason to end an answer sooner. Ruled out: a handler that hangs (no other request was open), the balancer's wait. The check passes over a stop that ends in time and whose open requests all wait for engines that a fault has touched; TestStopThatWaitsForNobody shows that others are found.

--- a/lab/platformsoak/check_test.go
+++ b/lab/platformsoak/check_test.go
@@ -149,3 +149,20 @@
 		seen[e.name] = true
 	}
 }
+
+// TestStopThatWaitsForNobody has a request open that no silent engine explains.
+func TestStopThatWaitsForNobody(t *testing.T) {
+	r := testRun()
+	r.world.engines = &standin.Engines{Record: standin.NewRecord()}
+	a, _ := goodAsk(r)
+	a.ended = time.Time{}
+	r.asks["r"] = a
+	stop := a.at.Add(time.Second)
+	if text, waits := r.openAt(a.process, stop); waits || !strings.Contains(text, a.ID) {
+		t.Errorf("open %q, waits for engines %v", text, waits)
+	}
+	a.ended = stop.Add(time.Second)
+	if text, waits := r.openAt(a.process, stop); waits || text != "" {
+		t.Errorf("open %q, waits %v, want none", text, waits)
+	}
+}
--- a/lab/platformsoak/table.go
+++ b/lab/platformsoak/table.go
@@ -19,6 +19,8 @@
 	stopSlack     = 500 * time.Millisecond
 	quickRestart  = 300 * time.Millisecond
 	changesInARow = 4
+	// longestRequest is how long a stream takes that waits for room as well.
+	longestRequest = 4 * time.Second
 )
 
 // table returns the faults.
@@ -89,13 +91,35 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTime+stopSlack)
 	defer cancel()
 	if err := p.Wait(ctx); err != nil {
-		r.find(PlannedStopCutsNone, "%s did not end well %.1fs after SIGTERM: %v", p.Name, time.Since(begun).Seconds(), err)
+		open, waits := r.openAt(p.Name, begun)
+		if !waits || ctx.Err() != nil {
+			r.find(PlannedStopCutsNone, "%s did not end well %.1fs after SIGTERM: %v; open before: %s", p.Name, time.Since(begun).Seconds(), err, open)
+		}
 		// It is killed by the platform then.
 		_ = p.Kill()
 	}
 	return func() error { return r.restart(t.instance) }, nil
 }
 
+// openAt tells of the requests that a process had at a time, and has had since for
+// longer than any request takes without a fault. It reports whether there are some and
+// all of them wait for engines that a fault has touched: a stop may cut these when its
+// time ends, as the silence of an engine is no reason to end an answer before.
+func (r *run) openAt(process string, at time.Time) (text string, waits bool) {
+	runs := r.world.engines.Record.Runs()
+	waits = true
+	for _, a := range r.asked() {
+		r.mu.Lock()
+		open := a.process == process && a.at.Before(at) && (a.ended.IsZero() || a.ended.After(at.Add(longestRequest)))
+		r.mu.Unlock()
+		if open {
+			text += fmt.Sprintf(" [%s %s since %.1fs]", a.ID, a.Path, time.Since(a.at).Seconds())
+			waits = waits && !r.enginesCalm(runs[a.ID], a.at, time.Now())
+		}
+	}
+	return text, waits && text != ""
+}
+
 // paused pauses an instance.
 func paused(_ *run, t target) (func() error, error) {
 	p := t.instance.current()
