--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -309,6 +309,24 @@
 	}
 }
 
+// TestCallerGoneBeforeTheStart has the caller leave before its request is looked at:
+// it takes nothing of its organisation's rate, and no engine hears of it.
+func TestCallerGoneBeforeTheStart(t *testing.T) {
+	for _, name := range []string{"safe", "once", "stream"} {
+		r := newRig(t)
+		r.router.Admit = func(*catalog.Organisation, ident.Tokens) Share {
+			t.Errorf("%s: asked for a share", name)
+			return Share{Granted: true, Refund: func() {}}
+		}
+		ctx, cancel := context.WithCancelCause(context.Background())
+		cancel(fault.New(fault.CallerGone, "gone"))
+		got := r.serveContext(ctx, name)
+		if f := fault.From(got.err); f.Kind != fault.CallerGone || f.Ran != fault.NotRun || len(r.sent) != 0 {
+			t.Errorf("%s: %v, ran %v, %d calls", name, got.err, f.Ran, len(r.sent))
+		}
+	}
+}
+
 // TestWhoAsksForRoomFirst orders those that wait.
 func TestWhoAsksForRoomFirst(t *testing.T) {
 	now := time.Now()
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -246,8 +246,12 @@
 	stoppingRetry = 20 * time.Millisecond
 )
 
-// run admits the request and sends it to engines.
+// run admits the request and sends it to engines, unless its caller has gone or its
+// time has passed already.
 func (j *job) run(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return fault.From(context.Cause(ctx)).WithRan(fault.NotRun)
+	}
 	share := Share{Granted: true, Refund: func() {}}
 	if j.org != nil {
 		share = j.router.Admit(j.org, j.cost())
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -178,13 +178,31 @@
 }
 
 // begin notes how to end the request that is being handled. If the caller has
-// gone, it ends at once.
+// gone, it ends at once. A process that was suspended meets requests whose callers
+// have closed behind them, and the poller has not read that far.
 func (c *conn) begin(cancel func(*fault.Error)) {
 	c.mu.Lock()
 	c.cancel = cancel
 	c.goneNoted = false
 	c.mu.Unlock()
-	c.check(time.Time{})
+	c.endIfGone(c.gone() || hungUp(c.nbc))
+}
+
+// endIfGone ends the request that is being handled, once, if its caller has gone.
+func (c *conn) endIfGone(gone bool) {
+	c.mu.Lock()
+	cancel := c.cancel
+	if !gone || c.goneNoted {
+		cancel = nil
+	}
+	if cancel != nil {
+		c.goneNoted = true
+	}
+	c.mu.Unlock()
+	if cancel != nil {
+		c.metrics.gone.Inc(1)
+		cancel(fault.New(fault.CallerGone, "the caller closed its connection"))
+	}
 }
 
 // closeAfter makes the request that is being handled the last of its
@@ -276,30 +294,20 @@
 // on without an error.
 func (c *conn) check(now time.Time) {
 	gone := c.gone()
+	c.endIfGone(gone)
 	c.mu.Lock()
-	cancel := c.cancel
-	if !gone || c.goneNoted {
-		cancel = nil
-	}
-	if cancel != nil {
-		c.goneNoted = true
-	}
-	late := !now.IsZero() && !c.requestBy.IsZero() && now.After(c.requestBy)
+	late := !c.requestBy.IsZero() && now.After(c.requestBy)
 	var timeout *fault.Error
 	if late {
 		timeout = fault.New(fault.RequestTimeout, "the request did not come within %v", c.limits.RequestTime)
 		c.refusal = timeout
 	}
-	idle := !now.IsZero() && c.handling == 0 && c.requestBy.IsZero() && now.After(c.closeBy)
+	idle := c.handling == 0 && c.requestBy.IsZero() && now.After(c.closeBy)
 	c.mu.Unlock()
 	if idle && !late {
 		_ = c.nbc.Close()
 		return
 	}
-	if cancel != nil {
-		c.metrics.gone.Inc(1)
-		cancel(fault.New(fault.CallerGone, "the caller closed its connection"))
-	}
 	if late && !gone {
 		c.turnAway(timeout)
 	}
--- a/io/caller/socket.go
+++ b/io/caller/socket.go
@@ -42,6 +42,18 @@
 	return n > 0
 }
 
+// hungUp reports whether the caller has closed its side or reset the connection,
+// also while the poller has not read up to there.
+func hungUp(nbc *nbio.Conn) bool {
+	up := false
+	withDescriptor(nbc, func(fd int) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		up = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return up
+}
+
 // withDescriptor calls f with the descriptor of an open connection.
 func withDescriptor(nbc *nbio.Conn, f func(fd int)) {
 	raw, err := nbc.SyscallConn()
