--- a/lab/process/port.go
+++ b/lab/process/port.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"syscall"
 )
 
 // Ports are taken from below the range that the kernel gives to outgoing
@@ -53,14 +54,21 @@
 		}
 		address := blockAddress(p.block, p.next)
 		p.next++
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+		if probe(address) {
+			return address, nil
 		}
-		return address, listener.Close()
 	}
 }
 
+// probe reports whether a port is free. A child that is started meanwhile would hold
+// the port until it runs its program.
+func probe(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	return err == nil && listener.Close() == nil
+}
+
 // claim goes on to the next block that nobody holds.
 func (p *ports) claim() error {
 	blocks := (lastPort - firstPort) / portsPerBlock
