--- a/cmd/monsoonfork/verb/help.go
+++ b/cmd/monsoonfork/verb/help.go
@@ -5,6 +5,7 @@
 	"strings"
 	"text/tabwriter"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
@@ -17,11 +18,13 @@
 	Verb   helpVerb   `cmd:"" help:"Explain a verb."`
 	Type   helpType   `cmd:"" help:"Explain a type of the text."`
 	Roles  helpRoles  `cmd:"" help:"List the roles of the daemon."`
+	Events helpEvents `cmd:"" help:"List what log lines are about."`
 }
 
 // Help is the usage text of the verb.
 func (h *help) Help() string {
-	return `Explains verbs, the types of the text and the roles of the daemon.
+	return `Explains verbs, the types of the text, the roles of the daemon and the events
+of its log.
 
 Example:
   monsoonfork help type Engine`
@@ -39,7 +42,8 @@
 	}
 	_ = w.Flush()
 	_, err := fmt.Fprintf(std.out, "Types of the text (monsoonfork help type NAME):\n  %s\n"+
-		"Roles of the daemon (monsoonfork help roles).\n", strings.Join(text.TypeNames(), ", "))
+		"Roles of the daemon (monsoonfork help roles).\n"+
+		"Events of its log (monsoonfork help events).\n", strings.Join(text.TypeNames(), ", "))
 	return err
 }
 
@@ -91,3 +95,20 @@
 	}
 	return w.Flush()
 }
+
+// helpEvents lists the events of the log.
+type helpEvents struct {
+	Msg string `arg:"" optional:"" help:"Text of the field msg; without it, all events."`
+}
+
+// Run implements the verb.
+func (h *helpEvents) Run(std streams) error {
+	if h.Msg == "" {
+		return event.WriteReference(std.out)
+	}
+	e, err := event.Named(h.Msg)
+	if err != nil {
+		return err
+	}
+	return e.WriteReference(std.out)
+}
--- a/cmd/monsoonfork/verb/serve.go
+++ b/cmd/monsoonfork/verb/serve.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
 	"monsoonfork/io/logwriter"
@@ -45,7 +46,7 @@
 	if err := n.Start(context.Background()); err != nil {
 		return err
 	}
-	_ = level.Info(n.Log).Log("msg", "serving", "callers", string(cfg.CallerAddress), "operators", string(cfg.OperatorAddress))
+	_ = level.Info(n.Log).Log("msg", event.Serving, "callers", string(cfg.CallerAddress), "operators", string(cfg.OperatorAddress))
 	s.await(n)
 	// Later signals are not acted on: a planned stop cuts no request. Its end is
 	// bounded by the deadlines of the requests, and by the platform's grace.
@@ -53,7 +54,7 @@
 	defer cancel()
 	err = n.Drain(ctx)
 	n.Close()
-	_ = level.Info(n.Log).Log("msg", "stopped")
+	_ = level.Info(n.Log).Log("msg", event.Stopped)
 	return err
 }
 
@@ -75,7 +76,7 @@
 		select {
 		case sig := <-signals:
 			if sig != syscall.SIGHUP {
-				_ = level.Info(n.Log).Log("msg", "stop asked for", "signal", sig)
+				_ = level.Info(n.Log).Log("msg", event.StopAskedFor, "signal", sig)
 				return
 			}
 			seen = fileStamp(s.Settings)
@@ -109,11 +110,11 @@
 func (s *serve) reload(n *kernel.Node, why string) {
 	cfg, err := settings.Load(s.Settings)
 	if err != nil {
-		_ = level.Error(n.Log).Log("msg", "settings not taken", "why", why, "err", err)
+		_ = level.Error(n.Log).Log("msg", event.SettingsNotTaken, "why", why, "err", err)
 		return
 	}
 	n.Reload(cfg)
-	_ = level.Info(n.Log).Log("msg", "settings", "why", why, "first_peers", len(cfg.FirstPeers))
+	_ = level.Info(n.Log).Log("msg", event.Settings, "why", why, "first_peers", len(cfg.FirstPeers))
 }
 
 // stopContext bounds a planned stop if the platform does.
--- a/core/budget/announce.go
+++ b/core/budget/announce.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/keyvalue"
@@ -151,7 +152,7 @@
 		h.announced = true
 		if h.tenure.vouch(k.vouchers(members, h, now.Age), now.Age) {
 			h.slot.Restart(now.Mint)
-			_ = level.Info(k.b.log).Log("msg", "slot minting again", "slot", c.GetSlot())
+			_ = level.Info(k.b.log).Log("msg", event.SlotMinting, "slot", c.GetSlot())
 		}
 	}
 }
--- a/core/budget/keeper.go
+++ b/core/budget/keeper.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 )
 
@@ -160,7 +161,7 @@
 	s.epoch = r.Epoch
 	s.holder = k.b.self
 	s.claimEpoch = 0
-	_ = level.Info(k.b.log).Log("msg", "slot claimed", "slot", slot, "epoch", int64(r.Epoch))
+	_ = level.Info(k.b.log).Log("msg", event.SlotClaimed, "slot", slot, "epoch", int64(r.Epoch))
 }
 
 // confirm takes a reading of the slot's record into account: a renewal of
@@ -193,7 +194,7 @@
 		s.holder = h.displaced
 	}
 	k.b.metrics.slotsLost.Inc(1)
-	_ = level.Info(k.b.log).Log("msg", "slot lost", "slot", slot, "why", why)
+	_ = level.Info(k.b.log).Log("msg", event.SlotLost, "slot", slot, "why", why)
 }
 
 // takeFrom empties one held slot for the given organisations.
--- a/core/budget/succeed.go
+++ b/core/budget/succeed.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 )
 
@@ -75,6 +76,6 @@
 		s.epoch = epoch
 		s.holder = k.b.self
 		s.claimEpoch = 0
-		_ = level.Info(k.b.log).Log("msg", "slot claimed without the store", "slot", number, "epoch", int64(epoch))
+		_ = level.Info(k.b.log).Log("msg", event.SlotClaimedAlone, "slot", number, "epoch", int64(epoch))
 	}
 }
--- a/core/claims/service.go
+++ b/core/claims/service.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -226,7 +227,7 @@
 			}
 			sleepUntil(ctx, time.Now().Add(time.Second))
 		}
-		_ = level.Warn(s.log).Log("msg", "entry not recorded", "request", string(id), "op", e.Op, "call", string(e.Call))
+		_ = level.Warn(s.log).Log("msg", event.EntryNotRecorded, "request", string(id), "op", e.Op, "call", string(e.Call))
 	}()
 }
 
--- a/core/collect/collect.go
+++ b/core/collect/collect.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
@@ -43,7 +44,7 @@
 		collector, err := r.Once(ctx)
 		if now := err == nil; now != heard {
 			heard = now
-			_ = level.Info(r.Log).Log("msg", "collector", "collects", r.Key, "collector", collector, "heard", heard, "err", err)
+			_ = level.Info(r.Log).Log("msg", event.Collector, "collects", r.Key, "collector", collector, "heard", heard, "err", err)
 		}
 	}
 }
@@ -75,7 +76,7 @@
 		}
 		wg.Go(func() {
 			if err := r.Exchange(ctx, domain, other.ID); err != nil {
-				_ = level.Debug(r.Log).Log("msg", "no exchange", "collects", r.Key, "domain", domain, "err", err)
+				_ = level.Debug(r.Log).Log("msg", event.NoExchange, "collects", r.Key, "domain", domain, "err", err)
 			}
 		})
 	}
--- a/core/config/relay/peers.go
+++ b/core/config/relay/peers.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -141,7 +142,7 @@
 	reply := &PullReply{}
 	err := s.links.Call(ctx, from, methodPull, &PullRequest{Have: int64(base.Revision)}, reply)
 	if err != nil {
-		_ = level.Debug(s.log).Log("msg", "no answer to a pull", "from", from, "err", err)
+		_ = level.Debug(s.log).Log("msg", event.PullUnanswered, "from", from, "err", err)
 		return true
 	}
 	return s.taken(reply, base, string(from))
@@ -173,7 +174,7 @@
 	}
 	snapshot, err := s.snapshotOf(reply, base)
 	if err != nil {
-		_ = level.Warn(s.log).Log("msg", "pulled text refused", "from", from, "base", base.Revision, "err", err)
+		_ = level.Warn(s.log).Log("msg", event.PulledTextRefused, "from", from, "base", base.Revision, "err", err)
 		return false
 	}
 	s.pulled.Store(max(s.pulled.Load(), reply.GetRevision()))
--- a/core/config/relay/service.go
+++ b/core/config/relay/service.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
@@ -147,7 +148,7 @@
 	after := s.holder.Revision()
 	invariant.Check(s.log, "RevisionOnlyGrows", after > before && after >= snapshot.Revision,
 		"before", before, "after", after, "offered", snapshot.Revision)
-	_ = level.Info(s.log).Log("msg", "revision in force", "revision", snapshot.Revision, "edit", snapshot.EditID, "from", source)
+	_ = level.Info(s.log).Log("msg", event.RevisionInForce, "revision", snapshot.Revision, "edit", snapshot.EditID, "from", source)
 }
 
 // isRelay reports whether this instance is one of the relays of its domain.
--- a/core/config/relay/store.go
+++ b/core/config/relay/store.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/event"
 	"monsoonfork/core/invariant"
 	"monsoonfork/core/keyvalue"
 )
@@ -23,7 +24,7 @@
 		asked := s.now()
 		stored, err := config.WatchHead(s.ctx, s.store, after, watchWait)
 		if err != nil {
-			_ = level.Debug(s.log).Log("msg", "watch failed", "err", err)
+			_ = level.Debug(s.log).Log("msg", event.WatchFailed, "err", err)
 			s.sleep(storePause)
 			continue
 		}
@@ -61,7 +62,7 @@
 	asked := s.now()
 	stored, err := config.ReadHead(ctx, s.store)
 	if err != nil {
-		_ = level.Debug(s.log).Log("msg", "read failed", "err", err)
+		_ = level.Debug(s.log).Log("msg", event.ReadFailed, "err", err)
 		return
 	}
 	s.consider(stored.Head, asked)
@@ -87,7 +88,7 @@
 	defer cancel()
 	snapshot, err := config.ReadSnapshot(ctx, s.store, h, s.now())
 	if err != nil {
-		_ = level.Warn(s.log).Log("msg", "text not read", "revision", h.Revision, "err", err)
+		_ = level.Warn(s.log).Log("msg", event.TextNotRead, "revision", h.Revision, "err", err)
 		return
 	}
 	s.take(snapshot, "store")
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/pause"
 )
 
@@ -74,7 +75,7 @@
 			err = f.watch(ctx, revision)
 		}
 		if errors.Is(err, ErrCompacted) {
-			_ = level.Info(f.Log).Log("msg", "store history gone, listing anew", "revision", revision)
+			_ = level.Info(f.Log).Log("msg", event.HistoryGone, "revision", revision)
 			continue
 		}
 		f.set(ctx, false, err)
@@ -167,12 +168,12 @@
 	switch {
 	case !changed, ctx.Err() != nil:
 	case healthy:
-		_ = level.Info(f.Log).Log("msg", "store regained")
+		_ = level.Info(f.Log).Log("msg", event.StoreRegained)
 		if f.Regains != nil && !first {
 			f.Regains(f.Now())
 		}
 	default:
-		_ = level.Warn(f.Log).Log("msg", "store lost", "err", err)
+		_ = level.Warn(f.Log).Log("msg", event.StoreLost, "err", err)
 	}
 }
 
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 )
 
@@ -44,7 +45,7 @@
 		if try >= maxModelTries || !s.mayGoOn(err) {
 			return err
 		}
-		_ = level.Info(j.log).Log("msg", "another engine", "try", try, "begun", j.begun, "event", s.split.lastID, "err", err)
+		_ = level.Info(j.log).Log("msg", event.AnotherEngine, "try", try, "begun", j.begun, "event", s.split.lastID, "err", err)
 	}
 }
 
@@ -107,6 +108,7 @@
 	call.LastEvent = s.split.lastID
 	s.calls++
 	s.runs++
+	s.last = e.ID
 	s.split.rest = nil
 	if p.source.Handle == "" {
 		s.reading = s.beginLocal(e)
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -9,6 +9,7 @@
 
 	"monsoonfork/core/catalog"
 	"monsoonfork/core/engines"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 )
 
@@ -120,7 +121,7 @@
 	if e == nil || p.passing.Load() != nil || (p.calls > 0 && !p.router.mayRepeat(p.service.Name)) {
 		return false
 	}
-	p.tried[e.ID] = true
+	p.tried[e.ID], p.last = true, e.ID
 	p.calls++
 	p.pending++
 	call := p.call(e)
@@ -138,7 +139,7 @@
 		return
 	}
 	p.lastErr = res.err
-	_ = level.Info(p.log).Log("msg", "engine failed", "engine", res.engine.ID, "kind", fault.KindOf(res.err), "ran", fault.From(res.err).Ran, "err", res.err)
+	_ = level.Info(p.log).Log("msg", event.EngineFailed, "engine", res.engine.ID, "kind", fault.KindOf(res.err), "ran", fault.From(res.err).Ran, "err", res.err)
 }
 
 // mayFollow reports whether another engine may be called after a failed call.
--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/engines"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -137,7 +138,7 @@
 			return prompt{}, fault.From(context.Cause(ctx)).WithRan(fault.NotRun)
 		}
 		f := fault.From(err)
-		_ = level.Info(s.log).Log("msg", "prefill failed", "engine", e.ID, "estimate_ms", soonest.Milliseconds(), "ran", f.Ran, "err", err)
+		_ = level.Info(s.log).Log("msg", event.PrefillFailed, "engine", e.ID, "estimate_ms", soonest.Milliseconds(), "ran", f.Ran, "err", err)
 		if f.Kind == fault.EndpointRefused || f.Ran != fault.NotRun {
 			s.router.charge(s.service.Name)
 		}
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -65,6 +65,7 @@
 			return room{}, fault.From(context.Cause(ctx)).WithRan(fault.NotRun)
 		}
 		if now = r.now(); !now.Before(giveUp) {
+			s.way = append(s.way, "asked", s.asked, "usable", len(s.decodeCandidates(0)))
 			return room{}, fault.New(fault.Overloaded, "no decode engine has room").WithRetryAfter(now.Add(roomRetry))
 		}
 		pause.For(ctx, askAgain+time.Duration(rand.Int64N(int64(askAgain/2))))
@@ -99,6 +100,7 @@
 	for _, e := range list {
 		end := e.Begin(size)
 		now := r.now()
+		j.asked++
 		callCtx, cancel := context.WithTimeout(ctx, askCallTime)
 		id, err := r.Calls.Reserve(callCtx, e.Entry, size, now.Add(reserveTime), now.Add(connectTime))
 		cancel()
--- a/core/forward/rig_test.go
+++ b/core/forward/rig_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +15,7 @@
 
 	"monsoonfork/core/catalog"
 	"monsoonfork/core/engines"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -59,7 +62,7 @@
 		e.Domain, e.Slots, e.AsOf, e.Address = "a", 4, 1, ident.Address(e.ID)
 		r.table.Apply([]engines.Change{{Entry: e}})
 	}
-	r.router = New("a", log.NewNopLogger(), metrics.NewRegistry(), time.Now, Tuning{RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second})
+	r.router = New("a", log.LoggerFunc(r.checkLine), metrics.NewRegistry(), time.Now, Tuning{RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindow: 10 * time.Second})
 	r.router.Catalog = func() *catalog.Catalog { return c }
 	r.router.Engines = r.table.Of
 	r.router.Live = func() int { return 1 }
@@ -72,6 +75,27 @@
 	return r
 }
 
+// checkLine checks that the table of events names the fields of a line.
+func (r *rig) checkLine(keyvals ...any) error {
+	i := slices.Index(keyvals, any("msg"))
+	if i < 0 || i%2 != 0 {
+		r.t.Errorf("a line without msg: %v", keyvals)
+		return nil
+	}
+	e, ok := keyvals[i+1].(event.Event)
+	if !ok {
+		r.t.Errorf("the msg of a line is %v, not an event", keyvals[i+1])
+		return nil
+	}
+	for k := 0; k < len(keyvals); k += 2 {
+		name := fmt.Sprint(keyvals[k])
+		if !slices.Contains([]string{"msg", "level", "part"}, name) && !slices.Contains(e.Describe().Fields, name) {
+			r.t.Errorf("the row of %q does not name the field %s", e, name)
+		}
+	}
+	return nil
+}
+
 // route returns a route for /NAME/ with one second.
 func route(name string, k catalog.Kind, s ident.ServiceID, attempts int) catalog.Route {
 	return catalog.Route{
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -14,6 +14,7 @@
 
 	"monsoonfork/core/catalog"
 	"monsoonfork/core/engines"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -94,6 +95,11 @@
 	Granted bool
 	RetryAt time.Time // When to come again, if it was not granted.
 	Refund  func()    // Gives the tokens back; for requests that did not run.
+
+	// For the log: the part of the rate that this instance counts on, and when its
+	// collector was last heard.
+	Part    float64
+	HeardAt time.Time
 }
 
 // Router takes requests through their stages. All seams are set before the first
@@ -113,6 +119,7 @@
 	waiting  waiting
 	counters counters
 	tuning   Tuning
+	refusals *refusals
 	stopping atomic.Bool
 }
 
@@ -143,11 +150,13 @@
 // New returns a router whose seams are not set.
 func New(domain ident.DomainID, logger log.Logger, r metrics.Registry, now func() time.Time, t Tuning) *Router {
 	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("Forward."+name, r) }
+	logger = log.With(logger, "part", "Forward")
 	return &Router{
-		domain: domain,
-		log:    log.With(logger, "part", "Forward"),
-		now:    now,
-		tuning: t,
+		domain:   domain,
+		log:      logger,
+		now:      now,
+		tuning:   t,
+		refusals: newRefusals(logger),
 		counters: counters{
 			requests:  counter("Requests"),
 			answered:  counter("Answered"),
@@ -178,7 +187,9 @@
 	begun bool                      // The head was given to the caller.
 	first time.Time                 // When the head was given to the caller.
 	tried map[ident.EndpointID]bool // Engines that were called.
+	last  ident.EndpointID          // The engine that was called last.
 	calls int                       // Calls that engines may have got.
+	asked int                       // Times that an engine was asked for room.
 	way   []any                     // What the log says of the way of the request, as keys and values.
 }
 
@@ -194,8 +205,7 @@
 	j, err := r.open(q, a)
 	if err != nil {
 		r.counters.refused.Inc(1)
-		f := fault.From(err)
-		_ = level.Info(r.log).Log("msg", "refused", "request", q.ID, "kind", f.Kind, "host", q.Host, "path", q.Path, "err", f.Message)
+		r.logUnopened(q, fault.From(err))
 		return err
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, fault.New(fault.DeadlineExceeded, "the time of the request has passed"))
@@ -209,6 +219,13 @@
 	return err
 }
 
+// logUnopened logs a request that was refused before its route was known.
+func (r *Router) logUnopened(q *Request, f *fault.Error) {
+	if r.refusals.shown(refusalKey{kind: f.Kind}) {
+		_ = level.Info(r.log).Log("msg", event.Refused, "request", q.ID, "kind", f.Kind, "host", q.Host, "path", q.Path, "err", f.Message)
+	}
+}
+
 // open decides what does not need an engine.
 func (r *Router) open(q *Request, a Answer) (*job, error) {
 	c := r.Catalog()
@@ -257,6 +274,10 @@
 		share = j.router.Admit(j.org, j.cost())
 	}
 	if !share.Granted {
+		j.way = append(j.way, "rate_part", share.Part)
+		if !share.HeardAt.IsZero() {
+			j.way = append(j.way, "heard_ms", j.router.now().Sub(share.HeardAt).Milliseconds())
+		}
 		return fault.New(fault.RateExceeded, "organisation %s is above its rate of %.0f a second with a burst of %d", j.org.Name, j.org.Rate, j.org.Burst).WithRetryAfter(share.RetryAt)
 	}
 	j.router.repeats.earn(j.service.Name, j.router.now())
@@ -309,19 +330,22 @@
 	line := log.With(j.log, j.way...)
 	if err == nil {
 		r.counters.answered.Inc(1)
-		_ = level.Info(line).Log("msg", "answered", "took_ms", tookMS, "calls", j.calls)
+		_ = level.Info(line).Log("msg", event.Answered, "took_ms", tookMS, "calls", j.calls)
 		return
 	}
 	f := fault.From(err)
-	outcome := "failed"
+	outcome := event.Failed
 	if f.Ran == fault.NotRun {
-		outcome = "refused"
+		outcome = event.Refused
 		r.counters.refused.Inc(1)
+		if !r.refusals.shown(refusalKey{f.Kind, j.organisation(), j.route.Name}) {
+			return
+		}
 	} else {
 		r.counters.failed.Inc(1)
 	}
 	_ = level.Info(line).Log("msg", outcome, "kind", f.Kind, "ran", f.Ran, "begun", j.begun, "took_ms", tookMS,
-		"left_ms", j.deadline.Sub(r.now()).Milliseconds(), "calls", j.calls, "err", f)
+		"left_ms", j.deadline.Sub(r.now()).Milliseconds(), "calls", j.calls, "last", j.last, "err", f)
 }
 
 // call returns a call to an engine with what all calls have in common.
--- a/core/invariant/invariant.go
+++ b/core/invariant/invariant.go
@@ -8,6 +8,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
+
+	"monsoonfork/core/event"
 )
 
 // FatalEnv is the environment variable that makes every violation end the
@@ -32,7 +34,7 @@
 	}
 	violations.Add(1)
 	counter.Inc(1)
-	fields := append([]any{"msg", "invariant violated", "invariant", name}, keyvals...)
+	fields := append([]any{"msg", event.InvariantViolated, "invariant", name}, keyvals...)
 	_ = level.Error(logger).Log(fields...)
 	if fatal {
 		exit(exitCode)
--- a/core/kernel/node.go
+++ b/core/kernel/node.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/settings"
@@ -91,7 +92,7 @@
 		n.mu.Lock()
 		n.running = append(n.running, startedRole{r, running})
 		n.mu.Unlock()
-		_ = level.Debug(n.Log).Log("msg", "role started", "role", r.Name)
+		_ = level.Debug(n.Log).Log("msg", event.RoleStarted, "role", r.Name)
 	}
 	return nil
 }
@@ -104,7 +105,7 @@
 // roles, the last started first.
 func (n *Node) Drain(ctx context.Context) error {
 	n.draining.Store(true)
-	_ = level.Info(n.Log).Log("msg", "draining")
+	_ = level.Info(n.Log).Log("msg", event.Draining)
 	for _, s := range n.reversed() {
 		if s.running.Leave != nil {
 			s.running.Leave()
@@ -121,7 +122,7 @@
 			continue
 		}
 		if err := s.running.Drain(ctx); err != nil {
-			_ = level.Warn(n.Log).Log("msg", "drain", "role", s.role.Name, "err", err)
+			_ = level.Warn(n.Log).Log("msg", event.DrainFailed, "role", s.role.Name, "err", err)
 			if first == nil {
 				first = err
 			}
@@ -146,7 +147,7 @@
 			continue
 		}
 		if err := s.running.Close(); err != nil {
-			_ = level.Warn(n.Log).Log("msg", "close", "role", s.role.Name, "err", err)
+			_ = level.Warn(n.Log).Log("msg", event.CloseFailed, "role", s.role.Name, "err", err)
 		}
 	}
 	n.mu.Lock()
--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 	"monsoonfork/io/instancelist"
 )
@@ -51,7 +52,7 @@
 func (s *Service) listedAddresses(listed func(context.Context) ([]instancelist.Instance, error)) []ident.Address {
 	instances, err := listed(s.ctx)
 	if err != nil {
-		_ = level.Debug(s.log).Log("msg", "instance list", "err", err)
+		_ = level.Debug(s.log).Log("msg", event.InstanceList, "err", err)
 	}
 	var addresses []ident.Address
 	for _, i := range instances {
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 )
 
@@ -233,7 +234,7 @@
 
 // logChange logs the state of a member.
 func (t *Table) logChange(m Member) {
-	_ = level.Info(t.log).Log("msg", "member", "member", string(m.ID), "state", m.State, "member_domain", string(m.Domain))
+	_ = level.Info(t.log).Log("msg", event.Member, "member", string(m.ID), "state", m.State, "member_domain", string(m.Domain))
 }
 
 // refresh stores a new view without telling subscribers.
--- a/core/orders/look.go
+++ b/core/orders/look.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
 )
@@ -220,7 +221,7 @@
 		known.lookAt = now
 	}
 	if before != known.phase {
-		_ = level.Debug(c.log).Log("msg", "engine", "engine", string(name), "phase", known.phase, "reason", known.reason)
+		_ = level.Debug(c.log).Log("msg", event.Engine, "engine", string(name), "phase", known.phase, "reason", known.reason)
 	}
 	c.metrics.differing.Update(c.differing())
 }
--- a/core/orders/send.go
+++ b/core/orders/send.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
@@ -34,7 +35,7 @@
 		c.metrics.sent.Inc(1)
 		return nil
 	})
-	_ = level.Info(c.log).Log("msg", "order", "order", o.ID, "engine", string(e.Name), "what", d)
+	_ = level.Info(c.log).Log("msg", event.Order, "order", o.ID, "engine", string(e.Name), "what", d)
 	err := c.Send(c.ctx, e.Address, o, sending)
 	c.end(e, d, c.settle(e, err, left))
 	c.conclude(e, o, err, !left.IsZero())
@@ -83,7 +84,7 @@
 		return
 	}
 	f := fault.From(err)
-	_ = level.Warn(c.log).Log("msg", "order not confirmed", "order", o.ID, "engine", string(e.Name), "ran", f.Ran, "err", err)
+	_ = level.Warn(c.log).Log("msg", event.OrderUnconfirmed, "order", o.ID, "engine", string(e.Name), "ran", f.Ran, "err", err)
 	switch {
 	case !left:
 		c.metrics.heldBack.Inc(1)
--- a/core/orders/tenure.go
+++ b/core/orders/tenure.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
@@ -141,7 +142,7 @@
 	}
 	g, err := t.takeUnder(ctx, lease)
 	if err != nil {
-		_ = level.Debug(t.log).Log("msg", "not the controller", "err", err)
+		_ = level.Debug(t.log).Log("msg", event.NotController, "err", err)
 		_ = t.registry.destroy(ctx, lease.ID)
 		return
 	}
@@ -152,7 +153,7 @@
 	t.renewAt = t.now().Add(t.tuning.RenewEvery)
 	t.mu.Unlock()
 	invariant.Check(t.log, "FencingNumbersGrow", grows, "fencing", g.Fencing)
-	_ = level.Info(t.log).Log("msg", "controller of the domain", "fencing", g.Fencing)
+	_ = level.Info(t.log).Log("msg", event.Controller, "fencing", g.Fencing)
 }
 
 // takeUnder locks the domain under a lease and draws a fencing number.
@@ -208,6 +209,6 @@
 	t.grant = nil
 	t.mu.Unlock()
 	if g != nil {
-		_ = level.Info(t.log).Log("msg", "no longer the controller", "fencing", g.Fencing, "why", why)
+		_ = level.Info(t.log).Log("msg", event.ControllerLost, "fencing", g.Fencing, "why", why)
 	}
 }
--- a/core/placement/handlers.go
+++ b/core/placement/handlers.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -54,11 +55,11 @@
 	logger := level.Debug(log.With(p.log, "request", string(r.ID), "organisation", string(r.Organisation), "attempt", string(r.LeaseID()), "entry", string(from)))
 	switch {
 	case err != nil:
-		_ = logger.Log("msg", "not placed", "kind", fault.KindOf(err), "err", err)
+		_ = logger.Log("msg", event.NotPlaced, "kind", fault.KindOf(err), "err", err)
 	case reply.GetElsewhere() != "":
-		_ = logger.Log("msg", "sent elsewhere", "to", reply.GetElsewhere())
+		_ = logger.Log("msg", event.SentElsewhere, "to", reply.GetElsewhere())
 	default:
-		_ = logger.Log("msg", "placed", "prefill", reply.GetPrefill(), "decode", reply.GetDecode())
+		_ = logger.Log("msg", event.Placed, "prefill", reply.GetPrefill(), "decode", reply.GetDecode())
 	}
 }
 
--- a/core/placement/handover.go
+++ b/core/placement/handover.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 	"monsoonfork/core/text"
@@ -36,7 +37,7 @@
 	case <-ctx.Done():
 	}
 	p.metrics.learning.UpdateSince(start)
-	_ = level.Info(p.log).Log("msg", "dispatcher learned", "model", string(r.key.model),
+	_ = level.Info(p.log).Log("msg", event.DispatcherLearned, "model", string(r.key.model),
 		"leases", len(known), "took", p.now().Sub(start))
 }
 
--- a/core/placement/runner.go
+++ b/core/placement/runner.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
 )
@@ -49,7 +50,7 @@
 		after:      make(map[ident.EndpointID]int64),
 	}
 	r.configure(t, m)
-	_ = level.Info(p.log).Log("msg", "dispatcher started", "model", string(m.Name))
+	_ = level.Info(p.log).Log("msg", event.DispatcherStarted, "model", string(m.Name))
 	r.goRun(r.tickLoop)
 	r.goRun(r.learnHeld)
 	r.goRun(func() { r.every(sweepInterval, r.sweep) })
@@ -73,7 +74,7 @@
 	r.Close(err)
 	r.cancel()
 	r.wg.Wait()
-	_ = level.Info(r.placement.log).Log("msg", "dispatcher stopped", "model", string(r.key.model))
+	_ = level.Info(r.placement.log).Log("msg", event.DispatcherStopped, "model", string(r.key.model))
 }
 
 // configure gives the dispatcher the newest text.
--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -73,7 +74,7 @@
 		case <-ticker.C:
 		}
 		if err := k.look(ctx); err != nil {
-			_ = level.Debug(k.Log).Log("msg", "registration", "err", err)
+			_ = level.Debug(k.Log).Log("msg", event.Registration, "err", err)
 		}
 	}
 }
--- a/core/reaper/reaper.go
+++ b/core/reaper/reaper.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
 	"monsoonfork/io/engine"
@@ -176,7 +177,7 @@
 
 // abort frees one piece of work in the background.
 func (r *Reaper) abort(e text.Engine, attempt string, w *work, reason string) {
-	_ = level.Info(r.log).Log("msg", "freeing engine memory", "request", string(ident.RequestOfAttempt(attempt)), "engine", string(e.Name), "attempt", attempt, "holder", string(w.holder), "reason", reason)
+	_ = level.Info(r.log).Log("msg", event.FreeingMemory, "request", string(ident.RequestOfAttempt(attempt)), "engine", string(e.Name), "attempt", attempt, "holder", string(w.holder), "reason", reason)
 	r.wg.Add(1)
 	go func() {
 		defer r.wg.Done()
--- a/core/request/attempts.go
+++ b/core/request/attempts.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/text"
 )
 
@@ -102,7 +103,7 @@
 		ctx, cancel := context.WithTimeout(p.background, abortBound)
 		defer cancel()
 		if err := p.abortSurely(ctx, e, attempt); err != nil {
-			_ = level.Warn(logger).Log("msg", "abort not acknowledged", "engine", string(e.Name), "attempt", attempt, "err", err)
+			_ = level.Warn(logger).Log("msg", event.AbortUnacknowledged, "engine", string(e.Name), "attempt", attempt, "err", err)
 		}
 	}()
 }
--- a/core/request/completion.go
+++ b/core/request/completion.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
@@ -109,7 +110,7 @@
 		if len(r.delivered) > 0 {
 			r.session.path.counters.resumed.Inc(1)
 		}
-		_ = level.Info(r.session.log).Log("msg", "attempt failed, trying another engine", "attempt", number, "delivered", len(r.delivered), "err", err)
+		_ = level.Info(r.session.log).Log("msg", event.AttemptFailed, "attempt", number, "delivered", len(r.delivered), "err", err)
 	}
 }
 
--- a/core/request/forward.go
+++ b/core/request/forward.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/claims"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/text"
 	"monsoonfork/io/httpcall"
@@ -85,7 +86,7 @@
 			break
 		}
 		s.path.counters.retried.Inc(1)
-		_ = level.Info(s.log).Log("msg", "endpoint failed, trying another", "endpoint", string(e.Name), "ran", last.Ran, "err", last)
+		_ = level.Info(s.log).Log("msg", event.EndpointFailed, "endpoint", string(e.Name), "ran", last.Ran, "err", last)
 	}
 	if last == nil {
 		return fault.New(fault.NoEndpoint, "service %s has no endpoint in use", s.Service.Name).WithRetryAfter(s.path.now().Add(avoidTime))
--- a/core/request/once.go
+++ b/core/request/once.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/claims"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/io/httpcall"
 )
@@ -96,7 +97,7 @@
 		ticket.Release()
 	default:
 		ticket.Abandon()
-		_ = level.Warn(s.log).Log("msg", "outcome of a call unknown", "err", err)
+		_ = level.Warn(s.log).Log("msg", event.OutcomeUnknown, "err", err)
 	}
 	return err
 }
--- a/core/request/session.go
+++ b/core/request/session.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
@@ -121,12 +122,12 @@
 	s.release()
 	took := s.path.now().Sub(s.Received)
 	if err == nil {
-		_ = level.Debug(s.log).Log("msg", "request done", "took", took)
+		_ = level.Debug(s.log).Log("msg", event.RequestDone, "took", took)
 		return
 	}
 	s.path.counters.failed.Inc(1)
 	f := fault.From(err)
-	_ = level.Info(s.log).Log("msg", "request failed", "kind", f.Kind, "ran", f.Ran, "took", took, "err", f)
+	_ = level.Info(s.log).Log("msg", event.RequestFailed, "kind", f.Kind, "ran", f.Ran, "took", took, "err", f)
 }
 
 // markSent notes that a byte may have reached an endpoint.
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/catalog"
+	"monsoonfork/core/event"
 	"monsoonfork/core/forward"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -70,7 +71,7 @@
 	b := s.bucket(o, now)
 	ok, at := b.take(cost, now)
 	if !ok {
-		return forward.Share{RetryAt: at}
+		return forward.Share{RetryAt: at, Part: s.partNow(now), HeardAt: s.heardAt}
 	}
 	return forward.Share{Granted: true, Refund: sync.OnceFunc(func() {
 		s.mu.Lock()
@@ -139,7 +140,7 @@
 		}
 	}
 	if r.GetPart() != s.part || collector != s.collector {
-		_ = level.Info(s.log).Log("msg", "part of rates", "part", r.GetPart(), "was", s.part, "collector", collector, "expected", Expected(s.view(), s.listed()))
+		_ = level.Info(s.log).Log("msg", event.PartOfRates, "part", r.GetPart(), "was", s.part, "collector", collector, "expected", Expected(s.view(), s.listed()))
 	}
 	s.collector, s.part, s.heardAt = collector, r.GetPart(), now
 }
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/engines"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -203,7 +204,7 @@
 		cancel()
 		<-done
 	}
-	_ = level.Info(s.Log).Log("msg", "following the store", "follows", follow, "why", why)
+	_ = level.Info(s.Log).Log("msg", event.Following, "follows", follow, "why", why)
 }
 
 // isFollowing reports whether this instance follows the store.
--- a/core/staging/controller.go
+++ b/core/staging/controller.go
@@ -10,6 +10,7 @@
 
 	"monsoonfork/core/boottime"
 	"monsoonfork/core/engines"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -134,11 +135,11 @@
 	fencing, err := c.Acquire(ctx, hold)
 	if err != nil {
 		c.restTo = c.Boot().Add(failedRest)
-		_ = level.Info(c.Log).Log("msg", "no right to give orders", "err", err)
+		_ = level.Info(c.Log).Log("msg", event.NoRightToOrder, "err", err)
 		return
 	}
 	c.restTo = started.Add(hold)
-	_ = level.Info(c.Log).Log("msg", "right to give orders", "fencing", fencing)
+	_ = level.Info(c.Log).Log("msg", event.RightToOrder, "fencing", fencing)
 	until := started.Add(useTime)
 	for _, s := range c.Services() {
 		for range movesAtOnce {
@@ -169,5 +170,5 @@
 	if err == nil {
 		err = c.Order(ctx, e, Order{To: m.To, Holder: c.Self, Fencing: fencing, Expected: s.Orders, Before: until})
 	}
-	_ = level.Info(c.Log).Log("msg", "stage ordered", "engine", e.ID, "to", m.To, "fencing", fencing, "expected", s.Orders, "err", err)
+	_ = level.Info(c.Log).Log("msg", event.StageOrdered, "engine", e.ID, "to", m.To, "fencing", fencing, "expected", s.Orders, "err", err)
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -10,6 +10,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/request"
@@ -78,7 +79,7 @@
 		return
 	}
 	f := fault.From(err)
-	_ = level.Info(x.server.log).Log("msg", "request refused", "request", string(x.id), "kind", f.Kind, "ran", f.Ran, "err", f)
+	_ = level.Info(x.server.log).Log("msg", event.RequestRefused, "request", string(x.id), "kind", f.Kind, "ran", f.Ran, "err", f)
 }
 
 // connOf returns the connection of a response.
--- a/io/operator/handlers.go
+++ b/io/operator/handlers.go
@@ -13,6 +13,7 @@
 	"github.com/go-kit/log/level"
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
@@ -130,11 +131,11 @@
 	defer cancel()
 	accepted, err := s.applier.Apply(ctx, raw, ident.Revision(base), query.Get("edit"))
 	if err != nil {
-		_ = level.Info(s.log).Log("msg", "edit not accepted", "edit", query.Get("edit"), "kind", fault.KindOf(err))
+		_ = level.Info(s.log).Log("msg", event.EditNotAccepted, "edit", query.Get("edit"), "kind", fault.KindOf(err))
 		s.fail(w, err)
 		return
 	}
-	_ = level.Info(s.log).Log("msg", "edit accepted", "edit", accepted.EditID, "revision", accepted.Revision)
+	_ = level.Info(s.log).Log("msg", event.EditAccepted, "edit", accepted.EditID, "revision", accepted.Revision)
 	s.write(w, http.StatusOK, accepted)
 }
 
@@ -192,7 +193,7 @@
 func (s *server) write(w http.ResponseWriter, status int, body any) {
 	raw, err := json.MarshalIndent(body, "", "  ")
 	if err != nil {
-		_ = level.Error(s.log).Log("msg", "encode answer", "err", err)
+		_ = level.Error(s.log).Log("msg", event.AnswerNotEncoded, "err", err)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -13,6 +13,7 @@
 
 	"monsoonfork/core/config"
 	"monsoonfork/core/config/relay"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
@@ -109,7 +110,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
-		_ = level.Debug(s.log).Log("msg", "shutdown", "err", err)
+		_ = level.Debug(s.log).Log("msg", event.ShutdownFailed, "err", err)
 		_ = s.http.Close()
 	}
 	s.wg.Wait()
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -161,7 +162,7 @@
 	defer func() { _ = conn.Close() }()
 	remote, err := l.exchangeHello(conn)
 	if err != nil {
-		_ = level.Debug(l.log).Log("msg", "hello failed", "err", err)
+		_ = level.Debug(l.log).Log("msg", event.HelloFailed, "err", err)
 		return
 	}
 	conn.setDomain(ident.DomainID(remote.GetDomain()))
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -99,7 +100,7 @@
 	l.metrics.served.Inc(1)
 	reply := l.runHandler(ctx, from, header)
 	if err := writeMessage(stream, reply); err != nil {
-		_ = level.Debug(l.log).Log("msg", "reply not sent", "method", header.GetMethod(), "to", string(from), "err", err)
+		_ = level.Debug(l.log).Log("msg", event.ReplyNotSent, "method", header.GetMethod(), "to", string(from), "err", err)
 		return false
 	}
 	return true
