--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -217,7 +217,7 @@
 
 // begin gives the head of an answer to the caller.
 func (j *job) begin(h Head) {
-	j.begun, j.first = true, j.router.now()
+	j.begun, j.first, j.head = true, j.router.now(), h.Status
 	j.router.counters.first.UpdateSince(j.Received)
 	j.answer.Begin(h.Status, h.Header, h.Length)
 }
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -186,6 +186,7 @@
 
 	begun bool                      // The head was given to the caller.
 	first time.Time                 // When the head was given to the caller.
+	head  int                       // Its status.
 	tried map[ident.EndpointID]bool // Engines that were called.
 	last  ident.EndpointID          // The engine that was called last.
 	calls int                       // Calls that engines may have got.
@@ -325,7 +326,7 @@
 	r := j.router
 	tookMS := r.now().Sub(j.Received).Milliseconds()
 	if j.begun {
-		j.way = append(j.way, "first_ms", j.first.Sub(j.Received).Milliseconds())
+		j.way = append(j.way, "first_ms", j.first.Sub(j.Received).Milliseconds(), "status", j.head)
 	}
 	line := log.With(j.log, j.way...)
 	if err == nil {
