--- a/core/engines/feed_test.go
+++ b/core/engines/feed_test.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -88,7 +89,7 @@
 		return n.Sequence
 	}
 	from.Apply([]Change{{Entry: entry("1", 1)}, {Entry: entry("2", 2)}})
-	at := copyNews(-1)
+	at := copyNews(0)
 	from.Apply([]Change{{Entry: Entry{ID: entry("1", 0).ID, AsOf: 3}, Removed: true}})
 	at = copyNews(at)
 	if got := len(to.Of("s")); got != 1 {
@@ -111,3 +112,45 @@
 		t.Errorf("doubt %v long after", d)
 	}
 }
+
+// TestPartsThatDiffer has one table learn from another by the parts that differ.
+func TestPartsThatDiffer(t *testing.T) {
+	from, to := NewTable(), NewTable()
+	var all []Entry
+	for n := range 1000 {
+		all = append(all, entry(strconv.Itoa(n), 1))
+	}
+	from.Replace(all, 1)
+	learn := func() int {
+		n := from.Differing(to.Sums())
+		entries := make([]Entry, 0, len(n.Changes))
+		for _, c := range n.Changes {
+			entries = append(entries, c.Entry)
+		}
+		to.ReplaceParts(n.Parts, entries, n.Revision)
+		if from.Sums() != to.Sums() || len(from.All()) != len(to.All()) {
+			t.Errorf("the tables differ: %d and %d engines", len(from.All()), len(to.All()))
+		}
+		return len(n.Changes)
+	}
+	if n := learn(); n != 1000 {
+		t.Errorf("an empty table was told %d entries", n)
+	}
+	if n := learn(); n != 0 {
+		t.Errorf("an equal table was told %d entries", n)
+	}
+	leaving := all[7]
+	leaving.State, leaving.AsOf = Leaving, 2
+	from.Apply([]Change{{Entry: leaving}, {Entry: Entry{ID: all[8].ID, AsOf: 3}, Removed: true}, {Entry: entry("new", 4)}})
+	if n := learn(); n > 3*1000/Parts*2 {
+		t.Errorf("three changes told %d entries", n)
+	}
+	again := all[9]
+	again.AsOf = 5
+	from.Apply([]Change{{Entry: again}})
+	if n := learn(); n != 0 {
+		t.Errorf("a newer revision of the same entry told %d entries", n)
+	}
+	from.Apply([]Change{{Entry: Entry{ID: all[8].ID, AsOf: 6}, Removed: true}, {Entry: entry(string(all[8].ID), 7)}})
+	learn()
+}
--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -26,7 +26,9 @@
 	known    bool
 	sequence int64                      // Changes of this table.
 	changed  map[ident.EndpointID]int64 // Sequence of the last change of each engine.
-	news     chan struct{}              // Closed at the next change.
+	sums     Sums
+	added    map[ident.EndpointID]uint32 // What each engine adds to the sum of its part.
+	news     chan struct{}               // Closed at the next change.
 }
 
 // removal is when an engine was removed.
@@ -46,6 +48,7 @@
 		engines: make(map[ident.EndpointID]*Engine),
 		removed: make(map[ident.EndpointID]removal),
 		changed: make(map[ident.EndpointID]int64),
+		added:   make(map[ident.EndpointID]uint32),
 		news:    make(chan struct{}),
 	}
 	t.publish()
@@ -89,6 +92,11 @@
 func (t *Table) Replace(entries []Entry, revision int64) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.replace(entries, revision, func(ident.EndpointID) bool { return true })
+}
+
+// replace takes a list of all engines that covers names. The caller holds mu.
+func (t *Table) replace(entries []Entry, revision int64, covers func(ident.EndpointID) bool) []Change {
 	named := make(map[ident.EndpointID]bool, len(entries))
 	changes := make([]Change, 0, len(entries))
 	for _, e := range entries {
@@ -96,7 +104,7 @@
 		changes = append(changes, Change{Entry: e})
 	}
 	for id, e := range t.engines {
-		if !named[id] && e.Revision() <= revision {
+		if !named[id] && covers(id) && e.Revision() <= revision {
 			changes = append(changes, Change{Entry: Entry{ID: id, AsOf: revision}, Removed: true})
 		}
 	}
@@ -118,27 +126,23 @@
 // News is what has changed in a table.
 type News struct {
 	Known    bool
-	Whole    bool // Changes are all entries.
+	Parts    []int // Parts of the table of which Changes are all entries.
 	Sequence int64
 	Revision int64
 	Changes  []Change
 	Next     <-chan struct{} // Closed at the next change.
 }
 
-// Since returns what has changed after a sequence of this table; all entries if the
-// sequence is negative.
+// Since returns what has changed after a sequence of this table.
 func (t *Table) Since(sequence int64) News {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := News{Known: t.known, Whole: sequence < 0, Sequence: t.sequence, Revision: t.revision, Next: t.news}
+	n := News{Known: t.known, Sequence: t.sequence, Revision: t.revision, Next: t.news}
 	for id, e := range t.engines {
 		if t.changed[id] > sequence {
 			n.Changes = append(n.Changes, Change{Entry: e.Now()})
 		}
 	}
-	if n.Whole {
-		return n
-	}
 	for id, r := range t.removed {
 		if _, back := t.engines[id]; !back && r.sequence > sequence {
 			n.Changes = append(n.Changes, Change{Entry: Entry{ID: id, AsOf: r.revision}, Removed: true})
@@ -176,6 +180,7 @@
 		}
 		t.sequence++
 		t.removed[id] = removal{c.Entry.AsOf, t.sequence}
+		t.count(id, 0)
 		old.leave()
 		delete(t.engines, id)
 		return true
@@ -186,10 +191,12 @@
 		}
 		t.sequence++
 		t.changed[id] = t.sequence
+		t.count(id, c.Entry.sum())
 		return true
 	}
 	t.sequence++
 	t.changed[id] = t.sequence
+	t.count(id, c.Entry.sum())
 	if old != nil {
 		old.leave()
 	}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -31,6 +31,9 @@
 	pullWait = 400 * time.Millisecond
 	// pullTime bounds a call.
 	pullTime = pullWait + 300*time.Millisecond
+	// sequenceLasts is how long the sequence of an instance that was asked says what
+	// is missing here: after that most of it has come from others.
+	sequenceLasts = 2 * pullTime
 	// askedNear is how many members of the own domain are asked for news: the one
 	// that follows the store, and the one that does so if that one can't.
 	askedNear = 2
@@ -70,11 +73,14 @@
 	Now      func() time.Time
 	Log      log.Logger
 
+	packed packed
+
 	mu        sync.Mutex
 	heardAt   time.Time // When a healthy instance answered last.
 	heardFrom time.Time // Since when one answers without a gap.
 	of        ident.InstanceID
 	sequence  int64
+	pulledAt  time.Time // When of answered.
 	following context.CancelFunc // Nil while the store is not followed.
 	done      chan struct{}
 }
@@ -238,9 +244,11 @@
 	defer cancel()
 	s.mu.Lock()
 	req := &PullRequest{Of: string(s.of), Sequence: s.sequence, Version: int64(s.Version())}
+	pulledAt := s.pulledAt
 	s.mu.Unlock()
-	if ident.InstanceID(req.GetOf()) != from {
-		req.Sequence = -1
+	if ident.InstanceID(req.GetOf()) != from || s.Now().Sub(pulledAt) > sequenceLasts {
+		sums := s.Table.Sums()
+		req.Of, req.Sums = "", sums[:]
 	}
 	reply := &PullReply{}
 	if err := s.Call(ctx, from, MethodPull, req, reply); err != nil {
@@ -252,27 +260,19 @@
 
 // apply takes over a reply.
 func (s *Spread) apply(from ident.InstanceID, r *PullReply) {
-	if len(r.GetConfiguration()) > 0 {
-		s.Take(r.GetConfiguration())
+	if packed := r.GetConfiguration(); len(packed) > 0 {
+		raw, err := unpack(packed)
+		if err != nil {
+			_ = level.Warn(s.Log).Log("msg", event.PulledTextRefused, "from", from, "err", err)
+		} else {
+			s.Take(raw)
+		}
 	}
 	changes := make([]engines.Change, 0, len(r.GetEngines()))
 	for _, e := range r.GetEngines() {
 		changes = append(changes, e.change())
 	}
-	var taken []engines.Change
-	switch {
-	case r.GetWhole() && r.GetKnown() && r.GetHealthy():
-		entries := make([]engines.Entry, 0, len(changes))
-		for _, c := range changes {
-			entries = append(entries, c.Entry)
-		}
-		taken = s.Table.Replace(entries, r.GetRevision())
-	default:
-		taken = s.Table.Apply(changes)
-		if r.GetWhole() && r.GetKnown() {
-			s.Table.MarkKnown(r.GetRevision())
-		}
-	}
+	taken := s.takeEngines(r, changes)
 	if s.Taken != nil && len(taken) > 0 {
 		s.Taken(taken)
 	}
@@ -280,7 +280,7 @@
 	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.of, s.sequence = from, r.GetSequence()
+	s.of, s.sequence, s.pulledAt = from, r.GetSequence(), now
 	if !r.GetHealthy() {
 		return
 	}
@@ -290,28 +290,43 @@
 	s.heardAt = now
 }
 
+// takeEngines takes over the engines of a reply. What is not in a part is removed only
+// on the word of an instance that follows the store.
+func (s *Spread) takeEngines(r *PullReply, changes []engines.Change) []engines.Change {
+	if len(r.GetParts()) > 0 && r.GetKnown() && r.GetHealthy() {
+		parts := make([]int, 0, len(r.GetParts()))
+		for _, p := range r.GetParts() {
+			parts = append(parts, int(p))
+		}
+		entries := make([]engines.Entry, 0, len(changes))
+		for _, c := range changes {
+			entries = append(entries, c.Entry)
+		}
+		return s.Table.ReplaceParts(parts, entries, r.GetRevision())
+	}
+	taken := s.Table.Apply(changes)
+	if r.GetKnown() {
+		s.Table.MarkKnown(r.GetRevision())
+	}
+	return taken
+}
+
 // Serve answers a call for news. It waits until there are some.
 func (s *Spread) Serve(ctx context.Context, _ ident.InstanceID, r *PullRequest) (proto.Message, error) {
 	until := s.Now().Add(pullWait)
 	sequence := r.GetSequence()
 	if ident.InstanceID(r.GetOf()) != s.View().Self.ID {
-		sequence = -1
+		news := s.Table.Differing(sumsOf(r))
+		if len(news.Parts) > 0 {
+			return s.reply(r, news), nil
+		}
+		sequence = news.Sequence
 	}
 	for {
 		news := s.Table.Since(sequence)
-		healthy := s.isFollowing() && s.healthyNow()
-		reply := &PullReply{
-			Healthy: healthy, Known: news.Known, Whole: news.Whole, Sequence: news.Sequence,
-			Revision: news.Revision, Expected: int64(s.Expect()),
-		}
-		for _, c := range news.Changes {
-			reply.Engines = append(reply.Engines, record(c))
-		}
-		if s.Version() > ident.Revision(r.GetVersion()) {
-			reply.Configuration = s.Config()
-		}
+		reply := s.reply(r, news)
 		left := until.Sub(s.Now())
-		if len(reply.Engines) > 0 || len(reply.Configuration) > 0 || news.Whole || !healthy || left <= 0 {
+		if len(reply.Engines) > 0 || len(reply.Configuration) > 0 || !reply.Healthy || left <= 0 {
 			return reply, nil
 		}
 		if err := s.await(ctx, news.Next, ident.Revision(r.GetVersion()), left); err != nil {
@@ -320,6 +335,31 @@
 	}
 }
 
+// sumsOf returns the sums of a caller's table. One that names none knows nothing.
+func sumsOf(r *PullRequest) engines.Sums {
+	var s engines.Sums
+	copy(s[:], r.GetSums())
+	return s
+}
+
+// reply returns news as a message.
+func (s *Spread) reply(r *PullRequest, news engines.News) *PullReply {
+	reply := &PullReply{
+		Healthy: s.isFollowing() && s.healthyNow(), Known: news.Known, Sequence: news.Sequence,
+		Revision: news.Revision, Expected: int64(s.Expect()),
+	}
+	for _, p := range news.Parts {
+		reply.Parts = append(reply.Parts, int32(p))
+	}
+	for _, c := range news.Changes {
+		reply.Engines = append(reply.Engines, record(c))
+	}
+	if v := s.Version(); v > ident.Revision(r.GetVersion()) {
+		reply.Configuration = s.packed.of(v, s.Config)
+	}
+	return reply
+}
+
 // configPoll is the time between two looks at the configuration while a call waits.
 const configPoll = 50 * time.Millisecond
 
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -24,6 +24,33 @@
 	away    map[ident.InstanceID]bool // Instances that it turns away.
 	follows map[ident.InstanceID]bool
 	apart   bool // Whether the domains are cut off from each other.
+	engines int  // In its list; at least one.
+	records int  // Entries of the list that instances have sent each other.
+}
+
+// list returns the list of engines as of a version.
+func (s *store) list(v ident.Revision) []engines.Entry {
+	all := make([]engines.Entry, 0, max(1, s.engines))
+	for n := range max(1, s.engines) {
+		all = append(all, engines.Entry{ID: ident.EndpointID(fmt.Sprintf("e%d", n)), Service: "s", AsOf: int64(v)})
+	}
+	return all
+}
+
+// sent counts the entries of an answer.
+func (s *store) sent(answer proto.Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records += len(answer.(*PullReply).GetEngines())
+}
+
+// takeRecords returns how many entries were sent since the last time.
+func (s *store) takeRecords() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.records
+	s.records = 0
+	return n
 }
 
 // instance is one instance of a fleet.
@@ -89,6 +116,7 @@
 			}
 			answer, err := fleet[to].Serve(ctx, i.id, req.(*PullRequest))
 			if err == nil {
+				st.sent(answer)
 				proto.Merge(resp, answer)
 			}
 			return err
@@ -123,7 +151,7 @@
 		i.mu.Unlock()
 		if !away {
 			i.take(v)
-			i.Table.Replace([]engines.Entry{{ID: "e", Service: "s", AsOf: int64(v)}}, int64(v))
+			i.Table.Replace(s.list(v), int64(v))
 		}
 		pause.For(ctx, 5*time.Millisecond)
 	}
@@ -192,6 +220,30 @@
 	}
 }
 
+// TestListIsNotSentAgain has the first of a domain lose the store for a moment, so that
+// the others ask the second one, and then the first one again. All of them know the
+// list already: sending it to each of them anew takes a link that other news need.
+func TestListIsNotSentAgain(t *testing.T) {
+	const listed = 400
+	st := &store{version: 1, follows: make(map[ident.InstanceID]bool), engines: listed}
+	fleet := newFleet(t, st, 6)
+	awaitVersion(t, fleet, 1)
+	time.Sleep(handOver + 2*staleAfter)
+	first, _ := fleet["a0"].View().Owner("a", watchKey)
+	st.takeRecords()
+	for range 3 {
+		st.set(1, first.ID)
+		time.Sleep(2 * staleAfter)
+		st.set(1)
+		time.Sleep(handOver + staleAfter)
+	}
+	if n := st.takeRecords(); n > listed/10 {
+		t.Errorf("%d entries were sent though nothing has changed", n)
+	}
+	st.set(2)
+	awaitVersion(t, fleet, 2)
+}
+
 // TestTurnedAway turns all of one domain away from the store.
 func TestTurnedAway(t *testing.T) {
 	st := &store{version: 1, follows: make(map[ident.InstanceID]bool)}
@@ -250,6 +302,16 @@
 	}
 }
 
+// unpacked returns the configuration of a reply.
+func unpacked(t *testing.T, r *PullReply) string {
+	t.Helper()
+	raw, err := unpack(r.GetConfiguration())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(raw)
+}
+
 // TestUnhealthyIsSaid asks an instance that has no fresh news.
 func TestUnhealthyIsSaid(t *testing.T) {
 	st := &store{follows: make(map[ident.InstanceID]bool)}
@@ -257,7 +319,7 @@
 	i.Spread = newSpread(nil, st, i, membership.NewTable(membership.Member{ID: "a0", Domain: "a"}, log.NewNopLogger(), time.Now))
 	answer, err := i.Serve(context.Background(), "b0", &PullRequest{Of: "a0"})
 	r, ok := answer.(*PullReply)
-	if err != nil || !ok || r.GetHealthy() || string(r.GetConfiguration()) != "4" {
+	if err != nil || !ok || r.GetHealthy() || unpacked(t, r) != "4" {
 		t.Errorf("%v, %v", answer, err)
 	}
 	if !fault.Is(fault.From(context.Canceled), fault.CallerGone) {
