--- a/cmd/monsoonfork/verb/serve.go
+++ b/cmd/monsoonfork/verb/serve.go
@@ -62,7 +62,7 @@
 	// settingsInterval is the time between two looks at the settings file.
 	settingsInterval = 2 * time.Second
 	// exitReserve is kept of the platform's grace for leaving.
-	exitReserve = 700 * time.Millisecond
+	exitReserve = 350 * time.Millisecond
 )
 
 // await returns when a stop is asked for. Until then it takes up new settings.
--- a/core/forward/forward_test.go
+++ b/core/forward/forward_test.go
@@ -327,6 +327,31 @@
 	}
 }
 
+// TestStreamsThatWouldBeCut has a planned stop that ends before a long stream would.
+func TestStreamsThatWouldBeCut(t *testing.T) {
+	r := newRig(t)
+	r.send = func(_ int, c Call, sink Sink) error {
+		time.Sleep(time.Duration(c.Request.MaxOutput) * time.Millisecond)
+		return answer(sink, 200, "id: 1\ndata: a\n\n")
+	}
+	stream := func(output ident.Tokens) *reply {
+		return r.serveRequest(context.Background(), "stream", func(q *Request) { q.MaxOutput = output })
+	}
+	if got := stream(100); got.err != nil {
+		t.Fatal(got.err)
+	}
+	r.router.EndBy(time.Now().Add(400 * time.Millisecond))
+	if got := stream(800); !fault.Is(got.err, fault.ShuttingDown) || fault.From(got.err).Ran != fault.NotRun || got.status != 0 {
+		t.Errorf("a long stream: %v, status %d", got.err, got.status)
+	}
+	if got := stream(20); got.err != nil {
+		t.Errorf("a short stream: %v", got.err)
+	}
+	if got := r.serve("once"); got.err != nil {
+		t.Errorf("a plain call: %v", got.err)
+	}
+}
+
 // TestWhoAsksForRoomFirst orders those that wait.
 func TestWhoAsksForRoomFirst(t *testing.T) {
 	now := time.Now()
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -116,7 +116,9 @@
 	}
 	err := s.send(ctx, call)
 	if err == nil {
-		e.Succeeded(s.router.now())
+		now := s.router.now()
+		e.Succeeded(now)
+		s.router.pace.saw(s.service.Name, s.likelyOutput(), now.Sub(s.Received))
 		return nil
 	}
 	f := fault.From(err)
--- a/core/forward/rig_test.go
+++ b/core/forward/rig_test.go
@@ -186,11 +186,17 @@
 func (r *rig) serve(name string) *reply { return r.serveContext(context.Background(), name) }
 
 func (r *rig) serveContext(ctx context.Context, name string) *reply {
+	return r.serveRequest(ctx, name, func(*Request) {})
+}
+
+// serveRequest takes a request that change has changed through the router.
+func (r *rig) serveRequest(ctx context.Context, name string, change func(*Request)) *reply {
 	got := &reply{}
 	q := &Request{
 		ID: "id", Method: "POST", Host: "h", Path: "/" + name + "/x", Target: "/" + name + "/x", Header: http.Header{},
 		Key: "key", Received: time.Now(), Sized: true, Prompt: 100, MaxOutput: 50,
 	}
+	change(q)
 	got.err = r.router.Serve(ctx, q, Answer{
 		Begin: func(status int, _ http.Header, _ int64) { got.status = status },
 		Write: func(b []byte) error { got.body.Write(b); return nil },
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -120,6 +120,8 @@
 	counters counters
 	tuning   Tuning
 	refusals *refusals
+	pace     pace
+	endBy    atomic.Pointer[time.Time] // When the process ends; nil while no stop is planned.
 	stopping atomic.Bool
 }
 
@@ -270,6 +272,9 @@
 	if ctx.Err() != nil {
 		return fault.From(context.Cause(ctx)).WithRan(fault.NotRun)
 	}
+	if err := j.mayEnd(); err != nil {
+		return err
+	}
 	share := Share{Granted: true, Refund: func() {}}
 	if j.org != nil {
 		share = j.router.Admit(j.org, j.cost())
--- a/core/kernel/kernel_test.go
+++ b/core/kernel/kernel_test.go
@@ -33,7 +33,7 @@
 	return Role{Name: name, After: after, Start: func(context.Context, *Node) (*Running, error) {
 		note("start")
 		return &Running{
-			Leave: func() { note("leave") },
+			Leave: func(time.Time) { note("leave") },
 			Drain: func(context.Context) error { note("drain"); return nil },
 			Close: func() error { note("close"); return nil },
 			Dump:  func() any { return name },
--- a/core/kernel/node.go
+++ b/core/kernel/node.go
@@ -106,9 +106,10 @@
 func (n *Node) Drain(ctx context.Context) error {
 	n.draining.Store(true)
 	_ = level.Info(n.Log).Log("msg", event.Draining)
+	by, _ := ctx.Deadline()
 	for _, s := range n.reversed() {
 		if s.running.Leave != nil {
-			s.running.Leave()
+			s.running.Leave(by)
 		}
 	}
 	delay := time.Duration(n.Settings.BalancerDelayMS) * time.Millisecond
--- a/core/kernel/role.go
+++ b/core/kernel/role.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"time"
 
 	"monsoonfork/core/settings"
 )
@@ -23,7 +24,7 @@
 
 // Running is a started role. Any field may be nil.
 type Running struct {
-	Leave  func()                          // A planned stop begins: others should turn elsewhere.
+	Leave  func(by time.Time)              // A planned stop begins, which ends by a time, if that is not zero: others should turn elsewhere.
 	Drain  func(ctx context.Context) error // Finishes work under way; no new work comes.
 	Close  func() error                    // Stops and waits.
 	Dump   func() any                      // State for operators, as JSON.
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -102,7 +102,7 @@
 	kernel.Provide(n, s)
 	s.run()
 	return &kernel.Running{
-		Leave:  s.Leave,
+		Leave:  func(time.Time) { s.Leave() },
 		Close:  s.Close,
 		Reload: func(c *settings.Settings) { s.firstPeers.Store(&c.FirstPeers) },
 		Dump:   func() any { return s.Table.View().Members() },
--- a/core/orders/role.go
+++ b/core/orders/role.go
@@ -50,7 +50,7 @@
 	kernel.Provide(n, c)
 	c.Run()
 	return &kernel.Running{
-		Leave: c.Leave,
+		Leave: func(time.Time) { c.Leave() },
 		Drain: c.Drain,
 		Close: c.Close,
 		Dump:  func() any { return c.Status() },
