--- a/core/engines/feed_test.go
+++ b/core/engines/feed_test.go
@@ -122,7 +122,7 @@
 	}
 	from.Replace(all, 1)
 	learn := func() int {
-		n := from.Differing(to.Sums())
+		n := from.Differing(to.Sums(), 0, 2000)
 		entries := make([]Entry, 0, len(n.Changes))
 		for _, c := range n.Changes {
 			entries = append(entries, c.Entry)
@@ -145,6 +145,10 @@
 	if n := learn(); n > 3*1000/Parts*2 {
 		t.Errorf("three changes told %d entries", n)
 	}
+	part := from.Differing(Sums{}, Parts-1, 50)
+	if len(part.Changes) < 50 || len(part.Changes) > 100 || !part.More || part.Parts[0] != Parts-1 || part.Parts[1] != 0 {
+		t.Errorf("%d entries of the parts %v, more %v", len(part.Changes), part.Parts, part.More)
+	}
 	again := all[9]
 	again.AsOf = 5
 	from.Apply([]Change{{Entry: again}})
--- a/core/engines/parts.go
+++ b/core/engines/parts.go
@@ -54,26 +54,44 @@
 	t.added[id] = sum
 }
 
-// Differing returns the entries of the parts that differ from another table's, in
-// whole.
-func (t *Table) Differing(other Sums) News {
+// Differing returns the entries of parts that differ from another table's, in whole:
+// of all of them, or of the first after a part from which on there are at least most
+// entries.
+func (t *Table) Differing(other Sums, from, most int) News {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := News{Known: t.known, Sequence: t.sequence, Revision: t.revision, Next: t.news}
-	for part, sum := range t.sums {
-		if sum != other[part] {
-			n.Parts = append(n.Parts, part)
+	byPart := t.byPart(other)
+	for i := range Parts {
+		part := (from + i) % Parts
+		if t.sums[part] == other[part] {
+			continue
+		}
+		if len(n.Changes) >= most {
+			n.More = true
+			break
+		}
+		n.Parts = append(n.Parts, part)
+		for _, e := range byPart[part] {
+			n.Changes = append(n.Changes, Change{Entry: e.Now()})
 		}
 	}
-	if len(n.Parts) == 0 {
-		return n
+	return n
+}
+
+// byPart returns the engines of the parts that differ from another table's. The
+// caller holds mu.
+func (t *Table) byPart(other Sums) map[int][]*Engine {
+	if t.sums == other {
+		return nil
 	}
+	byPart := make(map[int][]*Engine)
 	for id, e := range t.engines {
 		if part := partOf(id); t.sums[part] != other[part] {
-			n.Changes = append(n.Changes, Change{Entry: e.Now()})
+			byPart[part] = append(byPart[part], e)
 		}
 	}
-	return n
+	return byPart
 }
 
 // ReplaceParts takes whole parts of a list as of a revision. Engines of these parts
--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -92,7 +92,10 @@
 func (t *Table) Replace(entries []Entry, revision int64) []Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.replace(entries, revision, func(ident.EndpointID) bool { return true })
+	taken := t.replace(entries, revision, func(ident.EndpointID) bool { return true })
+	t.known = true
+	t.revision = max(t.revision, revision)
+	return taken
 }
 
 // replace takes a list of all engines that covers names. The caller holds mu.
@@ -109,8 +112,6 @@
 		}
 	}
 	taken := t.apply(changes)
-	t.known = true
-	t.revision = max(t.revision, revision)
 	t.publish()
 	return taken
 }
@@ -127,6 +128,7 @@
 type News struct {
 	Known    bool
 	Parts    []int // Parts of the table of which Changes are all entries.
+	More     bool  // Other parts differ too.
 	Sequence int64
 	Revision int64
 	Changes  []Change
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -36,6 +36,7 @@
 	FreeingMemory     // freeing engine memory
 
 	Engine           // engine
+	EngineList       // engine list
 	StageOrdered     // stage ordered
 	RightToOrder     // right to give orders
 	NoRightToOrder   // no right to give orders
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -50,6 +50,7 @@
 	DispatcherStopped:      {PartPlacement, "This instance no longer dispatches a model.", []string{"model"}},
 	FreeingMemory:          {PartPlacement, "An attempt that nobody holds is dropped at its engine.", []string{"request", "engine", "attempt", "holder", "reason"}},
 	Engine:                 {PartEngines, "News of an engine.", []string{"engine", "phase", "reason", "removed", "state", "stage", "address", "revision"}},
+	EngineList:             {PartEngines, "So many entries of the list came or changed at once that they have no lines of their own; a dump of the state has them all.", []string{"entries", "removed", "leaving", "revision"}},
 	StageOrdered:           {PartEngines, "An engine was told to change its stage.", []string{"engine", "to", "fencing", "expected", "err"}},
 	RightToOrder:           {PartEngines, "This instance gives orders from now on.", []string{"fencing"}},
 	NoRightToOrder:         {PartEngines, "Another instance gives orders, or the store does not say.", []string{"err"}},
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -47,6 +48,13 @@
 	// handOver is how long healthy news have to come from another member before an
 	// instance stops following the store.
 	handOver = 500 * time.Millisecond
+	// catchUpCalls is how many members are asked by turns between two calls to the one
+	// that follows the store.
+	catchUpCalls = 3
+	// replyEntries is how many entries of the list a reply has, but for the last part:
+	// about 8 KB. An instance that lacks more asks all members of its domain by turns, as
+	// the link of the one that follows the store can't carry the list for each of them.
+	replyEntries = 100
 	// retryPause is the pause after a failed call.
 	retryPause = 100 * time.Millisecond
 	// farEvery is the pause between calls to other domains.
@@ -80,7 +88,8 @@
 	heardFrom time.Time // Since when one answers without a gap.
 	of        ident.InstanceID
 	sequence  int64
-	pulledAt  time.Time // When of answered.
+	pulledAt  time.Time          // When of answered.
+	more      bool               // The last reply was not all that is missing.
 	following context.CancelFunc // Nil while the store is not followed.
 	done      chan struct{}
 }
@@ -99,6 +108,7 @@
 			pause.For(ctx, retryPause)
 			continue
 		}
+		s.catchUp(ctx, v)
 		if s.pullAny(ctx, others) {
 			continue
 		}
@@ -226,6 +236,26 @@
 	return healthy
 }
 
+// catchUp pulls from members of the domain, drawn by lot, while much of the list is
+// missing here.
+func (s *Spread) catchUp(ctx context.Context, v *membership.View) {
+	s.mu.Lock()
+	more := s.more
+	s.mu.Unlock()
+	if !more {
+		return
+	}
+	members := v.Ranked(v.Self.Domain, watchKey)
+	for range catchUpCalls {
+		to := members[rand.IntN(len(members))].ID
+		if to == v.Self.ID {
+			continue
+		}
+		// Who does not answer is passed over; the next call is to another one.
+		_, _ = s.pull(ctx, to)
+	}
+}
+
 // pullAny pulls from the first instance that is healthy, and reports whether there
 // was one.
 func (s *Spread) pullAny(ctx context.Context, from []ident.InstanceID) bool {
@@ -280,7 +310,10 @@
 	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.of, s.sequence, s.pulledAt = from, r.GetSequence(), now
+	s.of, s.sequence, s.pulledAt, s.more = from, r.GetSequence(), now, r.GetMore()
+	if s.more {
+		s.of = ""
+	}
 	if !r.GetHealthy() {
 		return
 	}
@@ -292,7 +325,7 @@
 
 // takeEngines takes over the engines of a reply. What is not in a part is removed only
 // on the word of an instance that follows the store.
-func (s *Spread) takeEngines(r *PullReply, changes []engines.Change) []engines.Change {
+func (s *Spread) takeEngines(r *PullReply, changes []engines.Change) (taken []engines.Change) {
 	if len(r.GetParts()) > 0 && r.GetKnown() && r.GetHealthy() {
 		parts := make([]int, 0, len(r.GetParts()))
 		for _, p := range r.GetParts() {
@@ -302,10 +335,11 @@
 		for _, c := range changes {
 			entries = append(entries, c.Entry)
 		}
-		return s.Table.ReplaceParts(parts, entries, r.GetRevision())
+		taken = s.Table.ReplaceParts(parts, entries, r.GetRevision())
+	} else {
+		taken = s.Table.Apply(changes)
 	}
-	taken := s.Table.Apply(changes)
-	if r.GetKnown() {
+	if r.GetKnown() && !r.GetMore() {
 		s.Table.MarkKnown(r.GetRevision())
 	}
 	return taken
@@ -316,7 +350,7 @@
 	until := s.Now().Add(pullWait)
 	sequence := r.GetSequence()
 	if ident.InstanceID(r.GetOf()) != s.View().Self.ID {
-		news := s.Table.Differing(sumsOf(r))
+		news := s.Table.Differing(sumsOf(r), rand.IntN(engines.Parts), replyEntries)
 		if len(news.Parts) > 0 {
 			return s.reply(r, news), nil
 		}
@@ -346,7 +380,7 @@
 func (s *Spread) reply(r *PullRequest, news engines.News) *PullReply {
 	reply := &PullReply{
 		Healthy: s.isFollowing() && s.healthyNow(), Known: news.Known, Sequence: news.Sequence,
-		Revision: news.Revision, Expected: int64(s.Expect()),
+		Revision: news.Revision, Expected: int64(s.Expect()), More: news.More,
 	}
 	for _, p := range news.Parts {
 		reply.Parts = append(reply.Parts, int32(p))
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -26,6 +26,8 @@
 	apart   bool // Whether the domains are cut off from each other.
 	engines int  // In its list; at least one.
 	records int  // Entries of the list that instances have sent each other.
+	largest int  // Most entries of one answer.
+	sentBy  map[ident.InstanceID]int
 }
 
 // list returns the list of engines as of a version.
@@ -38,10 +40,16 @@
 }
 
 // sent counts the entries of an answer.
-func (s *store) sent(answer proto.Message) {
+func (s *store) sent(by ident.InstanceID, answer proto.Message) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.records += len(answer.(*PullReply).GetEngines())
+	if s.sentBy == nil {
+		s.sentBy = make(map[ident.InstanceID]int)
+	}
+	n := len(answer.(*PullReply).GetEngines())
+	s.records += n
+	s.sentBy[by] += n
+	s.largest = max(s.largest, n)
 }
 
 // takeRecords returns how many entries were sent since the last time.
@@ -116,7 +124,7 @@
 			}
 			answer, err := fleet[to].Serve(ctx, i.id, req.(*PullRequest))
 			if err == nil {
-				st.sent(answer)
+				st.sent(to, answer)
 				proto.Merge(resp, answer)
 			}
 			return err
@@ -244,6 +252,49 @@
 	awaitVersion(t, fleet, 2)
 }
 
+// TestLargeListComesInPieces has a domain learn a list from the one member that
+// the store lets in. Its link has to carry the list a few times, not once for each.
+func TestLargeListComesInPieces(t *testing.T) {
+	const listed, members = 3000, 30
+	st := &store{version: 1, follows: make(map[ident.InstanceID]bool), engines: listed, away: make(map[ident.InstanceID]bool)}
+	for _, domain := range []string{"a", "b"} {
+		for m := range members {
+			st.away[ident.InstanceID(fmt.Sprintf("%s%d", domain, m))] = true
+		}
+	}
+	fleet := newFleet(t, st, members)
+	time.Sleep(2 * staleAfter)
+	var first []ident.InstanceID
+	for _, domain := range []ident.DomainID{"a", "b"} {
+		m, _ := fleet["a0"].View().Owner(domain, watchKey)
+		first = append(first, m.ID)
+	}
+	st.mu.Lock()
+	delete(st.away, first[0])
+	delete(st.away, first[1])
+	st.mu.Unlock()
+	started := time.Now()
+	for _, i := range fleet {
+		for known, _ := i.Table.Known(); !known || len(i.Table.Of("s")) < listed; known, _ = i.Table.Known() {
+			if time.Since(started) > 10*time.Second {
+				t.Fatalf("%s knows %d engines", i.id, len(i.Table.Of("s")))
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	t.Logf("all know %d engines after %v", listed, time.Since(started))
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.largest > 2*replyEntries {
+		t.Errorf("an answer of %d entries", st.largest)
+	}
+	for _, id := range first {
+		if n := st.sentBy[id]; n > members/2*listed {
+			t.Errorf("%s sent %d entries, the list %.1f times", id, n, float64(n)/listed)
+		}
+	}
+}
+
 // TestTurnedAway turns all of one domain away from the store.
 func TestTurnedAway(t *testing.T) {
 	st := &store{version: 1, follows: make(map[ident.InstanceID]bool)}
