--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -31,11 +31,11 @@
 	refusal   *fault.Error
 	cancel    func(*fault.Error) // Ends the request being handled; nil without one.
 	handling  int                // Requests read whole and not answered.
-	goneNoted bool
-	last      bool // No request is taken after the one that is being handled.
-	quiet     int  // Sweeps since the last answer in which all of it was delivered.
-	finished  bool // The sending side was closed after the last answer.
-	turned    bool // The connection was turned away: what still comes is dropped.
+	cancelled bool               // The request being handled was ended.
+	last      bool               // No request is taken after the one that is being handled.
+	quiet     int                // Sweeps since the last answer in which all of it was delivered.
+	finished  bool               // The sending side was closed after the last answer.
+	turned    bool               // The connection was turned away: what still comes is dropped.
 }
 
 // newConn returns the state of a new connection.
@@ -183,26 +183,34 @@
 func (c *conn) begin(cancel func(*fault.Error)) {
 	c.mu.Lock()
 	c.cancel = cancel
-	c.goneNoted = false
+	c.cancelled = false
 	c.mu.Unlock()
 	c.endIfGone(c.gone() || hungUp(c.nbc))
 }
 
-// endIfGone ends the request that is being handled, once, if its caller has gone.
+// endIfGone ends the request that is being handled if its caller has gone.
 func (c *conn) endIfGone(gone bool) {
+	if gone && c.cancelWith(fault.New(fault.CallerGone, "the caller closed its connection")) {
+		c.metrics.gone.Inc(1)
+	}
+}
+
+// cancelWith ends the request that is being handled, once, and reports whether there
+// was one.
+func (c *conn) cancelWith(why *fault.Error) bool {
 	c.mu.Lock()
 	cancel := c.cancel
-	if !gone || c.goneNoted {
+	if c.cancelled {
 		cancel = nil
 	}
 	if cancel != nil {
-		c.goneNoted = true
+		c.cancelled = true
 	}
 	c.mu.Unlock()
 	if cancel != nil {
-		c.metrics.gone.Inc(1)
-		cancel(fault.New(fault.CallerGone, "the caller closed its connection"))
+		cancel(why)
 	}
+	return cancel != nil
 }
 
 // closeAfter makes the request that is being handled the last of its
--- /dev/null
+++ b/io/caller/forward_close_test.go
@@ -0,0 +1,42 @@
+package caller
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+// TestCloseWaitsForForwarded closes a server while an answer is under way: its handler
+// has returned, and so has said what came of the request, when Close returns.
+func TestCloseWaitsForForwarded(t *testing.T) {
+	var ended atomic.Bool
+	begun := make(chan struct{})
+	s := NewForwarding(func(f *Forward) {
+		f.Begin(http.StatusOK, http.Header{}, -1)
+		_ = f.Write([]byte("x"))
+		close(begun)
+		<-f.Context().Done()
+		time.Sleep(20 * time.Millisecond)
+		ended.Store(true)
+	}, log.NewNopLogger())
+	address, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		resp, err := http.Get("http://" + string(address) + "/")
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	<-begun
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if !ended.Load() {
+		t.Error("Close returned while a request was being handled")
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -48,6 +48,10 @@
 	// libraryIdleTime turns off the library's limit for idle connections, which
 	// also runs while a request is handled. The sweep has its own.
 	libraryIdleTime = 10 * 365 * 24 * time.Hour
+	// closeTime bounds the wait for handlers whose connections were ended.
+	closeTime = time.Second
+	// closePoll is the time between two looks at them.
+	closePoll = 2 * time.Millisecond
 	// pollers is the number of poller goroutines.
 	pollers = 2
 	// readsPerEvent lets the poller read until a socket is empty.
@@ -221,10 +225,13 @@
 	return nil
 }
 
-// Close ends all connections, and with them their requests, and waits.
+// Close ends all requests, waits until each has said what came of it, for a second at
+// most, and ends all connections.
 func (s *Server) Close() error {
-	// The sweep has to see the closed connections: it ends their requests, for
-	// which the engine waits.
+	s.conns.each(func(c *conn) { c.cancelWith(fault.New(fault.ShuttingDown, "the process ends")) })
+	for until := time.Now().Add(closeTime); s.open.Load() > 0 && time.Now().Before(until); {
+		time.Sleep(closePoll)
+	}
 	s.engine.Stop()
 	close(s.stop)
 	<-s.done
