--- a/core/engines/engine.go
+++ b/core/engines/engine.go
@@ -45,15 +45,6 @@
 	AsOf    int64 // Of the list, when this entry changed.
 }
 
-const (
-	// doubtHalfLife is the time in which doubt falls to a half by itself.
-	doubtHalfLife = 2 * time.Second
-	// softWeight is how much one failed answer counts.
-	softWeight = 0.2
-	// hardWeight is how much an engine that gives no answer counts.
-	hardWeight = 0.6
-)
-
 // Engine is one run of an engine and what is known of it. The fields of Entry
 // are those of the first news; see Now.
 type Engine struct {
@@ -64,48 +55,56 @@
 	state     State
 	stage     Stage
 	revision  int64
-	doubt     float64
-	doubtAt   time.Time
+	answers   doubt         // Whether it answers well.
+	fetches   doubt         // Whether prompts can be moved to it.
 	running   int           // Own requests at the engine.
 	memory    ident.Tokens  // Own reservations.
 	prefill   ident.Tokens  // Prompt tokens of own prefills under way.
 	delay     time.Duration // Time that prompts waited before they were read.
 	delayAt   time.Time
+	changesTo Stage     // Stage that it is about to have.
+	sparedTo  time.Time // It gets no work until then, unless it has that stage.
 	fullUntil time.Time
 	fullFor   ident.Tokens // Size that was refused last.
 }
 
 // Succeeded notes a good answer.
-func (e *Engine) Succeeded(now time.Time) { e.note(0, softWeight, now) }
+func (e *Engine) Succeeded(now time.Time) { e.note(&e.answers, 0, softWeight, now) }
 
 // Failed notes an answer that says that the engine failed.
-func (e *Engine) Failed(now time.Time) { e.note(1, softWeight, now) }
+func (e *Engine) Failed(now time.Time) { e.note(&e.answers, 1, softWeight, now) }
 
 // Silent notes a call that got no answer.
-func (e *Engine) Silent(now time.Time) { e.note(1, hardWeight, now) }
+func (e *Engine) Silent(now time.Time) { e.note(&e.answers, 1, hardWeight, now) }
+
+// Fetched notes whether a prompt was moved to the engine.
+func (e *Engine) Fetched(ok bool, now time.Time) {
+	if ok {
+		e.note(&e.fetches, 0, hardWeight, now)
+	} else {
+		e.note(&e.fetches, 1, hardWeight, now)
+	}
+}
 
-// note moves the doubt towards a value.
-func (e *Engine) note(value, weight float64, now time.Time) {
+// note moves a doubt towards a value.
+func (e *Engine) note(d *doubt, value, weight float64, now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	d := e.decayed(now)
-	e.doubt = d + weight*(value-d)
-	e.doubtAt = now
+	d.note(value, weight, now)
 }
 
 // Doubt returns how likely the engine fails, from 0 to 1.
 func (e *Engine) Doubt(now time.Time) float64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.decayed(now)
+	return e.answers.now(now)
 }
 
-// decayed returns the doubt now. The caller holds mu.
-func (e *Engine) decayed(now time.Time) float64 {
-	if e.doubt == 0 {
-		return 0
-	}
-	return e.doubt * math.Exp2(-float64(now.Sub(e.doubtAt))/float64(doubtHalfLife))
+// FetchDoubt returns how likely a prompt can't be moved to the engine, from 0 to 1.
+func (e *Engine) FetchDoubt(now time.Time) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.fetches.now(now)
 }
 
 // Begin counts a request at the engine until the returned function is called.
@@ -195,6 +194,21 @@
 	return !e.gone && e.state == Ready
 }
 
+// Spare notes that the engine is about to change its stage, and gets no work until
+// it has, or until a time.
+func (e *Engine) Spare(to Stage, until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.changesTo, e.sparedTo = to, until
+}
+
+// IsSpared reports whether the engine is changing its stage.
+func (e *Engine) IsSpared(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stage != e.changesTo && now.Before(e.sparedTo)
+}
+
 // StageNow returns the stage of the engine.
 func (e *Engine) StageNow() Stage {
 	e.mu.Lock()
--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"monsoonfork/core/ident"
 )
@@ -68,6 +69,15 @@
 	return all
 }
 
+// Spare notes that an engine is about to change its stage; see Engine.Spare.
+func (t *Table) Spare(id ident.EndpointID, to Stage, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.engines[id]; e != nil {
+		e.Spare(to, until)
+	}
+}
+
 // Known reports whether a whole list was taken, and the newest revision of it.
 func (t *Table) Known() (bool, int64) {
 	t.mu.Lock()
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -38,6 +38,7 @@
 	Engine           // engine
 	EngineList       // engine list
 	StageOrdered     // stage ordered
+	NoticePassedOver // notice passed over
 	RightToOrder     // right to give orders
 	NoRightToOrder   // no right to give orders
 	Order            // order
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -52,6 +52,7 @@
 	Engine:                 {PartEngines, "News of an engine.", []string{"engine", "phase", "reason", "removed", "state", "stage", "address", "revision"}},
 	EngineList:             {PartEngines, "So many entries of the list came or changed at once that they have no lines of their own; a dump of the state has them all.", []string{"entries", "removed", "leaving", "revision"}},
 	StageOrdered:           {PartEngines, "An engine was told to change its stage.", []string{"engine", "to", "fencing", "expected", "err"}},
+	NoticePassedOver:       {PartEngines, "A notice of engines that are about to change their stages can't be read.", []string{"revision", "err"}},
 	RightToOrder:           {PartEngines, "This instance gives orders from now on.", []string{"fencing"}},
 	NoRightToOrder:         {PartEngines, "Another instance gives orders, or the store does not say.", []string{"err"}},
 	Order:                  {PartEngines, "An order was sent to an engine.", []string{"order", "engine", "what"}},
--- a/core/forward/choose.go
+++ b/core/forward/choose.go
@@ -73,9 +73,9 @@
 	now := j.router.now()
 	memory := float64(max(1, j.service.Model.MemoryTokens))
 	return j.rank(func(e *engines.Engine) (float64, bool) {
-		if e.StageNow() == engines.Prefill || !e.HasRoom(size, now) {
+		if e.StageNow() == engines.Prefill || e.IsSpared(now) || !e.HasRoom(size, now) {
 			return 0, false
 		}
-		return float64(e.Load().Memory) / memory, true
+		return float64(e.Load().Memory)/memory + doubtPenalty*e.FetchDoubt(now), true
 	})
 }
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/engines"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 )
@@ -118,6 +119,9 @@
 	if err == nil {
 		now := s.router.now()
 		e.Succeeded(now)
+		if p.source.Handle != "" {
+			e.Fetched(true, now)
+		}
 		s.router.pace.saw(s.service.Name, s.likelyOutput(), now.Sub(s.Received))
 		return nil
 	}
@@ -127,12 +131,22 @@
 		s.free(p)
 	}
 	if ctx.Err() == nil {
-		s.judge(e, result{err: err})
+		s.judgeDecode(e, p, f)
 		s.tried[e.ID] = true
 	}
 	return err
 }
 
+// judgeDecode notes what a failed stream says about its engine. One that had kept room
+// and refuses the stream all the same could not fetch the prompt.
+func (s *stream) judgeDecode(e *engines.Engine, p prompt, f *fault.Error) {
+	if f.Kind == fault.EndpointRefused && p.source.Handle != "" {
+		e.Fetched(false, s.router.now())
+		return
+	}
+	s.judge(e, result{err: f})
+}
+
 // free gives a prefilled prompt back.
 func (s *stream) free(p prompt) {
 	if p.source.Handle != "" {
--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -106,7 +106,7 @@
 	var best *engines.Engine
 	var soonest, estimated time.Duration
 	for _, e := range s.router.Engines(s.service.Name) {
-		if e.StageNow() != engines.Prefill || !e.Usable() || e.Doubt(now) > doubtful || !e.HasRoom(s.Prompt, now) {
+		if e.StageNow() != engines.Prefill || !e.Usable() || e.IsSpared(now) || e.Doubt(now) > doubtful || !e.HasRoom(s.Prompt, now) {
 			continue
 		}
 		t := s.estimate(e, 1)
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -66,12 +66,15 @@
 	View    func() *membership.View
 	Call    link.Caller
 	Table   *engines.Table
-	Version func() ident.Revision     // Of the configuration in force; 0 before the first.
-	Config  func() []byte             // The configuration in force, as its operator wrote it.
-	Take    func(raw []byte)          // Takes a configuration.
-	Taken   func([]engines.Change)    // Told of changes; may be nil.
-	Follow  func(ctx context.Context) // Follows the store until ctx ends.
-	Healthy func() (bool, time.Time)  // Whether the store answers, and since when.
+	Version func() ident.Revision  // Of the configuration in force; 0 before the first.
+	Config  func() []byte          // The configuration in force, as its operator wrote it.
+	Take    func(raw []byte)       // Takes a configuration.
+	Taken   func([]engines.Change) // Told of changes; may be nil.
+	// Notice is the newest notice of changes of stage, TakeNotice takes one.
+	Notice     func() (raw []byte, revision int64)
+	TakeNotice func(raw []byte, revision int64)
+	Follow     func(ctx context.Context) // Follows the store until ctx ends.
+	Healthy    func() (bool, time.Time)  // Whether the store answers, and since when.
 	// Settling reports whether this instance has listed and does not watch yet, which
 	// lasts for Settle at most.
 	Settling func() bool
@@ -274,6 +277,7 @@
 	defer cancel()
 	s.mu.Lock()
 	req := &PullRequest{Of: string(s.of), Sequence: s.sequence, Version: int64(s.Version())}
+	_, req.NoticeRevision = s.Notice()
 	pulledAt := s.pulledAt
 	s.mu.Unlock()
 	if ident.InstanceID(req.GetOf()) != from || s.Now().Sub(pulledAt) > sequenceLasts {
@@ -306,6 +310,9 @@
 	if s.Taken != nil && len(taken) > 0 {
 		s.Taken(taken)
 	}
+	if len(r.GetNotice()) > 0 {
+		s.TakeNotice(r.GetNotice(), r.GetNoticeRevision())
+	}
 	s.Told(int(r.GetExpected()))
 	now := s.Now()
 	s.mu.Lock()
@@ -360,10 +367,10 @@
 		news := s.Table.Since(sequence)
 		reply := s.reply(r, news)
 		left := until.Sub(s.Now())
-		if len(reply.Engines) > 0 || len(reply.Configuration) > 0 || !reply.Healthy || left <= 0 {
+		if len(reply.Engines) > 0 || len(reply.Configuration) > 0 || len(reply.Notice) > 0 || !reply.Healthy || left <= 0 {
 			return reply, nil
 		}
-		if err := s.await(ctx, news.Next, ident.Revision(r.GetVersion()), left); err != nil {
+		if err := s.await(ctx, news.Next, r, left); err != nil {
 			return nil, err
 		}
 	}
@@ -391,14 +398,18 @@
 	if v := s.Version(); v > ident.Revision(r.GetVersion()) {
 		reply.Configuration = s.packed.of(v, s.Config)
 	}
+	if raw, revision := s.Notice(); revision > r.GetNoticeRevision() {
+		reply.Notice, reply.NoticeRevision = raw, revision
+	}
 	return reply
 }
 
-// configPoll is the time between two looks at the configuration while a call waits.
+// configPoll is the time between two looks at the configuration and at notices while a
+// call waits.
 const configPoll = 50 * time.Millisecond
 
-// await returns when there may be news.
-func (s *Spread) await(ctx context.Context, next <-chan struct{}, version ident.Revision, left time.Duration) error {
+// await returns when there may be news for a caller.
+func (s *Spread) await(ctx context.Context, next <-chan struct{}, r *PullRequest, left time.Duration) error {
 	timer := time.NewTimer(left)
 	defer timer.Stop()
 	ticker := time.NewTicker(configPoll)
@@ -410,7 +421,8 @@
 		case <-timer.C:
 			return nil
 		case <-ticker.C:
-			if s.Version() > version || !s.healthyNow() {
+			_, notice := s.Notice()
+			if s.Version() > ident.Revision(r.GetVersion()) || notice > r.GetNoticeRevision() || !s.healthyNow() {
 				return nil
 			}
 		case <-ctx.Done():
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -15,6 +15,7 @@
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 	"monsoonfork/core/pause"
+	"monsoonfork/core/staging"
 )
 
 // store is a store that instances follow.
@@ -69,6 +70,7 @@
 	mu      sync.Mutex
 	version ident.Revision
 	healthy bool
+	board   staging.Board
 }
 
 // take takes a configuration.
@@ -93,7 +95,7 @@
 		for m := range members {
 			id := ident.InstanceID(fmt.Sprintf("%s%d", domain, m))
 			all = append(all, membership.Member{ID: id, Domain: ident.DomainID(domain), PeerAddress: ident.Address(id)})
-			fleet[id] = &instance{id: id}
+			fleet[id] = &instance{id: id, board: staging.Board{Now: time.Now}}
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -140,10 +142,15 @@
 		Follow:   func(ctx context.Context) { st.follow(ctx, i) },
 		Healthy:  func() (bool, time.Time) { i.mu.Lock(); defer i.mu.Unlock(); return i.healthy, time.Time{} },
 		Settling: func() bool { return false },
-		Expect:   func() int { return len(fleet) },
-		Told:     func(int) {},
-		Now:      time.Now,
-		Log:      log.NewNopLogger(),
+		Notice:   func() ([]byte, int64) { return i.board.Newest() },
+		TakeNotice: func(raw []byte, revision int64) {
+			// What can't be read is dropped; the versions here can.
+			_ = i.board.Put(raw, revision)
+		},
+		Expect: func() int { return len(fleet) },
+		Told:   func(int) {},
+		Now:    time.Now,
+		Log:    log.NewNopLogger(),
 	}
 }
 
@@ -295,6 +302,28 @@
 	}
 }
 
+// TestNoticesReachAll has the followers learn of engines that change their stages.
+func TestNoticesReachAll(t *testing.T) {
+	st := &store{version: 1, follows: make(map[ident.InstanceID]bool)}
+	fleet := newFleet(t, st, 5)
+	awaitVersion(t, fleet, 1)
+	time.Sleep(handOver + 2*staleAfter)
+	first, _ := fleet["a0"].View().Owner("a", watchKey)
+	fleet[first.ID].TakeNotice([]byte(`{"Holder":"a0"}`), 7)
+	started := time.Now()
+	for _, i := range fleet {
+		if i.id[0] != 'a' {
+			continue
+		}
+		for _, revision := i.Notice(); revision != 7; _, revision = i.Notice() {
+			if time.Since(started) > 500*time.Millisecond {
+				t.Fatalf("%s has not heard of a notice", i.id)
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
+
 // TestTurnedAway turns all of one domain away from the store.
 func TestTurnedAway(t *testing.T) {
 	st := &store{version: 1, follows: make(map[ident.InstanceID]bool)}
@@ -366,7 +395,7 @@
 // TestUnhealthyIsSaid asks an instance that has no fresh news.
 func TestUnhealthyIsSaid(t *testing.T) {
 	st := &store{follows: make(map[ident.InstanceID]bool)}
-	i := &instance{id: "a0", version: 4}
+	i := &instance{id: "a0", version: 4, board: staging.Board{Now: time.Now}}
 	i.Spread = newSpread(nil, st, i, membership.NewTable(membership.Member{ID: "a0", Domain: "a"}, log.NewNopLogger(), time.Now))
 	answer, err := i.Serve(context.Background(), "b0", &PullRequest{Of: "a0"})
 	r, ok := answer.(*PullReply)
--- a/core/staging/controller.go
+++ b/core/staging/controller.go
@@ -36,12 +36,11 @@
 	Services func() []ident.ServiceID // Model services.
 	Engines  func(ident.ServiceID) []*engines.Engine
 	IsOwner  func() bool
-	// Acquire takes the right to give orders for a time; the number grows with
-	// each holder.
-	Acquire func(ctx context.Context, ttl time.Duration) (ident.Epoch, error)
-	Status  func(ctx context.Context, e engines.Entry) (Status, error)
-	Order   func(ctx context.Context, e engines.Entry, o Order) error
-	Boot    func() boottime.Instant
+	Acquire  Acquirer
+	Status   func(ctx context.Context, e engines.Entry) (Status, error)
+	Order    func(ctx context.Context, e engines.Entry, o Order) error
+	Boot     func() boottime.Instant
+	Pause    func(ctx context.Context, d time.Duration)
 
 	Apart time.Duration // Least time between orders of two holders.
 	Self  ident.InstanceID
@@ -63,6 +62,10 @@
 	lookEvery = 500 * time.Millisecond
 	// settleTime is how long a change has to be due before it is ordered.
 	settleTime = 1500 * time.Millisecond
+	// noticeTime is how long before its order the instances are told of a change: news
+	// are in force after a few hundred milliseconds, and streams for which an engine
+	// has kept room have been sent to it then.
+	noticeTime = time.Second
 	// useTime is how long orders may leave under a right. The rest of its lease, which
 	// is never renewed, keeps orders of two holders apart.
 	useTime = 5 * time.Second
@@ -131,25 +134,43 @@
 // change takes the right and gives orders.
 func (c *Controller) change(ctx context.Context) {
 	started := c.Boot()
+	moves := c.plan()
+	if len(moves) == 0 {
+		return
+	}
 	hold := useTime + c.Apart + apartMargin
-	fencing, err := c.Acquire(ctx, hold)
+	fencing, err := c.Acquire(ctx, hold, notice(c.Self, moves))
 	if err != nil {
 		c.restTo = c.Boot().Add(failedRest)
+		for _, m := range moves {
+			delete(c.ordered, m.Engine.ID)
+		}
 		_ = level.Info(c.Log).Log("msg", event.NoRightToOrder, "err", err)
 		return
 	}
 	c.restTo = started.Add(hold)
 	_ = level.Info(c.Log).Log("msg", event.RightToOrder, "fencing", fencing)
+	c.Pause(ctx, noticeTime)
 	until := started.Add(useTime)
+	for _, m := range moves {
+		c.move(ctx, m, fencing, until)
+	}
+}
+
+// plan returns the changes that are due, and takes them as ordered.
+func (c *Controller) plan() []Move {
+	var moves []Move
 	for _, s := range c.Services() {
 		for range movesAtOnce {
 			m, ok := Plan(c.staged(s))
 			if !ok || c.isResting(m.Engine.ID) {
 				break
 			}
-			c.move(ctx, m, fencing, until)
+			c.ordered[m.Engine.ID] = ordered{m.To, c.Boot().Add(restTime)}
+			moves = append(moves, m)
 		}
 	}
+	return moves
 }
 
 // isResting reports whether an engine gets no order now.
@@ -162,7 +183,6 @@
 	ctx, cancel := context.WithTimeout(ctx, 2*orderTime)
 	defer cancel()
 	e := m.Engine.Entry
-	c.ordered[e.ID] = ordered{m.To, c.Boot().Add(restTime)}
 	s, err := c.Status(ctx, e)
 	if err == nil && (s.Busy || s.Stage == m.To) {
 		err = fault.New(fault.NotHolder, "busy %v, stage %v", s.Busy, s.Stage)
--- a/core/staging/plan.go
+++ b/core/staging/plan.go
@@ -53,13 +53,17 @@
 }
 
 // fromFullest returns an engine of the domain that has most of a list, so that
-// what is left is spread.
+// what is left is spread, and there the one with the least work: it has changed soonest.
 func fromFullest(list []*engines.Engine) *engines.Engine {
 	count := make(map[ident.DomainID]int)
 	for _, e := range list {
 		count[e.Domain]++
 	}
 	return slices.MaxFunc(list, func(a, b *engines.Engine) int {
-		return cmp.Or(cmp.Compare(count[a.Domain], count[b.Domain]), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(
+			cmp.Compare(count[a.Domain], count[b.Domain]),
+			cmp.Compare(b.Load().Running, a.Load().Running),
+			cmp.Compare(a.ID, b.ID),
+		)
 	})
 }
--- a/core/staging/staging_test.go
+++ b/core/staging/staging_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,8 +25,12 @@
 	held    boottime.Instant // Until when somebody holds the right.
 	fencing ident.Epoch
 	orders  []Order
-	lost    bool // Orders get no answer.
-	asOf    int64
+
+	noticed   Notice
+	noticedAt boottime.Instant
+	unnoticed int  // Orders of which the instances were not told in time.
+	lost      bool // Orders get no answer.
+	asOf      int64
 }
 
 // newFleet returns a fleet of engines over four domains.
@@ -53,12 +58,13 @@
 		Services: func() []ident.ServiceID { return []ident.ServiceID{"s"} },
 		Engines:  f.table.Of,
 		IsOwner:  func() bool { return true },
-		Acquire: func(_ context.Context, ttl time.Duration) (ident.Epoch, error) {
+		Acquire: func(_ context.Context, ttl time.Duration, n Notice) (ident.Epoch, error) {
 			if f.boot.Before(f.held) {
 				return 0, fault.New(fault.NotHolder, "held")
 			}
 			f.held = f.boot.Add(ttl)
 			f.fencing++
+			f.noticed, f.noticedAt = n, f.boot
 			return f.fencing, nil
 		},
 		Status: func(_ context.Context, e engines.Entry) (Status, error) { return Status{Stage: e.Stage}, nil },
@@ -67,18 +73,29 @@
 				return fault.New(fault.NotHolder, "lapsed")
 			}
 			f.orders = append(f.orders, o)
+			f.checkNoticed(e, o)
 			if f.lost {
 				return fault.New(fault.EndpointTimeout, "no answer")
 			}
 			f.set(string(e.ID), e.Domain, o.To)
 			return nil
 		},
-		Boot: func() boottime.Instant { return f.boot }, Apart: testApart,
-		Self: ident.InstanceID(self), Log: log.NewNopLogger(),
+		Boot:  func() boottime.Instant { return f.boot },
+		Pause: func(_ context.Context, d time.Duration) { f.boot = f.boot.Add(d) },
+		Apart: testApart,
+		Self:  ident.InstanceID(self), Log: log.NewNopLogger(),
 		ordered: make(map[ident.EndpointID]ordered),
 	}
 }
 
+// checkNoticed checks that the instances were told of a change before its order.
+func (f *fleet) checkNoticed(e engines.Entry, o Order) {
+	told := slices.Contains(f.noticed.Changes, Change{e.ID, o.To})
+	if before := time.Duration(f.boot - f.noticedAt); !told || f.noticed.Holder != o.Holder || before < noticeTime {
+		f.unnoticed++
+	}
+}
+
 // pass lets time pass with looks at the split.
 func (f *fleet) pass(d time.Duration, controllers ...*Controller) {
 	for end := f.boot.Add(d); f.boot.Before(end); f.boot = f.boot.Add(lookEvery) {
@@ -109,6 +126,9 @@
 		if got := f.count(engines.Prefill); got != c.want {
 			t.Errorf("%d and %d: %d prefill, want %d", c.prefill, c.decode, got, c.want)
 		}
+		if f.unnoticed > 0 {
+			t.Errorf("%d of %d orders were not announced in time", f.unnoticed, len(f.orders))
+		}
 	}
 }
 
