--- a/core/spread/serve.go
+++ b/core/spread/serve.go
@@ -25,9 +25,13 @@
 	}
 	for {
 		news := s.Table.Since(sequence)
+		if len(news.Changes) > 2*replyEntries {
+			// A list has come. Whoever lacks it compares its own, and asks others too.
+			news.Changes, news.More = nil, true
+		}
 		reply := s.reply(r, news)
 		left := until.Sub(s.Now())
-		if len(reply.Engines) > 0 || len(reply.Configuration) > 0 || len(reply.Notice) > 0 || !reply.Healthy || left <= 0 {
+		if len(reply.Engines) > 0 || len(reply.Configuration) > 0 || len(reply.Notice) > 0 || reply.More || !reply.Healthy || left <= 0 {
 			return reply, nil
 		}
 		if err := s.await(ctx, news.Next, r, left); err != nil {
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -123,6 +123,21 @@
 	}
 }
 
+// TestManyChangesAreCompared has a list come to an instance between two calls of a
+// member: the answer is not all of it, but that much is missing.
+func TestManyChangesAreCompared(t *testing.T) {
+	const listed = 3000
+	st := &store{follows: make(map[ident.InstanceID]bool), engines: listed}
+	i := &instance{id: "a0", healthy: true, board: staging.Board{Now: time.Now}}
+	i.Spread = newSpread(nil, st, i, membership.NewTable(membership.Member{ID: "a0", Domain: "a"}, log.NewNopLogger(), time.Now))
+	i.Table.Replace(st.list(1), 1)
+	answer, err := i.Serve(context.Background(), "a1", &PullRequest{Of: "a0"})
+	r, ok := answer.(*PullReply)
+	if err != nil || !ok || len(r.GetEngines()) > 2*replyEntries || !r.GetMore() {
+		t.Errorf("%d entries, more %v, %v", len(r.GetEngines()), r.GetMore(), err)
+	}
+}
+
 // TestTurnedAway turns all of one domain away from the store.
 func TestTurnedAway(t *testing.T) {
 	st := &store{version: 1, follows: make(map[ident.InstanceID]bool)}
