orders: the test of the wait for earlier orders records sends under a lock

`go test -race -run TestNewControllerWaitsForEarlierOrders -count=400 ./core/orders` failed in 1 of 400 runs: both accesses are the append to got in the test's Send, one from each engine's goroutine, and both goroutines were started by the reconcileDue after the loop, at 3.1 s.

Cause: the test's recording. The controller sends to several engines at once; in that round both engines may get an order, as they should, and the fake appended to a slice without a lock.

Evidence: a trial on a scratch copy of the test, with a lock and the fake time of each send, 400 runs under the race detector: in every run the engine that checks fencing numbers got orders at 0, 0.7, 1.4, 2.1 and 3.1 s, and the one that ignores them got one order, at 3.1 s. The two sends of the last round came in either order (165 and 235 runs).

Ruled out, by reading and by the tests added here: that Acquired is too early. It is read after the store has given the lock, while an earlier holder stops LeaseMargin before its lease can expire, counts that deadline from before the call to the store, and drops its grant before it releases the lease.

The test is stricter than before. It records each order with its time, after the check that precedes each send; the engine that checks numbers must get its first order at 0 s, and the other exactly one, at 3 s. It is also compared at 2.8 s and at 1 ns before 3 s (the last time checked was 2.1 s), and a new revision of the text makes it due in each round, so that the wait itself is tested and not only the time of the next comparison. Two tests are new: an order sent 1 ns before the deadline of a lease that then expires, and an order of another instance between reading that the lock is free and acquiring it.

With a mechanism changed on a scratch copy, `go test -run TestNewController ./core/orders` fails: without the wait (all three tests), without DeliveryTimeout (orders at 2.1 s), with a wait 1 ns shorter or longer, and with Acquired read before the lock is acquired (500 ms too early; only the new test shows this, TestAtMostOneControllerInRandomHistories passes).

Passed: `go test -race -run TestNewController -count=400 ./core/orders`, `go test -race -short -count=15 ./core/orders`, `go test ./core/orders`.

--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/text"
 	"monsoonfork/io/engine"
 )
@@ -54,6 +56,13 @@
 	c.wg.Wait()
 }
 
+// reconcileAt sets the clock and compares all engines that are due.
+func reconcileAt(c *Controller, now *clock, at time.Time) {
+	now.now = at
+	c.reconcileDue()
+	c.wg.Wait()
+}
+
 // The controller is paused between the comparison and the send until its lease has
 // expired.
 func TestOrderNotSentAfterLeaseExpiry(t *testing.T) {
@@ -98,6 +107,36 @@
 	}
 }
 
+// sendRecorder records the time of each order that a controller sends, by address.
+// The controller sends orders to several engines concurrently.
+type sendRecorder struct {
+	clock *clock
+	mu    sync.Mutex
+	times map[ident.Address][]time.Time
+}
+
+// send records an order and confirms it.
+func (r *sendRecorder) send(_ context.Context, to ident.Address, _ engine.Order, s engine.OrderLimits) error {
+	if err := s.BeforeSend(); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.times[to] = append(r.times[to], r.clock.time())
+	return nil
+}
+
+// sendTimes returns the times since start of the orders that were sent to an address.
+func (r *sendRecorder) sendTimes(to ident.Address, start time.Time) []time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []time.Duration
+	for _, at := range r.times[to] {
+		list = append(list, at.Sub(start))
+	}
+	return list
+}
+
 // An engine that ignores fencing numbers gets no order while an order of an earlier
 // controller may still be running. An engine that checks them gets its order at
 // once.
@@ -106,25 +145,83 @@
 	declared := newTestText("checks", "ignores")
 	declared.Engines[0].ChecksFencing = true
 	c := newTestController(newFakeStore(now), declared)
-	var got []ident.Address
-	c.Send = func(_ context.Context, to ident.Address, _ engine.Order, _ engine.OrderLimits) error {
-		got = append(got, to)
-		return nil
+	sent := &sendRecorder{clock: now, times: map[ident.Address][]time.Time{}}
+	c.Send = sent.send
+	c.leases.maintain(t.Context(), true)
+	acquired := now.time()
+	// Orders of earlier controllers may run until 3 s: DeliveryTimeout and OrderTimeoutMS.
+	const earlierOrdersEnd = 3 * time.Second
+	for _, at := range []time.Duration{
+		0, 700 * time.Millisecond, 1400 * time.Millisecond, 2100 * time.Millisecond, 2800 * time.Millisecond,
+		earlierOrdersEnd - 1,
+	} {
+		c.Snapshot().Revision++ // A new configuration text makes all engines due.
+		reconcileAt(c, now, acquired.Add(at))
+	}
+	reconcileAt(c, now, acquired.Add(earlierOrdersEnd))
+	if got := sent.sendTimes("checks", acquired); len(got) == 0 || got[0] != 0 {
+		t.Errorf("orders were sent to the engine that checks fencing numbers after %v, want the first at once", got)
+	}
+	if got := sent.sendTimes("ignores", acquired); !slices.Equal(got, []time.Duration{earlierOrdersEnd}) {
+		t.Errorf("orders were sent to the engine that ignores fencing numbers after %v, want only after %v", got, earlierOrdersEnd)
+	}
+}
+
+// Another instance acquires the lock, sends an order and releases the lock after
+// this instance has read that the lock is free, and before it acquires the lock.
+func TestNewControllerWaitsForOrdersDuringAcquisition(t *testing.T) {
+	now := newClock()
+	f := newFakeStore(now)
+	earlier := newTestController(f, newTestText("ignores"))
+	c := newTestController(f, newTestText("ignores"))
+	acquire := c.leases.store.acquire
+	var sentAt time.Time
+	c.leases.store.acquire = func(ctx context.Context, id keyvalue.LeaseID) keyvalue.Outcome {
+		earlier.leases.maintain(ctx, true)
+		now.advance(500 * time.Millisecond)
+		g, _ := earlier.leases.currentGrant()
+		sentAt = now.time()
+		if err := earlier.leases.checkGrant(g.Fencing, sentAt); err != nil {
+			t.Errorf("the earlier controller may not send orders: %v", err)
+		}
+		earlier.leases.release(ctx, "test")
+		return acquire(ctx, id)
 	}
 	c.leases.maintain(t.Context(), true)
-	for range 4 {
-		c.reconcileDue()
-		c.wg.Wait()
-		now.advance(700 * time.Millisecond)
+	g, ok := c.leases.currentGrant()
+	e := c.Snapshot().Text.Engines[0]
+	if got, want := c.earlierOrdersEnd(g, e), latestOrderEnd(sentAt, c.tuning, e); !ok || got.Before(want) {
+		t.Errorf("grant held: %v; orders may be sent %v before the order of the earlier controller has ended", ok, want.Sub(got))
 	}
-	if slices.Contains(got, "ignores") || !slices.Contains(got, "checks") {
-		t.Errorf("within 2.8 s orders went to %v", got)
+}
+
+// An order is sent at the last moment before the deadline of a lease that then
+// expires, while another instance tries to acquire the lock all the time.
+func TestNewControllerWaitsForOrderSentAtDeadline(t *testing.T) {
+	now := newClock()
+	f := newFakeStore(now)
+	earlier := newTestController(f, newTestText("ignores"))
+	c := newTestController(f, newTestText("ignores"))
+	earlier.leases.maintain(t.Context(), true)
+	g, _ := earlier.leases.currentGrant()
+	now.now = g.Deadline.Add(-1)
+	sentAt := now.time()
+	if err := earlier.leases.checkGrant(g.Fencing, sentAt); err != nil {
+		t.Fatal(err)
 	}
-	now.advance(300 * time.Millisecond)
-	c.reconcileDue()
-	c.wg.Wait()
-	if !slices.Contains(got, "ignores") {
-		t.Errorf("after 3.1 s orders went to %v", got)
+	now.advance(1)
+	if err := earlier.leases.checkGrant(g.Fencing, now.time()); err == nil {
+		t.Error("an order may be sent at the deadline")
+	}
+	next, ok := Grant{}, false
+	for limit := sentAt.Add(2 * DefaultTuning().LeaseTTL); !ok && now.time().Before(limit); now.advance(time.Millisecond) {
+		c.leases.maintain(t.Context(), true)
+		next, ok = c.leases.currentGrant()
+	}
+	e := c.Snapshot().Text.Engines[0]
+	got, want := c.earlierOrdersEnd(next, e), latestOrderEnd(sentAt, c.tuning, e).Add(c.tuning.LeaseMargin)
+	if !ok || got.Before(want) {
+		t.Errorf("grant held: %v; the wait ends at %v, want not before %v", ok, got, want)
 	}
 }
 
