httpcall: believe an answer on a reused connection only if it is the call's own

Callers could see a 503 "not run, try again" for a request that an engine ran, and such a request could be sent to a second engine: an engine that writes an earlier refusal once more on a kept connection, after the next request was written, had it taken as the answer to that request.

Cause: Pool compared ids only if the answer had one. The refusal of a reservation has none, since that call has none, so it passed as the answer of any request that followed on the connection: without the statement "not run" its 503 was forwarded to the caller, with it the request counted as not run. The same held for a prefill's handle without an id. A request that was sent again on the same connection (a prefill that was refused before) could not be told from its first sending by the id alone.

Now the id of the answer has to be that of the call. Without an id, an answer to a call with one counts only on a connection on which nothing else was sent, and an answer with an id never counts for a call without one. A connection is not used for an id that it has carried; it forgets the id when the request's deadline has passed.

Ruled out: bytes that arrive between the idle check and the write are the same case and end in the same check. Client opens a connection for each call, so nothing can be left on it.

--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -1,9 +1,8 @@
 package httpcall
 
 import (
-	"bufio"
 	"context"
-	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +17,6 @@
 	maxIdleTime = 12 * time.Second
 	// maxIdleConns is the maximum number of idle connections to an address.
 	maxIdleConns = 64
-	// connBufferBytes is the size of a connection's read buffer.
-	connBufferBytes = 4 << 10
 	// poolUserTimeout is how long sent bytes may stay unacknowledged before the
 	// kernel ends the connection.
 	poolUserTimeout = 1500 * time.Millisecond
@@ -44,14 +41,6 @@
 	mismatched metrics.Counter // Responses with the id of another request.
 }
 
-// poolConn is a connection of a Pool.
-type poolConn struct {
-	net.Conn
-	br        *bufio.Reader
-	idleSince time.Time // When its last call ended.
-	expires   time.Time // Not reused from this time on.
-}
-
 // NewPool returns a pool without connections.
 func NewPool(r metrics.Registry) *Pool {
 	return &Pool{
@@ -80,7 +69,8 @@
 }
 
 // Do makes the call like Client.Do, but on an idle connection if there is one whose last
-// call ended at or after call.PooledSince.
+// call ended at or after call.PooledSince, and that has not carried a call with the same
+// id.
 func (p *Pool) Do(ctx context.Context, call Call, sink Sink) error {
 	p.counters.calls.Inc(1)
 	err := p.do(ctx, call, sink)
@@ -130,7 +120,7 @@
 		return nil, cancellationError(ctx, fault.NotRun)
 	}
 	for {
-		c := p.popIdle(call.Address)
+		c := p.popIdle(call)
 		if c == nil {
 			return p.dial(ctx, call)
 		}
@@ -142,17 +132,20 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) popIdle(a ident.Address) *poolConn {
+// popIdle removes and returns the most recently used idle connection for a call, or nil.
+func (p *Pool) popIdle(call Call) *poolConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[a]
-	if len(list) == 0 {
-		return nil
+	list := p.idle[call.Address]
+	for i := len(list) - 1; i >= 0; i-- {
+		c := list[i]
+		if c.hasCarried(call.ID) {
+			continue
+		}
+		p.idle[call.Address] = slices.Delete(list, i, i+1)
+		return c
 	}
-	c := list[len(list)-1]
-	p.idle[a] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // release keeps a connection for later calls. It closes the connection if the pool is
@@ -204,5 +197,5 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	return &poolConn{Conn: conn, br: bufio.NewReaderSize(conn, connBufferBytes)}, nil
+	return newPoolConn(conn), nil
 }
--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -32,6 +32,7 @@
 	sink Sink
 	head Head
 
+	isFirst   bool       // Nothing was sent on the connection before.
 	writeDone chan error // Result of a concurrent write; nil if the request was written first.
 	writeErr  error
 }
@@ -47,6 +48,8 @@
 			return true, fault.From(err).WithRan(fault.NotRun)
 		}
 	}
+	x.isFirst = !x.conn.used
+	x.conn.recordCall(x.call, time.Now())
 	_ = x.conn.SetDeadline(x.call.Limits.ResponseDeadline)
 	stop := context.AfterFunc(x.ctx, func() { _ = x.conn.Close() })
 	reusable, err := x.exchange(message)
@@ -86,9 +89,9 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	x.head = Head{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength}
-	if id := res.Header.Get(RequestIDHeader); id != "" && x.call.ID != "" && id != x.call.ID {
+	if !x.isOwnResponse(res.Header) {
 		x.pool.counters.mismatched.Inc(1)
-		return false, fault.New(fault.AnswerBroken, "the response has the id of another request")
+		return false, fault.New(fault.AnswerBroken, "the response has the id of another request, or none")
 	}
 	if err := x.sink.OnHead(x.head); err != nil {
 		return false, err
@@ -100,6 +103,16 @@
 	return !res.Close && x.conn.br.Buffered() == 0 && x.writeErr == nil, nil
 }
 
+// isOwnResponse reports whether a response belongs to the call: it has the call's id. A
+// response without an id may do so only if no other call was sent on the connection.
+func (x *poolExchange) isOwnResponse(h http.Header) bool {
+	id := h.Get(RequestIDHeader)
+	if id == "" && x.isFirst {
+		return true
+	}
+	return id == x.call.ID
+}
+
 // readHead reads the head of the final response and skips interim responses.
 func (x *poolExchange) readHead() (*http.Response, error) {
 	deadline := earliest(x.call.Limits.FirstByteDeadline, x.call.Limits.ResponseDeadline)
