httpcall: a response head has a maximum size

An endpoint that writes a head without end (interim responses, header fields, one header line, a status line without its end) kept a call until its deadline and filled the memory for as long: instances of 112 MB serve tens of such calls at once.

Cause: http.ReadResponse has no limit of its own, and nbhttp only one of 64 MB for a line and none for the number of header fields.

Pool reads a head through a reader that stops after 64 KB, interim responses included; Client counts what it passes to the parser until the head is complete. The call ends as broken, "may have run", and its connection is closed. Ruled out: chunk sizes, extensions and trailers, which net/http limits to the size of its buffers and nbhttp to that of a whole response.

--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -159,7 +159,10 @@
 	parser := nbhttp.NewParser(nbc, c.engine, x, true, nbc.Execute)
 	nbc.SetSession(parser)
 	nbc.OnData(func(conn *nbio.Conn, data []byte) {
-		x.recordRead()
+		if !x.recordRead(len(data)) {
+			_ = conn.Close()
+			return
+		}
 		c.engine.DataHandler(conn, data)
 	})
 	nbc.Unlock()
--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -21,6 +21,7 @@
 
 	mu            sync.Mutex
 	head          Head
+	headBytes     int  // Bytes read until the read in which the headers are complete.
 	headComplete  bool // The headers are complete.
 	chunked       bool
 	length        int // Content-Length, -1 if there is none.
@@ -50,11 +51,27 @@
 	}
 }
 
-// recordRead records when bytes were read. Do computes the end of Limits.ReadTimeout from it.
-func (x *exchange) recordRead() {
+// recordRead records when bytes were read. Do computes the end of Limits.ReadTimeout from
+// it. It reports whether the head is still small enough for them to be parsed.
+func (x *exchange) recordRead(n int) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.lastReadAt = time.Now()
+	if x.headComplete {
+		return true
+	}
+	if x.headBytes >= maxHeadBytes {
+		x.fail(headTooLargeError())
+		x.signal()
+		return false
+	}
+	x.headBytes += n
+	return true
+}
+
+// headTooLargeError returns the error for a response whose head exceeds maxHeadBytes.
+func headTooLargeError() *fault.Error {
+	return fault.New(fault.AnswerBroken, "the head of the response is larger than %d bytes", maxHeadBytes)
 }
 
 // OnStatus implements nbhttp.Processor.
--- a/io/httpcall/poolconn.go
+++ b/io/httpcall/poolconn.go
@@ -2,21 +2,50 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"slices"
 	"time"
 )
 
-// connBufferBytes is the size of a connection's read buffer.
-const connBufferBytes = 4 << 10
+const (
+	// connBufferBytes is the size of a connection's read buffer.
+	connBufferBytes = 4 << 10
+	// maxHeadBytes is the maximum size of the head of a response, together with the
+	// interim responses before it.
+	maxHeadBytes = 64 << 10
+)
+
+// headLimiter reads from a connection, and while a head is read at most maxHeadBytes.
+type headLimiter struct {
+	conn      net.Conn
+	inHead    bool
+	remaining int  // Bytes that may still be read for the head.
+	exceeded  bool // The head is larger than maxHeadBytes.
+}
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.conn.Read(p)
+	}
+	if l.remaining == 0 {
+		l.exceeded = true
+		return 0, io.ErrUnexpectedEOF
+	}
+	n, err := l.conn.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
 
 // poolConn is a connection of a Pool.
 type poolConn struct {
 	net.Conn
-	br        *bufio.Reader
-	idleSince time.Time // When its last call ended.
-	expires   time.Time // Not reused from this time on.
-	used      bool      // A call was sent on it.
+	limiter   *headLimiter
+	br        *bufio.Reader // Reads from limiter.
+	idleSince time.Time     // When its last call ended.
+	expires   time.Time     // Not reused from this time on.
+	used      bool          // A call was sent on it.
 	carried   []carriedCall
 }
 
@@ -28,9 +57,16 @@
 
 // newPoolConn returns a connection on which nothing was sent.
 func newPoolConn(conn net.Conn) *poolConn {
-	return &poolConn{Conn: conn, br: bufio.NewReaderSize(conn, connBufferBytes)}
+	limiter := &headLimiter{conn: conn}
+	return &poolConn{Conn: conn, limiter: limiter, br: bufio.NewReaderSize(limiter, connBufferBytes)}
 }
 
+// beginHead limits the bytes that are read until endHead.
+func (c *poolConn) beginHead() { c.limiter.inHead, c.limiter.remaining = true, maxHeadBytes }
+
+// endHead removes the limit that beginHead has set.
+func (c *poolConn) endHead() { c.limiter.inHead = false }
+
 // hasCarried reports whether a call with this id was sent on the connection. A repeated
 // response to that call could not be distinguished from one to a new call with the id.
 func (c *poolConn) hasCarried(id string) bool {
--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -117,8 +117,14 @@
 func (x *poolExchange) readHead() (*http.Response, error) {
 	deadline := earliest(x.call.Limits.FirstByteDeadline, x.call.Limits.ResponseDeadline)
 	_ = x.conn.SetReadDeadline(deadline)
+	x.conn.beginHead()
+	defer x.conn.endHead()
 	for {
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.call.Method})
+		if err != nil && x.conn.limiter.exceeded {
+			// The parser may report the incomplete line instead of the reader's error.
+			return nil, headTooLargeError()
+		}
 		if err != nil {
 			return nil, x.readError(err, fault.EndpointFailed, "no response from the endpoint")
 		}
