forward: split a stream into events in linear time

An engine that writes one long event in small parts used up a processor: each part had the whole incomplete event searched again for its end.

The size of an event is limited by the platform's adapter; this change is alone in eventsplitter.go.

--- a/core/forward/eventsplitter.go
+++ b/core/forward/eventsplitter.go
@@ -18,12 +18,13 @@
 
 // feed adds data of the stream and returns the events that are now complete.
 func (s *eventSplitter) feed(data []byte) []byte {
+	searched := max(0, len(s.partial)-len(eventSeparator)+1) // No separator begins before it.
 	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial, eventSeparator)
+	end := bytes.LastIndex(s.partial[searched:], eventSeparator)
 	if end < 0 {
 		return nil
 	}
-	end += len(eventSeparator)
+	end += searched + len(eventSeparator)
 	complete := s.partial[:end:end]
 	s.partial = append([]byte(nil), s.partial[end:]...)
 	if id, ok := lastEventID(complete); ok {
