--- a/io/engine/events.go
+++ b/io/engine/events.go
@@ -18,12 +18,15 @@
 
 // feed appends a chunk of the stream and calls onData for each complete data line.
 func (r *eventReader) feed(chunk []byte, onData func([]byte) error) error {
+	searched := len(r.partialLine) // It has no line break.
 	r.partialLine = append(r.partialLine, chunk...)
 	for {
-		end := bytes.IndexByte(r.partialLine, '\n')
+		end := bytes.IndexByte(r.partialLine[searched:], '\n')
 		if end < 0 {
 			break
 		}
+		end += searched
+		searched = 0
 		line := bytes.TrimRight(r.partialLine[:end], "\r")
 		data, ok := bytes.CutPrefix(line, []byte("data:"))
 		if ok {
