engine: limit responses that are not streams

An engine that writes the body of a failure or of a short call's response without end had it buffered up to 64 MB a call.

4 MB is the limit now; a page of cache events is the largest such response. Events of a stream had a limit of 1 MB already. Ruled out as without a bound, from reading the code: messages of peers (maxMessageBytes in io/peer), responses of the store and of the instance list (maxResponseBytes in io/store and io/instancelist; net/http limits their heads), and answers of calls that are sent at most once (16 MB in core/request). io/operator reads a whole response of an instance in the command line program; that was left.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -3,7 +3,6 @@
 package engine
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -26,6 +25,8 @@
 	// shortCallTimeout bounds a call with a small response: an abort or a query of
 	// requests, load, cache events or state.
 	shortCallTimeout = 2 * time.Second
+	// maxBodyBytes is the maximum size of a response that is not a stream.
+	maxBodyBytes = 4 << 20
 	// maxErrorBodyBytes is how many bytes of an error response are decoded.
 	maxErrorBodyBytes = 4 << 10
 )
@@ -135,19 +136,31 @@
 // doBuffered makes a call and returns the whole body of a response with status
 // 200. Any other status gives an error.
 func (c *Client) doBuffered(ctx context.Context, call httpcall.Call) ([]byte, error) {
-	var body bytes.Buffer
+	var body bodyBuffer
 	var status int
 	err := c.http.Do(ctx, call, httpcall.Sink{
 		OnHead: func(h httpcall.Head) error { status = h.Status; return nil },
-		OnBody: func(chunk []byte) error { body.Write(chunk); return nil },
+		OnBody: body.add,
 	})
 	if err != nil {
 		return nil, err
 	}
 	if status != http.StatusOK {
-		return nil, statusError(status, body.Bytes())
+		return nil, statusError(status, body.data)
 	}
-	return body.Bytes(), nil
+	return body.data, nil
+}
+
+// bodyBuffer collects the body of a response that is not a stream.
+type bodyBuffer struct{ data []byte }
+
+// add appends a chunk. It returns an error if the body exceeds maxBodyBytes.
+func (b *bodyBuffer) add(chunk []byte) error {
+	if len(b.data)+len(chunk) > maxBodyBytes {
+		return fault.New(fault.AnswerBroken, "the engine's response is larger than %d bytes", maxBodyBytes)
+	}
+	b.data = append(b.data, chunk...)
+	return nil
 }
 
 // statusError returns the error for a response with a status other than 200. A
--- a/io/engine/decode.go
+++ b/io/engine/decode.go
@@ -96,7 +96,7 @@
 	onDelta func(Delta) error
 
 	status    int
-	errorBody []byte
+	errorBody bodyBuffer
 	events    eventReader
 	finish    Finish
 	finished  bool  // A finish reason was received.
@@ -112,8 +112,7 @@
 // onChunk processes a chunk of the response body.
 func (s *decodeStream) onChunk(chunk []byte) error {
 	if !statusOK(s.status) {
-		s.errorBody = append(s.errorBody, chunk...)
-		return nil
+		return s.errorBody.add(chunk)
 	}
 	return s.events.feed(chunk, s.onEvent)
 }
@@ -172,7 +171,7 @@
 // reason.
 func (s *decodeStream) missingFinishError() (Finish, error) {
 	if !statusOK(s.status) {
-		return Finish{}, statusError(s.status, s.errorBody)
+		return Finish{}, statusError(s.status, s.errorBody.data)
 	}
 	return Finish{}, fault.New(fault.AnswerBroken, "the engine ended its stream without a finish reason")
 }
