store: one invalid item does not make an answer unreadable

What was seen: if one item in a page of the list or in the answer to a watch had a field of another type, a number out of range or invalid base64, the whole answer failed to decode. The follower then listed and watched again and again, each time without a result: the configuration and all engines stayed as they were, or were never known.

Cause: encoding/json decodes the rest of an answer after such an error, but StoreClient dropped all of it.

A field that can't be decoded sets Err and leaves the value empty, which every user of a value rejects; the other items hold.

Ruled out: to accept what json.Unmarshal decoded despite an error, since that would also accept a wrong revision.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -24,6 +24,7 @@
 	Value    []byte
 	Revision int64
 	Removed  bool
+	Err      error // Set if the store's answer had an invalid item; Value is empty then.
 }
 
 // Source is the interface to the store.
