--- a/core/event/event.go
+++ b/core/event/event.go
@@ -61,6 +61,7 @@
 	ConfigurationRejected // configuration rejected
 	EngineEntryIgnored    // invalid engine entry ignored
 	RegisterEntryIgnored  // invalid register entry ignored
+	StoreItemIgnored      // invalid store item ignored
 	RevisionInForce       // revision in force
 	TextReadFailed        // reading the text failed
 	InvalidPullReply      // invalid pull reply
