replication: no panic in the catch-up of an instance without live members

What happened: rand.IntN(0) panics in the replication loop, which ends the process and every request in progress. catchUp chooses among the live members of the own domain. A stopping instance is not live itself, so that the list is empty if its domain has no other live member; catchUp runs while the last reply did not contain all that is missing, which is with lists that differ by more than 100 entries.

Fix: without members there is nobody to pull from. The pulls from other domains, which follow in the same round, are not affected.

--- a/core/replication/replication.go
+++ b/core/replication/replication.go
@@ -256,6 +256,9 @@
 		return
 	}
 	members := v.Ranked(v.Self.Domain, followerKey)
+	if len(members) == 0 {
+		return
+	}
 	for range catchUpCalls {
 		to := members[rand.IntN(len(members))].ID
 		if to == v.Self.ID {
