stage notices: an invalid one is neither kept nor passed on

What was seen: a notice with an unknown stage excluded the engine that it names from requests for 18 s, as the engine never reaches that stage. A notice that could not be decoded replaced the valid one and was passed on to all instances, each of which logged it.

Cause: NoticeBoard.Put kept the bytes before it decoded them, and took any number as a stage.

Fix: a notice is decoded and checked first; only a valid one counts. Nesting of 100,000 levels and numbers out of range were errors already. Orders name prefill or decode only (stageNames), so that no notice of this program is rejected.

--- a/core/stagecontrol/notice.go
+++ b/core/stagecontrol/notice.go
@@ -51,19 +51,21 @@
 }
 
 // Put applies a notice with its revision of the store, unless it is not newer than the
-// current one. The error has kind BadText.
+// current one. An invalid notice is not kept, so that other instances don't get it. The
+// error has kind BadText.
 func (b *NoticeBoard) Put(raw []byte, revision int64) error {
-	b.mu.Lock()
-	if revision <= b.revision {
-		b.mu.Unlock()
+	if _, current := b.Newest(); revision <= current {
 		return nil
 	}
-	b.raw, b.revision = raw, revision
-	b.mu.Unlock()
-	var n Notice
-	if err := json.Unmarshal(raw, &n); err != nil {
-		return fault.Wrap(err, fault.BadText, "cannot decode the notice of stage changes")
+	n, err := decodeNotice(raw)
+	if err != nil {
+		return err
 	}
+	b.mu.Lock()
+	if revision > b.revision {
+		b.raw, b.revision = raw, revision
+	}
+	b.mu.Unlock()
 	until := b.Now().Add(stageChangeTime)
 	for _, c := range n.Changes {
 		b.Exclude(c.Engine, c.To, until)
@@ -71,6 +73,20 @@
 	return nil
 }
 
+// decodeNotice decodes and checks a notice. The error has kind BadText.
+func decodeNotice(raw []byte) (Notice, error) {
+	var n Notice
+	if err := json.Unmarshal(raw, &n); err != nil {
+		return Notice{}, fault.New(fault.BadText, "cannot decode the notice of stage changes: %.200v", err)
+	}
+	for _, c := range n.Changes {
+		if c.To != engines.Prefill && c.To != engines.Decode {
+			return Notice{}, fault.New(fault.BadText, "the notice of stage changes has an unknown stage %d", int(c.To))
+		}
+	}
+	return n, nil
+}
+
 // Newest returns the newest notice and its revision, or 0 if there is none yet.
 func (b *NoticeBoard) Newest() ([]byte, int64) {
 	b.mu.Lock()
