register: bound the members of an entry

What was seen: an entry of the register with 2^63-1 members was accepted. The number of registered instances is the divisor of each organisation's rate, so that every instance admits next to nothing; with two such entries the sum overflows.

Fix: at most 100,000 members, some hundred times the expected fleet of 340. Other invalid values (types, fractions, exponents, another domain, truncated) were rejected already; the test shows it.

--- a/core/presence/register.go
+++ b/core/presence/register.go
@@ -35,11 +35,15 @@
 	return &Register{now: now, entries: make(map[ident.DomainID]entry)}
 }
 
+// maxMembers bounds the members of a domain, since each instance admits the share of the
+// rates that the sum over all domains leaves to it.
+const maxMembers = 100_000
+
 // Put applies an entry of the store.
 func (g *Register) Put(domain ident.DomainID, value []byte, revision int64) error {
 	var r Registration
-	if err := json.Unmarshal(value, &r); err != nil || r.Domain != domain || r.Members < 1 {
-		return fault.New(fault.BadRequest, "malformed entry of domain %s in the register", domain)
+	if err := json.Unmarshal(value, &r); err != nil || r.Domain != domain || r.Members < 1 || r.Members > maxMembers {
+		return fault.New(fault.BadRequest, "malformed entry of domain %.200q in the register", domain)
 	}
 	g.update(domain, r, revision)
 	return nil
