memory: a soft limit of the Go runtime from the settings

What was seen: nothing told the Go runtime of the 112 to 134 MB that the platform gives an instance. The heap may grow to twice the live data before it is collected; a process above the limit is ended, with all its requests.

Not run here: a start from the template as the platform fills it in. It needs limits.memory-mb there.

--- a/cmd/monsoonfork/verb/serve.go
+++ b/cmd/monsoonfork/verb/serve.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		return err
 	}
+	setMemoryLimit(cfg)
 	out := logwriter.New(std.out)
 	defer func() { _ = out.Close() }()
 	logger := newLogger(out, cfg.LogLevel)
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -34,6 +34,7 @@
 	Deployment          Deployment      `yaml:"Deployment"`          // Source of the declarations and the engine list.
 	MetricsAddress      ident.Address   `yaml:"MetricsAddress"`      // Further address on which metrics are served; may be empty.
 	Bounds              Bounds          `yaml:"Bounds"`              // Limits that the platform sets; only for Deployment Platform.
+	MemoryMB            float64         `yaml:"MemoryMB"`            // Memory that the process may use, in megabytes; 0 means no limit.
 }
 
 // Deployment is the source of the declarations (routes, services, organisations) and of
@@ -78,6 +79,7 @@
 	defaultOrderLeaseMS    = 10_000
 	minOrderLeaseMS        = 2_000
 	maxOrderLeaseMS        = 60_000
+	maxMemoryMB            = 1_000_000
 	defaultLogLevel        = "info"
 )
 
@@ -151,6 +153,9 @@
 	c.inRange("HeartbeatMS", s.HeartbeatMS, minHeartbeatMS, maxHeartbeatMS)
 	c.inRange("BalancerDelayMS", s.BalancerDelayMS, 0, maxBalancerDelayMS)
 	c.inRange("OrderLeaseMS", s.OrderLeaseMS, minOrderLeaseMS, maxOrderLeaseMS)
+	if valid := s.MemoryMB >= 0 && s.MemoryMB <= maxMemoryMB; !valid && !c.Failed("MemoryMB") { // NaN is not valid.
+		c.Addf("MemoryMB", fmt.Sprintf("give 0 to %d", maxMemoryMB), "%g is out of range", s.MemoryMB)
+	}
 	if !slices.Contains(logLevels, s.LogLevel) && !c.Failed("LogLevel") {
 		c.Addf("LogLevel", "give debug, info, warn or error", "%q is not a level", s.LogLevel)
 	}
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -37,6 +37,9 @@
 		"bad peer":         {"[127.0.0.1:8181]", "[x]", "line 7: FirstPeers[0]"},
 		"bad level":        {"Name: a", "Name: a\nLogLevel: loud", "line 2: LogLevel"},
 		"heartbeat range":  {"Name: a", "Name: a\nHeartbeatMS: 0", "line 2: HeartbeatMS: 0 is out of range; give 50 to 10000"},
+		"negative memory":  {"Name: a", "Name: a\nMemoryMB: -1", "line 2: MemoryMB: -1 is out of range; give 0 to 1000000"},
+		"memory NaN":       {"Name: a", "Name: a\nMemoryMB: .nan", "line 2: MemoryMB"},
+		"memory too large": {"Name: a", "Name: a\nMemoryMB: 1e300", "line 2: MemoryMB"},
 		"wrong type":       {"Name: a", "Name: a\nHeartbeatMS: fast", "line 2: HeartbeatMS"},
 		"incomplete TLS":   {"Name: a", "Name: a\nTLS: {CertFile: c.pem}", "TLS: is incomplete"},
 		"not YAML":         {validSettings, "\tName", "line 1"},
@@ -61,3 +64,14 @@
 		t.Errorf("got %v", err)
 	}
 }
+
+// TestMemoryMBIsDecoded guards against a start that fails because the platform writes the
+// number with or without a fraction.
+func TestMemoryMBIsDecoded(t *testing.T) {
+	for text, want := range map[string]float64{"112": 112, "112.0": 112, "134.5": 134.5, "0": 0} {
+		s, err := Decode([]byte(validSettings + "MemoryMB: " + text + "\n"))
+		if err != nil || s.MemoryMB != want {
+			t.Errorf("MemoryMB %s: %+v, %v", text, s, err)
+		}
+	}
+}
