--- a/core/event/event.go
+++ b/core/event/event.go
@@ -94,6 +94,7 @@
 	AnswerEncodingFailed // encoding the answer failed
 	LinesDropped         // log lines dropped
 	InvariantViolated    // invariant violated
+	PanicContained       // panic contained
 
 	eventCount // Number of events; keep last.
 )
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -102,4 +102,5 @@
 	AnswerEncodingFailed:    {SubsystemProcess, "An answer to an operator could not be encoded.", []string{"err"}},
 	LinesDropped:            {SubsystemProcess, "Number of log lines dropped because standard output was read too slowly.", []string{"lines"}},
 	InvariantViolated:       {SubsystemProcess, "An invariant does not hold, which is a defect of the program.", []string{"invariant"}},
+	PanicContained:          {SubsystemProcess, "Applying data from the store or from another instance panicked, which is a defect of the program. The step is skipped, and the process goes on.", []string{"step", "err", "stack"}},
 }
