replication: no loop of pulls for a configuration that is rejected here

What was seen: a reply to a pull contains the configuration whenever it is newer than the caller's, without waiting. An instance that can't apply it, because another version of the program is stricter or the step panicked and was contained, pulls it again at once: a busy loop that sends the whole compressed configuration each time.

Failing before (go test -run RejectedConfiguration ./core/replication): 81659 pulls in 500ms, want at most 6

Fix: if the version is still that of the request after a reply with a configuration, the instance pauses for retryDelay (100 ms), as after a round without a successful pull. All else in the reply is applied before. Ruled out: to remember the rejected version and ask as if it were applied, since Version is also what this instance offers to others.

--- a/core/replication/catchup_test.go
+++ b/core/replication/catchup_test.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/engines"
+	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 )
 
@@ -19,3 +22,32 @@
 	s := &Replicator{incomplete: true}
 	s.catchUp(context.Background(), table.View())
 }
+
+// TestRejectedConfigurationIsNotPulledInALoop guards against an instance that pulls without
+// a pause, each time with the whole configuration, while it can't apply the one that other
+// instances have.
+func TestRejectedConfigurationIsNotPulledInALoop(t *testing.T) {
+	const duration = 500 * time.Millisecond
+	table := membership.NewTable(membership.Member{ID: "a-1", Domain: "a"}, log.NewNopLogger(), time.Now)
+	calls := 0
+	s := &Replicator{
+		View: table.View, Table: engines.NewTable(), Now: time.Now, Log: log.NewNopLogger(),
+		Version:       func() ident.Revision { return 0 },
+		Notice:        func() ([]byte, int64) { return nil, 0 },
+		ApplyConfig:   func([]byte) {},
+		SetRegistered: func(int) {},
+		Call: func(_ context.Context, _ ident.InstanceID, _ string, _, resp proto.Message) error {
+			calls++
+			proto.Merge(resp, &PullReply{Healthy: true, Known: true, Configuration: encoder.EncodeAll([]byte("{}"), nil)})
+			return nil
+		},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	for ctx.Err() == nil {
+		s.pullAny(ctx, []ident.InstanceID{"a-2"})
+	}
+	if limit := int(duration/retryDelay) + 1; calls > limit {
+		t.Errorf("%d pulls in %v, want at most %d", calls, duration, limit)
+	}
+}
--- a/core/replication/replication.go
+++ b/core/replication/replication.go
@@ -299,6 +299,10 @@
 		return false, err
 	}
 	s.applyReply(from, reply)
+	if len(reply.GetConfiguration()) > 0 && int64(s.Version()) == req.GetVersion() {
+		// The configuration was rejected here, and the next reply has it again.
+		sleep.For(ctx, retryDelay)
+	}
 	return reply.GetHealthy(), nil
 }
 
