caller: a request stays open until its response is written

What callers saw: around a planned stop, a request that had been handled sometimes ended with a closed connection and no answer, or a chunked answer without its end.

Cause: endRequest ran when the handler returned. nbhttp writes what is buffered of a response, and the last chunk of a chunked one, only after that. Now Parser.Execute is wrapped, so that a request ends after that write.

Evidence, on the code before (go test ./io/caller/ -run 'TestRequestIsOpen|TestIdleCloseKeeps' -count=2): TestRequestIsOpenUntilItsAnswerIsWritten: 0 open requests before the answer was written, want 1 TestIdleCloseKeepsAnswers: 152 requests were handled and 132 answered completely TestIdleCloseKeepsAnswers: 129 requests were handled and 110 answered completely After: both pass, -count=5.

Ruled out: hasUnacked does not cover this, as nothing of the response was sent yet.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -31,7 +31,7 @@
 	closeDeadline   time.Time          // When the connection is closed unless a request is read or handled.
 	rejection       *fault.Error       // Why the request being read is rejected; nil if it is not.
 	cancel          func(*fault.Error) // Cancels the request being handled; nil without one.
-	activeRequests  int                // Requests read completely whose handler has not returned.
+	activeRequests  int                // Requests read completely whose response is not yet written.
 	cancelled       bool               // The request being handled was cancelled.
 	lastRequest     bool               // No request is accepted after the one being handled.
 	deliveredSweeps int                // Successive calls of closeWriteIfDelivered that found all sent bytes acknowledged.
@@ -56,6 +56,7 @@
 	}
 	if !c.limiterInstalled {
 		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
+		parser.Execute = c.execute
 		c.limiterInstalled = true
 	}
 	err := c.parse(parser, data)
@@ -284,11 +285,31 @@
 	shutdownWrite(c.nbc)
 }
 
-// endRequest records that the handler of a request has returned.
-func (c *conn) endRequest() {
+// execute queues an accepted request. handle calls the handler and writes what is buffered
+// of its response; only then does the request end. It returns false if the connection is
+// closed.
+func (c *conn) execute(handle func()) bool {
+	queued := c.nbc.Execute(func() {
+		defer c.endRequest()
+		handle()
+	})
+	if !queued {
+		c.endRequest()
+	}
+	return queued
+}
+
+// clearCancel records that the handler of a request has returned.
+func (c *conn) clearCancel() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancel = nil
+}
+
+// endRequest records that the response to a request is written.
+func (c *conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.activeRequests--
 	c.closeDeadline = time.Now().Add(c.limits.IdleTimeout)
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -42,7 +42,7 @@
 	if c == nil {
 		return
 	}
-	defer c.endRequest()
+	defer c.clearCancel()
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	s.metrics.requests.Inc(1)
