caller: a drain closes a connection only once its answers are delivered

What callers saw: during a planned stop, a request on a connection whose last answer was not yet delivered got no answer, and its connection ended more than 200 ms later. A large answer could end early while its rest was buffered for a slow caller.

And it shut down the sending side after a single check of the kernel's buffer, which may be empty while nbio still holds data that its poller has not yet passed on.

Fix: one function, closeWriteIfDelivered, for both cases. Until then requests are accepted; their answers announce the close. The functions that close connections move to connclose.go.

Evidence, on the code before (go test ./io/caller/ -run 'TestDrainServes|TestDrainDelivers' -count=2): TestDrainServesRequestsBehindUndeliveredAnswer: /small: unexpected EOF (2 of 2) TestDrainDeliversBufferedAnswers: unexpected EOF (2 of 2) After: both pass, -count=3.

Ruled out: an answer begun before a drain, without Connection: close. The request that follows it is served (TestAnswerBegunBeforeDrain passes on both versions).

TestIdleCloseKeepsAnswers calls the new function in place of closeWriteIfIdle, which is gone.

--- a/io/caller/answerend_test.go
+++ b/io/caller/answerend_test.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// TestIdleCloseKeepsAnswers closes idle connections as often as possible while callers send
-// requests. A request whose handler ran must get its complete answer.
+// TestIdleCloseKeepsAnswers checks for idle connections to be closed as often as possible
+// while callers send requests. A request whose handler ran must get its complete answer.
 func TestIdleCloseKeepsAnswers(t *testing.T) {
 	const (
 		callers = 4
@@ -103,7 +103,7 @@
 			case <-stop:
 				return
 			default:
-				s.conns.each(func(c *conn) { c.closeWriteIfIdle(time.Now()) })
+				s.conns.each(func(c *conn) { c.closeWriteIfDelivered(time.Now(), true) })
 			}
 		}
 	})
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -35,6 +35,7 @@
 	cancelled       bool               // The request being handled was cancelled.
 	lastRequest     bool               // No request is accepted after the one being handled.
 	deliveredSweeps int                // Successive calls of closeWriteIfDelivered that found all sent bytes acknowledged.
+	deliveryCheck   time.Time          // Before this time the last response does not count as delivered.
 	writeClosed     bool               // The sending side was closed after the last response.
 	discarding      bool               // A rejection was sent: further input is discarded.
 }
@@ -220,71 +221,6 @@
 	return cancel != nil
 }
 
-// markLastRequest makes the request being handled the last of its connection. nbhttp
-// would close the connection from the handler's goroutine as soon as it has the
-// response: bytes buffered for a slow caller would be lost, and an event that a poller
-// has already fetched for the descriptor would be applied to the next connection with
-// the same descriptor. Instead the sending side is closed once the response is
-// delivered, and the poller closes the connection when the caller has closed its side.
-func (c *conn) markLastRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastRequest = true
-}
-
-// closeWriteIfIdle closes the sending side of a connection without a request and stops
-// accepting requests on it. A request that arrives from now on is not read; closing at
-// once lets its caller retry elsewhere without delay.
-func (c *conn) closeWriteIfIdle(now time.Time) {
-	c.mu.Lock()
-	idle := c.activeRequests == 0 && c.requestDeadline.IsZero() && !c.lastRequest && !c.discarding
-	if idle {
-		c.lastRequest = true
-	}
-	c.mu.Unlock()
-	if idle && !hasUnacked(c.nbc) {
-		c.closeWrite(now)
-	}
-}
-
-// isLastRequest reports whether no request is accepted after the one being handled.
-func (c *conn) isLastRequest() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.lastRequest
-}
-
-// closeWriteIfDelivered closes the sending side of a connection whose last response was
-// acknowledged by the caller's host in idleSweeps successive calls. Server.sweep calls it
-// once per sweepInterval.
-func (c *conn) closeWriteIfDelivered(now time.Time) {
-	c.mu.Lock()
-	awaitingDelivery := c.lastRequest && c.activeRequests == 0 && !c.writeClosed && !c.discarding
-	c.mu.Unlock()
-	if !awaitingDelivery {
-		return
-	}
-	if hasUnacked(c.nbc) {
-		c.deliveredSweeps = 0
-		return
-	}
-	c.deliveredSweeps++
-	if c.deliveredSweeps < idleSweeps {
-		return
-	}
-	c.closeWrite(now)
-}
-
-// closeWrite closes the sending side. The connection is closed when the caller closes
-// its side, or after lingerTime.
-func (c *conn) closeWrite(now time.Time) {
-	c.mu.Lock()
-	c.writeClosed = true
-	c.closeDeadline = now.Add(lingerTime)
-	c.mu.Unlock()
-	shutdownWrite(c.nbc)
-}
-
 // execute queues an accepted request. handle calls the handler and writes what is buffered
 // of its response; only then does the request end. It returns false if the connection is
 // closed.
@@ -313,37 +249,3 @@
 	c.activeRequests--
 	c.closeDeadline = time.Now().Add(c.limits.IdleTimeout)
 }
-
-// isClosed reports whether the connection is closed. nbio guards the flag by the
-// connection's lock.
-func (c *conn) isClosed() bool {
-	c.nbc.Lock()
-	defer c.nbc.Unlock()
-	closed, _ := c.nbc.IsClosed()
-	return closed
-}
-
-// enforceTimeouts cancels the request of a disconnected caller, rejects a request that
-// was not complete in time, and closes an idle connection. nbhttp does none of this
-// for a handler: it does not cancel the request's context, and Write returns no error
-// after a disconnect.
-func (c *conn) enforceTimeouts(now time.Time) {
-	closed := c.isClosed()
-	c.cancelIfDisconnected(closed)
-	c.mu.Lock()
-	timedOut := !c.requestDeadline.IsZero() && now.After(c.requestDeadline)
-	var timeout *fault.Error
-	if timedOut {
-		timeout = fault.New(fault.RequestTimeout, "the request was not complete within %v", c.limits.RequestTimeout)
-		c.rejection = timeout
-	}
-	idle := c.activeRequests == 0 && c.requestDeadline.IsZero() && now.After(c.closeDeadline)
-	c.mu.Unlock()
-	if idle && !timedOut {
-		_ = c.nbc.Close()
-		return
-	}
-	if timedOut && !closed {
-		c.sendRejection(timeout)
-	}
-}
--- /dev/null
+++ b/io/caller/connclose.go
@@ -0,0 +1,106 @@
+package caller
+
+import (
+	"time"
+
+	"monsoonfork/core/fault"
+)
+
+// deliveryTime is how long all sent bytes must have been acknowledged before a response
+// counts as delivered. It is a little less than idleSweeps sweeps take.
+const deliveryTime = (idleSweeps - 2) * sweepInterval
+
+// markLastRequest makes the request being handled the last of its connection. nbhttp
+// would close the connection from the handler's goroutine as soon as it has the
+// response: bytes buffered for a slow caller would be lost, and an event that a poller
+// has already fetched for the descriptor would be applied to the next connection with
+// the same descriptor. Instead the sending side is closed once the response is
+// delivered, and the poller closes the connection when the caller has closed its side.
+func (c *conn) markLastRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastRequest = true
+}
+
+// isLastRequest reports whether no request is accepted after the one being handled.
+func (c *conn) isLastRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastRequest
+}
+
+// closeWriteIfDelivered closes the sending side of a connection without a request if its
+// last request was handled, or if drain is set. The caller's host must have acknowledged all
+// sent bytes in idleSweeps successive calls over deliveryTime: bytes that nbio has buffered may reach the
+// kernel only a moment after it has sent all others. Until then a connection that is closed
+// because of a drain accepts requests. Server.sweep calls it once per sweepInterval.
+func (c *conn) closeWriteIfDelivered(now time.Time, drain bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isQuiet(drain) {
+		c.deliveredSweeps = 0
+		return
+	}
+	if c.deliveredSweeps == 0 {
+		c.deliveryCheck = now.Add(deliveryTime)
+	}
+	c.deliveredSweeps++
+	if c.deliveredSweeps >= idleSweeps && !now.Before(c.deliveryCheck) {
+		c.closeWrite(now)
+	}
+}
+
+// isQuiet reports whether the connection has no request, all sent bytes were acknowledged,
+// and its last request was handled or drain is set. The caller must hold c.mu.
+func (c *conn) isQuiet(drain bool) bool {
+	if c.activeRequests > 0 || c.writeClosed || c.discarding {
+		return false
+	}
+	if !c.lastRequest && (!drain || !c.requestDeadline.IsZero()) {
+		return false
+	}
+	return !hasUnacked(c.nbc)
+}
+
+// closeWrite closes the sending side and stops accepting requests. The connection is closed
+// when the caller closes its side, or after lingerTime. The caller must hold c.mu.
+func (c *conn) closeWrite(now time.Time) {
+	c.lastRequest = true
+	c.writeClosed = true
+	c.closeDeadline = now.Add(lingerTime)
+	shutdownWrite(c.nbc)
+}
+
+// isClosed reports whether the connection is closed. nbio guards the flag by the
+// connection's lock.
+func (c *conn) isClosed() bool {
+	c.nbc.Lock()
+	defer c.nbc.Unlock()
+	closed, _ := c.nbc.IsClosed()
+	return closed
+}
+
+// enforceTimeouts cancels the request of a disconnected caller, rejects a request that
+// was not complete in time, and closes an idle connection. nbhttp does none of this
+// for a handler: it does not cancel the request's context, and Write returns no error
+// after a disconnect.
+func (c *conn) enforceTimeouts(now time.Time) {
+	closed := c.isClosed()
+	c.cancelIfDisconnected(closed)
+	c.mu.Lock()
+	timedOut := !c.requestDeadline.IsZero() && now.After(c.requestDeadline)
+	var timeout *fault.Error
+	if timedOut {
+		timeout = fault.New(fault.RequestTimeout, "the request was not complete within %v", c.limits.RequestTimeout)
+		c.rejection = timeout
+	}
+	idle := c.activeRequests == 0 && c.requestDeadline.IsZero() && now.After(c.closeDeadline)
+	c.mu.Unlock()
+	if idle && !timedOut {
+		_ = c.nbc.Close()
+		return
+	}
+	if timedOut && !closed {
+		c.sendRejection(timeout)
+	}
+}
--- /dev/null
+++ b/io/caller/drainclose_test.go
@@ -0,0 +1,143 @@
+package caller
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestDrainServesRequestsBehindUndeliveredAnswer drains a server while an answer is not yet
+// delivered, and sends a second request on its connection. The caller has not been told that
+// the connection ends, so that the request must get an answer.
+func TestDrainServesRequestsBehindUndeliveredAnswer(t *testing.T) {
+	large := strings.Repeat("x", largeResponseBytes)
+	s, address := newForwardingTestServer(t, func(f *ForwardedRequest) {
+		if f.Request.URL.Path == "/small" {
+			f.WriteHeader(http.StatusOK, http.Header{}, 0)
+			return
+		}
+		f.WriteHeader(http.StatusOK, http.Header{}, largeResponseBytes)
+		_ = f.Write([]byte(large))
+	}, WithIdleClose())
+	caller := dialTest(t, address)
+	if _, err := io.WriteString(caller, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	c := onlyConn(t, s)
+	eventually(t, "the answer is sent in part", 2*time.Second, func() bool { return s.openRequests.Load() == 0 && hasUnacked(c.nbc) })
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	time.Sleep(3 * sweepInterval)
+	if _, err := io.WriteString(caller, "GET /small HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(caller)
+	for _, path := range []string{"/large", "/small"} {
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if path == "/small" && !res.Close {
+			t.Error("the last response has no Connection: close")
+		}
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestDrainDeliversBufferedAnswers drains a server while the rest of an answer is buffered
+// in the process and the kernel's buffer is empty at the moment of a sweep. Shutting down
+// the sending side at that moment would lose the rest.
+func TestDrainDeliversBufferedAnswers(t *testing.T) {
+	const (
+		answers = 30
+		bytes   = 8 << 20 // More than the kernel buffers for a connection.
+	)
+	large := strings.Repeat("x", bytes)
+	s, address := newForwardingTestServer(t, func(f *ForwardedRequest) {
+		f.WriteHeader(http.StatusOK, http.Header{}, bytes)
+		_ = f.Write([]byte(large))
+	})
+	for range answers {
+		caller := dialTest(t, address)
+		if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		stop := make(chan struct{})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					s.conns.each(func(c *conn) { c.closeWriteIfDelivered(time.Now(), true) })
+				}
+			}
+		}()
+		res, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, res.Body)
+		}
+		close(stop)
+		<-done
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = caller.Close()
+	}
+}
+
+// TestAnswerBegunBeforeDrain begins an answer before and ends it after the begin of a drain,
+// and then sends another request at once. Its connection may not end without an answer to
+// the second one.
+func TestAnswerBegunBeforeDrain(t *testing.T) {
+	begun := make(chan struct{}, 1)
+	proceed := make(chan struct{})
+	s, address := newForwardingTestServer(t, func(f *ForwardedRequest) {
+		f.WriteHeader(http.StatusOK, http.Header{}, -1)
+		_ = f.Write([]byte("x"))
+		if f.Request.URL.Path == "/first" {
+			begun <- struct{}{}
+			<-proceed
+		}
+	}, WithIdleClose())
+	caller := dialTest(t, address)
+	if _, err := io.WriteString(caller, "GET /first HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	time.Sleep(2 * sweepInterval)
+	close(proceed)
+	in := bufio.NewReader(caller)
+	for _, path := range []string{"/first", "/second"} {
+		if path == "/second" {
+			if _, err := io.WriteString(caller, "GET /second HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
+			t.Fatalf("%s: %v", path, err)
+		}
+		if path == "/second" && !res.Close {
+			t.Error("the last response has no Connection: close")
+		}
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -195,13 +195,10 @@
 		case <-s.stopSweep:
 			return
 		case now := <-ticker.C:
-			closeIdle := s.closeIdleOnDrain && s.draining.Load()
+			drain := s.closeIdleOnDrain && s.draining.Load()
 			s.conns.each(func(c *conn) {
-				if closeIdle {
-					c.closeWriteIfIdle(now)
-				}
 				c.enforceTimeouts(now)
-				c.closeWriteIfDelivered(now)
+				c.closeWriteIfDelivered(now, drain)
 			})
 		}
 	}
