caller: announce the close in the last answer, and only there

What callers saw: (1) an answer whose header was written after a planned stop had begun did not announce the close if its request was read before, so that the caller sent its next request into the close. (2) Of two requests sent at once, the first answer announced the close if the second had "Connection: close" or a stop had begun; a caller that heeds it does not read the second answer, although its request ran.

Cause: the decision was made when the handler started, and did not look at requests that were accepted meanwhile. Now it is made just before the headers are written, in one function, and only if no other request has been accepted.

Evidence, on the code before (go test ./io/caller/ -run 'TestDrainDuring|TestOnlyLast'): TestDrainDuringHandlerAnnouncesClose: the response has no Connection: close TestOnlyLastAnswerAnnouncesClose/closed_by_the_caller: response 1: Connection: close is true, want false TestOnlyLastAnswerAnnouncesClose/drain: response 1: Connection: close is true, want false After: both pass, -count=2, with the other tests of drains and pipelining.

Not covered: an answer that began before the stop can't announce it.

--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -22,10 +22,16 @@
 	c.lastRequest = true
 }
 
-// isLastRequest reports whether no request is accepted after the one being handled.
-func (c *conn) isLastRequest() bool {
+// isLastResponse reports whether the connection is closed after the response being written.
+// With drain it stops accepting requests, unless others have been accepted already: a caller
+// that is told of the close does not read their responses.
+func (c *conn) isLastResponse(drain bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.activeRequests > 1 {
+		return false
+	}
+	c.lastRequest = c.lastRequest || drain
 	return c.lastRequest
 }
 
--- a/io/caller/drainclose_test.go
+++ b/io/caller/drainclose_test.go
@@ -141,3 +141,69 @@
 		t.Error(err)
 	}
 }
+
+// TestDrainDuringHandlerAnnouncesClose begins a drain while a handler runs that has not yet
+// written the header of its answer. The answer must announce the close, so that the caller
+// sends no further request on the connection.
+func TestDrainDuringHandlerAnnouncesClose(t *testing.T) {
+	running := make(chan struct{})
+	proceed := make(chan struct{})
+	s, address := newForwardingTestServer(t, func(f *ForwardedRequest) {
+		close(running)
+		<-proceed
+		f.WriteHeader(http.StatusOK, http.Header{}, 0)
+	}, WithIdleClose())
+	caller := dialTest(t, address)
+	if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	drained := make(chan error, 1)
+	go func() { drained <- s.Drain(t.Context()) }()
+	eventually(t, "the drain has begun", time.Second, s.draining.Load)
+	close(proceed)
+	res, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !res.Close {
+		t.Error("the response has no Connection: close")
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestOnlyLastAnswerAnnouncesClose sends two requests at once, of which the second has
+// "Connection: close" or a drain has begun. A caller that is told to close by the first
+// answer does not read the second.
+func TestOnlyLastAnswerAnnouncesClose(t *testing.T) {
+	for name, second := range map[string]string{
+		"closed by the caller": "GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n",
+		"drain":                "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, address := newForwardingTestServer(t, func(f *ForwardedRequest) {
+				time.Sleep(2 * sweepInterval) // Both requests are read before the first answer.
+				f.WriteHeader(http.StatusOK, http.Header{}, 0)
+			}, WithIdleClose())
+			if name == "drain" {
+				s.draining.Store(true)
+			}
+			caller := dialTest(t, address)
+			if _, err := io.WriteString(caller, "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"+second); err != nil {
+				t.Fatal(err)
+			}
+			in := bufio.NewReader(caller)
+			for i, want := range []bool{false, true} {
+				res, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatalf("response %d: %v", i+1, err)
+				}
+				if res.Close != want {
+					t.Errorf("response %d: Connection: close is %v, want %v", i+1, res.Close, want)
+				}
+			}
+		})
+	}
+}
--- a/io/caller/errorresponse.go
+++ b/io/caller/errorresponse.go
@@ -88,6 +88,7 @@
 	if f.Kind == fault.Unauthenticated || f.Kind == fault.KeyWithdrawn {
 		h.Set("WWW-Authenticate", "Bearer")
 	}
+	x.setConnectionClose()
 	x.w.WriteHeader(statusWithReason(fault.ResponseFor(f.Kind).Status))
 	_, _ = x.w.Write(body)
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -48,13 +48,12 @@
 	s.metrics.requests.Inc(1)
 	received := time.Now()
 	defer func() { s.metrics.responseTime.UpdateSince(received) }()
-	if r.Close || s.draining.Load() {
+	if r.Close {
 		// nbhttp would close the connection from this goroutine; see markLastRequest.
 		r.Close = false
 		c.markLastRequest()
 	}
 	x := &exchange{server: s, conn: c, w: response, req: r}
-	x.setConnectionClose()
 	if s.forwardHandler != nil {
 		s.serveForward(x, received)
 		return
@@ -66,9 +65,10 @@
 }
 
 // setConnectionClose sets "Connection: close" if the connection is closed after the
-// response.
+// response. Each response calls it just before it writes its headers, so that a drain that
+// began during the request is announced.
 func (x *exchange) setConnectionClose() {
-	if x.conn.isLastRequest() {
+	if x.conn.isLastResponse(x.server.draining.Load()) {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -85,6 +85,7 @@
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set(httpcall.RequestIDHeader, a.responseID)
+	a.setConnectionClose()
 	_, _ = a.w.Write(body)
 	return nil
 }
@@ -130,6 +131,7 @@
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
 	h.Set(httpcall.RequestIDHeader, a.responseID)
+	a.setConnectionClose()
 }
 
 // writeEvent encodes a response and sends it as one event.
