caller: a rejection waits for the answers to earlier requests

What callers saw: a caller that sent a valid request and then, before its answer, one that was malformed, too large or not completed in time, lost the answer to the valid one: the connection was closed at once, and the engine that ran it was cancelled.

Cause: sendRejection closed the connection while another request was handled, as its response would have ended up inside the other one. Now it is queued behind the handlers of the connection, counts as a request until it is written, and the sending side is shut down after its delivery like that of any last response. Before, the shutdown followed at once, also with bytes of an earlier answer still buffered.

Evidence, on the code before (go test ./io/caller/ -run TestRejectionKeeps): all four cases (malformed, not HTTP, too large, incomplete): first answer: unexpected EOF. After: they pass, with the tests of malformed, incomplete, slow and pipelined requests.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -134,30 +134,24 @@
 	}
 }
 
-// sendRejection responds with err and closes the sending side. While an earlier request
-// of the connection is still being handled, it closes the connection without a
-// response, which would end up in the middle of the earlier one.
+// sendRejection responds with err, after the responses to earlier requests of the
+// connection, and makes it the last response. It counts as a request until it is written.
 func (c *conn) sendRejection(err *fault.Error) {
 	c.mu.Lock()
 	alreadyDiscarding := c.discarding
-	responding := c.activeRequests > 0
 	c.discarding = true
+	c.lastRequest = true
 	c.rejection = err
 	c.requestDeadline = time.Time{}
-	c.closeDeadline = time.Now().Add(lingerTime)
+	if !alreadyDiscarding {
+		c.activeRequests++
+	}
 	c.mu.Unlock()
 	if alreadyDiscarding {
 		return
 	}
 	c.metrics.rejected.Inc(1)
-	if responding {
-		_ = c.nbc.Close()
-		return
-	}
-	if _, werr := c.nbc.Write(rawErrorResponse(err)); werr != nil {
-		return
-	}
-	shutdownWrite(c.nbc)
+	c.execute(func() { _, _ = c.nbc.Write(rawErrorResponse(err)) })
 }
 
 // ignoresInput reports whether a rejection was sent or the last request of the
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -59,7 +59,7 @@
 // isQuiet reports whether the connection has no request, all sent bytes were acknowledged,
 // and its last request was handled or drain is set. The caller must hold c.mu.
 func (c *conn) isQuiet(drain bool) bool {
-	if c.activeRequests > 0 || c.writeClosed || c.discarding {
+	if c.activeRequests > 0 || c.writeClosed {
 		return false
 	}
 	if !c.lastRequest && (!drain || !c.requestDeadline.IsZero()) {
