caller: no close while a request has arrived that is not parsed yet

A request whose rest arrived meanwhile was rejected as timed out.

Fix: bytes are at any time in the kernel (SIOCINQ), or being parsed by a poller that has marked the connection under its lock (beginRead), or counted as a request.

Ruled out: a request accepted after its timeout was decided. accept refuses it, as the rejection is recorded under the lock.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -38,6 +38,8 @@
 	deliveryCheck   time.Time          // Before this time the last response does not count as delivered.
 	writeClosed     bool               // The sending side was closed after the last response.
 	discarding      bool               // A rejection was sent: further input is discarded.
+	reading         bool               // The poller is reading and parsing input.
+	closing         bool               // The connection is being closed and is no longer read.
 }
 
 // newConn returns the state of a new connection.
@@ -45,6 +47,26 @@
 	return &conn{nbc: nbc, limits: limits, metrics: m, closeDeadline: time.Now().Add(limits.IdleTimeout)}
 }
 
+// beginRead records that the poller is about to read input. It returns false if the
+// connection is being closed and must not be read.
+func (c *conn) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = !c.closing
+	return c.reading
+}
+
+// endRead records that the poller has parsed all input that it has read.
+func (c *conn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
+// hasInput reports whether input has arrived that is not parsed yet. The caller must hold
+// c.mu, so that it can stop the connection from being read before more is parsed.
+func (c *conn) hasInput() bool { return c.reading || hasUnread(c.nbc) }
+
 // feed parses bytes that the poller has read.
 func (c *conn) feed(data []byte) {
 	if c.ignoresInput() {
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -23,15 +23,17 @@
 }
 
 // isLastResponse reports whether the connection is closed after the response being written.
-// With drain it stops accepting requests, unless others have been accepted already: a caller
-// that is told of the close does not read their responses.
+// With drain it stops accepting requests, unless others have arrived already: a caller that
+// is told of the close does not read their responses.
 func (c *conn) isLastResponse(drain bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.activeRequests > 1 {
 		return false
 	}
-	c.lastRequest = c.lastRequest || drain
+	if drain && !c.lastRequest {
+		c.lastRequest = c.requestDeadline.IsZero() && !hasUnread(c.nbc)
+	}
 	return c.lastRequest
 }
 
@@ -62,7 +64,7 @@
 	if c.activeRequests > 0 || c.writeClosed {
 		return false
 	}
-	if !c.lastRequest && (!drain || !c.requestDeadline.IsZero()) {
+	if !c.lastRequest && (!drain || !c.requestDeadline.IsZero() || c.hasInput()) {
 		return false
 	}
 	return !hasUnacked(c.nbc)
@@ -87,26 +89,44 @@
 }
 
 // enforceTimeouts cancels the request of a disconnected caller, rejects a request that
-// was not complete in time, and closes an idle connection. nbhttp does none of this
-// for a handler: it does not cancel the request's context, and Write returns no error
-// after a disconnect.
+// was not complete in time, and closes an idle connection, unless input has arrived that is
+// not parsed yet, as after a suspension of the process. nbhttp does none of this for a
+// handler: it does not cancel the request's context, and Write returns no error after a
+// disconnect.
 func (c *conn) enforceTimeouts(now time.Time) {
 	closed := c.isClosed()
 	c.cancelIfDisconnected(closed)
+	if closed {
+		return
+	}
 	c.mu.Lock()
-	timedOut := !c.requestDeadline.IsZero() && now.After(c.requestDeadline)
 	var timeout *fault.Error
-	if timedOut {
+	if c.isTimedOut(now) {
 		timeout = fault.New(fault.RequestTimeout, "the request was not complete within %v", c.limits.RequestTimeout)
 		c.rejection = timeout
 	}
-	idle := c.activeRequests == 0 && c.requestDeadline.IsZero() && now.After(c.closeDeadline)
+	c.closing = c.isIdle(now)
+	closing := c.closing
 	c.mu.Unlock()
-	if idle && !timedOut {
+	if closing {
 		_ = c.nbc.Close()
-		return
 	}
-	if timedOut && !closed {
+	if timeout != nil {
 		c.sendRejection(timeout)
 	}
 }
+
+// isTimedOut reports whether the request being read was not complete in time. The caller
+// must hold c.mu.
+func (c *conn) isTimedOut(now time.Time) bool {
+	return !c.requestDeadline.IsZero() && now.After(c.requestDeadline) && !c.hasInput()
+}
+
+// isIdle reports whether the connection has no request and its closeDeadline has passed. The
+// caller must hold c.mu.
+func (c *conn) isIdle(now time.Time) bool {
+	if c.activeRequests > 0 || !c.requestDeadline.IsZero() || !now.After(c.closeDeadline) {
+		return false
+	}
+	return c.lastRequest || !c.hasInput()
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -56,8 +56,6 @@
 	closePollInterval = 2 * time.Millisecond
 	// pollers is the number of poller goroutines.
 	pollers = 2
-	// readsPerEvent lets the poller read until a socket is empty.
-	readsPerEvent = 1 << 30
 )
 
 // Server is the HTTP server for callers.
@@ -132,21 +130,20 @@
 // Listen starts serving on address and returns the address bound. Close stops it.
 func (s *Server) Listen(address ident.Address) (ident.Address, error) {
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name:                         "Caller",
-		Addrs:                        []string{string(address)},
-		NPoller:                      pollers,
-		MaxConnReadTimesPerEventLoop: readsPerEvent,
-		ReadLimit:                    s.limits.MaxHeaderBytes + s.limits.MaxBodyBytes,
-		MaxWriteBufferSize:           s.limits.MaxUnreadBytes,
-		KeepaliveTime:                nbhttpKeepaliveTime,
-		SupportServerOnly:            true,
+		Name:               "Caller",
+		Addrs:              []string{string(address)},
+		NPoller:            pollers,
+		ReadLimit:          s.limits.MaxHeaderBytes + s.limits.MaxBodyBytes,
+		MaxWriteBufferSize: s.limits.MaxUnreadBytes,
+		KeepaliveTime:      nbhttpKeepaliveTime,
+		SupportServerOnly:  true,
 		// A handler blocks until its request has been served.
 		ServerExecutor: func(f func()) { go f() },
 		Handler:        http.HandlerFunc(s.serve),
 	})
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
-	s.engine.OnData(s.onData)
+	s.engine.OnRead(s.onRead)
 	if err := poller.Start(s.engine); err != nil {
 		return "", fault.Wrap(err, fault.BadSettings, "cannot serve callers on %s", address)
 	}
@@ -172,18 +169,6 @@
 	}
 }
 
-// onData passes bytes read by a poller to their connection.
-func (s *Server) onData(c *nbio.Conn, data []byte) {
-	conn := s.conns.get(c)
-	if conn == nil {
-		if handler := c.DataHandler(); handler != nil {
-			handler(c, data)
-		}
-		return
-	}
-	conn.feed(data)
-}
-
 // sweep checks all connections periodically until Close: for disconnected callers, slow
 // requests, idle connections and delivered last responses.
 func (s *Server) sweep() {
--- a/io/caller/socket.go
+++ b/io/caller/socket.go
@@ -42,6 +42,13 @@
 	return n > 0
 }
 
+// hasUnread reports whether the kernel has received bytes that the poller has not read.
+func hasUnread(nbc *nbio.Conn) bool {
+	n := 0
+	withDescriptor(nbc, func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.SIOCINQ) })
+	return n > 0
+}
+
 // peerClosed reports whether the caller has closed its side or reset the connection, even
 // if the poller has not yet read all bytes before that.
 func peerClosed(nbc *nbio.Conn) bool {
