caller: a panic of a request's handler is answered and logged

What callers saw: a request whose handler panicked got no answer at all; its connection stayed open until the idle timeout. Nothing was logged.

Cause: nbio recovers panics of handlers, and reports them only to its own logger, which is off. The process goes on, but nothing is written for the request. The new event "panic in a request handler" has the request's id, the value and the stack. Other requests are served, on the same connection too.

Ruled out: one panic in a handler ending the process; nbio's recovery prevents it. Panics in goroutines that a handler starts are not covered; none of them runs in this package.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -93,6 +93,7 @@
 	AnswerEncodingFailed // encoding the answer failed
 	LinesDropped         // log lines dropped
 	InvariantViolated    // invariant violated
+	HandlerPanicked      // panic in a request handler
 
 	eventCount // Number of events; keep last.
 )
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -101,4 +101,5 @@
 	AnswerEncodingFailed:    {SubsystemProcess, "An answer to an operator could not be encoded.", []string{"err"}},
 	LinesDropped:            {SubsystemProcess, "Number of log lines dropped because standard output was read too slowly.", []string{"lines"}},
 	InvariantViolated:       {SubsystemProcess, "An invariant does not hold, which is a defect of the program.", []string{"invariant"}},
+	HandlerPanicked:         {SubsystemProcess, "The handler of a request panicked, which is a defect of the program. The caller was sent an internal error, or its connection was closed if the answer had begun; other requests continue.", []string{"request", "err", "stack"}},
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -54,6 +56,7 @@
 		c.markLastRequest()
 	}
 	x := &exchange{server: s, conn: c, w: response, req: r}
+	defer x.recoverPanic()
 	if s.forwardHandler != nil {
 		s.serveForward(x, received)
 		return
@@ -73,6 +76,21 @@
 	}
 }
 
+// recoverPanic logs a panic of the handler and sends an internal error, which does not state
+// that the request was not run. nbio would discard the panic, and the caller would get no
+// answer.
+func (x *exchange) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if x.responseID == "" {
+		x.responseID = x.req.Header.Get(httpcall.RequestIDHeader)
+	}
+	_ = level.Error(x.server.log).Log("msg", event.HandlerPanicked, "request", x.responseID, "err", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	x.writeError(fault.New(fault.Internal, "internal error"))
+}
+
 // logRejection logs a request that was rejected before a session was opened. A session
 // logs the outcome of its request itself.
 func (x *exchange) logRejection(err error) {
