caller: the end of a drain and Close wait for arrived requests and answers being written

What callers saw: at the end of a planned stop, an answer that a handler had just produced could be lost; a request that had arrived but was not parsed yet did not hold up the drain; and a request whose handler started while the server closed was cut off.

Cause: Close waited for handlers to return, not for the write of their responses, and accepted further requests meanwhile; Drain counted only what had been parsed.

Fix: Close also waits, within the same closeTimeout, until no open connection has a request that is not answered, and discards input from its begin; Drain counts connections with input that is not parsed yet.

Evidence, on the code before (go test ./io/caller/ -run 'TestCloseWaitsForAnswers|TestDrainWaitsForArr|TestClosedServerRuns'), with Close's loop moved to awaitRequests unchanged, which the first test calls: TestCloseWaitsForAnswersBeingWritten: the server stops before the answer is written TestDrainWaitsForArrivedRequests: a request that has arrived is not counted TestDrainWaitsForArrivedRequests: a request being parsed is not counted TestClosedServerRunsNoRequest: the handler of /second started during the close After: all pass, -count=2 with the other tests of Close and Drain.

--- a/io/caller/conntable.go
+++ b/io/caller/conntable.go
@@ -74,9 +74,23 @@
 	return n
 }
 
+// hasRequests reports whether a response on an open connection is not written yet.
+func (t *connTable) hasRequests() bool {
+	found := false
+	t.each(func(c *conn) {
+		if c.isClosed() {
+			return
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		found = found || c.activeRequests > 0
+	})
+	return found
+}
+
 // countActiveRequests returns the number of requests being read or handled, plus the
-// number of connections with sent bytes that a slow caller has not acknowledged, as long
-// as their closeDeadline has not passed.
+// number of connections with input that is not parsed yet, and of those with sent bytes that
+// a slow caller has not acknowledged, as long as their closeDeadline has not passed.
 func (t *connTable) countActiveRequests() int {
 	n := 0
 	now := time.Now()
@@ -90,6 +104,9 @@
 			n++
 		}
 		n += c.activeRequests
+		if !c.lastRequest && c.hasInput() {
+			n++
+		}
 		if c.closeDeadline.After(now) && hasUnacked(c.nbc) {
 			n++
 		}
--- a/io/caller/read.go
+++ b/io/caller/read.go
@@ -30,7 +30,7 @@
 	for {
 		n, err := nbc.Read(buffer[:])
 		if n > 0 {
-			onData(nbc, c, buffer[:n])
+			s.onData(nbc, c, buffer[:n])
 		}
 		switch {
 		case errors.Is(err, syscall.EINTR):
@@ -47,7 +47,10 @@
 
 // onData passes bytes to their connection, or to the data handler of a connection that is
 // not a caller's.
-func onData(nbc *nbio.Conn, c *conn, data []byte) {
+func (s *Server) onData(nbc *nbio.Conn, c *conn, data []byte) {
+	if s.closing.Load() {
+		return
+	}
 	if c != nil {
 		c.feed(data)
 		return
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -71,6 +71,7 @@
 	conns        connTable
 	openRequests atomic.Int64 // Requests whose handler has not returned.
 	draining     atomic.Bool
+	closing      atomic.Bool // Input is read and discarded.
 	metrics      serverMetrics
 
 	stopSweep chan struct{}
@@ -208,19 +209,27 @@
 	return nil
 }
 
-// Close cancels all requests, waits up to closeTimeout for their handlers, which record
+// Close stops accepting requests, cancels all, waits up to closeTimeout for their handlers, which record
 // the outcomes, and closes all connections.
 func (s *Server) Close() error {
+	s.closing.Store(true)
 	s.conns.each(func(c *conn) { c.cancelWith(fault.New(fault.ShuttingDown, "the process is shutting down")) })
-	for deadline := time.Now().Add(closeTimeout); s.openRequests.Load() > 0 && time.Now().Before(deadline); {
-		time.Sleep(closePollInterval)
-	}
+	s.awaitRequests()
 	s.engine.Stop()
 	close(s.stopSweep)
 	<-s.sweepDone
 	return nil
 }
 
+// awaitRequests waits up to closeTimeout until the handlers of all requests have returned
+// and their responses are written.
+func (s *Server) awaitRequests() {
+	deadline := time.Now().Add(closeTimeout)
+	for (s.openRequests.Load() > 0 || s.conns.hasRequests()) && time.Now().Before(deadline) {
+		time.Sleep(closePollInterval)
+	}
+}
+
 // Dump is a snapshot of the server's state for operators.
 type Dump struct {
 	Connections  int
