caller: limits for requests and connections can change while the server runs

Server.SetLimits changes the sizes and timeouts, on open connections too (limits.go). A request is checked against the limits of the moment when its first byte arrived, so that no change ends a request under way. Larger limits apply at once; an idle connection's closeDeadline is moved. After a change to smaller ones, requests are accepted within the earlier limits for 1 s, and connections kept for the earlier idle timeout for as long as that. Idle connections are now closed 0.5 s after the limit. HeaderTimeout bounds the headers, RequestTimeout the whole request as before.

nbhttp's ReadLimit can't change while it runs. It is now a constant 1 GiB; what the parser buffers of an incomplete chunk or body is bounded by the limits in force instead.

Evidence, with an empty SetLimits (go test ./io/caller/ -run 'TestSizeLimits|TestShrink|TestIdleLimit|TestIdleConnectionO|TestHeaderTimeout'): TestSizeLimitsChangeOnOpenConnections: within the larger limit: 413 TestIdleLimitGrowsOnOpenConnections: the connection ended too early: 0 bytes, EOF TestIdleLimitShrinksAfterPromisedTime: the idle connection was not closed within 1s TestIdleConnectionOutlivesLimit: status 0, unexpected EOF TestHeaderTimeout: slow headers: i/o timeout, want status 408 TestShrinkKeepsRequestBeingRead passed there, as nothing shrank; it guards the new code. After: all pass.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -19,7 +19,7 @@
 // conn is the state of a caller's connection.
 type conn struct {
 	nbc     *nbio.Conn
-	limits  Limits
+	limits  *limitHistory
 	metrics serverMetrics
 
 	// Accessed only by the goroutine of the connection's poller.
@@ -28,6 +28,7 @@
 
 	mu              sync.Mutex
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
+	idleSince       time.Time          // When the last request ended, or the connection was opened.
 	closeDeadline   time.Time          // When the connection is closed unless a request is read or handled.
 	rejection       *fault.Error       // Why the request being read is rejected; nil if it is not.
 	cancel          func(*fault.Error) // Cancels the request being handled; nil without one.
@@ -43,8 +44,10 @@
 }
 
 // newConn returns the state of a new connection.
-func newConn(nbc *nbio.Conn, limits Limits, m serverMetrics) *conn {
-	return &conn{nbc: nbc, limits: limits, metrics: m, closeDeadline: time.Now().Add(limits.IdleTimeout)}
+func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics) *conn {
+	c := &conn{nbc: nbc, limits: limits, metrics: m}
+	c.startIdleTime(time.Now())
+	return c
 }
 
 // beginRead records that the poller is about to read input. It returns false if the
@@ -85,8 +88,8 @@
 	err := c.parse(parser, data)
 	if !c.progress.headersComplete && c.progress.started {
 		c.progress.unparsedHeaderBytes += len(data)
-		if c.progress.unparsedHeaderBytes > c.limits.MaxHeaderBytes {
-			c.reject(fault.New(fault.RequestTooLarge, "headers larger than %d bytes", c.limits.MaxHeaderBytes))
+		if c.progress.unparsedHeaderBytes > c.progress.limits.MaxHeaderBytes {
+			c.reject(fault.New(fault.RequestTooLarge, "headers larger than %d bytes", c.progress.limits.MaxHeaderBytes))
 		}
 	}
 	c.rejectFailed(err)
@@ -104,6 +107,7 @@
 		data = data[len(segment):]
 		if c.progress.headersComplete {
 			c.progress.parsedBodyBytes += len(segment)
+			c.progress.bufferedBodyBytes += len(segment)
 		} else if err := c.progress.headers.check(segment); err != nil {
 			c.reject(err)
 			return nil
@@ -111,6 +115,9 @@
 		if err := parser.Parse(segment); err != nil {
 			return err
 		}
+		if c.progress.bufferedBodyBytes > c.progress.limits.MaxBodyBytes+c.progress.limits.MaxHeaderBytes {
+			c.reject(bodyTooLarge(c.progress.limits))
+		}
 	}
 	return nil
 }
@@ -119,9 +126,21 @@
 func (c *conn) startRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	c.progress.started = true
+	c.progress.limits = c.limits.at(now)
+	c.progress.bodyDeadline = now.Add(c.progress.limits.RequestTimeout)
 	if c.requestDeadline.IsZero() {
-		c.requestDeadline = time.Now().Add(c.limits.RequestTimeout)
+		c.requestDeadline = now.Add(min(c.progress.limits.HeaderTimeout, c.progress.limits.RequestTimeout))
+	}
+}
+
+// startBody replaces the timeout of the headers by that of the whole request.
+func (c *conn) startBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.requestDeadline.IsZero() {
+		c.requestDeadline = c.progress.bodyDeadline
 	}
 }
 
@@ -263,5 +282,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.activeRequests--
-	c.closeDeadline = time.Now().Add(c.limits.IdleTimeout)
+	c.startIdleTime(time.Now())
 }
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -102,7 +102,7 @@
 	c.mu.Lock()
 	var timeout *fault.Error
 	if c.isTimedOut(now) {
-		timeout = fault.New(fault.RequestTimeout, "the request was not complete within %v", c.limits.RequestTimeout)
+		timeout = fault.New(fault.RequestTimeout, "the request was not complete in time")
 		c.rejection = timeout
 	}
 	c.closing = c.isIdle(now)
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -117,8 +117,8 @@
 	if err := x.setRequestID(); err != nil {
 		return err
 	}
-	if x.server.openRequests.Load() > x.server.limits.MaxOpenRequests {
-		return fault.New(fault.Overloaded, "the instance has reached its limit of %d open requests", x.server.limits.MaxOpenRequests).WithRetryAfter(received.Add(time.Second))
+	if limit := x.server.limits.current.MaxOpenRequests; x.server.openRequests.Load() > limit {
+		return fault.New(fault.Overloaded, "the instance has reached its limit of %d open requests", limit).WithRetryAfter(received.Add(time.Second))
 	}
 	credential, err := parseCredential(x.req)
 	if err != nil {
--- a/io/caller/limiter.go
+++ b/io/caller/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 
@@ -12,6 +13,8 @@
 // requestProgress is the state of the request being read.
 type requestProgress struct {
 	started             bool
+	limits              Limits    // Those when the first byte arrived.
+	bodyDeadline        time.Time // When the request must be complete.
 	headersComplete     bool
 	unparsedHeaderBytes int  // Bytes received before the headers were complete.
 	headerBytes         int  // Size of the request target and headers parsed.
@@ -23,6 +26,7 @@
 	chunked             bool // The request has a Transfer-Encoding.
 	bodyLength          int  // Content-Length; negative if unknown.
 	parsedBodyBytes     int  // Bytes passed to the parser after the headers.
+	bufferedBodyBytes   int  // Those that the parser has buffered, as their chunk or the body is incomplete.
 }
 
 // segmentLen returns the number of bytes at the start of data that belong to the same
@@ -90,8 +94,8 @@
 // limit.
 func (l *limiter) countHeaderBytes(n int) {
 	l.conn.progress.headerBytes += n
-	if l.conn.progress.headerBytes > l.conn.limits.MaxHeaderBytes {
-		l.conn.reject(fault.New(fault.RequestTooLarge, "headers larger than %d bytes", l.conn.limits.MaxHeaderBytes))
+	if l.conn.progress.headerBytes > l.conn.progress.limits.MaxHeaderBytes {
+		l.conn.reject(fault.New(fault.RequestTooLarge, "headers larger than %d bytes", l.conn.progress.limits.MaxHeaderBytes))
 	}
 }
 
@@ -100,9 +104,10 @@
 func (l *limiter) OnContentLength(p *nbhttp.Parser, n int) {
 	l.conn.progress.headersComplete = true
 	l.conn.progress.bodyLength = n
-	if n > l.conn.limits.MaxBodyBytes {
-		l.conn.reject(bodyTooLarge(l.conn.limits))
+	if n > l.conn.progress.limits.MaxBodyBytes {
+		l.conn.reject(bodyTooLarge(l.conn.progress.limits))
 	}
+	l.conn.startBody()
 	l.Processor.OnContentLength(p, n)
 	if l.conn.progress.expectsContinue && !l.conn.isRejected() {
 		_, _ = l.conn.nbc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -112,8 +117,9 @@
 // OnBody implements nbhttp.Processor.
 func (l *limiter) OnBody(p *nbhttp.Parser, data []byte) error {
 	l.conn.progress.bodyBytes += len(data)
-	if l.conn.progress.bodyBytes > l.conn.limits.MaxBodyBytes {
-		l.conn.reject(bodyTooLarge(l.conn.limits))
+	l.conn.progress.bufferedBodyBytes = 0
+	if l.conn.progress.bodyBytes > l.conn.progress.limits.MaxBodyBytes {
+		l.conn.reject(bodyTooLarge(l.conn.progress.limits))
 		return nbhttp.ErrTooLong
 	}
 	return l.Processor.OnBody(p, data)
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -20,26 +20,6 @@
 	"monsoonfork/io/poller"
 )
 
-// Limits are the size and time limits for requests and connections.
-type Limits struct {
-	MaxHeaderBytes  int           // Maximum size of the request line and headers of a request.
-	MaxBodyBytes    int           // Maximum size of the body of a request.
-	MaxUnreadBytes  int           // Maximum response data buffered for a caller that does not read it.
-	MaxOpenRequests int64         // Maximum number of requests handled concurrently.
-	RequestTimeout  time.Duration // Maximum time from the first to the last byte of a request.
-	IdleTimeout     time.Duration // Maximum time between requests of a connection.
-}
-
-// defaultLimits apply without WithLimits.
-var defaultLimits = Limits{
-	MaxHeaderBytes:  64 << 10,
-	MaxBodyBytes:    8 << 20,
-	MaxUnreadBytes:  32 << 20,
-	MaxOpenRequests: 4096,
-	RequestTimeout:  20 * time.Second,
-	IdleTimeout:     120 * time.Second,
-}
-
 const (
 	// sweepInterval is the interval of the periodic check of all connections.
 	sweepInterval = 50 * time.Millisecond
@@ -54,6 +34,9 @@
 	closeTimeout = time.Second
 	// closePollInterval is how often Close checks whether these handlers have returned.
 	closePollInterval = 2 * time.Millisecond
+	// maxParserBytes is what the parser of nbhttp buffers of a request at most. limiter
+	// enforces the limits in force, which are smaller.
+	maxParserBytes = 1 << 30
 	// pollers is the number of poller goroutines.
 	pollers = 2
 )
@@ -63,7 +46,7 @@
 	pipeline       *request.Pipeline
 	forwardHandler func(*ForwardedRequest) // Handles every request if set; pipeline is then nil.
 	log            log.Logger
-	limits         Limits
+	limits         *limitHistory
 
 	closeIdleOnDrain bool // A drain closes connections without a request.
 
@@ -90,7 +73,7 @@
 type Option func(*Server)
 
 // WithLimits sets the limits.
-func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
+func WithLimits(l Limits) Option { return func(s *Server) { s.limits = newLimitHistory(l) } }
 
 // WithIdleClose makes a drain close connections without a request. Callers that keep
 // connections open through a load balancer would otherwise send requests on them until
@@ -117,7 +100,7 @@
 	s := &Server{
 		pipeline:  pipeline,
 		log:       log.With(logger, "part", "Caller"),
-		limits:    defaultLimits,
+		limits:    newLimitHistory(defaultLimits),
 		metrics:   newServerMetrics(metrics.NewRegistry()),
 		stopSweep: make(chan struct{}),
 		sweepDone: make(chan struct{}),
@@ -134,8 +117,8 @@
 		Name:               "Caller",
 		Addrs:              []string{string(address)},
 		NPoller:            pollers,
-		ReadLimit:          s.limits.MaxHeaderBytes + s.limits.MaxBodyBytes,
-		MaxWriteBufferSize: s.limits.MaxUnreadBytes,
+		ReadLimit:          maxParserBytes,
+		MaxWriteBufferSize: s.limits.current.MaxUnreadBytes,
 		KeepaliveTime:      nbhttpKeepaliveTime,
 		SupportServerOnly:  true,
 		// A handler blocks until its request has been served.
