--- a/core/event/event.go
+++ b/core/event/event.go
@@ -95,6 +95,7 @@
 	LinesDropped         // log lines dropped
 	InvariantViolated    // invariant violated
 	PanicContained       // panic contained
+	HandlerPanicked      // panic in a request handler
 
 	eventCount // Number of events; keep last.
 )
--- a/core/event/event_string.go
+++ b/core/event/event_string.go
@@ -85,16 +85,18 @@
 	_ = x[LinesDropped-74]
 	_ = x[InvariantViolated-75]
 	_ = x[PanicContained-76]
-	_ = x[eventCount-77]
+	_ = x[HandlerPanicked-77]
+	_ = x[eventCount-78]
 }
 
-const _Event_name = "answeredrefusedfailedrefusals suppressedengine failedprefill failedretrying at another enginerelease failed, will expirerequest donerequest failedrequest refusedattempt failed, trying another engineendpoint failed, trying anotherabort not acknowledgedoutcome of a call unknownoutcome of call not recordedplacednot placedredirected to another domaindispatcher starteddispatcher recovereddispatcher stoppedaborting orphaned attemptengine changedengine list changedstage orderedinvalid stage notice ignoredorder lease acquiredorder lease not acquiredorder sentorder not confirmedbecame controllernot the controllerno longer the controllerrate share changedcollector reachability changedexchange with collector failedslot claimedslot claimed without the storeslot resumed mintingslot no longer heldconfiguration appliedconfiguration rejectedinvalid engine entry ignoredinvalid register entry ignoredinvalid store item ignoredrevision in forcereading the text failedinvalid pull replypull failedreading the head failedwatching the head failededit acceptededit not acceptedstore unreachablestore reachable againstore history compacted, listing againfollowing of the store changedregistration failedmember state changedinstance list unavailablehandshake failedreply not sentservingsettings reloadedsettings rejectedrole startedstop requesteddrainingdrain failedclose failedoperator server shutdown failedstoppedencoding the answer failedlog lines droppedinvariant violatedpanic containedNumber of events; keep last."
+const _Event_name = "answeredrefusedfailedrefusals suppressedengine failedprefill failedretrying at another enginerelease failed, will expirerequest donerequest failedrequest refusedattempt failed, trying another engineendpoint failed, trying anotherabort not acknowledgedoutcome of a call unknownoutcome of call not recordedplacednot placedredirected to another domaindispatcher starteddispatcher recovereddispatcher stoppedaborting orphaned attemptengine changedengine list changedstage orderedinvalid stage notice ignoredorder lease acquiredorder lease not acquiredorder sentorder not confirmedbecame controllernot the controllerno longer the controllerrate share changedcollector reachability changedexchange with collector failedslot claimedslot claimed without the storeslot resumed mintingslot no longer heldconfiguration appliedconfiguration rejectedinvalid engine entry ignoredinvalid register entry ignoredinvalid store item ignoredrevision in forcereading the text failedinvalid pull replypull failedreading the head failedwatching the head failededit acceptededit not acceptedstore unreachablestore reachable againstore history compacted, listing againfollowing of the store changedregistration failedmember state changedinstance list unavailablehandshake failedreply not sentservingsettings reloadedsettings rejectedrole startedstop requesteddrainingdrain failedclose failedoperator server shutdown failedstoppedencoding the answer failedlog lines droppedinvariant violatedpanic containedpanic in a request handlerNumber of events; keep last."
 
-var _Event_index = [...]uint16{0, 8, 15, 21, 40, 53, 67, 93, 120, 132, 146, 161, 198, 229, 251, 276, 304, 310, 320, 348, 366, 386, 404, 429, 443, 462, 475, 503, 523, 547, 557, 576, 593, 611, 635, 653, 683, 713, 725, 755, 775, 794, 815, 837, 865, 895, 921, 938, 961, 979, 990, 1013, 1037, 1050, 1067, 1084, 1105, 1143, 1173, 1192, 1212, 1237, 1253, 1267, 1274, 1291, 1308, 1320, 1334, 1342, 1354, 1366, 1397, 1404, 1430, 1447, 1465, 1480, 1508}
+var _Event_index = [...]uint16{0, 8, 15, 21, 40, 53, 67, 93, 120, 132, 146, 161, 198, 229, 251, 276, 304, 310, 320, 348, 366, 386, 404, 429, 443, 462, 475, 503, 523, 547, 557, 576, 593, 611, 635, 653, 683, 713, 725, 755, 775, 794, 815, 837, 865, 895, 921, 938, 961, 979, 990, 1013, 1037, 1050, 1067, 1084, 1105, 1143, 1173, 1192, 1212, 1237, 1253, 1267, 1274, 1291, 1308, 1320, 1334, 1342, 1354, 1366, 1397, 1404, 1430, 1447, 1465, 1480, 1506, 1534}
 
 func (i Event) String() string {
-	if i < 0 || i >= Event(len(_Event_index)-1) {
+	idx := int(i) - 0
+	if i < 0 || idx >= len(_Event_index)-1 {
 		return "Event(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
-	return _Event_name[_Event_index[i]:_Event_index[i+1]]
+	return _Event_name[_Event_index[idx]:_Event_index[idx+1]]
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -42,19 +44,19 @@
 	if c == nil {
 		return
 	}
-	defer c.endRequest()
+	defer c.clearCancel()
 	s.openRequests.Add(1)
 	defer s.openRequests.Add(-1)
 	s.metrics.requests.Inc(1)
 	received := time.Now()
 	defer func() { s.metrics.responseTime.UpdateSince(received) }()
-	if r.Close || s.draining.Load() {
+	if r.Close {
 		// nbhttp would close the connection from this goroutine; see markLastRequest.
 		r.Close = false
 		c.markLastRequest()
 	}
 	x := &exchange{server: s, conn: c, w: response, req: r}
-	x.setConnectionClose()
+	defer x.recoverPanic()
 	if s.forwardHandler != nil {
 		s.serveForward(x, received)
 		return
@@ -66,13 +68,29 @@
 }
 
 // setConnectionClose sets "Connection: close" if the connection is closed after the
-// response.
+// response. Each response calls it just before it writes its headers, so that a drain that
+// began during the request is announced.
 func (x *exchange) setConnectionClose() {
-	if x.conn.isLastRequest() {
+	if x.conn.isLastResponse(x.server.draining.Load()) {
 		x.w.Header().Set("Connection", "close")
 	}
 }
 
+// recoverPanic logs a panic of the handler and sends an internal error, which does not state
+// that the request was not run. nbio would discard the panic, and the caller would get no
+// answer.
+func (x *exchange) recoverPanic() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if x.responseID == "" {
+		x.responseID = x.req.Header.Get(httpcall.RequestIDHeader)
+	}
+	_ = level.Error(x.server.log).Log("msg", event.HandlerPanicked, "request", x.responseID, "err", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	x.writeError(fault.New(fault.Internal, "internal error"))
+}
+
 // logRejection logs a request that was rejected before a session was opened. A session
 // logs the outcome of its request itself.
 func (x *exchange) logRejection(err error) {
@@ -99,8 +117,8 @@
 	if err := x.setRequestID(); err != nil {
 		return err
 	}
-	if x.server.openRequests.Load() > x.server.limits.MaxOpenRequests {
-		return fault.New(fault.Overloaded, "the instance has reached its limit of %d open requests", x.server.limits.MaxOpenRequests).WithRetryAfter(received.Add(time.Second))
+	if limit := x.server.limits.current.MaxOpenRequests; x.server.openRequests.Load() > limit {
+		return fault.New(fault.Overloaded, "the instance has reached its limit of %d open requests", limit).WithRetryAfter(received.Add(time.Second))
 	}
 	credential, err := parseCredential(x.req)
 	if err != nil {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -20,26 +20,6 @@
 	"monsoonfork/io/poller"
 )
 
-// Limits are the size and time limits for requests and connections.
-type Limits struct {
-	MaxHeaderBytes  int           // Maximum size of the request line and headers of a request.
-	MaxBodyBytes    int           // Maximum size of the body of a request.
-	MaxUnreadBytes  int           // Maximum response data buffered for a caller that does not read it.
-	MaxOpenRequests int64         // Maximum number of requests handled concurrently.
-	RequestTimeout  time.Duration // Maximum time from the first to the last byte of a request.
-	IdleTimeout     time.Duration // Maximum time between requests of a connection.
-}
-
-// defaultLimits apply without WithLimits.
-var defaultLimits = Limits{
-	MaxHeaderBytes:  64 << 10,
-	MaxBodyBytes:    8 << 20,
-	MaxUnreadBytes:  32 << 20,
-	MaxOpenRequests: 4096,
-	RequestTimeout:  20 * time.Second,
-	IdleTimeout:     120 * time.Second,
-}
-
 const (
 	// sweepInterval is the interval of the periodic check of all connections.
 	sweepInterval = 50 * time.Millisecond
@@ -54,10 +34,11 @@
 	closeTimeout = time.Second
 	// closePollInterval is how often Close checks whether these handlers have returned.
 	closePollInterval = 2 * time.Millisecond
+	// maxParserBytes is what the parser of nbhttp buffers of a request at most. limiter
+	// enforces the limits in force, which are smaller.
+	maxParserBytes = 1 << 30
 	// pollers is the number of poller goroutines.
 	pollers = 2
-	// readsPerEvent lets the poller read until a socket is empty.
-	readsPerEvent = 1 << 30
 )
 
 // Server is the HTTP server for callers.
@@ -65,7 +46,7 @@
 	pipeline       *request.Pipeline
 	forwardHandler func(*ForwardedRequest) // Handles every request if set; pipeline is then nil.
 	log            log.Logger
-	limits         Limits
+	limits         *limitHistory
 
 	closeIdleOnDrain bool // A drain closes connections without a request.
 
@@ -73,6 +54,7 @@
 	conns        connTable
 	openRequests atomic.Int64 // Requests whose handler has not returned.
 	draining     atomic.Bool
+	closing      atomic.Bool // Input is read and discarded.
 	metrics      serverMetrics
 
 	stopSweep chan struct{}
@@ -91,7 +73,7 @@
 type Option func(*Server)
 
 // WithLimits sets the limits.
-func WithLimits(l Limits) Option { return func(s *Server) { s.limits = l } }
+func WithLimits(l Limits) Option { return func(s *Server) { s.limits = newLimitHistory(l) } }
 
 // WithIdleClose makes a drain close connections without a request. Callers that keep
 // connections open through a load balancer would otherwise send requests on them until
@@ -118,7 +100,7 @@
 	s := &Server{
 		pipeline:  pipeline,
 		log:       log.With(logger, "part", "Caller"),
-		limits:    defaultLimits,
+		limits:    newLimitHistory(defaultLimits),
 		metrics:   newServerMetrics(metrics.NewRegistry()),
 		stopSweep: make(chan struct{}),
 		sweepDone: make(chan struct{}),
@@ -132,21 +114,20 @@
 // Listen starts serving on address and returns the address bound. Close stops it.
 func (s *Server) Listen(address ident.Address) (ident.Address, error) {
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name:                         "Caller",
-		Addrs:                        []string{string(address)},
-		NPoller:                      pollers,
-		MaxConnReadTimesPerEventLoop: readsPerEvent,
-		ReadLimit:                    s.limits.MaxHeaderBytes + s.limits.MaxBodyBytes,
-		MaxWriteBufferSize:           s.limits.MaxUnreadBytes,
-		KeepaliveTime:                nbhttpKeepaliveTime,
-		SupportServerOnly:            true,
+		Name:               "Caller",
+		Addrs:              []string{string(address)},
+		NPoller:            pollers,
+		ReadLimit:          maxParserBytes,
+		MaxWriteBufferSize: s.limits.current.MaxUnreadBytes,
+		KeepaliveTime:      nbhttpKeepaliveTime,
+		SupportServerOnly:  true,
 		// A handler blocks until its request has been served.
 		ServerExecutor: func(f func()) { go f() },
 		Handler:        http.HandlerFunc(s.serve),
 	})
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
-	s.engine.OnData(s.onData)
+	s.engine.OnRead(s.onRead)
 	if err := poller.Start(s.engine); err != nil {
 		return "", fault.Wrap(err, fault.BadSettings, "cannot serve callers on %s", address)
 	}
@@ -172,18 +153,6 @@
 	}
 }
 
-// onData passes bytes read by a poller to their connection.
-func (s *Server) onData(c *nbio.Conn, data []byte) {
-	conn := s.conns.get(c)
-	if conn == nil {
-		if handler := c.DataHandler(); handler != nil {
-			handler(c, data)
-		}
-		return
-	}
-	conn.feed(data)
-}
-
 // sweep checks all connections periodically until Close: for disconnected callers, slow
 // requests, idle connections and delivered last responses.
 func (s *Server) sweep() {
@@ -195,13 +164,10 @@
 		case <-s.stopSweep:
 			return
 		case now := <-ticker.C:
-			closeIdle := s.closeIdleOnDrain && s.draining.Load()
+			drain := s.closeIdleOnDrain && s.draining.Load()
 			s.conns.each(func(c *conn) {
-				if closeIdle {
-					c.closeWriteIfIdle(now)
-				}
 				c.enforceTimeouts(now)
-				c.closeWriteIfDelivered(now)
+				c.closeWriteIfDelivered(now, drain)
 			})
 		}
 	}
@@ -226,19 +192,27 @@
 	return nil
 }
 
-// Close cancels all requests, waits up to closeTimeout for their handlers, which record
+// Close stops accepting requests, cancels all, waits up to closeTimeout for their handlers, which record
 // the outcomes, and closes all connections.
 func (s *Server) Close() error {
+	s.closing.Store(true)
 	s.conns.each(func(c *conn) { c.cancelWith(fault.New(fault.ShuttingDown, "the process is shutting down")) })
-	for deadline := time.Now().Add(closeTimeout); s.openRequests.Load() > 0 && time.Now().Before(deadline); {
-		time.Sleep(closePollInterval)
-	}
+	s.awaitRequests()
 	s.engine.Stop()
 	close(s.stopSweep)
 	<-s.sweepDone
 	return nil
 }
 
+// awaitRequests waits up to closeTimeout until the handlers of all requests have returned
+// and their responses are written.
+func (s *Server) awaitRequests() {
+	deadline := time.Now().Add(closeTimeout)
+	for (s.openRequests.Load() > 0 || s.conns.hasRequests()) && time.Now().Before(deadline) {
+		time.Sleep(closePollInterval)
+	}
+}
+
 // Dump is a snapshot of the server's state for operators.
 type Dump struct {
 	Connections  int
