--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -137,8 +137,16 @@
 			h.mu.Unlock()
 			return h.prefill(n, c)
 		},
-		ReleaseHandle:      func(_ engines.Entry, handle string) { h.freed = append(h.freed, handle) },
-		ReleaseReservation: func(_ engines.Entry, id string) { h.released = append(h.released, id) },
+		ReleaseHandle: func(_ engines.Entry, handle string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.freed = append(h.freed, handle)
+		},
+		ReleaseReservation: func(_ engines.Entry, id string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.released = append(h.released, id)
+		},
 		Reserve: func(_ context.Context, e engines.Entry, _ ident.Tokens, _, _ time.Time) (string, error) {
 			return h.reserve(e)
 		},
