core/forward: a silent engine ends no stream; reserve the next engine first

Callers saw resumable streams end without a complete answer, or a 504 before the first event, although their engine was only silent for about a second and would have gone on.

Cause: the call was cancelled after 900 ms without data, and only afterwards it was decided whether the stream may be resumed: MaxEngines, retry budget, a reservation at another decode engine. If one of them failed, the answer was aborted.

Change: a monitor runs beside the call. When the stream stalls, it first checks MaxEngines and the attempts, holds one call of the retry budget, and gets a reservation at another decode engine. Only then it cancels the call, and the stream is resumed after the last complete event. If data arrives meanwhile, the reservation is released and the held call of the budget is returned (not counted). If there is no other engine, the call goes on until the deadline of the request, and the monitor tries again every 200 ms. The old call has returned, with its connection closed, before the next engine gets the request, so a stream never runs at two engines. A new log line "stream stalled" names the engine and, if the call is kept, the reason.

stallTimeout: 1200 ms instead of 900 ms.

The cost: a stream whose engine never continues has a gap that is 300 ms longer.

Ruled out: a longer timeout alone. Any silence above it would end the answers that can't be resumed as before.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -17,6 +17,7 @@
 	RefusalsSuppressed                   // refusals suppressed
 	EngineFailed                         // engine failed
 	PrefillFailed                        // prefill failed
+	StreamStalled                        // stream stalled
 	RetryingAtAnotherEngine              // retrying at another engine
 	ReleaseFailed                        // release failed, will expire
 
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -22,7 +22,7 @@
 
 // harness is a router with fake engines, whose calls the test implements.
 type harness struct {
-	t      *testing.T
+	t      testing.TB
 	router *Router
 	table  *engines.Table
 
@@ -37,7 +37,7 @@
 }
 
 // newHarness returns a harness with two plain, two decode and two prefill engines.
-func newHarness(t *testing.T) *harness {
+func newHarness(t testing.TB) *harness {
 	t.Helper()
 	h := &harness{t: t, table: engines.NewTable()}
 	c, err := catalog.New(catalog.Catalog{
@@ -110,6 +110,13 @@
 	return r
 }
 
+// callCount returns the number of calls that were sent to engines.
+func (h *harness) callCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.sent)
+}
+
 // calls returns the calls to the fake engines.
 func (h *harness) calls() EngineCalls {
 	prefills := 0
@@ -189,6 +196,7 @@
 	body    strings.Builder
 	aborted bool
 	err     error
+	onWrite func() // Called after each part of the body; may be nil.
 }
 
 // serve sends a request for the route with the given name through the router.
@@ -201,6 +209,12 @@
 // serveRequest sends a request through the router, after change has modified it.
 func (h *harness) serveRequest(ctx context.Context, name string, change func(*Request)) *reply {
 	got := &reply{}
+	h.serveTo(ctx, got, name, change)
+	return got
+}
+
+// serveTo sends a request through the router and stores the answer in got.
+func (h *harness) serveTo(ctx context.Context, got *reply, name string, change func(*Request)) {
 	q := &Request{
 		ID: "id", Method: "POST", Host: "h", Path: "/" + name + "/x", Target: "/" + name + "/x", Header: http.Header{},
 		Key: "key", Received: time.Now(), HasTokenCounts: true, PromptTokens: 100, MaxOutputTokens: 50,
@@ -208,10 +222,18 @@
 	change(q)
 	got.err = h.router.Serve(ctx, q, ResponseWriter{
 		WriteHeader: func(status int, _ http.Header, _ int64) { got.status = status },
-		Write:       func(b []byte) error { got.body.Write(b); return nil },
+		Write:       got.write,
 		Abort:       func() { got.aborted = true },
 	})
-	return got
+}
+
+// write adds a part of the body.
+func (r *reply) write(b []byte) error {
+	r.body.Write(b)
+	if r.onWrite != nil {
+		r.onWrite()
+	}
+	return nil
 }
 
 // sendAnswer sends a complete answer, as a stream of events if it begins with an event id.
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
-	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -13,29 +11,27 @@
 	"monsoonfork/core/fault"
 )
 
-const (
-	// maxStreamAttempts limits the attempts of one request at decode engines.
-	maxStreamAttempts = 4
-	// stallTimeout is how long a resumable stream may be without data before it is
-	// cancelled and resumed at another engine.
-	stallTimeout = 900 * time.Millisecond
-)
+// maxStreamAttempts limits the attempts of one request at decode engines.
+const maxStreamAttempts = 4
 
 // stream is a request to a model service, whose answer is forwarded as it arrives.
 type stream struct {
 	*job
 	splitter      eventSplitter
 	isEventStream bool // The answer is a stream of server-sent events.
+	attempts      int  // Number of attempts, with the current one.
 	possibleRuns  int  // Number of engines that may have run the request.
 
-	localPrefill *localPrefill // The prefill by the decode engine, while it lasts; otherwise nil.
+	replacement  *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
+	localPrefill *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
 }
 
 // serveModel serves the request by the engines of a model service, with retries.
 func (j *job) serveModel(ctx context.Context) error {
 	s := &stream{job: j}
 	s.splitter.lastID = j.LastEventID
-	for try := 1; ; try++ {
+	defer s.discardReplacement()
+	for s.attempts = 1; ; s.attempts++ {
 		err := s.attempt(ctx)
 		if err == nil {
 			return nil
@@ -43,10 +39,10 @@
 		if ctx.Err() != nil {
 			return j.interruptedStreamError(ctx, s.possibleRuns)
 		}
-		if try >= maxStreamAttempts || !s.mayRetry(err) {
+		if s.replacement == nil && (s.attempts >= maxStreamAttempts || !s.mayRetry(err)) {
 			return err
 		}
-		_ = level.Info(j.log).Log("msg", event.RetryingAtAnotherEngine, "try", try, "begun", j.headSent, "event", s.splitter.lastID, "err", err)
+		_ = level.Info(j.log).Log("msg", event.RetryingAtAnotherEngine, "try", s.attempts, "begun", j.headSent, "event", s.splitter.lastID, "err", err)
 	}
 }
 
@@ -84,9 +80,12 @@
 // prefilled, and then has the answer decoded.
 func (s *stream) attempt(ctx context.Context) error {
 	started := s.router.now()
-	reserved, err := s.reserve(ctx)
-	if err != nil {
-		return err
+	reserved, ok := s.useReplacement()
+	if !ok {
+		var err error
+		if reserved, err = s.reserve(ctx); err != nil {
+			return err
+		}
 	}
 	defer reserved.end()
 	s.logStage("room", reserved.engine, started)
@@ -114,6 +113,7 @@
 	s.callCount++
 	s.possibleRuns++
 	s.lastEngine = e.ID
+	s.tried[e.ID] = true
 	s.splitter.partial = nil
 	if p.source.Handle == "" {
 		s.localPrefill = s.beginLocalPrefill(e)
@@ -136,7 +136,6 @@
 	}
 	if ctx.Err() == nil {
 		s.recordDecodeOutcome(e, p, f)
-		s.tried[e.ID] = true
 	}
 	return err
 }
@@ -159,12 +158,12 @@
 }
 
 // send makes the call and forwards the answer: a stream of events as it arrives, any
-// other answer when it is complete. A resumable stream that stalls is cancelled.
+// other answer when it is complete. A resumable stream that stalls is cancelled as soon
+// as it can be resumed at another engine.
 func (s *stream) send(ctx context.Context, call Call) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := s.startStallTimer(cancel)
-	defer stall.Stop()
+	monitor := s.monitorStalls(ctx, cancel)
 	buffered := callResult{}
 	err := s.router.Calls.Send(ctx, call, Sink{
 		OnHead: func(h Head) error {
@@ -173,7 +172,9 @@
 			return s.checkHead(h)
 		},
 		OnData: func(data []byte) error {
-			stall.Reset(stallTimeout)
+			if err := monitor.recordData(); err != nil {
+				return err
+			}
 			if !s.isEventStream {
 				buffered.body = append(buffered.body, data...)
 				return nil
@@ -181,10 +182,12 @@
 			return s.sendEvents(buffered.head, s.splitter.feed(data))
 		},
 	})
+	s.replacement = monitor.close()
+	if err != nil && s.replacement != nil {
+		return fault.Wrap(errStreamStalled, fault.EndpointTimeout, "the call was replaced").WithRan(fault.From(err).Ran)
+	}
+	s.discardReplacement()
 	if err != nil {
-		if cause := context.Cause(ctx); errors.Is(cause, errStreamStalled) {
-			return fault.New(fault.EndpointTimeout, "the stream stalled")
-		}
 		return err
 	}
 	if !s.isEventStream {
@@ -197,18 +200,6 @@
 	return s.sendEvents(buffered.head, s.splitter.partial)
 }
 
-// errStreamStalled is the cancellation cause of a stream that stalled.
-var errStreamStalled = errors.New("the stream stalled")
-
-// startStallTimer returns a timer that cancels a resumable stream when it stalls. For
-// other streams the timer has no effect.
-func (s *stream) startStallTimer(cancel context.CancelCauseFunc) *time.Timer {
-	if !s.route.Resumable || s.route.MaxEngines < 2 {
-		return time.NewTimer(time.Until(s.deadline) + time.Second)
-	}
-	return time.AfterFunc(stallTimeout+time.Duration(s.route.TargetLatencyMS)*time.Millisecond, func() { cancel(errStreamStalled) })
-}
-
 // checkHead rejects an answer with a server error while another engine may still be
 // tried, and an answer other than events after events have been sent to the caller.
 func (s *stream) checkHead(h Head) error {
--- a/core/forward/retrybudget.go
+++ b/core/forward/retrybudget.go
@@ -23,6 +23,7 @@
 type budgetWindow struct {
 	requests   []time.Time
 	extraCalls []time.Time
+	heldCalls  int // Extra calls that may be made soon; they are in neither list.
 }
 
 // window returns the window of a service. The caller must hold mu.
@@ -49,22 +50,49 @@
 // takeExtraCall takes an extra call out of the retry budget. It returns false if the
 // budget is used up.
 func (r *Router) takeExtraCall(service ident.ServiceID) bool {
-	now := r.now()
+	if !r.holdExtraCall(service) {
+		return false
+	}
+	r.useExtraCall(service)
+	return true
+}
+
+// holdExtraCall keeps a part of the retry budget for an extra call that may be made soon,
+// until useExtraCall or returnExtraCall. It returns false if the budget is used up.
+func (r *Router) holdExtraCall(service ident.ServiceID) bool {
 	b := &r.retryBudget
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service)
-	since := now.Add(-r.retrySettings.RetryWindow)
+	since := r.now().Add(-r.retrySettings.RetryWindow)
 	w.requests, w.extraCalls = after(w.requests, since), after(w.extraCalls, since)
 	allowed := retryBudgetMargin * (r.retrySettings.RetryRatio*float64(len(w.requests)) + r.retrySettings.RetryMinimum/float64(max(1, r.LiveInstances())))
-	if float64(len(w.extraCalls)+1) > allowed {
+	if float64(len(w.extraCalls)+w.heldCalls+1) > allowed {
 		return false
 	}
-	w.extraCalls = append(w.extraCalls, now)
-	r.counters.extraCalls.Inc(1)
+	w.heldCalls++
 	return true
 }
 
+// useExtraCall counts an extra call for which holdExtraCall has kept a part of the budget.
+func (r *Router) useExtraCall(service ident.ServiceID) {
+	b := &r.retryBudget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.window(service)
+	w.heldCalls--
+	w.extraCalls = append(w.extraCalls, r.now())
+	r.counters.extraCalls.Inc(1)
+}
+
+// returnExtraCall returns what holdExtraCall has kept for an extra call that is not made.
+func (r *Router) returnExtraCall(service ident.ServiceID) {
+	b := &r.retryBudget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window(service).heldCalls--
+}
+
 // chargeExtraCall takes an extra call that has already been made out of the retry budget,
 // even if the budget is used up.
 func (r *Router) chargeExtraCall(service ident.ServiceID) {
--- /dev/null
+++ b/core/forward/stall.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/event"
+	"monsoonfork/core/sleep"
+)
+
+const (
+	// stallTimeout is how long a resumable stream may be without data before it is to be
+	// resumed at another engine. An engine without a fault may pause for about a second,
+	// and callers give up after two seconds at the earliest.
+	stallTimeout = 1200 * time.Millisecond
+	// replacementInterval is the pause between two attempts to find another engine for a
+	// stalled stream.
+	replacementInterval = 200 * time.Millisecond
+)
+
+// errStreamStalled is the cancellation cause of a call that is replaced since its stream
+// stalled.
+var errStreamStalled = errors.New("the stream stalled")
+
+// The reasons why a stalled stream stays at its engine.
+var (
+	errNoFurtherRun    = errors.New("the request may not be sent to another engine")
+	errNoRetryBudget   = errors.New("the retry budget is used up")
+	errNoReservation   = errors.New("no other decode engine granted a reservation")
+	errStreamContinued = errors.New("the engine has continued")
+)
+
+// stallMonitor detects that a resumable stream stalls, and then looks for another engine.
+// The call is cancelled only when another engine has granted a reservation; until then
+// its engine may continue.
+type stallMonitor struct {
+	stream     *stream
+	cancelCall context.CancelCauseFunc
+	stop       context.CancelFunc
+	running    sync.WaitGroup
+
+	mu          sync.Mutex
+	stallsAt    time.Time          // The stream has stalled if no data arrives before.
+	replacement *decodeReservation // Set when the call is cancelled.
+}
+
+// monitorStalls starts the monitor of a call whose context is ctx. Streams that can't be
+// resumed are not monitored.
+func (s *stream) monitorStalls(ctx context.Context, cancelCall context.CancelCauseFunc) *stallMonitor {
+	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
+	m := &stallMonitor{stream: s, cancelCall: cancelCall, stallsAt: s.router.now().Add(stallTimeout + objective)}
+	ctx, m.stop = context.WithCancel(ctx)
+	if s.route.Resumable && s.route.MaxEngines > 1 {
+		m.running.Go(func() { m.run(ctx) })
+	}
+	return m
+}
+
+// close ends the monitor, waits for it, and returns the reservation with which the stream
+// is to be resumed, or nil if the call was not cancelled.
+func (m *stallMonitor) close() *decodeReservation {
+	m.stop()
+	m.running.Wait()
+	return m.replacement
+}
+
+// recordData records that data has arrived. It fails if the call has been cancelled: the
+// other engine sends the same data again.
+func (m *stallMonitor) recordData() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.replacement != nil {
+		return errStreamStalled
+	}
+	m.stallsAt = m.stream.router.now().Add(stallTimeout)
+	return nil
+}
+
+// stallTime returns the time at which the stream stalls unless data arrives before.
+func (m *stallMonitor) stallTime() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stallsAt
+}
+
+// run waits for stalls, and tries to replace the call while one lasts. Each stall is
+// logged once.
+func (m *stallMonitor) run(ctx context.Context) {
+	var logged time.Time
+	for ctx.Err() == nil {
+		stallsAt := m.stallTime()
+		if wait := stallsAt.Sub(m.stream.router.now()); wait > 0 {
+			// Data may move stallsAt to an earlier time, but not before now plus stallTimeout.
+			sleep.For(ctx, min(wait, stallTimeout))
+			continue
+		}
+		err := m.replace(ctx, stallsAt)
+		if stallsAt != logged && (err == nil || ctx.Err() == nil) {
+			logged = stallsAt
+			m.logStall(err)
+		}
+		sleep.For(ctx, replacementInterval)
+	}
+}
+
+// logStall logs a stall, with the reason why the call was not replaced.
+func (m *stallMonitor) logStall(reason error) {
+	s := m.stream
+	_ = level.Info(s.log).Log("msg", event.StreamStalled, "engine", s.lastEngine, "replaced", reason == nil, "err", reason)
+}
+
+// replace reserves memory at another engine, within the limits of the route and the retry
+// budget, and cancels the call if no data has arrived meanwhile. If it fails, it returns
+// what it took from the retry budget.
+func (m *stallMonitor) replace(ctx context.Context, stalledAt time.Time) error {
+	s := m.stream
+	if s.attempts >= maxStreamAttempts || s.possibleRuns >= s.route.MaxEngines {
+		return errNoFurtherRun
+	}
+	if !s.router.holdExtraCall(s.service.Name) {
+		return errNoRetryBudget
+	}
+	reserved, ok := s.tryReserve(ctx)
+	if !ok {
+		s.router.returnExtraCall(s.service.Name)
+		return errNoReservation
+	}
+	if !m.cancelIfStalled(stalledAt, reserved) {
+		s.discard(reserved)
+		return errStreamContinued
+	}
+	return nil
+}
+
+// cancelIfStalled cancels the call, unless data has arrived after the given stall.
+func (m *stallMonitor) cancelIfStalled(stalledAt time.Time, replacement decodeReservation) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.stallsAt != stalledAt {
+		return false
+	}
+	m.replacement = &replacement
+	m.cancelCall(errStreamStalled)
+	return true
+}
+
+// discard releases a reservation for a replacement that is not needed, and its part of
+// the retry budget.
+func (s *stream) discard(replacement decodeReservation) {
+	s.router.Calls.ReleaseReservation(replacement.engine.Entry, replacement.id)
+	replacement.end()
+	s.router.returnExtraCall(s.service.Name)
+}
+
+// discardReplacement discards the replacement of a stream that is not resumed.
+func (s *stream) discardReplacement() {
+	if s.replacement != nil {
+		s.discard(*s.replacement)
+		s.replacement = nil
+	}
+}
+
+// useReplacement returns the reservation with which a stalled stream is resumed, and
+// counts the extra call. It returns false if there is none.
+func (s *stream) useReplacement() (decodeReservation, bool) {
+	if s.replacement == nil {
+		return decodeReservation{}, false
+	}
+	reserved := *s.replacement
+	s.replacement = nil
+	s.router.useExtraCall(s.service.Name)
+	return reserved, true
+}
--- a/core/forward/stall_test.go
+++ b/core/forward/stall_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -25,7 +26,7 @@
 
 // newStallHarness returns a harness whose resumable route allows the given number of
 // engines and has a timeout of several times the silence.
-func newStallHarness(t *testing.T, maxEngines int) *harness {
+func newStallHarness(t testing.TB, maxEngines int) *harness {
 	t.Helper()
 	h := newHarness(t)
 	route, _ := h.router.Catalog().Route("h", "/resume/x")
@@ -159,3 +160,121 @@
 	}
 	callers.Wait()
 }
+
+// TestStalledStreamIsCancelledBeforeItIsResumed has an engine that never continues. Its
+// call must have ended when the next engine is called, since no stream may run twice, and
+// must not have ended before the next engine has granted a reservation.
+func TestStalledStreamIsCancelledBeforeItIsResumed(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	var open, reservations atomic.Int64
+	h.reserve = func(engines.Entry) (string, error) {
+		if n := reservations.Add(1); n == 2 && open.Load() != 1 {
+			t.Error("the call was cancelled before the replacement was reserved")
+		}
+		return "reservation", nil
+	}
+	send := h.router.Calls.Send
+	h.router.Calls.Send = func(ctx context.Context, c Call, sink Sink) error {
+		if open.Add(1) > 1 {
+			t.Error("the stream runs at two engines")
+		}
+		defer open.Add(-1)
+		return send(ctx, c, sink)
+	}
+	h.send = func(n int, c Call, sink Sink) error {
+		if n == 1 {
+			return sendStream(c, sink, silentAfter, time.Minute)
+		}
+		return sendStream(c, sink, 0, 0)
+	}
+	checkComplete(t, h.serve("resume"))
+	if len(h.sent) != 2 || h.sent[0].Engine.ID == h.sent[1].Engine.ID || h.sent[1].LastEventID != strconv.Itoa(silentAfter) {
+		t.Errorf("calls %+v, want a second one at the other engine", h.sent)
+	}
+	h.checkExtraCalls(1)
+}
+
+// TestStallAfterEarlyFirstEventIsDetected has an engine send its first event long before
+// the objective of the route, and then stay silent. The time that is left until the
+// objective must not delay the resume, since the caller gives up before.
+func TestStallAfterEarlyFirstEventIsDetected(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	route, _ := h.router.Catalog().Route("h", "/resume/x")
+	route.TargetLatencyMS = 3000
+	h.send = func(n int, c Call, sink Sink) error {
+		if n > 1 {
+			return sendStream(c, sink, 0, 0)
+		}
+		time.Sleep(50 * time.Millisecond)
+		return sendStream(c, sink, silentAfter, time.Minute)
+	}
+	started := time.Now()
+	checkComplete(t, h.serve("resume"))
+	if took := time.Since(started); took > stallTimeout+500*time.Millisecond {
+		t.Errorf("resumed after %v, want %v", took, stallTimeout)
+	}
+}
+
+// TestContinuedStreamReleasesReplacement has an engine continue while another one is asked
+// for a reservation. Neither the reservation nor the retry budget may be lost.
+func TestContinuedStreamReleasesReplacement(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	var reservations atomic.Int64
+	h.reserve = func(e engines.Entry) (string, error) {
+		if reservations.Add(1) > 1 {
+			time.Sleep(2 * (silence - stallTimeout))
+		}
+		return string(e.ID), nil
+	}
+	h.send = func(_ int, c Call, sink Sink) error {
+		if err := sendStream(c, sink, silentAfter, silence); err != nil {
+			return err
+		}
+		time.Sleep(2 * (silence - stallTimeout))
+		return nil
+	}
+	checkComplete(t, h.serve("resume"))
+	if len(h.sent) != 1 || len(h.released) != 1 || h.released[0] == string(h.sent[0].Engine.ID) {
+		t.Errorf("%d calls, released %v; want one call and the release of the other reservation", len(h.sent), h.released)
+	}
+	h.checkExtraCalls(0)
+}
+
+// TestStreamThatBreaksDuringStallIsResumed has a stalled stream break off while another
+// engine is asked for a reservation. The stream must be resumed once, within the budget.
+func TestStreamThatBreaksDuringStallIsResumed(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	var reservations atomic.Int64
+	h.reserve = func(engines.Entry) (string, error) {
+		if reservations.Add(1) == 2 {
+			time.Sleep(2 * (silence - stallTimeout))
+		}
+		return "reservation", nil
+	}
+	h.send = func(n int, c Call, sink Sink) error {
+		if n > 1 {
+			return sendStream(c, sink, 0, 0)
+		}
+		_ = sendAnswer(sink, 200, eventText(1))
+		time.Sleep(silence)
+		return errBroken
+	}
+	checkComplete(t, h.serve("resume"))
+	if len(h.sent) != 2 {
+		t.Errorf("%d calls, want 2", len(h.sent))
+	}
+	h.checkExtraCalls(1)
+}
+
+// checkExtraCalls checks how many extra calls of the model service were counted, and that
+// none is held.
+func (h *harness) checkExtraCalls(want int) {
+	h.t.Helper()
+	if w := h.router.retryBudget.window("model"); len(w.extraCalls) != want || w.heldCalls != 0 {
+		h.t.Errorf("%d extra calls counted, %d held; want %d and none", len(w.extraCalls), w.heldCalls, want)
+	}
+}
