core/forward: no refusal "not run" after an engine may have run the request

Callers got 503 with Retry-After, which says that the request has not run, although its first engine may have run it; the tokens of the organisation were refunded, and an answer that had begun and was aborted was logged as "refused".

Cause: the error of the last attempt decided. For a stream that is the failed reservation (Overloaded, not run), for an idempotent request of a plain service the refusal of the last engine, whatever an earlier engine had done.

Change: a stream of which an engine may have run is reported so; a plain request keeps the last error of a call that may have run. Requests that may run only once are not concerned: they get no second call after such an error.

--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -40,12 +40,21 @@
 			return j.interruptedStreamError(ctx, s.possibleRuns)
 		}
 		if s.replacement == nil && (s.attempts >= maxStreamAttempts || !s.mayRetry(err)) {
-			return err
+			return s.finalError(err)
 		}
 		_ = level.Info(j.log).Log("msg", event.RetryingAtAnotherEngine, "try", s.attempts, "begun", j.headSent, "event", s.splitter.lastID, "err", err)
 	}
 }
 
+// finalError returns the error of a stream whose last attempt has failed. The request may
+// have run in an earlier attempt.
+func (s *stream) finalError(err error) error {
+	if s.possibleRuns == 0 {
+		return err
+	}
+	return fault.From(err).WithRan(fault.MayHaveRun)
+}
+
 // interruptedStreamError returns the error of a stream whose caller left or whose
 // deadline passed, given the number of engines that may have run the request.
 func (j *job) interruptedStreamError(ctx context.Context, possibleRuns int) error {
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -100,10 +100,10 @@
 	*job
 	ctx             context.Context
 	results         chan callResult
-	pending         int         // Number of open calls.
-	notRunCalls     int         // Number of calls that engines have certainly not run.
-	answer          *callResult // The last answer with a server error; the answer to the caller is job.answer.
-	lastErr         error
+	pending         int                            // Number of open calls.
+	notRunCalls     int                            // Number of calls that engines have certainly not run.
+	answer          *callResult                    // The last answer with a server error; the answer to the caller is job.answer.
+	lastErr         error                          // The last error of a call that may have run; otherwise the last error.
 	forwardedEngine atomic.Pointer[engines.Engine] // The engine whose answer is forwarded without buffering; nil if none.
 }
 
@@ -140,7 +140,9 @@
 		p.answer = &res
 		return
 	}
-	p.lastErr = res.err
+	if p.lastErr == nil || fault.From(p.lastErr).Ran == fault.NotRun || !res.isNotRun() {
+		p.lastErr = res.err
+	}
 	_ = level.Info(p.log).Log("msg", event.EngineFailed, "engine", res.engine.ID, "kind", fault.KindOf(res.err), "ran", fault.From(res.err).Ran, "err", res.err)
 }
 
