core/forward: an answer that has begun waits for a reservation of its own time

Callers saw an answer that had begun end incomplete when its engine broke off later than a new request may wait for a reservation, and the other engines were full at that moment.

Cause: the wait for a reservation ends at a fraction of the deadline or at two objectives after the arrival of the request. For a stream that runs for longer this time has passed already, so that one refused round aborted the answer. The bound is meant for requests that can still be refused and retried.

Evidence: go test -run BrokenStreamWaits ./core/forward/ before: --- FAIL: TestBrokenStreamWaitsForReservation (0.70s) resume_test.go:34: error <nil>, aborted true, "id: 1\ndata: 1\n\n"; want the whole stream after: ok, also three times with -race. Ruled out: waiting until the deadline of the request; a caller that may resume by itself would then learn of the break later than from its own limit.

--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -35,6 +35,9 @@
 	// maxWaitObjectives limits the wait for a reservation to a multiple of the route's time
 	// objective. Callers give up some time after that, and must get the refusal before.
 	maxWaitObjectives = 2
+	// maxResumeWait limits the wait for a reservation with which an answer that has begun
+	// is resumed. Callers give up two seconds after the last event at the earliest.
+	maxResumeWait = time.Second
 	// overloadedRetryAfter is the Retry-After of a request that got no reservation. Memory
 	// is freed as streams end, which takes seconds.
 	overloadedRetryAfter = time.Second
@@ -85,8 +88,12 @@
 	return s.Received.Add(objective - need)
 }
 
-// waitDeadline returns the time until which the request waits for a reservation.
+// waitDeadline returns the time until which the request waits for a reservation. An
+// answer that has begun can't be refused any more, and waits from now on.
 func (s *stream) waitDeadline() time.Time {
+	if s.headSent {
+		return s.router.now().Add(maxResumeWait)
+	}
 	wait := time.Duration(maxWaitShare * float64(s.deadline.Sub(s.Received)))
 	if objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond; objective > 0 {
 		wait = min(wait, maxWaitObjectives*objective)
