--- a/lab/platformsoak/check.go
+++ b/lab/platformsoak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -55,6 +56,31 @@
 	}
 	r.checkDisconnect(a, runs)
 	r.checkPlannedStop(a, runs)
+	r.checkCut(a, runs)
+}
+
+// checkCut reports a stream that was cut although neither its instance nor one of its
+// engines had a fault. An engine that pauses has none.
+func (r *run) checkCut(a *request, runs []standin.Run) {
+	cut := a.answer.Err != nil || a.answer.Status == http.StatusBadGateway || a.answer.Status == http.StatusGatewayTimeout
+	inTime := a.endedAt.Before(a.sentAt.Add(a.Timeout - measurementSlack))
+	if !cut || !inTime || !a.Stream || len(runs) == 0 || !a.disconnectedAt.IsZero() {
+		return
+	}
+	if r.faultFree(a.instance, a.sentAt, a.endedAt) && r.enginesLive(runs) && r.enginesFaultFree(runs, a.sentAt, a.endedAt) {
+		r.addFinding(OnlyFaultsCutStreams, "%s was cut after %.1fs and %d events: %s", a.describe(), a.endedAt.Sub(a.sentAt).Seconds(), a.answer.Events, describeRuns(runs))
+	}
+}
+
+// enginesLive reports whether all engines of runs are still there at the end. The others
+// have crashed or left.
+func (r *run) enginesLive(runs []standin.Run) bool {
+	for _, run := range runs {
+		if !slices.ContainsFunc(r.testbed.replicas, func(p *replica) bool { return p.engine.ID == run.Engine }) {
+			return false
+		}
+	}
+	return true
 }
 
 // checkPlannedStop reports a request that was cut by a planned stop of its instance.
--- a/lab/platformsoak/check_test.go
+++ b/lab/platformsoak/check_test.go
@@ -81,6 +81,34 @@
 	}
 }
 
+// TestCheckCutNeedsFault checks a stream that ends early: it is a finding unless its
+// instance or engine had a fault, its engine is gone, or the time of the request was used up.
+func TestCheckCutNeedsFault(t *testing.T) {
+	for name, c := range map[string]struct {
+		alter func(r *run, a *request)
+		want  int
+	}{
+		"cut":                {func(*run, *request) {}, 1},
+		"gateway timeout":    {func(_ *run, a *request) { a.answer = standin.Answer{Status: 504} }, 1},
+		"complete":           {func(_ *run, a *request) { a.answer.Err = nil }, 0},
+		"fault of instance":  {func(r *run, a *request) { r.faultSpans["front-0"] = []faultSpan{{from: a.sentAt}} }, 0},
+		"fault of engine":    {func(r *run, a *request) { r.faultSpans["engine"] = []faultSpan{{from: a.sentAt}} }, 0},
+		"engine is gone":     {func(r *run, _ *request) { r.testbed.replicas[0].engine.ID = "new" }, 0},
+		"deadline":           {func(_ *run, a *request) { a.Timeout = 100 * time.Millisecond }, 0},
+		"caller disconnects": {func(_ *run, a *request) { a.disconnectedAt = a.sentAt }, 0},
+	} {
+		r := newTestRun()
+		r.testbed.replicas = []*replica{{name: "engine", engine: &standin.Engine{ID: "e"}}}
+		a, runs := goodRequest(r)
+		a.Stream, a.Timeout, a.answer.Err = true, streamTimeout, errors.New("EOF")
+		c.alter(r, a)
+		r.checkCut(a, runs)
+		if got := r.findingCounts()[OnlyFaultsCutStreams]; got != c.want {
+			t.Errorf("%s: %d findings, want %d", name, got, c.want)
+		}
+	}
+}
+
 // TestCheckLeavingIgnoresInstancesWithFaults checks a request that reaches a leaving
 // engine too late: it is a finding unless the instance or the store had a fault.
 func TestCheckLeavingIgnoresInstancesWithFaults(t *testing.T) {
--- a/lab/platformsoak/finding.go
+++ b/lab/platformsoak/finding.go
@@ -22,6 +22,7 @@
 	RatesHold                             // Organisations get no more than their quota, summed over all instances.
 	WorkEndsWithItsCaller                 // An engine stops its work when the caller has disconnected.
 	PlannedStopCutsNone                   // A planned stop cuts no request and ends in time.
+	OnlyFaultsCutStreams                  // A stream is cut only after a fault of its instance or of one of its engines.
 	ProcessesLive                         // No instance exits unexpectedly.
 	Recovers                              // Requests are served again after the faults.
 	EnginesAreFree                        // After the run no engine holds requests or memory.
--- a/lab/platformsoak/finding_string.go
+++ b/lab/platformsoak/finding_string.go
@@ -18,14 +18,15 @@
 	_ = x[RatesHold-7]
 	_ = x[WorkEndsWithItsCaller-8]
 	_ = x[PlannedStopCutsNone-9]
-	_ = x[ProcessesLive-10]
-	_ = x[Recovers-11]
-	_ = x[EnginesAreFree-12]
+	_ = x[OnlyFaultsCutStreams-10]
+	_ = x[ProcessesLive-11]
+	_ = x[Recovers-12]
+	_ = x[EnginesAreFree-13]
 }
 
-const _Promise_name = "RunsOnceRefusalsAreTrueAnswersAreWholeRunsForOwnOrganisationEnginesSeeNoKeyLeavingGetsNoWorkChangesAreInForceRatesHoldWorkEndsWithItsCallerPlannedStopCutsNoneProcessesLiveRecoversEnginesAreFree"
+const _Promise_name = "RunsOnceRefusalsAreTrueAnswersAreWholeRunsForOwnOrganisationEnginesSeeNoKeyLeavingGetsNoWorkChangesAreInForceRatesHoldWorkEndsWithItsCallerPlannedStopCutsNoneOnlyFaultsCutStreamsProcessesLiveRecoversEnginesAreFree"
 
-var _Promise_index = [...]uint8{0, 8, 23, 38, 60, 75, 92, 109, 118, 139, 158, 171, 179, 193}
+var _Promise_index = [...]uint8{0, 8, 23, 38, 60, 75, 92, 109, 118, 139, 158, 178, 191, 199, 213}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/lab/platformsoak/schedule.go
+++ b/lab/platformsoak/schedule.go
@@ -41,6 +41,8 @@
 type faultSpec struct {
 	name string
 	kind targetKind
+	// harmless is set if the target counts as free of faults meanwhile.
+	harmless bool
 	// begin begins the fault and returns the function that ends it, which may be nil.
 	begin func(r *run, t target) (end func() error, err error)
 }
@@ -103,7 +105,9 @@
 // runFault begins a fault and ends it after its length.
 func (r *run) runFault(ctx context.Context, e faultSpec, t target, length time.Duration) {
 	r.logf("%s on %s for %.1fs", e.name, t.name, length.Seconds())
-	defer r.beginFault(t.name)()
+	if !e.harmless {
+		defer r.beginFault(t.name)()
+	}
 	end, err := e.begin(r, t)
 	if err != nil {
 		r.logf("%s on %s: %v", e.name, t.name, err)
