core/forward: the stall timeout follows from when callers give up

What callers could see: with a fixed 1.2 s, a stream of an engine that pauses for a little longer is still sent to a second engine, while the first one, which is silent, has not read yet that its connection is closed. It goes on working on the request when it wakes up.

Cause: the timeout was chosen for the callers that give up first, after 2 s without an event.

Change: the stall timeout is half of the time after which the callers of the route give up, 1.2 s at least; before the first event it is no shorter than the objective plus 1.2 s.

TestStallAfterEarlyFirstEventIsDetected keeps its bound; its objective is 600 ms in place of 3 s, since the timeout now grows with the objective. New: TestStallTimeoutFollowsRoute.

--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -13,10 +13,20 @@
 )
 
 const (
-	// stallTimeout is how long a resumable stream may be without data before it is to be
-	// resumed at another engine. An engine without a fault may pause for about a second,
-	// and callers give up after two seconds at the earliest.
-	stallTimeout = 1200 * time.Millisecond
+	// minStallTimeout is the shortest time without data after which a resumable stream is
+	// to be resumed at another engine. An engine without a fault may pause for about a
+	// second.
+	minStallTimeout = 1200 * time.Millisecond
+	// stallTimeoutShare is the stall timeout as a fraction of the time after which callers
+	// give up. The rest is for the reservation, the prefill and the first event of the
+	// resumed stream.
+	stallTimeoutShare = 0.5
+	// minCallerTimeout, callerTimeoutObjectives and callerTimeoutGaps give the time without
+	// an event after which callers abandon a stream: the longest of a fixed time and of
+	// multiples of the route's objectives for the first event and between events.
+	minCallerTimeout        = 2 * time.Second
+	callerTimeoutObjectives = 4
+	callerTimeoutGaps       = 8
 	// replacementInterval is the pause between two attempts to find another engine for a
 	// stalled stream.
 	replacementInterval = 200 * time.Millisecond
@@ -40,6 +50,7 @@
 type stallMonitor struct {
 	stream     *stream
 	cancelCall context.CancelCauseFunc
+	timeout    time.Duration // Longest time between two pieces of data.
 	stop       context.CancelFunc
 	running    sync.WaitGroup
 
@@ -52,7 +63,8 @@
 // resumed are not monitored.
 func (s *stream) monitorStalls(ctx context.Context, cancelCall context.CancelCauseFunc) *stallMonitor {
 	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
-	m := &stallMonitor{stream: s, cancelCall: cancelCall, stallsAt: s.router.now().Add(stallTimeout + objective)}
+	m := &stallMonitor{stream: s, cancelCall: cancelCall, timeout: s.stallTimeout()}
+	m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout))
 	ctx, m.stop = context.WithCancel(ctx)
 	if s.route.Resumable && s.route.MaxEngines > 1 {
 		m.running.Go(func() { m.run(ctx) })
@@ -60,6 +72,15 @@
 	return m
 }
 
+// stallTimeout returns how long the stream may be without data before it is to be resumed
+// at another engine.
+func (s *stream) stallTimeout() time.Duration {
+	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
+	gap := time.Duration(s.route.TargetEventGapMS) * time.Millisecond
+	callerTimeout := max(minCallerTimeout, callerTimeoutObjectives*objective, callerTimeoutGaps*gap)
+	return max(minStallTimeout, time.Duration(stallTimeoutShare*float64(callerTimeout)))
+}
+
 // close ends the monitor, waits for it, and returns the reservation with which the stream
 // is to be resumed, or nil if the call was not cancelled.
 func (m *stallMonitor) close() *decodeReservation {
@@ -76,7 +97,7 @@
 	if m.replacement != nil {
 		return errStreamStalled
 	}
-	m.stallsAt = m.stream.router.now().Add(stallTimeout)
+	m.stallsAt = m.stream.router.now().Add(m.timeout)
 	return nil
 }
 
@@ -94,8 +115,8 @@
 	for ctx.Err() == nil {
 		stallsAt := m.stallTime()
 		if wait := stallsAt.Sub(m.stream.router.now()); wait > 0 {
-			// Data may move stallsAt to an earlier time, but not before now plus stallTimeout.
-			sleep.For(ctx, min(wait, stallTimeout))
+			// Data may move stallsAt to an earlier time, but not before now plus the timeout.
+			sleep.For(ctx, min(wait, m.timeout))
 			continue
 		}
 		err := m.replace(ctx, stallsAt)
--- a/core/forward/stall_test.go
+++ b/core/forward/stall_test.go
@@ -11,13 +11,14 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/catalog"
 	"monsoonfork/core/engines"
 )
 
 const (
 	// silence is the length of the silence of a simulated engine that then goes on. It is
-	// longer than stallTimeout.
-	silence = stallTimeout + 300*time.Millisecond
+	// longer than minStallTimeout.
+	silence = minStallTimeout + 300*time.Millisecond
 	// streamEvents is the number of events of a simulated stream.
 	streamEvents = 4
 	// silentAfter is the event after which a simulated engine is silent.
@@ -202,7 +203,7 @@
 	t.Parallel()
 	h := newStallHarness(t, 2)
 	route, _ := h.router.Catalog().Route("h", "/resume/x")
-	route.TargetLatencyMS = 3000
+	route.TargetLatencyMS = 600
 	h.send = func(n int, c Call, sink Sink) error {
 		if n > 1 {
 			return sendStream(c, sink, 0, 0)
@@ -212,8 +213,8 @@
 	}
 	started := time.Now()
 	checkComplete(t, h.serve("resume"))
-	if took := time.Since(started); took > stallTimeout+500*time.Millisecond {
-		t.Errorf("resumed after %v, want %v", took, stallTimeout)
+	if took := time.Since(started); took > minStallTimeout+500*time.Millisecond {
+		t.Errorf("resumed after %v, want %v", took, minStallTimeout)
 	}
 }
 
@@ -225,7 +226,7 @@
 	var reservations atomic.Int64
 	h.reserve = func(e engines.Entry) (string, error) {
 		if reservations.Add(1) > 1 {
-			time.Sleep(2 * (silence - stallTimeout))
+			time.Sleep(2 * (silence - minStallTimeout))
 		}
 		return string(e.ID), nil
 	}
@@ -233,7 +234,7 @@
 		if err := sendStream(c, sink, silentAfter, silence); err != nil {
 			return err
 		}
-		time.Sleep(2 * (silence - stallTimeout))
+		time.Sleep(2 * (silence - minStallTimeout))
 		return nil
 	}
 	checkComplete(t, h.serve("resume"))
@@ -251,7 +252,7 @@
 	var reservations atomic.Int64
 	h.reserve = func(engines.Entry) (string, error) {
 		if reservations.Add(1) == 2 {
-			time.Sleep(2 * (silence - stallTimeout))
+			time.Sleep(2 * (silence - minStallTimeout))
 		}
 		return "reservation", nil
 	}
@@ -278,3 +279,17 @@
 		h.t.Errorf("%d extra calls counted, %d held; want %d and none", len(w.extraCalls), w.heldCalls, want)
 	}
 }
+
+// TestStallTimeoutFollowsRoute checks that a stream is resumed before its caller gives up,
+// and not before a pause of an engine without a fault may have ended.
+func TestStallTimeoutFollowsRoute(t *testing.T) {
+	for _, c := range []struct {
+		objectiveMS, gapMS int64
+		want               time.Duration
+	}{{300, 0, minStallTimeout}, {900, 300, 1800 * time.Millisecond}, {500, 400, 1600 * time.Millisecond}} {
+		s := &stream{job: &job{route: &catalog.Route{TargetLatencyMS: c.objectiveMS, TargetEventGapMS: c.gapMS}}}
+		if got := s.stallTimeout(); got != c.want {
+			t.Errorf("objective %d ms, gap %d ms: %v, want %v", c.objectiveMS, c.gapMS, got, c.want)
+		}
+	}
+}
