--- a/core/engines/engine.go
+++ b/core/engines/engine.go
@@ -67,6 +67,8 @@
 	stageChangeUntil time.Time // No new requests until then, unless nextStage is reached earlier.
 	fullUntil        time.Time
 	refusedSize      ident.Tokens // Size of the last refused reservation.
+	announcedLeaving bool         // The engine has announced in an answer that it leaves.
+	pausedUntil      time.Time    // The engine has asked for no calls until then.
 }
 
 // RecordSuccess records a successful answer.
@@ -196,11 +198,11 @@
 }
 
 // Usable reports whether the engine may get new requests: it is ready according to the
-// latest list that this instance has received.
+// latest list that this instance has received, and has not announced that it leaves.
 func (e *Engine) Usable() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.removed && e.state == Ready
+	return !e.removed && !e.announcedLeaving && e.state == Ready
 }
 
 // MarkStageChange excludes the engine from new requests until its stage is to, or until
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -37,17 +37,20 @@
 	DispatcherStopped   // dispatcher stopped
 	AbortingOrphan      // aborting orphaned attempt
 
-	EngineChanged         // engine changed
-	EngineListChanged     // engine list changed
-	StageOrdered          // stage ordered
-	NoticeIgnored         // invalid stage notice ignored
-	OrderLeaseAcquired    // order lease acquired
-	OrderLeaseNotAcquired // order lease not acquired
-	OrderSent             // order sent
-	OrderUnconfirmed      // order not confirmed
-	BecameController      // became controller
-	NotController         // not the controller
-	ControllerLost        // no longer the controller
+	EngineChanged          // engine changed
+	EngineListChanged      // engine list changed
+	EngineAnnouncedLeaving // engine announced that it leaves
+	EnginePaused           // engine paused
+	EnginePauseIgnored     // invalid pause of an engine ignored
+	StageOrdered           // stage ordered
+	NoticeIgnored          // invalid stage notice ignored
+	OrderLeaseAcquired     // order lease acquired
+	OrderLeaseNotAcquired  // order lease not acquired
+	OrderSent              // order sent
+	OrderUnconfirmed       // order not confirmed
+	BecameController       // became controller
+	NotController          // not the controller
+	ControllerLost         // no longer the controller
 
 	RateShareChanged        // rate share changed
 	CollectorReachability   // collector reachability changed
