--- a/core/event/event.go
+++ b/core/event/event.go
@@ -17,6 +17,7 @@
 	RefusalsSuppressed                   // refusals suppressed
 	EngineFailed                         // engine failed
 	PrefillFailed                        // prefill failed
+	StreamStalled                        // stream stalled
 	RetryingAtAnotherEngine              // retrying at another engine
 	ReleaseFailed                        // release failed, will expire
 
@@ -64,6 +65,7 @@
 	ConfigurationRejected // configuration rejected
 	EngineEntryIgnored    // invalid engine entry ignored
 	RegisterEntryIgnored  // invalid register entry ignored
+	StoreItemIgnored      // invalid store item ignored
 	RevisionInForce       // revision in force
 	TextReadFailed        // reading the text failed
 	InvalidPullReply      // invalid pull reply
@@ -96,6 +98,8 @@
 	AnswerEncodingFailed // encoding the answer failed
 	LinesDropped         // log lines dropped
 	InvariantViolated    // invariant violated
+	PanicContained       // panic contained
+	HandlerPanicked      // panic in a request handler
 
 	eventCount // Number of events; keep last.
 )
--- /dev/null
+++ b/core/replication/catchup_test.go
@@ -0,0 +1,53 @@
+package replication
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"google.golang.org/protobuf/proto"
+
+	"monsoonfork/core/engines"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membership"
+)
+
+// TestCatchUpWithoutLiveMembers guards against a panic, which ends the process with all its
+// requests: an instance that stops while much of the list is missing is not live itself, and
+// its domain may have no other live member.
+func TestCatchUpWithoutLiveMembers(_ *testing.T) {
+	table := membership.NewTable(membership.Member{ID: "a-1", Domain: "a"}, log.NewNopLogger(), time.Now)
+	table.SetLeaving()
+	s := &Replicator{incomplete: true}
+	s.catchUp(context.Background(), table.View())
+}
+
+// TestRejectedConfigurationIsNotPulledInALoop guards against an instance that pulls without
+// a pause, each time with the whole configuration, while it can't apply the one that other
+// instances have.
+func TestRejectedConfigurationIsNotPulledInALoop(t *testing.T) {
+	const duration = 500 * time.Millisecond
+	table := membership.NewTable(membership.Member{ID: "a-1", Domain: "a"}, log.NewNopLogger(), time.Now)
+	calls := 0
+	s := &Replicator{
+		View: table.View, Table: engines.NewTable(), Now: time.Now, Log: log.NewNopLogger(),
+		Version:       func() ident.Revision { return 0 },
+		Notice:        func() ([]byte, int64) { return nil, 0 },
+		ApplyConfig:   func([]byte) {},
+		SetRegistered: func(int) {},
+		Call: func(_ context.Context, _ ident.InstanceID, _ string, _, resp proto.Message) error {
+			calls++
+			proto.Merge(resp, &PullReply{Healthy: true, Known: true, Configuration: encoder.EncodeAll([]byte("{}"), nil)})
+			return nil
+		},
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	for ctx.Err() == nil {
+		s.pullAny(ctx, []ident.InstanceID{"a-2"})
+	}
+	if limit := int(duration/retryDelay) + 1; calls > limit {
+		t.Errorf("%d pulls in %v, want at most %d", calls, duration, limit)
+	}
+}
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -19,7 +19,7 @@
 // conn is the state of a caller's connection.
 type conn struct {
 	nbc     *nbio.Conn
-	limits  Limits
+	limits  *limitHistory
 	metrics serverMetrics
 
 	// Accessed only by the goroutine of the connection's poller.
@@ -28,22 +28,48 @@
 
 	mu              sync.Mutex
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
+	idleSince       time.Time          // When the last request ended, or the connection was opened.
 	closeDeadline   time.Time          // When the connection is closed unless a request is read or handled.
 	rejection       *fault.Error       // Why the request being read is rejected; nil if it is not.
 	cancel          func(*fault.Error) // Cancels the request being handled; nil without one.
-	activeRequests  int                // Requests read completely whose handler has not returned.
+	activeRequests  int                // Requests read completely whose response is not yet written.
 	cancelled       bool               // The request being handled was cancelled.
 	lastRequest     bool               // No request is accepted after the one being handled.
 	deliveredSweeps int                // Successive calls of closeWriteIfDelivered that found all sent bytes acknowledged.
+	deliveryCheck   time.Time          // Before this time the last response does not count as delivered.
 	writeClosed     bool               // The sending side was closed after the last response.
 	discarding      bool               // A rejection was sent: further input is discarded.
+	reading         bool               // The poller is reading and parsing input.
+	closing         bool               // The connection is being closed and is no longer read.
 }
 
 // newConn returns the state of a new connection.
-func newConn(nbc *nbio.Conn, limits Limits, m serverMetrics) *conn {
-	return &conn{nbc: nbc, limits: limits, metrics: m, closeDeadline: time.Now().Add(limits.IdleTimeout)}
+func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics) *conn {
+	c := &conn{nbc: nbc, limits: limits, metrics: m}
+	c.startIdleTime(time.Now())
+	return c
 }
 
+// beginRead records that the poller is about to read input. It returns false if the
+// connection is being closed and must not be read.
+func (c *conn) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = !c.closing
+	return c.reading
+}
+
+// endRead records that the poller has parsed all input that it has read.
+func (c *conn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
+// hasInput reports whether input has arrived that is not parsed yet. The caller must hold
+// c.mu, so that it can stop the connection from being read before more is parsed.
+func (c *conn) hasInput() bool { return c.reading || hasUnread(c.nbc) }
+
 // feed parses bytes that the poller has read.
 func (c *conn) feed(data []byte) {
 	if c.ignoresInput() {
@@ -56,13 +82,14 @@
 	}
 	if !c.limiterInstalled {
 		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
+		parser.Execute = c.execute
 		c.limiterInstalled = true
 	}
 	err := c.parse(parser, data)
 	if !c.progress.headersComplete && c.progress.started {
 		c.progress.unparsedHeaderBytes += len(data)
-		if c.progress.unparsedHeaderBytes > c.limits.MaxHeaderBytes {
-			c.reject(fault.New(fault.RequestTooLarge, "headers larger than %d bytes", c.limits.MaxHeaderBytes))
+		if c.progress.unparsedHeaderBytes > c.progress.limits.MaxHeaderBytes {
+			c.reject(fault.New(fault.RequestTooLarge, "headers larger than %d bytes", c.progress.limits.MaxHeaderBytes))
 		}
 	}
 	c.rejectFailed(err)
@@ -80,6 +107,7 @@
 		data = data[len(segment):]
 		if c.progress.headersComplete {
 			c.progress.parsedBodyBytes += len(segment)
+			c.progress.bufferedBodyBytes += len(segment)
 		} else if err := c.progress.headers.check(segment); err != nil {
 			c.reject(err)
 			return nil
@@ -87,6 +115,9 @@
 		if err := parser.Parse(segment); err != nil {
 			return err
 		}
+		if c.progress.bufferedBodyBytes > c.progress.limits.MaxBodyBytes+c.progress.limits.MaxHeaderBytes {
+			c.reject(bodyTooLarge(c.progress.limits))
+		}
 	}
 	return nil
 }
@@ -95,9 +126,21 @@
 func (c *conn) startRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := time.Now()
 	c.progress.started = true
+	c.progress.limits = c.limits.at(now)
+	c.progress.bodyDeadline = now.Add(c.progress.limits.RequestTimeout)
 	if c.requestDeadline.IsZero() {
-		c.requestDeadline = time.Now().Add(c.limits.RequestTimeout)
+		c.requestDeadline = now.Add(min(c.progress.limits.HeaderTimeout, c.progress.limits.RequestTimeout))
+	}
+}
+
+// startBody replaces the timeout of the headers by that of the whole request.
+func (c *conn) startBody() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.requestDeadline.IsZero() {
+		c.requestDeadline = c.progress.bodyDeadline
 	}
 }
 
@@ -132,30 +175,24 @@
 	}
 }
 
-// sendRejection responds with err and closes the sending side. While an earlier request
-// of the connection is still being handled, it closes the connection without a
-// response, which would end up in the middle of the earlier one.
+// sendRejection responds with err, after the responses to earlier requests of the
+// connection, and makes it the last response. It counts as a request until it is written.
 func (c *conn) sendRejection(err *fault.Error) {
 	c.mu.Lock()
 	alreadyDiscarding := c.discarding
-	responding := c.activeRequests > 0
 	c.discarding = true
+	c.lastRequest = true
 	c.rejection = err
 	c.requestDeadline = time.Time{}
-	c.closeDeadline = time.Now().Add(lingerTime)
+	if !alreadyDiscarding {
+		c.activeRequests++
+	}
 	c.mu.Unlock()
 	if alreadyDiscarding {
 		return
 	}
 	c.metrics.rejected.Inc(1)
-	if responding {
-		_ = c.nbc.Close()
-		return
-	}
-	if _, werr := c.nbc.Write(rawErrorResponse(err)); werr != nil {
-		return
-	}
-	shutdownWrite(c.nbc)
+	c.execute(func() { _, _ = c.nbc.Write(rawErrorResponse(err)) })
 }
 
 // ignoresInput reports whether a rejection was sent or the last request of the
@@ -219,110 +256,31 @@
 	return cancel != nil
 }
 
-// markLastRequest makes the request being handled the last of its connection. nbhttp
-// would close the connection from the handler's goroutine as soon as it has the
-// response: bytes buffered for a slow caller would be lost, and an event that a poller
-// has already fetched for the descriptor would be applied to the next connection with
-// the same descriptor. Instead the sending side is closed once the response is
-// delivered, and the poller closes the connection when the caller has closed its side.
-func (c *conn) markLastRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lastRequest = true
-}
-
-// closeWriteIfIdle closes the sending side of a connection without a request and stops
-// accepting requests on it. A request that arrives from now on is not read; closing at
-// once lets its caller retry elsewhere without delay.
-func (c *conn) closeWriteIfIdle(now time.Time) {
-	c.mu.Lock()
-	idle := c.activeRequests == 0 && c.requestDeadline.IsZero() && !c.lastRequest && !c.discarding
-	if idle {
-		c.lastRequest = true
-	}
-	c.mu.Unlock()
-	if idle && !hasUnacked(c.nbc) {
-		c.closeWrite(now)
+// execute queues an accepted request. handle calls the handler and writes what is buffered
+// of its response; only then does the request end. It returns false if the connection is
+// closed.
+func (c *conn) execute(handle func()) bool {
+	queued := c.nbc.Execute(func() {
+		defer c.endRequest()
+		handle()
+	})
+	if !queued {
+		c.endRequest()
 	}
+	return queued
 }
 
-// isLastRequest reports whether no request is accepted after the one being handled.
-func (c *conn) isLastRequest() bool {
+// clearCancel records that the handler of a request has returned.
+func (c *conn) clearCancel() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastRequest
-}
-
-// closeWriteIfDelivered closes the sending side of a connection whose last response was
-// acknowledged by the caller's host in idleSweeps successive calls. Server.sweep calls it
-// once per sweepInterval.
-func (c *conn) closeWriteIfDelivered(now time.Time) {
-	c.mu.Lock()
-	awaitingDelivery := c.lastRequest && c.activeRequests == 0 && !c.writeClosed && !c.discarding
-	c.mu.Unlock()
-	if !awaitingDelivery {
-		return
-	}
-	if hasUnacked(c.nbc) {
-		c.deliveredSweeps = 0
-		return
-	}
-	c.deliveredSweeps++
-	if c.deliveredSweeps < idleSweeps {
-		return
-	}
-	c.closeWrite(now)
-}
-
-// closeWrite closes the sending side. The connection is closed when the caller closes
-// its side, or after lingerTime.
-func (c *conn) closeWrite(now time.Time) {
-	c.mu.Lock()
-	c.writeClosed = true
-	c.closeDeadline = now.Add(lingerTime)
-	c.mu.Unlock()
-	shutdownWrite(c.nbc)
+	c.cancel = nil
 }
 
-// endRequest records that the handler of a request has returned.
+// endRequest records that the response to a request is written.
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancel = nil
 	c.activeRequests--
-	c.closeDeadline = time.Now().Add(c.limits.IdleTimeout)
-}
-
-// isClosed reports whether the connection is closed. nbio guards the flag by the
-// connection's lock.
-func (c *conn) isClosed() bool {
-	c.nbc.Lock()
-	defer c.nbc.Unlock()
-	closed, _ := c.nbc.IsClosed()
-	return closed
-}
-
-// enforceTimeouts cancels the request of a disconnected caller, rejects a request that
-// was not complete in time, and closes an idle connection. nbhttp does none of this
-// for a handler: it does not cancel the request's context, and Write returns no error
-// after a disconnect.
-func (c *conn) enforceTimeouts(now time.Time) {
-	closed := c.isClosed()
-	c.cancelIfDisconnected(closed)
-	c.mu.Lock()
-	timedOut := !c.requestDeadline.IsZero() && now.After(c.requestDeadline)
-	var timeout *fault.Error
-	if timedOut {
-		timeout = fault.New(fault.RequestTimeout, "the request was not complete within %v", c.limits.RequestTimeout)
-		c.rejection = timeout
-	}
-	idle := c.activeRequests == 0 && c.requestDeadline.IsZero() && now.After(c.closeDeadline)
-	c.mu.Unlock()
-	if idle && !timedOut {
-		_ = c.nbc.Close()
-		return
-	}
-	if timedOut && !closed {
-		c.sendRejection(timeout)
-	}
+	c.startIdleTime(time.Now())
 }
