--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -110,10 +110,10 @@
 // a prefilled prompt the decode engine does the prefill itself.
 func (s *stream) decode(ctx context.Context, reserved decodeReservation, p prefilledPrompt) error {
 	e := reserved.engine
-	if !e.Usable() {
+	if !e.Accepts(s.router.now()) {
 		s.router.Calls.ReleaseReservation(e.Entry, reserved.id)
 		s.freePrompt(p)
-		return fault.New(fault.EndpointRefused, "engine %s is leaving", e.ID)
+		return fault.New(fault.EndpointRefused, "engine %s leaves or has asked for no calls", e.ID)
 	}
 	call := s.newCall(e)
 	call.Reservation = reserved.id
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -243,7 +243,7 @@
 
 // noEngineError returns the error of a request that no engine has answered.
 func (j *job) noEngineError(last error) error {
-	retry := j.router.now().Add(refusedRetryAfter)
+	retry := j.refusedRetryAt()
 	if last == nil {
 		return fault.New(fault.NoEndpoint, "service %s has no usable engine", j.service.Name).WithRetryAfter(retry)
 	}
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -62,6 +62,9 @@
 	waitUntil := s.waitDeadline()
 	for {
 		now := r.now()
+		if end := s.decodePauseEnd(now); !end.Before(waitUntil) {
+			return decodeReservation{}, fault.New(fault.Overloaded, "all decode engines have asked for no calls").WithRetryAfter(spreadRetry(end))
+		}
 		if queue.mayReserve(w, now) {
 			reserved, ok := s.tryReserve(ctx)
 			if ok {
@@ -111,8 +114,11 @@
 		list = list[:maxReserveEngines]
 	}
 	for _, e := range list {
-		end := e.BeginRequest(size)
 		now := r.now()
+		if !e.Accepts(now) {
+			continue
+		}
+		end := e.BeginRequest(size)
 		j.reserveCalls++
 		callCtx, cancel := context.WithTimeout(ctx, reserveCallTimeout)
 		id, err := r.Calls.Reserve(callCtx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
--- a/core/forward/selection.go
+++ b/core/forward/selection.go
@@ -28,13 +28,13 @@
 	rank   float64
 }
 
-// rank returns the usable engines of the service that were not tried yet and that accept
-// returns a load for, the best first.
+// rank returns the engines of the service that accept requests, were not tried yet and that
+// accept returns a load for, the best first.
 func (j *job) rank(accept func(*engines.Engine) (load float64, ok bool)) []*engines.Engine {
 	now := j.router.now()
 	var list []rankedEngine
 	for _, e := range j.router.Engines(j.service.Name) {
-		if !e.Usable() || j.tried[e.ID] {
+		if !e.Accepts(now) || j.tried[e.ID] {
 			continue
 		}
 		load, ok := accept(e)
