--- /dev/null
+++ b/io/caller/staleevent_test.go
@@ -0,0 +1,85 @@
+package caller
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// staleEventTrials is how often the test tries to get the descriptor of a closed connection
+// for a new one.
+const staleEventTrials = 20
+
+// TestStaleEventSparesNewConnection closes a connection, from another goroutine than its
+// poller's, while the poller has already fetched an event for its descriptor. Applied to the
+// next connection with the same descriptor, the event ends that connection without an answer.
+func TestStaleEventSparesNewConnection(t *testing.T) {
+	s, address := newForwardingTestServer(t, respondEmpty)
+	for range staleEventTrials {
+		conn := connWithStaleEvent(t, s, address)
+		if conn == nil {
+			continue
+		}
+		if _, err := post(conn, 1); err != nil {
+			t.Fatalf("a request on a new connection: %v", err)
+		}
+	}
+}
+
+// callerConn is both ends of a caller's connection.
+type callerConn struct {
+	net.Conn
+	server *conn
+}
+
+// dialCaller opens a connection to s and finds its state.
+func dialCaller(t *testing.T, s *Server, address string) callerConn {
+	t.Helper()
+	c := callerConn{Conn: dialTest(t, address)}
+	eventually(t, "the server has the connection", time.Second, func() bool {
+		s.conns.each(func(x *conn) {
+			if x.nbc.RemoteAddr().String() == c.LocalAddr().String() {
+				c.server = x
+			}
+		})
+		return c.server != nil
+	})
+	return c
+}
+
+// dialOnFirstPoller opens connections until one is read by the first poller.
+func dialOnFirstPoller(t *testing.T, s *Server, address string) callerConn {
+	t.Helper()
+	for {
+		if c := dialCaller(t, s, address); c.server.nbc.Hash()%pollers == 0 {
+			return c
+		}
+	}
+}
+
+// connWithStaleEvent returns a new connection whose descriptor is that of a connection closed
+// while its poller held an event for it, or nil if the kernel chose another descriptor.
+func connWithStaleEvent(t *testing.T, s *Server, address string) net.Conn {
+	t.Helper()
+	const step = 10 * time.Millisecond
+	first, second, closed := dialOnFirstPoller(t, s, address), dialOnFirstPoller(t, s, address), dialOnFirstPoller(t, s, address)
+	first.server.nbc.Lock() // Blocks the poller until the events below are due together.
+	_, _ = first.Write([]byte("GET /"))
+	time.Sleep(step)
+	_, _ = second.Write([]byte("GET /"))
+	_ = closed.Close()
+	time.Sleep(step)
+	second.server.nbc.Lock() // Blocks the poller between the events of second and closed.
+	first.server.nbc.Unlock()
+	time.Sleep(step)
+	_ = closed.server.nbc.Close()
+	time.Sleep(step)
+	defer time.Sleep(step)
+	defer second.server.nbc.Unlock()
+	for range staleEventTrials {
+		if c := dialCaller(t, s, address); c.server.nbc.Hash() == closed.server.nbc.Hash() {
+			return c
+		}
+	}
+	return nil
+}
