caller: a new connection waits for the events that its poller has already fetched

What callers saw: a request on a new connection ended without an answer.

Cause: nbio fetches events in batches and finds the connection of an event by its descriptor. If another goroutine than the poller's closed a connection (Abort, a failed write, the idle timeout), the next connection may get its descriptor before the poller comes to the event, and is closed by it.

Fix: onOpen, which nbio calls before a new connection can get events, waits with a byte through a socket pair until the poller has handled what it had fetched. An event that is fetched later can't belong to the closed connection. Ruled out: closing from the poller only, since nbio also closes after its own failed writes.

The test no longer waits until the new connections are registered, as that now follows the poller's batch; it opens six and sends a request on each.

Found with it: with two pollers, all 64 probes of poller.Start could belong to one of them, so that it returned before the other ran.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -99,6 +99,7 @@
 	LinesDropped         // log lines dropped
 	InvariantViolated    // invariant violated
 	PanicContained       // panic contained
+	PollerSlow           // poller did not respond in time
 	HandlerPanicked      // panic in a request handler
 
 	eventCount // Number of events; keep last.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -10,10 +10,12 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/request"
@@ -55,6 +57,7 @@
 	openRequests atomic.Int64 // Requests whose handler has not returned.
 	draining     atomic.Bool
 	closing      atomic.Bool // Input is read and discarded.
+	barrier      atomic.Pointer[poller.Barrier]
 	metrics      serverMetrics
 
 	stopSweep chan struct{}
@@ -131,16 +134,29 @@
 	if err := poller.Start(s.engine); err != nil {
 		return "", fault.Wrap(err, fault.BadSettings, "cannot serve callers on %s", address)
 	}
+	barrier, err := poller.NewBarrier(s.engine)
+	if err != nil {
+		s.engine.Stop()
+		return "", err
+	}
+	s.barrier.Store(barrier)
 	go s.sweep()
 	return ident.Address(s.engine.AddrConfigs[0].Addr), nil
 }
 
-// onOpen registers a new connection.
+// onOpen registers a new connection. nbio calls it before the poller may get events for
+// the connection, and it returns only when the poller holds no event for an earlier
+// connection with the same descriptor.
 func (s *Server) onOpen(c net.Conn) {
 	nbc, ok := c.(*nbio.Conn)
-	if !ok {
+	if !ok || nbc.LocalAddr().Network() == "unix" { // A probe of package poller.
 		return
 	}
+	if barrier := s.barrier.Load(); barrier != nil && !s.closing.Load() {
+		if err := barrier.Await(nbc.Hash()); err != nil {
+			_ = level.Warn(s.log).Log("msg", event.PollerSlow, "err", err)
+		}
+	}
 	setSocketOptions(nbc)
 	s.conns.add(nbc, newConn(nbc, s.limits, s.metrics))
 }
@@ -199,6 +215,9 @@
 	s.conns.each(func(c *conn) { c.cancelWith(fault.New(fault.ShuttingDown, "the process is shutting down")) })
 	s.awaitRequests()
 	s.engine.Stop()
+	if barrier := s.barrier.Load(); barrier != nil {
+		barrier.Close()
+	}
 	close(s.stopSweep)
 	<-s.sweepDone
 	return nil
--- a/io/caller/staleevent_test.go
+++ b/io/caller/staleevent_test.go
@@ -16,12 +16,10 @@
 func TestStaleEventSparesNewConnection(t *testing.T) {
 	s, address := newForwardingTestServer(t, respondEmpty)
 	for range staleEventTrials {
-		conn := connWithStaleEvent(t, s, address)
-		if conn == nil {
-			continue
-		}
-		if _, err := post(conn, 1); err != nil {
-			t.Fatalf("a request on a new connection: %v", err)
+		for _, conn := range connsWithStaleEvent(t, s, address) {
+			if _, err := post(conn, 1); err != nil {
+				t.Fatalf("a request on a new connection: %v", err)
+			}
 		}
 	}
 }
@@ -57,9 +55,13 @@
 	}
 }
 
-// connWithStaleEvent returns a new connection whose descriptor is that of a connection closed
-// while its poller held an event for it, or nil if the kernel chose another descriptor.
-func connWithStaleEvent(t *testing.T, s *Server, address string) net.Conn {
+// newConns is how many connections are opened after one was closed; one of them gets its
+// descriptor.
+const newConns = 6
+
+// connsWithStaleEvent returns new connections, one of which has in most cases the descriptor
+// of a connection that was closed while its poller held an event for it.
+func connsWithStaleEvent(t *testing.T, s *Server, address string) []net.Conn {
 	t.Helper()
 	const step = 10 * time.Millisecond
 	first, second, closed := dialOnFirstPoller(t, s, address), dialOnFirstPoller(t, s, address), dialOnFirstPoller(t, s, address)
@@ -74,12 +76,12 @@
 	time.Sleep(step)
 	_ = closed.server.nbc.Close()
 	time.Sleep(step)
-	defer time.Sleep(step)
-	defer second.server.nbc.Unlock()
-	for range staleEventTrials {
-		if c := dialCaller(t, s, address); c.server.nbc.Hash() == closed.server.nbc.Hash() {
-			return c
-		}
+	var conns []net.Conn
+	for range newConns {
+		conns = append(conns, dialTest(t, address))
 	}
-	return nil
+	time.Sleep(step)
+	second.server.nbc.Unlock()
+	time.Sleep(step)
+	return conns
 }
--- a/io/poller/poller.go
+++ b/io/poller/poller.go
@@ -44,34 +44,70 @@
 // awaitPollers waits until each poller of the engine has read a byte, which shows
 // that its loop runs.
 func awaitPollers(engine *nbhttp.Engine) error {
-	var probes []*probe
+	probes, err := newProbes(engine)
+	if err != nil {
+		return err
+	}
+	defer closeProbes(probes)
+	for _, p := range probes {
+		if err := p.awaitRead(probeTimeout); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// newProbes opens a probe for each poller of an engine, by the index of the poller. The
+// engine chooses the poller by the file descriptor. A probe takes two descriptors, so that
+// all probes could have the same poller; a further descriptor is opened after each one that
+// is not needed.
+func newProbes(engine *nbhttp.Engine) ([]*probe, error) {
+	probes := make([]*probe, engine.NPoller)
+	var unneeded []*probe
+	var fillers []*os.File
 	defer func() {
-		for _, p := range probes {
-			p.close()
+		closeProbes(unneeded)
+		for _, f := range fillers {
+			_ = f.Close()
 		}
 	}()
-	reached := map[int]bool{}
-	for i := 0; i < maxProbes && len(reached) < engine.NPoller; i++ {
+	for missing, tries := engine.NPoller, 0; missing > 0; tries++ {
+		if tries == maxProbes {
+			closeProbes(probes)
+			return nil, fault.New(fault.Internal, "no probe for each poller after %d probes", maxProbes)
+		}
 		p, err := newProbe(engine)
 		if err != nil {
-			return err
+			closeProbes(probes)
+			return nil, err
 		}
-		// The engine chooses the poller by the file descriptor. Probes stay open,
-		// so that the next one gets another descriptor.
-		probes = append(probes, p)
-		if err := p.awaitRead(); err != nil {
-			return err
+		if i := p.conn.Hash() % engine.NPoller; probes[i] == nil {
+			probes[i] = p
+			missing--
+			continue
+		}
+		unneeded = append(unneeded, p)
+		if fd, err := syscall.Dup(int(p.peer.Fd())); err == nil {
+			fillers = append(fillers, os.NewFile(uintptr(fd), "filler"))
+		}
+	}
+	return probes, nil
+}
+
+// closeProbes closes probes, some of which may be nil.
+func closeProbes(probes []*probe) {
+	for _, p := range probes {
+		if p != nil {
+			p.close()
 		}
-		reached[p.conn.Hash()%engine.NPoller] = true
 	}
-	return nil
 }
 
 // probe is a socket pair. A poller reads one end; peer is the other.
 type probe struct {
 	conn     *nbio.Conn
 	peer     *os.File
-	received chan struct{}
+	received chan struct{} // Holds an element after a read.
 }
 
 // newProbe opens a socket pair and adds one end to the engine.
@@ -80,7 +116,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "cannot create a socket pair")
 	}
-	p := &probe{peer: os.NewFile(uintptr(fds[1]), "probe"), received: make(chan struct{})}
+	p := &probe{peer: os.NewFile(uintptr(fds[1]), "probe"), received: make(chan struct{}, 1)}
 	file := os.NewFile(uintptr(fds[0]), "probe")
 	std, err := net.FileConn(file)
 	_ = file.Close()
@@ -92,8 +128,12 @@
 		_ = p.peer.Close()
 		return nil, fault.Wrap(err, fault.Internal, "cannot use a socket pair")
 	}
-	var once sync.Once
-	p.conn.OnData(func(*nbio.Conn, []byte) { once.Do(func() { close(p.received) }) })
+	p.conn.OnData(func(*nbio.Conn, []byte) {
+		select {
+		case p.received <- struct{}{}:
+		default:
+		}
+	})
 	if _, err := engine.AddConn(p.conn); err != nil {
 		_ = p.peer.Close()
 		return nil, fault.Wrap(err, fault.Internal, "cannot add a socket pair to the nbhttp engine")
@@ -101,15 +141,16 @@
 	return p, nil
 }
 
-// awaitRead sends a byte and waits until the poller has read it.
-func (p *probe) awaitRead() error {
+// awaitRead sends a byte and waits until the poller has read it. The poller reads it after
+// all events that it had fetched before.
+func (p *probe) awaitRead(timeout time.Duration) error {
 	if _, err := p.peer.Write([]byte{1}); err != nil {
 		return fault.Wrap(err, fault.Internal, "cannot write to the poller's socket pair")
 	}
 	select {
 	case <-p.received:
 		return nil
-	case <-time.After(probeTimeout):
+	case <-time.After(timeout):
 		return fault.New(fault.Internal, "a poller did not read the probe byte in time")
 	}
 }
