caller: bodies are passed to nbhttp in pieces of 32 KB

What callers saw: bytes of other callers' answers in their own, answers of unknown length that ended early as if complete, malformed chunks, and answers on idle connections.

Cause: with a piece of 64 KB or more in chunked coding, Response.writeChunk of nbhttp v1.6.8 frees its pooled buffer, goes on using it and frees it again, so that two responses share a buffer. An answer without a length of more than 256 KB, which core/forward has buffered, was passed on as one piece.

Evidence (go test ./io/caller -run TestLargeChunks), before: 'caller 5: 307200 bytes, 270276 of them its own', 'malformed chunked encoding', 'malformed HTTP response'; after: -count=3 passes, and so do all tests of the package.

Fix: one function writes and flushes bodies in pieces below the limit, for forwarded, plain and streamed answers. Ruled out: answers of known length and errors, which nbhttp writes on another path.

--- a/io/caller/forward.go
+++ b/io/caller/forward.go
@@ -73,11 +73,7 @@
 	if err := f.x.checkCaller(); err != nil {
 		return err
 	}
-	if _, err := f.x.w.Write(data); err != nil {
-		return fault.Wrap(err, fault.CallerGone, "cannot write to the caller")
-	}
-	f.x.w.Flush()
-	return nil
+	return f.x.writeBody(data)
 }
 
 // Abort closes the connection, so that an incomplete response does not look complete.
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -196,3 +196,21 @@
 	}
 	return nil
 }
+
+// maxWriteBytes is the largest piece of a body that is passed to nbhttp at once. With a
+// piece of 64 KB or more in chunked coding, nbhttp v1.6.8 frees its buffer, which other
+// responses use too, and goes on using it.
+const maxWriteBytes = 32 << 10
+
+// writeBody sends body data and flushes it. Its error has kind CallerGone.
+func (x *exchange) writeBody(data []byte) error {
+	for len(data) > 0 {
+		piece := data[:min(len(data), maxWriteBytes)]
+		data = data[len(piece):]
+		if _, err := x.w.Write(piece); err != nil {
+			return fault.Wrap(err, fault.CallerGone, "cannot write to the caller")
+		}
+		x.w.Flush()
+	}
+	return nil
+}
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -81,14 +81,12 @@
 	}
 	if !a.started {
 		a.writeHeaders(a.head.Header.Get("Content-Length"))
-		_, _ = a.w.Write(a.buffered)
+		if err := a.writeBody(a.buffered); err != nil {
+			return err
+		}
 		a.buffered = nil
 	}
-	if _, err := a.w.Write(data); err != nil {
-		return fault.Wrap(err, fault.CallerGone, "cannot write to the caller")
-	}
-	a.w.Flush()
-	return nil
+	return a.writeBody(data)
 }
 
 // finish sends what is still buffered of a complete response.
@@ -101,10 +99,7 @@
 		length = a.head.Header.Get("Content-Length")
 	}
 	a.writeHeaders(length)
-	if len(a.buffered) > 0 {
-		_, _ = a.w.Write(a.buffered)
-	}
-	return nil
+	return a.writeBody(a.buffered)
 }
 
 // writeHeaders sets the status and headers of the response. Without a length the body
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -150,8 +150,7 @@
 	message = append(message, "data: "...)
 	message = append(message, body...)
 	message = append(message, "\n\n"...)
-	_, _ = a.w.Write(message)
-	a.w.Flush()
+	_ = a.writeBody(message) // A write error means that the caller has disconnected.
 }
 
 // newResponse returns a response body with one choice.
