caller: a request that the poller holds is not discarded; equal limits leave no history

What callers could see: during a drain, a pipelined request whose bytes the poller had taken from the kernel but not parsed was discarded, since the answer before it was taken for the last one. And each configuration, also one with the same limits, made every later look at the limits slower, under the lock that each request takes.

Evidence, before: TestLastResponseWaitsForInputBeingRead: the response is the last one although a request is being parsed TestEqualLimitsLeaveNoHistory: 1000 earlier limits are kept although none differs After: both pass, with the tests of limits and drains.

--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -32,16 +32,17 @@
 		return false
 	}
 	if drain && !c.lastRequest {
-		c.lastRequest = c.requestDeadline.IsZero() && !hasUnread(c.nbc)
+		c.lastRequest = c.requestDeadline.IsZero() && !c.hasInput()
 	}
 	return c.lastRequest
 }
 
 // closeWriteIfDelivered closes the sending side of a connection without a request if its
 // last request was handled, or if drain is set. The caller's host must have acknowledged all
-// sent bytes in idleSweeps successive calls over deliveryTime: bytes that nbio has buffered may reach the
-// kernel only a moment after it has sent all others. Until then a connection that is closed
-// because of a drain accepts requests. Server.sweep calls it once per sweepInterval.
+// sent bytes in idleSweeps successive calls over deliveryTime: bytes that nbio has buffered
+// may reach the kernel only a moment after it has sent all others. Until then a connection
+// that is closed because of a drain accepts requests. Server.sweep calls it once per
+// sweepInterval.
 func (c *conn) closeWriteIfDelivered(now time.Time, drain bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -67,11 +67,16 @@
 func (h *limitHistory) set(l Limits, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.earlier = append(h.earlier, earlierLimits{
-		Limits:        h.current,
-		requestsUntil: now.Add(requestLimitGrace),
-		idleUntil:     now.Add(h.current.IdleTimeout),
-	})
+	before := h.current
+	defer func() {
+		if h.current != before {
+			h.earlier = append(h.earlier, earlierLimits{
+				Limits:        before,
+				requestsUntil: now.Add(requestLimitGrace),
+				idleUntil:     now.Add(before.IdleTimeout),
+			})
+		}
+	}()
 	setPositive(&h.current.MaxHeaderBytes, l.MaxHeaderBytes)
 	setPositive(&h.current.MaxBodyBytes, l.MaxBodyBytes)
 	setPositive(&h.current.HeaderTimeout, l.HeaderTimeout)
