serve: signals are handled before callers are served

What callers could see: a SIGTERM or SIGHUP in the first moments of a process ended it at once, with the requests in progress, as the signals were registered after the caller listener had opened. Found by the reviewer by reading; no test of its own, as the window is some milliseconds: the tests of the verb pass.

--- a/cmd/monsoonfork/verb/serve.go
+++ b/cmd/monsoonfork/verb/serve.go
@@ -44,12 +44,16 @@
 	out := logwriter.New(std.out)
 	defer func() { _ = out.Close() }()
 	logger := newLogger(out, cfg.LogLevel)
+	// Before callers are served: a signal that arrives before the call has its default
+	// effect, which ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	n := kernel.NewNode(cfg, logger)
 	if err := n.Start(context.Background()); err != nil {
 		return err
 	}
 	_ = level.Info(n.Log).Log("msg", event.Serving, "callers", string(cfg.CallerAddress), "operators", string(cfg.OperatorAddress))
-	s.waitForStop(n)
+	s.waitForStop(n, signals)
 	// Later signals are ignored, since a planned stop cuts no request. Its duration is
 	// bounded by the deadlines of the requests and, on the platform, by the setting StopS.
 	ctx, cancel := stopContext(cfg)
@@ -69,9 +73,7 @@
 )
 
 // waitForStop returns on a signal to stop. Until then it reloads changed settings.
-func (s *serve) waitForStop(n *kernel.Node) {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+func (s *serve) waitForStop(n *kernel.Node, signals <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	seen := versionOfFile(s.Settings)
