core/forward: a hedge can't write into an answer that is being sent

What callers could see: an answer of one engine followed by the head and the body of another's. A buffered answer did not claim the request, so that the slower of two calls, once its answer passed 256 KB, was forwarded too while the first was written.

Evidence, before: TestHedgeDoesNotWriteIntoAnswer: the answer has 262146 bytes, want 1 After: passes. The engine whose answer is sent claims the request first.

--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -58,7 +58,7 @@
 		select {
 		case res := <-p.results:
 			p.pending--
-			if !p.isRelevant(res) {
+			if !p.isRelevant(res) || !res.failed() && !p.claimAnswer(res.engine) {
 				continue
 			}
 			if res.forwarded || !res.failed() {
@@ -80,13 +80,19 @@
 	return p.finish()
 }
 
-// isRelevant reports whether a result may still be used. Once an answer is forwarded
-// without buffering, only the result of that engine is.
+// isRelevant reports whether a result may still be used. Once an engine's answer is chosen,
+// only the result of that engine is.
 func (p *plainCalls) isRelevant(res callResult) bool {
 	forwardedEngine := p.forwardedEngine.Load()
 	return forwardedEngine == nil || forwardedEngine == res.engine
 }
 
+// claimAnswer makes an engine the one whose answer the caller gets. It returns false if the
+// answer of another engine is being forwarded already.
+func (p *plainCalls) claimAnswer(e *engines.Engine) bool {
+	return p.forwardedEngine.CompareAndSwap(nil, e) || p.forwardedEngine.Load() == e
+}
+
 // drain waits for the open calls of a request that has ended, so that none of them can
 // still write to the caller.
 func (p *plainCalls) drain() {
@@ -104,7 +110,7 @@
 	notRunCalls     int                            // Number of calls that engines have certainly not run.
 	answer          *callResult                    // The last answer with a server error; the answer to the caller is job.answer.
 	lastErr         error                          // The last error of a call that may have run; otherwise the last error.
-	forwardedEngine atomic.Pointer[engines.Engine] // The engine whose answer is forwarded without buffering; nil if none.
+	forwardedEngine atomic.Pointer[engines.Engine] // The engine whose answer the caller gets; nil while none is chosen.
 }
 
 // possibleRuns returns how many engines may have run the request.
