core/forward: only resumable streams are sent to a second engine when they stall

What a caller could see: a request of an at-most-once route that is also marked as resumable ran at two engines, since the monitor of stalls looked at the mark alone.

Evidence, before: TestAtMostOnceIsNotResumed: 2 calls of an at-most-once route, want 1 After: passes.

--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/catalog"
 	"monsoonfork/core/event"
 	"monsoonfork/core/sleep"
 )
@@ -66,7 +67,7 @@
 	m := &stallMonitor{stream: s, cancelCall: cancelCall, timeout: s.stallTimeout()}
 	m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout))
 	ctx, m.stop = context.WithCancel(ctx)
-	if s.route.Resumable && s.route.MaxEngines > 1 {
+	if s.route.Kind == catalog.Stream && s.repeatable() && s.route.MaxEngines > 1 {
 		m.running.Go(func() { m.run(ctx) })
 	}
 	return m
