core/forward: a stalled stream goes back to its engine if the replacement has not run

What callers could see: a stream whose engine was silent was cancelled for another engine, which then refused it or could not be reached; the stream was aborted, although the first engine would have gone on. And a long prompt that the decode engine prefills itself was taken for a stall.

Cause: after the cancel, a retry needed a second call of the retry budget and a third engine, as the silent one counted as tried; and the time limit for the first event did not include the prefill by the decode engine.

Fix: if the replacement has certainly not run, the stream may go back to the engine that it was taken from, and the attempt is charged to the budget even if that is used up. The time limit includes the estimated local prefill.

--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -9,6 +9,7 @@
 	"monsoonfork/core/engines"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
 )
 
 // maxStreamAttempts limits the attempts of one request at decode engines.
@@ -23,6 +24,7 @@
 	possibleRuns  int  // Number of engines that may have run the request.
 
 	replacement  *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
+	stalledAt    ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
 	localPrefill *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
 }
 
@@ -76,6 +78,9 @@
 	if f.Kind == fault.Overloaded || f.Kind == fault.CallerGone {
 		return false
 	}
+	if f.Ran == fault.NotRun && s.stalledAt != "" {
+		return s.returnToStalled()
+	}
 	if f.Ran != fault.NotRun && (!s.repeatable() || s.possibleRuns >= s.route.MaxEngines) {
 		return false
 	}
--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -1,9 +1,13 @@
 package forward
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"monsoonfork/core/catalog"
+	"monsoonfork/core/engines"
+	"monsoonfork/core/fault"
 )
 
 // TestAtMostOnceIsNotResumed has an engine fall silent on a route whose requests may run only
@@ -19,3 +23,56 @@
 		t.Errorf("%d calls of an at-most-once route, want 1", len(h.sent))
 	}
 }
+
+// TestStalledStreamSurvivesRefusedReplacement has the engine that replaces a silent one refuse
+// the stream, with a retry budget of one call. The answer must not be aborted.
+func TestStalledStreamSurvivesRefusedReplacement(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	h.router.retrySettings = RetryBudgetSettings{RetryMinimum: 1.5, RetryWindow: time.Minute}
+	h.send = func(n int, c Call, sink Sink) error {
+		if n == 2 {
+			return errRefused.WithRan(fault.NotRun)
+		}
+		return sendStream(c, sink, silentAfter, silence+time.Second)
+	}
+	checkComplete(t, h.serve("resume"))
+}
+
+// TestStalledStreamSurvivesUnreachableReplacement has the engine that replaces a silent one be
+// unreachable, with no third engine. The answer must not be aborted.
+func TestStalledStreamSurvivesUnreachableReplacement(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	h.send = func(n int, c Call, sink Sink) error {
+		if n == 2 {
+			return errCannotConnect
+		}
+		return sendStream(c, sink, silentAfter, silence+time.Second)
+	}
+	checkComplete(t, h.serve("resume"))
+}
+
+// TestLocalPrefillIsNoStall has the decode engine prefill a long prompt, for as long as is
+// estimated. The call must not be replaced.
+func TestLocalPrefillIsNoStall(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	for _, e := range h.table.ServiceEngines("model") {
+		if e.CurrentStage() == engines.Prefill {
+			e.MarkFull(0, time.Now().Add(time.Minute))
+		}
+	}
+	h.send = func(_ int, c Call, sink Sink) error {
+		if c.Source.Handle != "" {
+			t.Error("not a local prefill")
+		}
+		return sendStream(c, sink, 0, 2500*time.Millisecond)
+	}
+	// 25,000 tokens at half of 20 tokens per millisecond take 2.5 s.
+	got := h.serveRequest(context.Background(), "resume", func(q *Request) { q.PromptTokens = 25_000 })
+	checkComplete(t, got)
+	if len(h.sent) != 1 {
+		t.Errorf("%d calls, want 1", len(h.sent))
+	}
+}
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -65,7 +65,7 @@
 func (s *stream) monitorStalls(ctx context.Context, cancelCall context.CancelCauseFunc) *stallMonitor {
 	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
 	m := &stallMonitor{stream: s, cancelCall: cancelCall, timeout: s.stallTimeout()}
-	m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout))
+	m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout) + s.localPrefillTime())
 	ctx, m.stop = context.WithCancel(ctx)
 	if s.route.Kind == catalog.Stream && s.repeatable() && s.route.MaxEngines > 1 {
 		m.running.Go(func() { m.run(ctx) })
@@ -82,6 +82,15 @@
 	return max(minStallTimeout, time.Duration(stallTimeoutShare*float64(callerTimeout)))
 }
 
+// localPrefillTime returns the estimated time until the decode engine has prefilled the
+// prompt; 0 if a prefill engine has done it.
+func (s *stream) localPrefillTime() time.Duration {
+	if s.localPrefill == nil {
+		return 0
+	}
+	return s.prefillTime(s.localPrefill.queued+s.PromptTokens, localSpeedRatio)
+}
+
 // close ends the monitor, waits for it, and returns the reservation with which the stream
 // is to be resumed, or nil if the call was not cancelled.
 func (m *stallMonitor) close() *decodeReservation {
@@ -194,6 +203,17 @@
 	}
 	reserved := *s.replacement
 	s.replacement = nil
+	s.stalledAt = s.lastEngine
 	s.router.useExtraCall(s.service.Name)
 	return reserved, true
 }
+
+// returnToStalled permits another attempt after a replacement that has not run, also at the
+// engine whose call was cancelled for it. The attempt is charged to the retry budget even if
+// that is used up: the engine would have gone on without this program's decision.
+func (s *stream) returnToStalled() bool {
+	delete(s.tried, s.stalledAt)
+	s.stalledAt = ""
+	s.router.chargeExtraCall(s.service.Name)
+	return true
+}
