platformsoak: the faults of a replica count for all its engines

enginesFaultFree compared runs with the engine that a replica has at the end of the run. A run at an engine that crashed or left, and was replaced, counted as one at an engine without a fault, against the function's own description; a check of cut answers would report every answer that a crash breaks off. Replicas now keep the ids of all their engines. The checks that use it (WorkEndsWithItsCaller, PlannedStopCutsNone) demand the same of engines without a fault as before.

Evidence: the new test fails with the old function, and passes now (go test ./lab/platformsoak/).

--- a/lab/platformsoak/check_test.go
+++ b/lab/platformsoak/check_test.go
@@ -171,3 +171,17 @@
 		t.Errorf("open %q, waits for engines %v, want none", text, waits)
 	}
 }
+
+// TestEnginesFaultFreeIncludesReplacedEngines checks a run at an engine that was replaced
+// after its fault: the run counts as one at an engine with a fault.
+func TestEnginesFaultFreeIncludesReplacedEngines(t *testing.T) {
+	r := newTestRun()
+	r.testbed.replicas = []*replica{{name: "plain-0", engine: &standin.Engine{ID: "new"}, engineIDs: []string{"old", "new"}}}
+	r.faultSpans["plain-0"] = []faultSpan{{from: r.start, to: r.start.Add(time.Second)}}
+	for _, engine := range []string{"old", "new"} {
+		runs := []standin.Run{{Engine: engine}}
+		if r.enginesFaultFree(runs, r.start, r.start.Add(time.Second)) || !r.enginesFaultFree(runs, r.start.Add(time.Second+recoveryTime), time.Now()) {
+			t.Errorf("engine %s: its fault does not count, or for too long", engine)
+		}
+	}
+}
--- a/lab/platformsoak/testbed.go
+++ b/lab/platformsoak/testbed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -59,6 +60,8 @@
 	spec   standin.Spec
 	engine *standin.Engine
 	relay  *relay.Relay
+
+	engineIDs []string // All its engines so far.
 }
 
 // instance is one instance of monsoonfork.
@@ -164,10 +167,22 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	p.engine = e
+	p.engine, p.engineIDs = e, append(p.engineIDs, e.ID)
 	return nil
 }
 
+// replicaOf returns the name of the replica that an engine belongs or belonged to, or "".
+func (w *testbed) replicaOf(engine string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, p := range w.replicas {
+		if slices.Contains(p.engineIDs, engine) {
+			return p.name
+		}
+	}
+	return ""
+}
+
 // newRelay returns a relay that is closed with the testbed.
 func (w *testbed) newRelay(target string) (*relay.Relay, error) {
 	r, err := relay.New(target)
