--- a/lab/platformsoak/check.go
+++ b/lab/platformsoak/check.go
@@ -10,11 +10,15 @@
 
 // Bounds of the checks.
 const (
-	abortBound            = 500 * time.Millisecond        // From a caller's disconnect until its engine must have stopped.
-	measurementSlack      = 300 * time.Millisecond        // Allowance for delays of the soak's own timers and goroutines.
-	minServedShare        = 0.9                           // Share of the requests within their rate that must be served after the faults.
-	recoveryWindow        = faultFreeTail - 4*time.Second // Requests sent in this time before the end of the run must be served.
-	overLimitOrganisation = "loud"                        // Organisation that sends above its rate.
+	abortBound            = 500 * time.Millisecond           // From a caller's disconnect until its engine must have stopped.
+	measurementSlack      = 300 * time.Millisecond           // Allowance for delays of the soak's own timers and goroutines.
+	minServedShare        = 0.9                              // Share of the requests within their rate that must be served after the faults.
+	recoveryWindow        = faultFreeTail - 4*time.Second    // Requests sent in this time before the end of the run must be served.
+	announcedTime         = drainTime + 500*time.Millisecond // From an announcement of leaving that was passed on until the engine gets no request sent later.
+	retryAfterGrace       = 500 * time.Millisecond           // From a refusal with a time until the engine gets maxEarlyCalls requests at most.
+	maxEarlyCalls         = 2
+	maxResidentBytes      = 134_000_000 // Memory that the platform gives an instance.
+	overLimitOrganisation = "loud"      // Organisation that sends above its rate.
 )
 
 // check verifies the promises that are checked after the run.
@@ -28,6 +32,9 @@
 		r.checkRequest(a, runs[id])
 	}
 	r.checkLeaving(requests, arrivals)
+	r.checkAnswered(requests, arrivals)
+	r.checkAnnounced(requests, runs, arrivals)
+	r.checkRetryAfter(requests, arrivals)
 	r.checkRates(requests, runs)
 	r.checkRecovery(requests)
 	for _, p := range r.testbed.replicas {
@@ -113,6 +120,118 @@
 	}
 }
 
+// checkAnswered reports requests without an answer that were passed on to engines without
+// a fault only, unless the deadline passed, the caller disconnected, or the instance was
+// killed, paused or stopped meanwhile; checkPlannedStop covers planned stops.
+func (r *run) checkAnswered(requests map[string]*request, arrivals []standin.Arrival) {
+	byRequest := make(map[string][]standin.Arrival)
+	for _, arrival := range arrivals {
+		byRequest[arrival.Request] = append(byRequest[arrival.Request], arrival)
+	}
+	for id, list := range byRequest {
+		a := requests[id]
+		if a == nil || !a.isUnanswered(list) || !r.mustBeAnswered(a) {
+			continue
+		}
+		if !slices.ContainsFunc(list, func(t standin.Arrival) bool { return !r.engineFaultFree(t.Engine, a.sentAt, a.endedAt) }) {
+			r.addFinding(RequestsAreAnswered, "%s sent at %s, ended after %.2fs with %d events, passed on to:%s", a.describe(), a.sentAt.Format(timeLayout), a.endedAt.Sub(a.sentAt).Seconds(), a.answer.Events, describeArrivals(list))
+		}
+	}
+}
+
+// isUnanswered reports whether a request that reached engines ended without an engine's
+// answer or a refusal, or had to be sent again after it had reached one.
+func (a *request) isUnanswered(arrivals []standin.Arrival) bool {
+	failed := !a.answer.Signed && a.answer.Status >= 500 && !a.answer.StatesNotRun()
+	resent := !a.answer.ResentAt.IsZero() && arrivals[0].At.Before(a.answer.ResentAt)
+	return a.answer.Err != nil || failed || resent
+}
+
+// mustBeAnswered reports whether nothing at the caller or the instance excuses that a
+// request has no answer.
+func (r *run) mustBeAnswered(a *request) bool {
+	r.mu.Lock()
+	stoppedAt, stopped := r.plannedStops[a.process]
+	r.mu.Unlock()
+	stopped = stopped && a.endedAt.After(stoppedAt)
+	expired := a.endedAt.After(a.sentAt.Add(a.Timeout - measurementSlack))
+	return a.disconnectedAt.IsZero() && !stopped && !expired && !r.isInterrupted(a.process, a.sentAt, a.endedAt)
+}
+
+// link is a process of an instance and an engine.
+type link struct{ process, engine string }
+
+// checkAnnounced reports requests that callers sent later than announcedTime after an
+// instance had passed on an engine's announcement that it leaves, and that reached the
+// engine from there.
+func (r *run) checkAnnounced(requests map[string]*request, runs map[string][]standin.Run, arrivals []standin.Arrival) {
+	passedOn := make(map[link]time.Time)
+	for _, t := range arrivals {
+		a := requests[t.Request]
+		if a == nil || !t.Announced || !a.answer.Signed || len(runs[a.ID]) != 1 || runs[a.ID][0].Engine != t.Engine {
+			continue
+		}
+		l := link{a.process, t.Engine}
+		if first, ok := passedOn[l]; !ok || a.answer.HeadAt.Before(first) {
+			passedOn[l] = a.answer.HeadAt
+		}
+	}
+	for _, t := range arrivals {
+		a := requests[t.Request]
+		if a == nil {
+			continue
+		}
+		at, ok := passedOn[link{a.process, t.Engine}]
+		if ok && a.sentAt.Sub(at) > announcedTime && !r.isInterrupted(a.process, at, t.At) {
+			r.addFinding(LeavingGetsNoWork, "%s was sent %.1fs after the instance passed on an answer of %s that announced its leaving, and reached it", a.describe(), a.sentAt.Sub(at).Seconds(), t.Engine)
+		}
+	}
+}
+
+// checkRetryAfter reports an engine that got more than maxEarlyCalls requests from an
+// instance in the time for which it had turned that instance away. The time begins
+// retryAfterGrace after the refusal. It reports the refusal with the most such requests.
+func (r *run) checkRetryAfter(requests map[string]*request, arrivals []standin.Arrival) {
+	byLink := make(map[link][]standin.Arrival)
+	for _, t := range arrivals {
+		if a := requests[t.Request]; a != nil {
+			l := link{a.process, t.Engine}
+			byLink[l] = append(byLink[l], t)
+		}
+	}
+	for l, list := range byLink {
+		most := 0
+		for _, refusal := range list {
+			from, to := refusal.At.Add(retryAfterGrace), refusal.At.Add(refusal.RetryAfter)
+			if !r.isInterrupted(l.process, refusal.At, to) {
+				most = max(most, countArrivals(list, from, to))
+			}
+		}
+		if most > maxEarlyCalls {
+			r.addFinding(RetryAfterIsKept, "%d requests from %s reached %s in the time for which it had turned it away", most, l.process, l.engine)
+		}
+	}
+}
+
+// countArrivals returns the number of arrivals between two instants.
+func countArrivals(list []standin.Arrival, from, to time.Time) (count int) {
+	for _, t := range list {
+		if t.At.After(from) && t.At.Before(to) {
+			count++
+		}
+	}
+	return count
+}
+
+// checkMemory reports whether a process uses too much memory, and adds a finding if so.
+func (r *run) checkMemory(process string, residentBytes int64) (tooLarge bool) {
+	if residentBytes <= maxResidentBytes {
+		return false
+	}
+	r.addFinding(MemoryIsBounded, "%s uses %.1f MB", process, float64(residentBytes)/1e6)
+	return true
+}
+
 // charge is the tokens that one request cost its organisation.
 type charge struct {
 	at     time.Time
@@ -191,3 +310,12 @@
 	}
 	return text
 }
+
+// describeArrivals describes arrivals on one line.
+func describeArrivals(arrivals []standin.Arrival) string {
+	text := ""
+	for _, t := range arrivals {
+		text += fmt.Sprintf(" [%s at %s]", t.Engine, t.At.Format(timeLayout))
+	}
+	return text
+}
--- a/lab/platformsoak/check_test.go
+++ b/lab/platformsoak/check_test.go
@@ -1,6 +1,7 @@
 package platformsoak
 
 import (
+	"encoding/json"
 	"errors"
 	"strings"
 	"testing"
@@ -14,7 +15,7 @@
 	return &run{
 		cfg: Config{Length: time.Minute}, start: time.Now().Add(-time.Minute), testbed: &testbed{},
 		requests: make(map[string]*request), faultSpans: make(map[string][]faultSpan),
-		plannedStops: make(map[string]time.Time),
+		plannedStops: make(map[string]time.Time), interrupted: make(map[string][]time.Time),
 	}
 }
 
@@ -185,3 +186,118 @@
 		}
 	}
 }
+
+// TestCheckAnswered checks a request that an engine got and that has no answer: it is a
+// finding unless the engine, the caller, the deadline or the instance excuses it.
+func TestCheckAnswered(t *testing.T) {
+	for name, c := range map[string]struct {
+		alter func(r *run, a *request)
+		want  int
+	}{
+		"answered":     {func(*run, *request) {}, 0},
+		"cut":          {func(_ *run, a *request) { a.answer.Err = errors.New("EOF") }, 1},
+		"failed":       {func(_ *run, a *request) { a.answer = standin.Answer{Status: 502} }, 1},
+		"refused":      {func(_ *run, a *request) { a.answer = standin.Answer{Status: 503} }, 0},
+		"sent again":   {func(_ *run, a *request) { a.answer.ResentAt = a.endedAt }, 1},
+		"sent later":   {func(_ *run, a *request) { a.answer.ResentAt = a.sentAt }, 0},
+		"disconnected": {func(_ *run, a *request) { a.answer.Err, a.disconnectedAt = errors.New("EOF"), a.endedAt }, 0},
+		"expired":      {func(_ *run, a *request) { a.answer.Err, a.Timeout = errors.New("EOF"), 100*time.Millisecond }, 0},
+		"replaced engine": {func(r *run, a *request) {
+			a.answer.Err = errors.New("EOF")
+			r.testbed.replicas = []*replica{{name: "plain-0", engineIDs: []string{"e", "f"}}}
+			r.faultSpans["plain-0"] = []faultSpan{{from: a.sentAt}}
+		}, 0},
+		"paused before": {func(r *run, a *request) {
+			a.answer.Err = errors.New("EOF")
+			r.interrupted[a.process] = []time.Time{a.sentAt.Add(-time.Second)}
+		}, 1},
+		"killed": {func(r *run, a *request) {
+			a.answer.Err = errors.New("EOF")
+			r.interrupted[a.process] = []time.Time{a.sentAt}
+		}, 0},
+		"stopped": {func(r *run, a *request) {
+			a.answer.Err = errors.New("EOF")
+			r.plannedStops[a.process] = a.sentAt
+		}, 0},
+	} {
+		r := newTestRun()
+		a, _ := goodRequest(r)
+		a.Timeout = time.Second
+		c.alter(r, a)
+		r.checkAnswered(map[string]*request{"r": a}, []standin.Arrival{{Request: "r", Engine: "e", At: a.sentAt.Add(time.Millisecond)}})
+		if got := r.findingCounts()[RequestsAreAnswered]; got != c.want {
+			t.Errorf("%s: found %v, want %d", name, r.findings, c.want)
+		}
+	}
+}
+
+// TestCheckAnnounced checks a request sent to an engine whose announcement of leaving was
+// passed on before: it is a finding if it was sent later than announcedTime by the same
+// process, and that was not interrupted.
+func TestCheckAnnounced(t *testing.T) {
+	for name, c := range map[string]struct {
+		after       time.Duration
+		process     string
+		interrupted bool
+		want        int
+	}{
+		"late": {announcedTime + time.Second, "front-0-1", false, 1}, "early": {announcedTime, "front-0-1", false, 0},
+		"restarted": {announcedTime + time.Second, "front-0-2", false, 0}, "paused": {announcedTime + time.Second, "front-0-1", true, 0},
+	} {
+		r := newTestRun()
+		a, runs := goodRequest(r)
+		a.answer.HeadAt = a.sentAt
+		b := *a
+		b.ID, b.process, b.sentAt = "s", c.process, a.sentAt.Add(c.after)
+		if c.interrupted {
+			r.interrupted[a.process] = []time.Time{a.sentAt.Add(time.Second)}
+		}
+		arrivals := []standin.Arrival{{Request: "r", Engine: "e", At: a.sentAt, Announced: true}, {Request: "s", Engine: "e", At: b.sentAt, Announced: true}}
+		r.checkAnnounced(map[string]*request{"r": a, "s": &b}, map[string][]standin.Run{"r": runs}, arrivals)
+		if got := r.findingCounts()[LeavingGetsNoWork]; got != c.want {
+			t.Errorf("%s: found %v, want %d", name, r.findings, c.want)
+		}
+	}
+}
+
+// TestCheckRetryAfter checks requests that reach an engine after it has turned away their
+// instance for two seconds: only more than maxEarlyCalls within the time are a finding.
+func TestCheckRetryAfter(t *testing.T) {
+	for name, c := range map[string]struct {
+		after       time.Duration
+		calls, want int
+	}{"three": {time.Second, 3, 1}, "two": {time.Second, 2, 0}, "at once": {retryAfterGrace / 2, 3, 0}, "later": {2 * time.Second, 3, 0}} {
+		r := newTestRun()
+		a, _ := goodRequest(r)
+		arrivals := []standin.Arrival{{Request: "r", Engine: "e", At: a.sentAt, RetryAfter: 2 * time.Second}}
+		for n := range c.calls {
+			arrivals = append(arrivals, standin.Arrival{Request: "r", Engine: "e", At: a.sentAt.Add(c.after + time.Duration(n)*time.Millisecond)})
+		}
+		r.checkRetryAfter(map[string]*request{"r": a}, arrivals)
+		if got := r.findingCounts()[RetryAfterIsKept]; got != c.want {
+			t.Errorf("%s: found %v, want %d", name, r.findings, c.want)
+		}
+		r.findings, r.interrupted[a.process] = nil, []time.Time{a.sentAt.Add(time.Second)}
+		r.checkRetryAfter(map[string]*request{"r": a}, arrivals)
+		if len(r.findings) != 0 {
+			t.Errorf("%s, process paused: found %v", name, r.findings)
+		}
+	}
+}
+
+// TestCheckMemory checks memory at and above the limit.
+func TestCheckMemory(t *testing.T) {
+	r := newTestRun()
+	if r.checkMemory("p", maxResidentBytes) || !r.checkMemory("p", maxResidentBytes+1) || r.findingCounts()[MemoryIsBounded] != 1 {
+		t.Errorf("found %v, want one finding above the limit", r.findings)
+	}
+}
+
+// TestOddEntriesAreJSON checks that a store can hold the odd entries.
+func TestOddEntriesAreJSON(t *testing.T) {
+	for n, text := range oddEntries() {
+		if !json.Valid([]byte(text)) {
+			t.Errorf("entry %d is no JSON", n)
+		}
+	}
+}
--- a/lab/platformsoak/finding.go
+++ b/lab/platformsoak/finding.go
@@ -24,6 +24,9 @@
 	PlannedStopCutsNone                   // A planned stop cuts no request and ends in time.
 	ProcessesLive                         // No instance exits unexpectedly.
 	Recovers                              // Requests are served again after the faults.
+	RequestsAreAnswered                   // A request that was passed on to engines without a fault only is answered.
+	RetryAfterIsKept                      // An engine that turned a request away gets almost no others from the instance before the time that it gave.
+	MemoryIsBounded                       // No instance uses more than maxResidentBytes.
 	EnginesAreFree                        // After the run no engine holds requests or memory.
 )
 
--- a/lab/platformsoak/finding_string.go
+++ b/lab/platformsoak/finding_string.go
@@ -20,12 +20,15 @@
 	_ = x[PlannedStopCutsNone-9]
 	_ = x[ProcessesLive-10]
 	_ = x[Recovers-11]
-	_ = x[EnginesAreFree-12]
+	_ = x[RequestsAreAnswered-12]
+	_ = x[RetryAfterIsKept-13]
+	_ = x[MemoryIsBounded-14]
+	_ = x[EnginesAreFree-15]
 }
 
-const _Promise_name = "RunsOnceRefusalsAreTrueAnswersAreWholeRunsForOwnOrganisationEnginesSeeNoKeyLeavingGetsNoWorkChangesAreInForceRatesHoldWorkEndsWithItsCallerPlannedStopCutsNoneProcessesLiveRecoversEnginesAreFree"
+const _Promise_name = "RunsOnceRefusalsAreTrueAnswersAreWholeRunsForOwnOrganisationEnginesSeeNoKeyLeavingGetsNoWorkChangesAreInForceRatesHoldWorkEndsWithItsCallerPlannedStopCutsNoneProcessesLiveRecoversRequestsAreAnsweredRetryAfterIsKeptMemoryIsBoundedEnginesAreFree"
 
-var _Promise_index = [...]uint8{0, 8, 23, 38, 60, 75, 92, 109, 118, 139, 158, 171, 179, 193}
+var _Promise_index = [...]uint8{0, 8, 23, 38, 60, 75, 92, 109, 118, 139, 158, 171, 179, 198, 214, 229, 243}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/lab/platformsoak/schedule.go
+++ b/lab/platformsoak/schedule.go
@@ -33,6 +33,7 @@
 const (
 	instanceTarget targetKind = iota
 	engineTarget
+	soundEngineTarget // An engine that has no fault in the checks: callers must not notice.
 	storeTarget
 	operatorTarget
 )
@@ -87,7 +88,7 @@
 	case instanceTarget:
 		i := r.testbed.instances[random.IntN(len(r.testbed.instances))]
 		return target{name: i.name, instance: i}
-	case engineTarget:
+	case engineTarget, soundEngineTarget:
 		p := r.testbed.replicas[random.IntN(len(r.testbed.replicas))]
 		return target{name: p.name, replica: p}
 	case storeTarget:
@@ -103,7 +104,9 @@
 // runFault begins a fault and ends it after its length.
 func (r *run) runFault(ctx context.Context, e faultSpec, t target, length time.Duration) {
 	r.logf("%s on %s for %.1fs", e.name, t.name, length.Seconds())
-	defer r.beginFault(t.name)()
+	if e.kind != soundEngineTarget {
+		defer r.beginFault(t.name)()
+	}
 	end, err := e.begin(r, t)
 	if err != nil {
 		r.logf("%s on %s: %v", e.name, t.name, err)
--- a/lab/platformsoak/soak.go
+++ b/lab/platformsoak/soak.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,7 +55,8 @@
 	targetsInUse map[string]bool
 	faultSpans   map[string][]faultSpan // Times of faults, by the name of the component.
 	expected     map[string]expectation
-	plannedStops map[string]time.Time // Times of planned stops, by process.
+	plannedStops map[string]time.Time   // Times of planned stops, by process.
+	interrupted  map[string][]time.Time // When a fault killed, paused or resumed a process, by its name.
 	findings     []Finding
 }
 
@@ -84,7 +86,7 @@
 	r := &run{
 		cfg: cfg, output: out, testbed: w, start: time.Now(),
 		requests: make(map[string]*request), targetsInUse: make(map[string]bool), faultSpans: make(map[string][]faultSpan),
-		plannedStops: make(map[string]time.Time),
+		plannedStops: make(map[string]time.Time), interrupted: make(map[string][]time.Time),
 	}
 	r.runUnderFaults(ctx)
 	time.Sleep(settleTime)
@@ -105,10 +107,12 @@
 	work.Wait()
 }
 
-// watchProcesses reports instances that exit without a fault on them.
+// watchProcesses reports instances that exit without a fault on them, and those that use
+// too much memory.
 func (r *run) watchProcesses(ctx context.Context) {
 	ticker := time.NewTicker(100 * time.Millisecond)
 	defer ticker.Stop()
+	tooLarge := make(map[string]bool)
 	for {
 		select {
 		case <-ctx.Done():
@@ -116,6 +120,12 @@
 		case <-ticker.C:
 		}
 		for _, i := range r.testbed.instances {
+			p := i.currentProcess()
+			// A process that has exited has no usage.
+			usage, err := p.Usage()
+			if err == nil && !tooLarge[p.Name] {
+				tooLarge[p.Name] = r.checkMemory(p.Name, usage.ResidentBytes)
+			}
 			if p := i.unexpectedExit(); p != nil {
 				r.addFinding(ProcessesLive, "%s exited unexpectedly", p.Name)
 			}
@@ -123,6 +133,20 @@
 	}
 }
 
+// interrupt records that a fault kills, pauses or resumes a process now.
+func (r *run) interrupt(process string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.interrupted[process] = append(r.interrupted[process], time.Now())
+}
+
+// isInterrupted reports whether a process was killed, paused or resumed between two instants.
+func (r *run) isInterrupted(process string, from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(r.interrupted[process], func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // logf prints a line about the run with its time and adds it to the log of the verdict.
 func (r *run) logf(format string, args ...any) {
 	line := fmt.Sprintf("%6.1fs %s", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
--- a/lab/platformsoak/table.go
+++ b/lab/platformsoak/table.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +19,7 @@
 	restartTimeout = 20 * time.Second
 	stopSlack      = 500 * time.Millisecond // Allowance beyond stopTime.
 	shortPause     = 300 * time.Millisecond
+	oddEntryDepth  = 9000
 	routesInARow   = 4 // Routes that one fault ChangesInARow adds.
 	// longestRequest bounds the duration of a stream without faults, queueing for
 	// capacity included.
@@ -42,15 +44,21 @@
 		{"StoreReset", instanceTarget, linkFault(storeLink, (*relay.Relay).Reset)},
 		{"StoreDelayed", instanceTarget, linkFault(storeLink, delayLink)},
 		{"EngineCrashed", engineTarget, crashEngine},
-		{"EngineLeaves", engineTarget, makeEngineLeave},
+		{"EngineLeaves", engineTarget, makeEngineLeave((*standin.Engine).Drain)},
 		{"EngineFailing", engineTarget, engineFault(standin.Failing)},
 		{"EngineCutting", engineTarget, engineFault(standin.Truncating)},
 		{"EngineFull", engineTarget, engineFault(standin.Full)},
 		{"EngineMute", engineTarget, engineFault(standin.EngineUnresponsive)},
+		{"EnginePauses", soundEngineTarget, engineFault(standin.Pausing)},
+		{"EngineAnnouncesLeaving", engineTarget, makeEngineLeave((*standin.Engine).AnnounceLeaving)},
+		{"EngineTurnsAway", engineTarget, engineFault(standin.TurningAway)},
+		{"EngineRepeatsRefusal", engineTarget, engineFault(standin.RepeatingRefusals)},
+		{"EngineWritesEndless", engineTarget, engineFault(standin.Endless)},
 		{"EngineCut", engineTarget, linkFault(engineLink, (*relay.Relay).Cut)},
 		{"EngineCutOneWay", engineTarget, linkFault(engineLink, (*relay.Relay).CutResponses)},
 		{"EngineReset", engineTarget, linkFault(engineLink, (*relay.Relay).Reset)},
 		{"EngineDelayed", engineTarget, linkFault(engineLink, delayLink)},
+		{"OddEntries", operatorTarget, writeOddEntries},
 		{"KeyWithdrawn", operatorTarget, withdrawKey},
 		{"ChangesInARow", operatorTarget, addRoutes},
 	}
@@ -74,7 +82,9 @@
 
 // killInstance kills an instance and restarts it when the fault ends.
 func killInstance(r *run, t target) (func() error, error) {
-	err := t.instance.expectExit().Kill()
+	p := t.instance.expectExit()
+	r.interrupt(p.Name)
+	err := p.Kill()
 	return func() error { return r.restart(t.instance) }, err
 }
 
@@ -122,9 +132,10 @@
 }
 
 // pauseInstance suspends the process of an instance, and resumes it when the fault ends.
-func pauseInstance(_ *run, t target) (func() error, error) {
+func pauseInstance(r *run, t target) (func() error, error) {
 	p := t.instance.currentProcess()
-	return p.Resume, p.Pause()
+	r.interrupt(p.Name)
+	return func() error { r.interrupt(p.Name); return p.Resume() }, p.Pause()
 }
 
 // reloadInstance makes an instance reload its settings.
@@ -139,7 +150,9 @@
 			continue
 		}
 		defer r.releaseTarget(i.name)
-		if err := i.expectExit().Kill(); err != nil {
+		p := i.expectExit()
+		r.interrupt(p.Name)
+		if err := p.Kill(); err != nil {
 			return nil, err
 		}
 		killed = append(killed, i)
@@ -190,18 +203,20 @@
 	return func() error { return r.testbed.startEngine(t.replica) }, nil
 }
 
-// makeEngineLeave makes an engine announce that it is leaving; a new one replaces it
-// after the fault.
-func makeEngineLeave(r *run, t target) (func() error, error) {
-	old := t.replica.engine
-	if err := old.Drain(); err != nil {
-		return nil, err
+// makeEngineLeave returns a fault in which an engine announces that it is leaving; a new
+// one replaces it after the fault.
+func makeEngineLeave(announce func(*standin.Engine) error) func(*run, target) (func() error, error) {
+	return func(r *run, t target) (func() error, error) {
+		old := t.replica.engine
+		if err := announce(old); err != nil {
+			return nil, err
+		}
+		return func() error {
+			time.Sleep(minLeavingTime)
+			old.Stop(false)
+			return r.testbed.startEngine(t.replica)
+		}, nil
 	}
-	return func() error {
-		time.Sleep(minLeavingTime)
-		old.Stop(false)
-		return r.testbed.startEngine(t.replica)
-	}, nil
 }
 
 // engineFault returns a fault that makes an engine misbehave.
@@ -213,6 +228,37 @@
 	}
 }
 
+// writeOddEntries writes invalid entries among those of the engines, and removes them
+// when the fault ends.
+func writeOddEntries(r *run, _ target) (func() error, error) {
+	for n, text := range oddEntries() {
+		r.testbed.store.PutEngineText(oddEntryID(n), text)
+	}
+	return func() error {
+		for n := range oddEntries() {
+			r.testbed.store.DeleteEngine(oddEntryID(n))
+		}
+		return nil
+	}, nil
+}
+
+// oddEntryID returns the engine id of the odd entry with number n.
+func oddEntryID(n int) string { return fmt.Sprintf("odd-%d", n) }
+
+// oddEntries returns JSON that is no valid entry of an engine: deeply nested, with numbers
+// or ports out of range, or of other types.
+func oddEntries() []string {
+	entry := func(address, slots string) string {
+		return fmt.Sprintf(`{"service":"plain","address":%s,"zone":"a","slots":%s,"state":"ready","born":1}`, address, slots)
+	}
+	return []string{
+		strings.Repeat("[", oddEntryDepth) + strings.Repeat("]", oddEntryDepth),
+		entry(`"127.0.0.1:1"`, "1e400"), entry(`"127.0.0.1:1"`, "99999999999999999999"), entry(`"127.0.0.1:1"`, "-9223372036854775808"),
+		entry(`"127.0.0.1:99999"`, "12"), entry(`"127.0.0.1"`, "12"), entry(`[{}]`, "12"), entry(`"127.0.0.1:1"`, `"many"`),
+		"null", `"text"`, "{}", `{"service":{"service":null},"state":17}`,
+	}
+}
+
 // withdrawKey adds an organisation with a key that only the probe uses, and withdraws it
 // when the fault ends.
 func withdrawKey(r *run, _ target) (func() error, error) {
