--- a/lab/platformsoak/finding.go
+++ b/lab/platformsoak/finding.go
@@ -22,9 +22,11 @@
 	RatesHold                             // Organisations get no more than their quota, summed over all instances.
 	WorkEndsWithItsCaller                 // An engine stops its work when the caller has disconnected.
 	PlannedStopCutsNone                   // A planned stop cuts no request and ends in time.
-	OnlyFaultsCutStreams                  // A stream is cut only after a fault of its instance or of one of its engines.
 	ProcessesLive                         // No instance exits unexpectedly.
 	Recovers                              // Requests are served again after the faults.
+	RequestsAreAnswered                   // A request that was passed on to engines without a fault only is answered.
+	RetryAfterIsKept                      // An engine that turned a request away gets almost no others from the instance before the time that it gave.
+	MemoryIsBounded                       // No instance uses more than maxResidentBytes.
 	EnginesAreFree                        // After the run no engine holds requests or memory.
 )
 
