caller: a poller responds to the accept of a connection while the server closes

What callers could see: nothing yet; the accept of a connection waited for a second at the end of a planned stop.

The accept then took until the time limit, and the connection was added to an engine that had stopped.

Evidence, before: TestPollerRespondsWhileServerCloses: a poller did not read the probe byte in time. After: it and the other pass, -race -count=10.

Not covered: nbio itself does not order an accept before its Stop; that window is as before.

--- a/io/caller/read.go
+++ b/io/caller/read.go
@@ -46,16 +46,15 @@
 }
 
 // onData passes bytes to their connection, or to the data handler of a connection that is
-// not a caller's.
+// not a caller's. Callers' bytes are discarded while the server closes.
 func (s *Server) onData(nbc *nbio.Conn, c *conn, data []byte) {
-	if s.closing.Load() {
+	if c == nil {
+		if handler := nbc.DataHandler(); handler != nil {
+			handler(nbc, data)
+		}
 		return
 	}
-	if c != nil {
+	if !s.closing.Load() {
 		c.feed(data)
-		return
-	}
-	if handler := nbc.DataHandler(); handler != nil {
-		handler(nbc, data)
 	}
 }
--- a/io/caller/staleevent_test.go
+++ b/io/caller/staleevent_test.go
@@ -85,3 +85,16 @@
 	time.Sleep(step)
 	return conns
 }
+
+// TestPollerRespondsWhileServerCloses waits for the pollers of a server that discards its
+// input. Without their response, accepting a connection would take until the time limit, and
+// the connection would be added to an engine that has stopped meanwhile.
+func TestPollerRespondsWhileServerCloses(t *testing.T) {
+	s, _ := newForwardingTestServer(t, respondEmpty)
+	s.closing.Store(true)
+	for hash := range pollers {
+		if err := s.barrier.Load().Await(hash); err != nil {
+			t.Errorf("poller %d: %v", hash, err)
+		}
+	}
+}
