--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -109,7 +109,7 @@
 	pending         int                            // Number of open calls.
 	notRunCalls     int                            // Number of calls that engines have certainly not run.
 	answer          *callResult                    // The last answer with a server error; the answer to the caller is job.answer.
-	lastErr         error                          // The last error of a call that may have run; otherwise the last error.
+	lastErr         error                          // The last error; one of a call that may have run goes before others.
 	forwardedEngine atomic.Pointer[engines.Engine] // The engine whose answer the caller gets; nil while none is chosen.
 }
 
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -22,12 +22,12 @@
 	// give up. The rest is for the reservation, the prefill and the first event of the
 	// resumed stream.
 	stallTimeoutShare = 0.5
-	// minCallerTimeout, callerTimeoutObjectives and callerTimeoutGaps give the time without
+	// minCallerTimeout, callerObjectiveFactor and callerGapFactor give the time without
 	// an event after which callers abandon a stream: the longest of a fixed time and of
 	// multiples of the route's objectives for the first event and between events.
-	minCallerTimeout        = 2 * time.Second
-	callerTimeoutObjectives = 4
-	callerTimeoutGaps       = 8
+	minCallerTimeout      = 2 * time.Second
+	callerObjectiveFactor = 4
+	callerGapFactor       = 8
 	// replacementInterval is the pause between two attempts to find another engine for a
 	// stalled stream.
 	replacementInterval = 200 * time.Millisecond
@@ -78,7 +78,7 @@
 func (s *stream) stallTimeout() time.Duration {
 	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
 	gap := time.Duration(s.route.TargetEventGapMS) * time.Millisecond
-	callerTimeout := max(minCallerTimeout, callerTimeoutObjectives*objective, callerTimeoutGaps*gap)
+	callerTimeout := max(minCallerTimeout, callerObjectiveFactor*objective, callerGapFactor*gap)
 	return max(minStallTimeout, time.Duration(stallTimeoutShare*float64(callerTimeout)))
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -208,8 +208,8 @@
 	return nil
 }
 
-// Close stops accepting requests, cancels all, waits up to closeTimeout for their handlers, which record
-// the outcomes, and closes all connections.
+// Close stops accepting requests, cancels all, waits up to closeTimeout for their handlers,
+// which record the outcomes, and closes all connections.
 func (s *Server) Close() error {
 	s.closing.Store(true)
 	s.conns.each(func(c *conn) { c.cancelWith(fault.New(fault.ShuttingDown, "the process is shutting down")) })
