io/httpcall: TestCloseWaitsForCalls orders Close and call by the call alone

No caller is affected: the fault is in the test. Client.Do counts its call down before it returns, and the test's goroutine hands the result over after that, so Close may return between the two.

Ruled out: a Close that does not wait.

The test reads what the call delivered right after Close, with no lock or wait between, so that the race detector reports a Close that does not order them.

--- a/io/httpcall/call_test.go
+++ b/io/httpcall/call_test.go
@@ -242,30 +242,30 @@
 	}
 }
 
+// TestCloseWaitsForCalls guards against a Close that returns while a call still runs. What
+// the call delivered is read without a lock or a wait: only Close orders the two.
 func TestCloseWaitsForCalls(t *testing.T) {
-	release := make(chan struct{})
+	received, release := make(chan struct{}), make(chan struct{})
 	addr := serveConnections(t, func(conn net.Conn, r *http.Request) {
+		close(received)
 		<-release
 		respondWith("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")(conn, r)
 	})
 	c := newClient(t)
+	var a recorder
 	done := make(chan error, 1)
 	go func() {
-		var a recorder
-		done <- c.Do(context.Background(), Call{Address: addr, Method: "GET", Target: "/"}, a.sink())
+		done <- c.Do(context.Background(), Call{Address: addr, Method: "GET", Target: "/", Limits: limitsWithin(10 * time.Second)}, a.sink())
 	}()
-	time.Sleep(50 * time.Millisecond)
+	<-received
 	time.AfterFunc(100*time.Millisecond, func() { close(release) })
 	c.Close()
-	select {
-	case err := <-done:
-		if err != nil {
-			t.Error(err)
-		}
-	default:
-		t.Error("Close returned before the call ended")
+	if a.head.Status != http.StatusOK {
+		t.Errorf("Close returned before the call ended: status %d, want 200", a.head.Status)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
 	}
-	var a recorder
 	if err := c.Do(context.Background(), Call{Address: addr, Method: "GET", Target: "/"}, a.sink()); !fault.Is(err, fault.ShuttingDown) {
 		t.Errorf("call after Close: got %v, want ShuttingDown", err)
 	}
