orders: an engine that returns to the text still waits for its last order

What could be seen: an engine whose order had no answer is taken out of the configuration text by one edit and put back by the next. It got another order at once, while the earlier one could still be running: two orders overlap at the engine, which one that ignores fencing numbers does not refuse.

Cause: removeUnlisted deleted the engine's record, and with it notBefore, the time until which the last order may run.

Evidence: TestUnlistedEngineKeepsWaitForItsOrder, before: orders at [08:00:05 08:00:05.4 08:00:08.4], want the second at or after 08:00:08 After: passes; all of core/orders passes.

The record now stays until notBefore and is deleted then. The time since which an engine is marked as Leaving is forgotten when it is unlisted, as an engine that returns begins it anew. Ruled out: the reservation of its pool, which is kept apart from the records and was not lost. core/stagecontrol keeps its pending orders by engine whatever the list says.

--- a/core/orders/reconcile.go
+++ b/core/orders/reconcile.go
@@ -37,7 +37,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	engines := c.domainEngines(s.Text)
-	c.removeUnlisted(engines)
+	c.removeUnlisted(engines, now)
 	if c.fencing != g.Fencing {
 		c.fencing = g.Fencing
 		for _, e := range c.engines {
@@ -80,14 +80,19 @@
 }
 
 // removeUnlisted removes the records of engines that the configuration text no
-// longer lists. The caller holds mu.
-func (c *Controller) removeUnlisted(engines []text.Engine) {
+// longer lists. A record stays while an order to its engine may still be running, in
+// case the engine is listed again. The caller holds mu.
+func (c *Controller) removeUnlisted(engines []text.Engine, now time.Time) {
 	listed := make(map[ident.EndpointID]bool, len(engines))
 	for _, e := range engines {
 		listed[e.Name] = true
 	}
 	for name, e := range c.engines {
-		if !listed[name] && !e.busy {
+		switch {
+		case listed[name] || e.busy:
+		case now.Before(e.notBefore):
+			e.leavingSince = time.Time{}
+		default:
 			delete(c.engines, name)
 		}
 	}
