presence: renewals follow the time to live that the store granted

What could be seen: a store that grants a shorter lease than requested (its answer says which time to live applies) removes the entry of a domain between two renewals. Its instances then count as gone, and every other instance takes a larger part of the rates.

Cause: the granted time to live was decoded and not read; the registrar renewed every 5 s whatever was granted.

Evidence: TestShortLeaseIsRenewedInTime, a lease of 6 s, before: '11 renewals of a lease of 6s in a minute, want 20 or more'; after: passes.

Ruled out: the interval for the usual lease of 15 s, which stays 5 s.

--- a/core/presence/presence.go
+++ b/core/presence/presence.go
@@ -27,9 +27,15 @@
 	PeerAddress ident.Address    // Address of that instance for its peers.
 }
 
+// Lease is a lease of the store.
+type Lease struct {
+	ID  int64
+	TTL time.Duration // Time to live that the store granted; it may differ from the one requested.
+}
+
 // Store is the interface to the platform's store.
 type Store struct {
-	CreateLease func(ctx context.Context, ttl time.Duration) (id int64, err error)
+	CreateLease func(ctx context.Context, ttl time.Duration) (Lease, error)
 	Renew       func(ctx context.Context, id int64) error // Returns ErrLeaseExpired if the lease has expired.
 	Put         func(ctx context.Context, domain ident.DomainID, value []byte, lease int64) error
 }
@@ -39,6 +45,9 @@
 	leaseTTL = 15 * time.Second
 	// renewInterval is the time between renewals.
 	renewInterval = 5 * time.Second
+	// renewalsPerLease is how often a lease is renewed in its time to live at least, so that
+	// one lost renewal doesn't end it.
+	renewalsPerLease = 3
 	// checkInterval is the time between two checks of the members, and the pause after a
 	// failure.
 	checkInterval = time.Second
@@ -57,7 +66,7 @@
 	Now          func() time.Time
 	Log          log.Logger
 
-	lease          int64     // Lease of the entry; 0 if there is none.
+	lease          Lease     // Lease of the entry; its ID is 0 if there is none.
 	renewAt        time.Time // When the lease is to be renewed.
 	writtenMembers int       // Number of members in the entry.
 	decreasedSince time.Time // Since when there are fewer members than in the entry; zero if there are not.
@@ -83,12 +92,12 @@
 // update writes the entry if it has changed, or else renews the lease when that is due.
 func (k *Registrar) update(ctx context.Context) error {
 	if !k.IsFirst() {
-		k.lease = 0
+		k.lease = Lease{}
 		return nil
 	}
 	now := k.Now()
 	switch n := k.membersToWrite(now); {
-	case k.lease == 0:
+	case k.lease.ID == 0:
 		lease, err := k.Store.CreateLease(ctx, leaseTTL)
 		if err != nil {
 			return err
@@ -99,20 +108,23 @@
 	case now.Before(k.renewAt):
 		return nil
 	}
-	err := k.Store.Renew(ctx, k.lease)
+	err := k.Store.Renew(ctx, k.lease.ID)
 	if errors.Is(err, ErrLeaseExpired) {
-		k.lease = 0
+		k.lease = Lease{}
 	}
 	if err == nil {
-		k.renewAt = now.Add(renewInterval)
+		k.renewAt = now.Add(k.lease.renewInterval())
 	}
 	return err
 }
 
+// renewInterval returns the time between two renewals of the lease.
+func (l Lease) renewInterval() time.Duration { return min(renewInterval, l.TTL/renewalsPerLease) }
+
 // membersToWrite returns the number of members that the entry should have now.
 func (k *Registrar) membersToWrite(now time.Time) int {
 	n := k.Members()
-	if k.lease == 0 || n >= k.writtenMembers {
+	if k.lease.ID == 0 || n >= k.writtenMembers {
 		k.decreasedSince = time.Time{}
 		return n
 	}
@@ -126,7 +138,7 @@
 }
 
 // put writes the entry under a lease.
-func (k *Registrar) put(ctx context.Context, members int, lease int64) error {
+func (k *Registrar) put(ctx context.Context, members int, lease Lease) error {
 	r := k.Registration
 	r.Members = members
 	value, err := json.Marshal(r)
@@ -135,10 +147,10 @@
 	}
 	// If the write fails, it is unknown whether the entry was written; the next update
 	// takes a new lease.
-	k.lease = 0
-	if err := k.Store.Put(ctx, r.Domain, value, lease); err != nil {
+	k.lease = Lease{}
+	if err := k.Store.Put(ctx, r.Domain, value, lease.ID); err != nil {
 		return err
 	}
-	k.lease, k.writtenMembers, k.renewAt = lease, members, k.Now().Add(renewInterval)
+	k.lease, k.writtenMembers, k.renewAt = lease, members, k.Now().Add(lease.renewInterval())
 	return nil
 }
--- a/core/presence/presence_test.go
+++ b/core/presence/presence_test.go
@@ -1,6 +1,7 @@
 package presence
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -23,12 +24,16 @@
 	renews  int
 	err     error
 	expired bool
+	ttl     time.Duration // Granted whatever is requested; the requested one if zero.
 }
 
 func (store *fakeStore) newRegistrar() *Registrar {
 	return &Registrar{
 		Store: Store{
-			CreateLease: func(context.Context, time.Duration) (int64, error) { store.leases++; return store.leases, store.err },
+			CreateLease: func(_ context.Context, ttl time.Duration) (Lease, error) {
+				store.leases++
+				return Lease{ID: store.leases, TTL: cmp.Or(store.ttl, ttl)}, store.err
+			},
 			Renew: func(context.Context, int64) error {
 				store.renews++
 				if store.expired {
@@ -76,6 +81,16 @@
 	}
 }
 
+// TestShortLeaseIsRenewedInTime guards against an entry that disappears between renewals
+// because the store granted a shorter lease than requested.
+func TestShortLeaseIsRenewedInTime(t *testing.T) {
+	store := &fakeStore{now: time.Now(), members: 3, isFirst: true, ttl: 6 * time.Second}
+	store.advance(store.newRegistrar(), time.Minute)
+	if least := int(time.Minute/store.ttl) * 2; store.renews < least {
+		t.Errorf("%d renewals of a lease of %v in a minute, want %d or more", store.renews, store.ttl, least)
+	}
+}
+
 // TestDecreaseIsWrittenAfterDelay checks that a restart of a member is not written, but
 // that a lower number is written after decreaseDelay and a higher one at once.
 func TestDecreaseIsWrittenAfterDelay(t *testing.T) {
