engines: removals that an instance holds end when it stops following the store

What callers saw: after an outage of the store in which the engines' entries lapsed, an instance that had followed the store in the outage and handed it back to another lost engines that had returned in time, 2.2 s after the store was back, and got them again with the next pull. With all entries lapsed, it had no engine for that moment and refused requests.

Cause: the feed holds removals for 2.2 s and cancels one when the engine is listed again. After the handover the entries come from the other instance and go to the table past the feed. An engine that wrote the same entry again is not even sent, as the checksums of entries leave out the revision, so that its old revision stayed and the held removal was newer.

Ruled out: a list that is applied without the delay by the second follower (it fails first in an outage, so that its recovery is seen); the time of 2.2 s itself.

Why it works: whoever follows the store holds its own removals, and passes them on by the table when they are due; an instance that no longer follows has nothing to decide.

--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -23,6 +23,15 @@
 	heldRemovals map[ident.EndpointID]Change
 }
 
+// DiscardHeldRemovals drops the delayed removals. It is called when this instance stops
+// following the store: from then on the entries come from other instances, and what they
+// apply to the table does not cancel a removal that is held here.
+func (f *Feed) DiscardHeldRemovals() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heldRemovals = nil
+}
+
 // StoreRecovered starts the delay of removals, after the store has become reachable again.
 func (f *Feed) StoreRecovered(at time.Time) {
 	f.mu.Lock()
