engines: a second outage extends the delay of removals

What callers saw: the store is back for a second and gone again. 2.2 s after its first return all engines whose entries had lapsed were taken for gone, although they could not have registered; every request was refused until the second return.

Cause: the delay of removals ran by the clock alone.

Ruled out: a longer delay. An engine that is still missing two seconds after the store's return is gone, and calls to it cost callers time.

The follower now tells the feed that the store no longer answers; held removals wait until it has answered for the whole delay.

--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -13,12 +13,13 @@
 const removalHoldTime = 2200 * time.Millisecond
 
 // Feed applies the platform's list to a table. After an outage of the store it delays
-// removals by removalHoldTime.
+// removals by removalHoldTime, in which the store stays reachable.
 type Feed struct {
 	Table *Table
 	Now   func() time.Time
 
 	mu           sync.Mutex
+	storeLost    bool      // The store doesn't answer; removals that are delayed stay so.
 	holdUntil    time.Time // Removals are delayed until this time.
 	heldRemovals map[ident.EndpointID]Change
 }
@@ -29,13 +30,22 @@
 func (f *Feed) DiscardHeldRemovals() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.heldRemovals = nil
+	f.heldRemovals, f.storeLost = nil, false
+}
+
+// StoreLost extends a delay of removals: engines can't register while the store is away
+// again.
+func (f *Feed) StoreLost() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeLost = true
 }
 
 // StoreRecovered starts the delay of removals, after the store has become reachable again.
 func (f *Feed) StoreRecovered(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.storeLost = false
 	f.holdUntil = at.Add(removalHoldTime)
 	time.AfterFunc(removalHoldTime, f.applyHeldRemovals)
 }
@@ -72,7 +82,7 @@
 }
 
 // holdsRemovals reports whether removals are delayed now. The caller must hold mu.
-func (f *Feed) holdsRemovals() bool { return f.Now().Before(f.holdUntil) }
+func (f *Feed) holdsRemovals() bool { return f.storeLost || f.Now().Before(f.holdUntil) }
 
 // apply applies changes, except removals while they are delayed. The caller must hold
 // mu.
--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -54,6 +54,7 @@
 	OnChanges   func(changes []Item)
 	Log         log.Logger
 	Now         func() time.Time
+	OnLost      func()             // Called when the store no longer answers. May be nil.
 	OnRecovered func(at time.Time) // Called when the store answers again after a failure. May be nil.
 	// FirstWatchDelay is the pause between the first list and the first watch. An
 	// instance that has just started can't tell yet whether it is the one that has to
@@ -179,6 +180,9 @@
 		}
 	default:
 		_ = level.Warn(f.Log).Log("msg", event.StoreUnreachable, "err", err)
+		if f.OnLost != nil {
+			f.OnLost()
+		}
 	}
 }
 
