io/caller: responses to HEAD have no body

What callers could see: on a kept connection, the response after an error response to HEAD began with the JSON of that error, so that the caller read a malformed response or bytes that belong to another request. The same happened for a forwarded response to HEAD whose endpoint gave no length: the end of a chunked body followed it.

Cause: nbhttp sends whatever a handler writes, also for HEAD, and chooses chunked coding if a response has no length. Forwarded bodies are empty for HEAD, as both HTTP clients end such a response with its head; errors of the router have a body of their own.

Fix: nothing is written after the head of a response to HEAD, and its length is set if it has none. Error bodies go through writeBody, which has the one check.

Ruled out: rejections of unread requests, whose connection is closed after them.

Evidence, before: TestErrorResponseToHeadHasNoBody: GET: malformed HTTP status code "route" after responses [404] TestForwardedResponseToHeadHasNoBody, length 2: malformed HTTP version "noHTTP/1.1" TestForwardedResponseToHeadHasNoBody, length -1: malformed HTTP response "2" After: both pass. In `go test -race ./io/caller` TestAnswerBegunBeforeDrain failed once; it also failed in 1 of 16 runs on the code before, on the busy machine.

--- a/io/caller/errorresponse.go
+++ b/io/caller/errorresponse.go
@@ -90,7 +90,7 @@
 	}
 	x.setConnectionClose()
 	x.w.WriteHeader(statusWithReason(fault.ResponseFor(f.Kind).Status))
-	_, _ = x.w.Write(body)
+	_ = x.writeBody(body) // A write error means that the caller has disconnected.
 }
 
 // statusWithReason returns status, or a generic one of the same class if net/http has no
--- a/io/caller/forward.go
+++ b/io/caller/forward.go
@@ -64,6 +64,7 @@
 	if length >= 0 && status != http.StatusNoContent && status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	f.x.setLengthForHead()
 	f.x.setConnectionClose()
 	f.x.w.WriteHeader(statusWithReason(status))
 }
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -202,8 +202,23 @@
 // responses use too, and goes on using it.
 const maxWriteBytes = 32 << 10
 
+// sendsBody reports whether the response may have a body. nbhttp would send one that a
+// handler writes for HEAD.
+func (x *exchange) sendsBody() bool { return x.req.Method != http.MethodHead }
+
+// setLengthForHead sets a Content-Length in a response to HEAD that has none. nbhttp would
+// choose chunked coding and send the end of a chunked body.
+func (x *exchange) setLengthForHead() {
+	if h := x.w.Header(); !x.sendsBody() && h.Get("Content-Length") == "" {
+		h.Set("Content-Length", "0")
+	}
+}
+
 // writeBody sends body data and flushes it. Its error has kind CallerGone.
 func (x *exchange) writeBody(data []byte) error {
+	if !x.sendsBody() {
+		return nil
+	}
 	for len(data) > 0 {
 		piece := data[:min(len(data), maxWriteBytes)]
 		data = data[len(piece):]
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -119,6 +119,7 @@
 	if length != "" && a.head.Status != http.StatusNoContent && a.head.Status != http.StatusNotModified {
 		h.Set("Content-Length", length)
 	}
+	a.setLengthForHead()
 	h.Set(httpcall.RequestIDHeader, a.responseID)
 	a.setConnectionClose()
 	a.w.WriteHeader(statusWithReason(a.head.Status))
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -86,7 +86,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set(httpcall.RequestIDHeader, a.responseID)
 	a.setConnectionClose()
-	_, _ = a.w.Write(body)
+	_ = a.writeBody(body) // A write error means that the caller has disconnected.
 	return nil
 }
 
