--- a/io/caller/fuzz_test.go
+++ b/io/caller/fuzz_test.go
@@ -21,6 +21,9 @@
 	// fuzzInputMemory bounds what a server may allocate for a connection with few bytes,
 	// whatever lengths they announce.
 	fuzzInputMemory = 4 << 20
+	// fuzzCallerAddresses is the number of loopback addresses that connections come from. One
+	// address has too few ports for the connections of a minute.
+	fuzzCallerAddresses = 200
 )
 
 // fuzzLimits are small, so that short inputs reach them.
@@ -66,6 +69,8 @@
 	*Server
 	address string
 
+	exchanges int // Calls of exchange.
+
 	mu       sync.Mutex
 	requests []fuzzedRequest
 }
@@ -120,7 +125,9 @@
 // settled or closed it, and returns the bytes that the server sent.
 func (s *fuzzedServer) exchange(t *testing.T, data []byte, partBytes int) []byte {
 	t.Helper()
-	c, err := net.Dial("tcp", s.address)
+	s.exchanges++
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 1, byte(s.exchanges%fuzzCallerAddresses))}}
+	c, err := dialer.Dial("tcp", s.address)
 	if err != nil {
 		t.Fatalf("the server does not accept connections: %v", err)
 	}
