io/peer: undefined fields of a failure from another instance are replaced

What callers could see: an error that another instance of another version returned had an empty X-Ran, which says nothing on whether the request has run, and a Retry-After in the past or in centuries.

Cause: failureError converted kind, ran and the time until a retry as they came; the product of a large number of microseconds overflowed.

Fix: an undefined kind becomes Internal, an undefined ran MayHaveRun, which promises nothing; the time until a retry is at most an hour.

--- a/io/peer/links_test.go
+++ b/io/peer/links_test.go
@@ -64,6 +64,17 @@
 	}
 }
 
+// TestUndefinedFailureFieldsAreReplaced guards against an error of another version of the
+// program that callers get with an empty X-Ran, or whose time of a retry overflows.
+func TestUndefinedFailureFieldsAreReplaced(t *testing.T) {
+	for _, f := range []*Failure{{Kind: 1 << 30, Ran: 3, RetryAfterUs: 1 << 62}, {Kind: -1, Ran: -1, RetryAfterUs: 1 << 53}} {
+		e := fault.From(failureError(f))
+		if e.Kind != fault.Internal || e.Ran != fault.MayHaveRun || time.Until(e.RetryAfter) < 50*time.Minute || time.Until(e.RetryAfter) > time.Hour {
+			t.Errorf("failure %v: kind %d, ran %d, retry after %v", f, e.Kind, e.Ran, time.Until(e.RetryAfter))
+		}
+	}
+}
+
 func TestUnknownMethodReturnsNotFound(t *testing.T) {
 	a, _ := newTestLinks(t, "a-1", "d1")
 	_, address := newTestLinks(t, "b-1", "d1")
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -134,12 +135,23 @@
 	return &Reply{Failure: f}
 }
 
-// failureError returns the error that a Failure encodes.
+// maxRetryAfter bounds the time until a retry in a Failure.
+const maxRetryAfter = time.Hour
+
+// failureError returns the error that a Failure encodes. A kind that this version does not
+// define becomes Internal, and an undefined Ran becomes MayHaveRun.
 func failureError(f *Failure) error {
 	kind := fault.Kind(f.GetKind())
-	e := fault.New(kind, "%s", f.GetMessage()).WithRan(fault.Ran(f.GetRan()))
+	if !slices.Contains(fault.Kinds(), kind) {
+		kind = fault.Internal
+	}
+	ran := fault.Ran(f.GetRan())
+	if ran < fault.NotRun || ran > fault.DidRun {
+		ran = fault.MayHaveRun
+	}
+	e := fault.New(kind, "%s", f.GetMessage()).WithRan(ran)
 	if f.GetRetryAfterUs() > 0 {
-		after := time.Duration(f.GetRetryAfterUs()) * time.Microsecond
+		after := time.Duration(min(f.GetRetryAfterUs(), maxRetryAfter.Microseconds())) * time.Microsecond
 		e = e.WithRetryAfter(time.Now().Add(after))
 	}
 	return e
