--- a/io/httpcall/fuzz_test.go
+++ b/io/httpcall/fuzz_test.go
@@ -188,7 +188,7 @@
 }
 
 // addFuzzAnswers adds the seeds.
-func addFuzzAnswers(f *testing.F, add func(answer []byte, partBytes uint16)) {
+func addFuzzAnswers(add func(answer []byte, partBytes uint16)) {
 	for _, a := range fuzzAnswers {
 		add([]byte(a), 1<<15)
 		add([]byte(a), 9)
@@ -199,7 +199,7 @@
 // client, keep a call from ending, make it allocate by the lengths that they announce, or
 // break the next call.
 func FuzzClientAnswer(f *testing.F) {
-	addFuzzAnswers(f, func(answer []byte, partBytes uint16) { f.Add(answer, partBytes) })
+	addFuzzAnswers(func(answer []byte, partBytes uint16) { f.Add(answer, partBytes) })
 	client, e := newClient(f), newScriptedEndpoint(f)
 	f.Fuzz(func(t *testing.T, answer []byte, partBytes uint16) {
 		address := e.nextAddress()
@@ -215,7 +215,7 @@
 // pool, keep a call from ending, make it allocate by the lengths that they announce, or reach
 // the next call on the connection.
 func FuzzPoolAnswer(f *testing.F) {
-	addFuzzAnswers(f, func(answer []byte, partBytes uint16) {
+	addFuzzAnswers(func(answer []byte, partBytes uint16) {
 		f.Add(answer, partBytes, false)
 		f.Add(answer, partBytes, true)
 	})
