--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -101,22 +101,20 @@
 			return err
 		}
 	}
-	defer reserved.end()
+	defer s.endReservation(&reserved)
 	s.logStage("room", reserved.engine, started)
 	prompt, err := s.prefill(ctx, reserved.engine)
 	if err != nil {
-		s.router.Calls.ReleaseReservation(reserved.engine.Entry, reserved.id)
 		return err
 	}
-	return s.decode(ctx, reserved, prompt)
+	return s.decode(ctx, &reserved, prompt)
 }
 
 // decode sends the request to the reserved decode engine and forwards its stream. Without
 // a prefilled prompt the decode engine does the prefill itself.
-func (s *stream) decode(ctx context.Context, reserved decodeReservation, p prefilledPrompt) error {
+func (s *stream) decode(ctx context.Context, reserved *decodeReservation, p prefilledPrompt) error {
 	e := reserved.engine
 	if !e.Accepts(s.router.now()) {
-		s.router.Calls.ReleaseReservation(e.Entry, reserved.id)
 		s.freePrompt(p)
 		return fault.New(fault.EndpointRefused, "engine %s leaves or has asked for no calls", e.ID)
 	}
@@ -134,6 +132,7 @@
 		defer s.endLocalPrefill()
 	}
 	err := s.send(ctx, call)
+	reserved.sent = true
 	if err == nil {
 		now := s.router.now()
 		e.RecordSuccess(now)
@@ -175,20 +174,14 @@
 // other answer when it is complete. A resumable stream that stalls is cancelled as soon
 // as it can be resumed at another engine.
 func (s *stream) send(ctx context.Context, call Call) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	monitor := s.monitorStalls(ctx, cancel)
 	buffered := callResult{}
-	err := s.router.Calls.Send(ctx, call, Sink{
+	err := s.sendMonitored(ctx, call, Sink{
 		OnHead: func(h Head) error {
 			buffered.head = h
 			s.isEventStream = strings.HasPrefix(h.Header.Get("Content-Type"), "text/event-stream") && h.Status < 300
 			return s.checkHead(h)
 		},
 		OnData: func(data []byte) error {
-			if err := monitor.recordData(); err != nil {
-				return err
-			}
 			if !s.isEventStream {
 				buffered.body = append(buffered.body, data...)
 				return nil
@@ -196,7 +189,6 @@
 			return s.sendEvents(buffered.head, s.splitter.feed(data))
 		},
 	})
-	s.replacement = monitor.close()
 	if err != nil && s.replacement != nil {
 		return fault.Wrap(errStreamStalled, fault.EndpointTimeout, "the call was replaced").WithRan(fault.From(err).Ran)
 	}
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -48,6 +48,15 @@
 	engine *engines.Engine
 	id     string // Assigned by the engine.
 	end    func() // Removes the stream from the engine's load.
+	sent   bool   // The stream was sent to the engine, which releases the reservation itself.
+}
+
+// endReservation ends the use of a reservation, and releases it if no stream was sent for it.
+func (j *job) endReservation(r *decodeReservation) {
+	defer r.end()
+	if !r.sent {
+		j.router.Calls.ReleaseReservation(r.engine.Entry, r.id)
+	}
 }
 
 // reserve waits for a reservation at a decode engine. It fails when the wait has become
@@ -118,15 +127,10 @@
 		if !e.Accepts(now) {
 			continue
 		}
-		end := e.BeginRequest(size)
-		j.reserveCalls++
-		callCtx, cancel := context.WithTimeout(ctx, reserveCallTimeout)
-		id, err := r.Calls.Reserve(callCtx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
-		cancel()
+		reserved, err := j.reserveAt(ctx, e, size, now)
 		if err == nil {
-			return decodeReservation{engine: e, id: id, end: end}, true
+			return reserved, true
 		}
-		end()
 		if ctx.Err() != nil {
 			return decodeReservation{}, false
 		}
@@ -140,6 +144,26 @@
 	return decodeReservation{}, false
 }
 
+// reserveAt asks one engine for a reservation.
+func (j *job) reserveAt(ctx context.Context, e *engines.Engine, size ident.Tokens, now time.Time) (decodeReservation, error) {
+	end := e.BeginRequest(size)
+	granted := false
+	defer func() {
+		if !granted {
+			end()
+		}
+	}()
+	j.reserveCalls++
+	ctx, cancel := context.WithTimeout(ctx, reserveCallTimeout)
+	defer cancel()
+	id, err := j.router.Calls.Reserve(ctx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
+	if err != nil {
+		return decodeReservation{}, err
+	}
+	granted = true
+	return decodeReservation{engine: e, id: id, end: end}, nil
+}
+
 // reservationSize returns the memory, in tokens, to be reserved at a decode engine.
 func (j *job) reservationSize() ident.Tokens { return j.PromptTokens + j.reservedOutput() }
 
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -73,6 +73,24 @@
 	return m
 }
 
+// sendMonitored makes a call with a monitor, and sets s.replacement if the call was cancelled
+// for one. It ends the monitor also if the call panics.
+func (s *stream) sendMonitored(ctx context.Context, call Call, sink Sink) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	monitor := s.monitorStalls(ctx, cancel)
+	defer func() { s.replacement = monitor.close() }()
+	return s.router.Calls.Send(ctx, call, Sink{
+		OnHead: sink.OnHead,
+		OnData: func(data []byte) error {
+			if err := monitor.recordData(); err != nil {
+				return err
+			}
+			return sink.OnData(data)
+		},
+	})
+}
+
 // stallTimeout returns how long the stream may be without data before it is to be resumed
 // at another engine.
 func (s *stream) stallTimeout() time.Duration {
@@ -155,13 +173,18 @@
 	if !s.router.holdExtraCall(s.service.Name) {
 		return errNoRetryBudget
 	}
+	replaced := false
+	defer func() {
+		if !replaced {
+			s.router.returnExtraCall(s.service.Name)
+		}
+	}()
 	reserved, ok := s.tryReserve(ctx)
 	if !ok {
-		s.router.returnExtraCall(s.service.Name)
 		return errNoReservation
 	}
-	if !m.cancelIfStalled(stalledAt, reserved) {
-		s.discard(reserved)
+	if replaced = m.cancelIfStalled(stalledAt, reserved); !replaced {
+		s.endReservation(&reserved)
 		return errStreamContinued
 	}
 	return nil
@@ -179,20 +202,15 @@
 	return true
 }
 
-// discard releases a reservation for a replacement that is not needed, and its part of
-// the retry budget.
-func (s *stream) discard(replacement decodeReservation) {
-	s.router.Calls.ReleaseReservation(replacement.engine.Entry, replacement.id)
-	replacement.end()
-	s.router.returnExtraCall(s.service.Name)
-}
-
-// discardReplacement discards the replacement of a stream that is not resumed.
+// discardReplacement releases the replacement of a stream that is not resumed, and its part
+// of the retry budget.
 func (s *stream) discardReplacement() {
-	if s.replacement != nil {
-		s.discard(*s.replacement)
-		s.replacement = nil
+	if s.replacement == nil {
+		return
 	}
+	s.endReservation(s.replacement)
+	s.router.returnExtraCall(s.service.Name)
+	s.replacement = nil
 }
 
 // useReplacement returns the reservation with which a stalled stream is resumed, and
