--- a/core/forward/hedge_test.go
+++ b/core/forward/hedge_test.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // TestHedgeDoesNotWriteIntoAnswer has the slower of two calls get a large answer while that of
@@ -34,3 +37,27 @@
 		t.Errorf("the answer has %d bytes, want 1", got.body.Len())
 	}
 }
+
+// TestPanicEndsPlainCalls guards against a call of a hedged request that goes on, and may
+// write to the caller, after the handler of the request has ended with a panic.
+func TestPanicEndsPlainCalls(t *testing.T) {
+	h := newHarness(t)
+	var calls, ended atomic.Int64
+	h.router.Calls.Send = func(ctx context.Context, _ Call, sink Sink) error {
+		defer ended.Add(1)
+		if calls.Add(1) == 2 {
+			return sendAnswer(sink, 200, "A")
+		}
+		<-ctx.Done()
+		time.Sleep(20 * time.Millisecond)
+		return ctx.Err()
+	}
+	got := &reply{onWrite: func() { panic("defect") }}
+	func() {
+		defer func() { _ = recover() }()
+		h.serveTo(t.Context(), got, "safe", func(*Request) {})
+	}()
+	if calls.Load() != 2 || ended.Load() != 2 {
+		t.Errorf("%d of %d calls have ended when the handler returns, want 2 of 2", ended.Load(), calls.Load())
+	}
+}
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -49,6 +49,21 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := &plainCalls{job: j, ctx: ctx, results: make(chan callResult, maxRefusedCalls+j.route.MaxEngines+1)}
+	ended := false
+	defer func() {
+		if !ended { // A panic: the calls must not go on without the handler.
+			cancel()
+			p.drain()
+		}
+	}()
+	err := p.serve()
+	ended = true
+	return err
+}
+
+// serve makes the calls and sends the answer.
+func (p *plainCalls) serve() error {
+	j, ctx := p.job, p.ctx
 	if !p.callNextEngine() {
 		return j.noEngineError(nil)
 	}
@@ -131,8 +146,8 @@
 	}
 	p.tried[e.ID], p.lastEngine = true, e.ID
 	p.callCount++
-	p.pending++
 	call := p.newCall(e)
+	p.pending++
 	go func() { p.results <- p.callEngine(p.ctx, e, call) }()
 	return true
 }
