--- a/core/event/table.go
+++ b/core/event/table.go
@@ -106,7 +106,7 @@
 	AnswerEncodingFailed:    {SubsystemProcess, "An answer to an operator could not be encoded.", []string{"err"}},
 	LinesDropped:            {SubsystemProcess, "Number of log lines dropped because standard output was read too slowly.", []string{"lines"}},
 	InvariantViolated:       {SubsystemProcess, "An invariant does not hold, which is a defect of the program.", []string{"invariant"}},
-	PanicContained:          {SubsystemProcess, "Applying data from the store or from another instance panicked, which is a defect of the program. The step is skipped, and the process goes on.", []string{"step", "err", "stack"}},
+	PanicContained:          {SubsystemProcess, "Work on data from the store, another instance, a caller or an engine panicked, which is a defect of the program. Only the step ends, and the process goes on. A step that belongs to a request has its id.", []string{"step", "request", "err", "stack"}},
 	PollerSlow:              {SubsystemProcess, "A poller of the connections with callers did not respond in time when a connection was accepted. The connection is used all the same.", []string{"err"}},
 	HandlerPanicked:         {SubsystemProcess, "The handler of a request panicked, which is a defect of the program. The caller was sent an internal error, or its connection was closed if the answer had begun; other requests continue.", []string{"request", "err", "stack"}},
 }
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/catalog"
+	"monsoonfork/core/contain"
 	"monsoonfork/core/engines"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
@@ -87,6 +88,11 @@
 	return j.PromptTokens + j.MaxOutputTokens
 }
 
+// boundary returns the boundary for panics in the work on the request.
+func (j *job) boundary() contain.Boundary {
+	return contain.Boundary{Log: log.With(j.router.log, "request", j.ID), Panics: j.router.counters.containedPanics}
+}
+
 // priority returns the priority of the request; 0 is the most urgent.
 func (j *job) priority() int {
 	if j.org != nil && j.org.HasPriority {
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -193,7 +193,7 @@
 	res := callResult{engine: e}
 	end := e.BeginRequest(0)
 	defer end()
-	err := p.router.Calls.Send(ctx, call, Sink{
+	sink := Sink{
 		OnHead: func(h Head) error { res.head = h; return nil },
 		OnData: func(data []byte) error {
 			if len(res.body)+len(data) > maxBufferedAnswer || res.forwarded {
@@ -202,8 +202,10 @@
 			res.body = append(res.body, data...)
 			return nil
 		},
-	})
-	res.err = err
+	}
+	if err := p.boundary().Run("plain call", func() { res.err = p.router.Calls.Send(ctx, call, sink) }); err != nil {
+		res.err = err
+	}
 	if ctx.Err() == nil {
 		p.recordEngineOutcome(e, res)
 	}
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -145,16 +145,17 @@
 
 // counters holds the metrics of a router.
 type counters struct {
-	requests       metrics.Counter
-	answered       metrics.Counter
-	refused        metrics.Counter
-	failed         metrics.Counter
-	extraCalls     metrics.Counter // Calls of a request after its first.
-	hedges         metrics.Counter // Of those, calls in parallel to a slow one.
-	resumedStreams metrics.Counter // Streams resumed at another engine.
-	localPrefills  metrics.Counter // Prefills by the decode engine.
-	firstByte      metrics.Timer   // Time from arrival to the head of the answer.
-	reserveWait    metrics.Timer   // Time to get a reservation at a decode engine.
+	requests        metrics.Counter
+	answered        metrics.Counter
+	refused         metrics.Counter
+	failed          metrics.Counter
+	extraCalls      metrics.Counter // Calls of a request after its first.
+	hedges          metrics.Counter // Of those, calls in parallel to a slow one.
+	resumedStreams  metrics.Counter // Streams resumed at another engine.
+	localPrefills   metrics.Counter // Prefills by the decode engine.
+	containedPanics metrics.Counter // Panics that ended only a step.
+	firstByte       metrics.Timer   // Time from arrival to the head of the answer.
+	reserveWait     metrics.Timer   // Time to get a reservation at a decode engine.
 }
 
 // New returns a router for an instance in the given failure domain. The exported fields
@@ -169,16 +170,17 @@
 		retrySettings: t,
 		refusalLog:    newRefusalLog(logger),
 		counters: counters{
-			requests:       counter("Requests"),
-			answered:       counter("Answered"),
-			refused:        counter("Refused"),
-			failed:         counter("Failed"),
-			extraCalls:     counter("Repeated"),
-			hedges:         counter("Hedged"),
-			resumedStreams: counter("Resumed"),
-			localPrefills:  counter("LocalRead"),
-			firstByte:      metrics.GetOrRegisterTimer("Forward.First", r),
-			reserveWait:    metrics.GetOrRegisterTimer("Forward.Queued", r),
+			requests:        counter("Requests"),
+			answered:        counter("Answered"),
+			refused:         counter("Refused"),
+			failed:          counter("Failed"),
+			extraCalls:      counter("Repeated"),
+			hedges:          counter("Hedged"),
+			resumedStreams:  counter("Resumed"),
+			localPrefills:   counter("LocalRead"),
+			containedPanics: counter("ContainedPanics"),
+			firstByte:       metrics.GetOrRegisterTimer("Forward.First", r),
+			reserveWait:     metrics.GetOrRegisterTimer("Forward.Queued", r),
 		},
 	}
 }
@@ -195,7 +197,9 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, fault.New(fault.DeadlineExceeded, "the deadline of the request has passed"))
 	defer cancel()
-	err = j.run(ctx)
+	if panicked := j.boundary().Run("request", func() { err = j.run(ctx) }); panicked != nil {
+		err = panicked
+	}
 	j.reportOutcome(err)
 	if err != nil && j.headSent {
 		a.Abort()
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -68,7 +68,9 @@
 	m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout) + s.localPrefillTime())
 	ctx, m.stop = context.WithCancel(ctx)
 	if s.route.Kind == catalog.Stream && s.repeatable() && s.route.MaxEngines > 1 {
-		m.running.Go(func() { m.run(ctx) })
+		m.running.Go(func() {
+			_ = s.boundary().Run("stall monitor", func() { m.run(ctx) }) // A panic is logged; the call goes on unmonitored.
+		})
 	}
 	return m
 }
