--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/go-kit/log/level"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"monsoonfork/core/contain"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -56,9 +55,15 @@
 		c.markLastRequest()
 	}
 	x := &exchange{server: s, conn: c, w: response, req: r}
-	defer x.recoverPanic()
-	if s.forwardHandler != nil {
-		s.serveForward(x, received)
+	if p := contain.Call(func() { x.serve(received) }); p != nil {
+		x.reportPanic(p)
+	}
+}
+
+// serve passes the request to the forwarding handler or serves it.
+func (x *exchange) serve(received time.Time) {
+	if x.server.forwardHandler != nil {
+		x.server.serveForward(x, received)
 		return
 	}
 	if err := x.handle(received); err != nil {
@@ -76,18 +81,14 @@
 	}
 }
 
-// recoverPanic logs a panic of the handler and sends an internal error, which does not state
+// reportPanic logs a panic of the handler and sends an internal error, which does not state
 // that the request was not run. nbio would discard the panic, and the caller would get no
 // answer.
-func (x *exchange) recoverPanic() {
-	cause := recover()
-	if cause == nil {
-		return
-	}
+func (x *exchange) reportPanic(p *contain.Panic) {
 	if x.responseID == "" {
 		x.responseID = x.req.Header.Get(httpcall.RequestIDHeader)
 	}
-	_ = level.Error(x.server.log).Log("msg", event.HandlerPanicked, "request", x.responseID, "err", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	_ = level.Error(x.server.log).Log("msg", event.HandlerPanicked, "request", x.responseID, "err", p.Cause, "stack", p.Stack)
 	x.writeError(fault.New(fault.Internal, "internal error"))
 }
 
--- a/io/caller/read.go
+++ b/io/caller/read.go
@@ -6,6 +6,9 @@
 	"syscall"
 
 	"github.com/lesismal/nbio"
+
+	"monsoonfork/core/contain"
+	"monsoonfork/core/fault"
 )
 
 // readBufferBytes is the size of the buffer for one read of a connection.
@@ -46,7 +49,8 @@
 }
 
 // onData passes bytes to their connection, or to the data handler of a connection that is
-// not a caller's. Callers' bytes are discarded while the server closes.
+// not a caller's. Callers' bytes are discarded while the server closes. A request on which
+// parsing panics is rejected.
 func (s *Server) onData(nbc *nbio.Conn, c *conn, data []byte) {
 	if c == nil {
 		if handler := nbc.DataHandler(); handler != nil {
@@ -54,7 +58,11 @@
 		}
 		return
 	}
-	if !s.closing.Load() {
-		c.feed(data)
+	if s.closing.Load() {
+		return
+	}
+	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
+	if err := boundary.Run("read", func() { c.feed(data) }); err != nil {
+		c.sendRejection(fault.From(err))
 	}
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -70,6 +70,8 @@
 	disconnected metrics.Counter // Requests whose caller disconnected before the response was complete.
 	rejected     metrics.Counter // Requests rejected before they were read completely.
 	responseTime metrics.Timer
+
+	containedPanics metrics.Counter // Panics in reading a connection.
 }
 
 // Option configures a Server.
@@ -95,6 +97,8 @@
 		disconnected: metrics.GetOrRegisterCounter("Caller.Gone", r),
 		rejected:     metrics.GetOrRegisterCounter("Caller.RefusedUnread", r),
 		responseTime: metrics.GetOrRegisterTimer("Caller.Answers", r),
+
+		containedPanics: metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
 	}
 }
 
