--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -49,6 +49,21 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	p := &plainCalls{job: j, ctx: ctx, results: make(chan callResult, maxRefusedCalls+j.route.MaxEngines+1)}
+	ended := false
+	defer func() {
+		if !ended { // A panic: the calls must not go on without the handler.
+			cancel()
+			p.drain()
+		}
+	}()
+	err := p.serve()
+	ended = true
+	return err
+}
+
+// serve makes the calls and sends the answer.
+func (p *plainCalls) serve() error {
+	j, ctx := p.job, p.ctx
 	if !p.callNextEngine() {
 		return j.noEngineError(nil)
 	}
@@ -131,8 +146,8 @@
 	}
 	p.tried[e.ID], p.lastEngine = true, e.ID
 	p.callCount++
-	p.pending++
 	call := p.newCall(e)
+	p.pending++
 	go func() { p.results <- p.callEngine(p.ctx, e, call) }()
 	return true
 }
@@ -178,7 +193,7 @@
 	res := callResult{engine: e}
 	end := e.BeginRequest(0)
 	defer end()
-	err := p.router.Calls.Send(ctx, call, Sink{
+	sink := Sink{
 		OnHead: func(h Head) error { res.head = h; return nil },
 		OnData: func(data []byte) error {
 			if len(res.body)+len(data) > maxBufferedAnswer || res.forwarded {
@@ -187,8 +202,10 @@
 			res.body = append(res.body, data...)
 			return nil
 		},
-	})
-	res.err = err
+	}
+	if err := p.boundary().Run("plain call", func() { res.err = p.router.Calls.Send(ctx, call, sink) }); err != nil {
+		res.err = err
+	}
 	if ctx.Err() == nil {
 		p.recordEngineOutcome(e, res)
 	}
