io/httpcall: a large request survives a pause of its engine

What callers could see: a request with a body that does not fit into the engine's receive buffer failed when its engine paused for 2 s, though the engine goes on and would have answered. At the engine it may have run.

Cause: TCP_USER_TIMEOUT is 1.5 s on pooled connections. It ends a connection whose bytes are not acknowledged, and also one whose peer acknowledges probes with a closed window (tcp(7): "transmitted data may remain unacknowledged, or buffered data may remain untransmitted"). A paused process leaves the window closed.

Ruled out: keep-alive. A call with 100 bytes whose engine does not read for 2 s was answered before and after; the host answers the probes for the process. DeliveryTimeout of Client (1 s, orders): the same, a pause of 2 s ends nothing (TestDeliveryTimeoutSparesSilentEndpoint), as an order is a few hundred bytes.

Why it works: while a request of more than 8 KB is sent the limit is 3 s, more than the longest pause of 2 s. Small requests, which can't meet a closed window, and idle connections keep 1.5 s, so that dead pooled connections are noticed as before. Requests with deadlines of seconds have most of their time left after 3 s; those with shorter ones end by their deadline, and stalled streams are replaced earlier than either limit.

--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -20,6 +20,10 @@
 	// poolUserTimeout is how long sent bytes may stay unacknowledged before the
 	// kernel ends the connection.
 	poolUserTimeout = 1500 * time.Millisecond
+	// largeUserTimeout takes its place while a request is sent that may not fit into the
+	// endpoint's receive buffer. The timeout then also limits how long the endpoint may
+	// leave the request unread, so that it has to be longer than the endpoint's pauses.
+	largeUserTimeout = 3 * time.Second
 )
 
 // Pool makes calls on reusable connections, with at most one call at a time on each. It
@@ -149,7 +153,8 @@
 }
 
 // release keeps a connection for later calls. It closes the connection if the pool is
-// closed or holds maxIdleConns idle connections to the address already.
+// closed or holds maxIdleConns idle connections to the address already, or if the kernel
+// does not accept its timeout, which means that the connection has failed.
 func (p *Pool) release(a ident.Address, c *poolConn) {
 	c.idleSince = time.Now()
 	if c.expires.IsZero() || c.expires.After(c.idleSince.Add(maxIdleTime)) {
@@ -157,7 +162,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[a]) >= maxIdleConns {
+	if p.closed || len(p.idle[a]) >= maxIdleConns || c.setUserTimeout(poolUserTimeout) != nil {
 		_ = c.Close()
 		return
 	}
@@ -193,9 +198,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := setUserTimeout(conn, poolUserTimeout); err != nil {
+	c := newPoolConn(conn)
+	if err := c.setUserTimeout(poolUserTimeout); err != nil {
 		_ = conn.Close()
 		return nil, err
 	}
-	return newPoolConn(conn), nil
+	return c, nil
 }
--- a/io/httpcall/poolconn.go
+++ b/io/httpcall/poolconn.go
@@ -47,6 +47,8 @@
 	expires   time.Time     // Not reused from this time on.
 	used      bool          // A call was sent on it.
 	carried   []carriedCall
+
+	userTimeout time.Duration // See setUserTimeout.
 }
 
 // carriedCall is a call with an id that was sent on a connection.
@@ -61,6 +63,19 @@
 	return &poolConn{Conn: conn, limiter: limiter, br: bufio.NewReaderSize(limiter, connBufferBytes)}
 }
 
+// setUserTimeout sets how long sent bytes may stay unacknowledged or unread before the
+// kernel ends the connection.
+func (c *poolConn) setUserTimeout(d time.Duration) error {
+	if c.userTimeout == d {
+		return nil
+	}
+	if err := setUserTimeout(c.Conn, d); err != nil {
+		return err
+	}
+	c.userTimeout = d
+	return nil
+}
+
 // beginHead limits the bytes that are read until endHead.
 func (c *poolConn) beginHead() { c.limiter.inHead, c.limiter.remaining = true, maxHeadBytes }
 
--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -74,6 +74,9 @@
 // exchange writes the request and reads the response.
 func (x *poolExchange) exchange(message []byte) (bool, error) {
 	if len(message) > maxSyncWriteBytes {
+		if err := x.conn.setUserTimeout(largeUserTimeout); err != nil {
+			return false, err
+		}
 		x.writeDone = make(chan error, 1)
 		go func() {
 			_, err := x.conn.Write(message)
