core/forward: a reservation that is granted late is released

What callers could see: while a decode engine pauses, requests ask it for reservations and give up after 250 ms. The engine makes the reservation all the same, and keeps memory for nobody until it expires after 1.5 s, so that others are refused.

Cause: the call ended with the wait for it, so that nobody learned the id of the reservation. The same happened when the caller left during the call.

Now the request still goes on to the next engine after 250 ms, but the call itself goes on for up to 3 s, longer than the longest pause of a sound engine (2 s). If the engine answers, its reservation is released.

Before: TestLateReservationIsReleased: FAIL in both cases, "the reservation was not released". After: passes.

Ruled out: cancelling the call. The engine has the request already; closing the connection doesn't say whether it made the reservation.

Changed tests: TestContinuedStreamReleasesReplacement and TestStreamThatBreaksDuringStallIsResumed had a fake engine answer a reservation after 600 ms, which no real call waited for; the fake ignored the time limit, which the router now enforces itself. They still ask for the same results, now by the order of events in place of sleeps. The first failed under -race before this, as the release came from another goroutine after the answer.

--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -22,8 +22,11 @@
 	reserveRefusalPause = 150 * time.Millisecond
 	// reserveInterval is the pause between two rounds.
 	reserveInterval = 30 * time.Millisecond
-	// reserveCallTimeout is the timeout of one call for a reservation.
+	// reserveCallTimeout is how long a request waits for one call for a reservation.
 	reserveCallTimeout = 250 * time.Millisecond
+	// lateReservationTimeout is the timeout of the call itself. Engines without a fault may
+	// pause for up to 2 s.
+	lateReservationTimeout = 3 * time.Second
 	// prefillTimeMargin is the factor by which the estimated prefill time is multiplied when
 	// the latest useful time of a reservation is computed.
 	prefillTimeMargin = 1.5
@@ -120,9 +123,7 @@
 		}
 		end := e.BeginRequest(size)
 		j.reserveCalls++
-		callCtx, cancel := context.WithTimeout(ctx, reserveCallTimeout)
-		id, err := r.Calls.Reserve(callCtx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
-		cancel()
+		id, err := r.callReserve(ctx, e, size)
 		if err == nil {
 			return decodeReservation{engine: e, id: id, end: end}, true
 		}
@@ -140,6 +141,46 @@
 	return decodeReservation{}, false
 }
 
+// reserveResult is the result of a call for a reservation.
+type reserveResult struct {
+	id  string
+	err error
+}
+
+// callReserve asks an engine for a reservation. The call goes on after its timeout, since
+// the engine may have made the reservation: if it answers then, the reservation is released.
+func (r *Router) callReserve(ctx context.Context, e *engines.Engine, size ident.Tokens) (string, error) {
+	now := r.now()
+	callCtx, cancelCall := context.WithTimeout(context.WithoutCancel(ctx), lateReservationTimeout)
+	result := make(chan reserveResult, 1)
+	go func() {
+		defer cancelCall()
+		id, err := r.Calls.Reserve(callCtx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
+		result <- reserveResult{id, err}
+	}()
+	timeout := time.NewTimer(reserveCallTimeout)
+	defer timeout.Stop()
+	var err error
+	select {
+	case res := <-result:
+		return res.id, res.err
+	case <-timeout.C:
+		err = fault.New(fault.EndpointTimeout, "engine %s did not answer a reservation in time", e.ID)
+	case <-ctx.Done():
+		err = fault.From(context.Cause(ctx))
+	}
+	go r.releaseLate(e, result)
+	return "", err
+}
+
+// releaseLate waits for the result of a call for a reservation that is not needed any more,
+// and releases the reservation.
+func (r *Router) releaseLate(e *engines.Engine, result <-chan reserveResult) {
+	if res := <-result; res.err == nil {
+		r.Calls.ReleaseReservation(e.Entry, res.id)
+	}
+}
+
 // reservationSize returns the memory, in tokens, to be reserved at a decode engine.
 func (j *job) reservationSize() ident.Tokens { return j.PromptTokens + j.reservedOutput() }
 
--- /dev/null
+++ b/core/forward/silence_test.go
@@ -0,0 +1,80 @@
+package forward
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"monsoonfork/core/engines"
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+)
+
+// pauseReservations has an engine answer reservations only at a given time, as an engine that
+// pauses; it makes them when they arrive. Reservations have the id of their engine.
+func (h *harness) pauseReservations(id ident.EndpointID, until time.Time) {
+	h.router.Calls.Reserve = func(ctx context.Context, e engines.Entry, _ ident.Tokens, _, _ time.Time) (string, error) {
+		if e.ID != id {
+			return string(e.ID), nil
+		}
+		timer := time.NewTimer(time.Until(until))
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			return string(e.ID), nil
+		case <-ctx.Done():
+			return "", fault.From(context.Cause(ctx)).WithRan(fault.MayHaveRun)
+		}
+	}
+}
+
+// waitForRelease waits until a reservation is released, and reports whether it was.
+func (h *harness) waitForRelease(id string, limit time.Duration) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		h.mu.Lock()
+		released := slices.Contains(h.released, id)
+		h.mu.Unlock()
+		if released {
+			return true
+		}
+	}
+	return false
+}
+
+// preferEngine makes an engine the first to be asked, by load at the other one.
+func (h *harness) preferEngine(id ident.EndpointID) {
+	for _, e := range h.table.All() {
+		if e.Service == "model" && e.ID != id {
+			e.BeginRequest(1000)
+		}
+	}
+}
+
+// TestLateReservationIsReleased has a decode engine pause while it is asked for a
+// reservation. The reservation is used by nobody, and must not occupy the engine's memory
+// until it expires; also if the caller has left meanwhile.
+func TestLateReservationIsReleased(t *testing.T) {
+	t.Parallel()
+	for name, callerLeaves := range map[string]bool{"another engine is used": false, "caller leaves": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			h.preferEngine("d1")
+			h.pauseReservations("d1", time.Now().Add(2*time.Second))
+			h.send = func(_ int, c Call, sink Sink) error { return sendAnswer(sink, 200, "id: 1\ndata: a\n\n") }
+			ctx, cancel := context.WithCancelCause(context.Background())
+			defer cancel(nil)
+			if callerLeaves {
+				time.AfterFunc(reserveCallTimeout/2, func() { cancel(fault.New(fault.CallerGone, "gone")) })
+			}
+			got := h.serveContext(ctx, "stream")
+			if !callerLeaves && (got.err != nil || h.sent[0].Engine.ID != "d2") {
+				t.Errorf("%v, calls %v; want an answer of d2", got.err, h.sent)
+			}
+			if !h.waitForRelease("d1", 3*time.Second) {
+				t.Error("the reservation was not released")
+			}
+		})
+	}
+}
--- a/core/forward/stall_test.go
+++ b/core/forward/stall_test.go
@@ -223,18 +223,25 @@
 func TestContinuedStreamReleasesReplacement(t *testing.T) {
 	t.Parallel()
 	h := newStallHarness(t, 2)
+	asked, continued := make(chan struct{}), make(chan struct{})
 	var reservations atomic.Int64
 	h.reserve = func(e engines.Entry) (string, error) {
-		if reservations.Add(1) > 1 {
-			time.Sleep(2 * (silence - minStallTimeout))
+		if reservations.Add(1) == 2 {
+			close(asked)
+			<-continued
 		}
 		return string(e.ID), nil
 	}
-	h.send = func(_ int, c Call, sink Sink) error {
-		if err := sendStream(c, sink, silentAfter, silence); err != nil {
-			return err
+	h.send = func(_ int, _ Call, sink Sink) error {
+		_ = sendAnswer(sink, 200, eventText(1), eventText(2))
+		<-asked
+		for n := 3; n <= streamEvents; n++ {
+			if err := sink.OnData([]byte(eventText(n))); err != nil {
+				return err
+			}
 		}
-		time.Sleep(2 * (silence - minStallTimeout))
+		close(continued)
+		time.Sleep(reserveCallTimeout)
 		return nil
 	}
 	checkComplete(t, h.serve("resume"))
@@ -249,10 +256,12 @@
 func TestStreamThatBreaksDuringStallIsResumed(t *testing.T) {
 	t.Parallel()
 	h := newStallHarness(t, 2)
+	asked := make(chan struct{})
 	var reservations atomic.Int64
 	h.reserve = func(engines.Entry) (string, error) {
 		if reservations.Add(1) == 2 {
-			time.Sleep(2 * (silence - minStallTimeout))
+			close(asked)
+			time.Sleep(reserveCallTimeout / 2)
 		}
 		return "reservation", nil
 	}
@@ -261,7 +270,7 @@
 			return sendStream(c, sink, 0, 0)
 		}
 		_ = sendAnswer(sink, 200, eventText(1))
-		time.Sleep(silence)
+		<-asked
 		return errBroken
 	}
 	checkComplete(t, h.serve("resume"))
