core/engines, core/forward: a decode engine is used again after its silence

What callers could see: a decode engine that paused for 0.5 to 2 s got no stream for another 3 to 6 s, so that the others carried its load.

Cause: a reservation without an answer, and a stalled stream that was resumed elsewhere, counted as failures in the engine's failure rate, whose half-life is 2 s. With a penalty of four times the rate an engine with few calls is ranked last until the rate is below a few percent, many half-lives later; and as it gets no calls, no success lowers the rate earlier.

Now an engine that has sent nothing is silent, which is not a failure: it is ranked last for as long as it has been silent so far, at most 4 s, then gets one call. Anything that it sends ends the silence: data of a stream, an answer, also to a reservation that nobody waits for any more. While such a reservation is open, no other call is made. An engine that has answered others in the second half of the wait is not silent; the call counts as failed, as before.

Before: TestDecodeEngineIsUsedAfterItsSilence: FAIL, "left out for 5.017s after a silence of 1s" (end of the test).

Ruled out: a shorter half-life of the failure rate; it would also forget engines that fail part of their requests.

--- a/core/engines/engine.go
+++ b/core/engines/engine.go
@@ -57,6 +57,7 @@
 	stage            Stage
 	revision         int64
 	answerFailures   failureRate   // Failure rate of calls.
+	silence          silence       // Whether it leaves calls unanswered.
 	fetchFailures    failureRate   // Failure rate of transfers of prefilled prompts to it.
 	running          int           // Open requests of this instance.
 	reserved         ident.Tokens  // Memory reserved by this instance.
@@ -73,11 +74,13 @@
 
 // RecordSuccess records a successful answer.
 func (e *Engine) RecordSuccess(now time.Time) {
+	e.RecordAnswer(now)
 	e.recordOutcome(&e.answerFailures, 0, failedAnswerWeight, now)
 }
 
 // RecordFailure records an answer that reports a failure or a refusal.
 func (e *Engine) RecordFailure(now time.Time) {
+	e.RecordAnswer(now)
 	e.recordOutcome(&e.answerFailures, 1, failedAnswerWeight, now)
 }
 
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -19,9 +20,10 @@
 type stream struct {
 	*job
 	splitter      eventSplitter
-	isEventStream bool // The answer is a stream of server-sent events.
-	attempts      int  // Number of attempts, with the current one.
-	possibleRuns  int  // Number of engines that may have run the request.
+	isEventStream bool      // The answer is a stream of server-sent events.
+	heardAt       time.Time // When the last data of the current call arrived; when it was sent if none did.
+	attempts      int       // Number of attempts, with the current one.
+	possibleRuns  int       // Number of engines that may have run the request.
 
 	replacement  *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
 	stalledAt    ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
@@ -133,7 +135,7 @@
 		s.localPrefill = s.beginLocalPrefill(e)
 		defer s.endLocalPrefill()
 	}
-	err := s.send(ctx, call)
+	err := s.send(ctx, e, call)
 	if err == nil {
 		now := s.router.now()
 		e.RecordSuccess(now)
@@ -161,7 +163,7 @@
 		e.RecordFetch(false, s.router.now())
 		return
 	}
-	s.recordEngineOutcome(e, callResult{err: f})
+	s.recordEngineOutcome(e, callResult{heardAt: s.heardAt, err: f})
 }
 
 // freePrompt has the prefill engine free a prefilled prompt.
@@ -174,18 +176,21 @@
 // send makes the call and forwards the answer: a stream of events as it arrives, any
 // other answer when it is complete. A resumable stream that stalls is cancelled as soon
 // as it can be resumed at another engine.
-func (s *stream) send(ctx context.Context, call Call) error {
+func (s *stream) send(ctx context.Context, e *engines.Engine, call Call) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	s.heardAt = s.router.now()
 	monitor := s.monitorStalls(ctx, cancel)
 	buffered := callResult{}
 	err := s.router.Calls.Send(ctx, call, Sink{
 		OnHead: func(h Head) error {
+			s.recordData(e)
 			buffered.head = h
 			s.isEventStream = strings.HasPrefix(h.Header.Get("Content-Type"), "text/event-stream") && h.Status < 300
 			return s.checkHead(h)
 		},
 		OnData: func(data []byte) error {
+			s.recordData(e)
 			if err := monitor.recordData(); err != nil {
 				return err
 			}
@@ -214,6 +219,12 @@
 	return s.sendEvents(buffered.head, s.splitter.partial)
 }
 
+// recordData records that the engine of the current call has sent something.
+func (s *stream) recordData(e *engines.Engine) {
+	s.heardAt = s.router.now()
+	e.RecordAnswer(s.heardAt)
+}
+
 // checkHead rejects an answer with a server error while another engine may still be
 // tried, and an answer other than events after events have been sent to the caller.
 func (s *stream) checkHead(h Head) error {
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -34,7 +34,8 @@
 	engine    *engines.Engine
 	head      Head
 	body      []byte
-	forwarded bool // The answer was sent to the caller as it arrived, without buffering.
+	forwarded bool      // The answer was sent to the caller as it arrived, without buffering.
+	heardAt   time.Time // When the last part of the answer arrived; when the call was sent if none did.
 	err       error
 }
 
@@ -175,12 +176,19 @@
 // callEngine calls one engine and buffers its answer. An answer of more than
 // maxBufferedAnswer bytes is forwarded without buffering.
 func (p *plainCalls) callEngine(ctx context.Context, e *engines.Engine, call Call) callResult {
-	res := callResult{engine: e}
+	res := callResult{engine: e, heardAt: p.router.now()}
+	e.BeginTrial(res.heardAt)
 	end := e.BeginRequest(0)
 	defer end()
 	err := p.router.Calls.Send(ctx, call, Sink{
-		OnHead: func(h Head) error { res.head = h; return nil },
+		OnHead: func(h Head) error {
+			res.head, res.heardAt = h, p.router.now()
+			e.RecordAnswer(res.heardAt)
+			return nil
+		},
 		OnData: func(data []byte) error {
+			res.heardAt = p.router.now()
+			e.RecordAnswer(res.heardAt)
 			if len(res.body)+len(data) > maxBufferedAnswer || res.forwarded {
 				return p.forwardChunk(&res, data)
 			}
@@ -223,6 +231,15 @@
 	case f.Kind == fault.EndpointRefused:
 		e.RecordFailure(now)
 	case f.Kind == fault.EndpointFailed, f.Kind == fault.EndpointTimeout, f.Kind == fault.AnswerBroken:
+		j.recordNoResponse(e, res.heardAt, f)
+	}
+}
+
+// recordNoResponse records the error of a call without a complete response, from which the
+// last part arrived at the given time: that the engine is silent, or else that it has failed.
+func (j *job) recordNoResponse(e *engines.Engine, heardAt time.Time, err error) {
+	now := j.router.now()
+	if !fault.Is(err, fault.EndpointTimeout) || !e.RecordNoAnswer(heardAt, now) {
 		e.RecordIncompleteResponse(now)
 	}
 }
--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -173,7 +173,7 @@
 	now := s.router.now()
 	took := now.Sub(started)
 	if err != nil {
-		s.recordEngineOutcome(e, callResult{err: err})
+		s.recordEngineOutcome(e, callResult{heardAt: started, err: err})
 		e.RecordQueueDelay(took, now)
 		return "", err
 	}
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -122,6 +122,7 @@
 			continue
 		}
 		end := e.BeginRequest(size)
+		e.BeginTrial(now)
 		j.reserveCalls++
 		id, err := r.callReserve(ctx, e, size)
 		if err == nil {
@@ -131,12 +132,11 @@
 		if ctx.Err() != nil {
 			return decodeReservation{}, false
 		}
-		now = r.now()
 		if fault.Is(err, fault.EndpointRefused) {
-			e.MarkFull(size, now.Add(reserveRefusalPause))
+			e.MarkFull(size, r.now().Add(reserveRefusalPause))
 			continue
 		}
-		e.RecordIncompleteResponse(now)
+		j.recordNoResponse(e, now, err)
 	}
 	return decodeReservation{}, false
 }
@@ -156,6 +156,9 @@
 	go func() {
 		defer cancelCall()
 		id, err := r.Calls.Reserve(callCtx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
+		if err == nil || fault.Is(err, fault.EndpointRefused) {
+			e.RecordAnswer(r.now())
+		}
 		result <- reserveResult{id, err}
 	}()
 	timeout := time.NewTimer(reserveCallTimeout)
@@ -169,7 +172,11 @@
 	case <-ctx.Done():
 		err = fault.From(context.Cause(ctx))
 	}
-	go r.releaseLate(e, result)
+	endLateCall := e.BeginLateCall()
+	go func() {
+		defer endLateCall()
+		r.releaseLate(e, result)
+	}()
 	return "", err
 }
 
--- a/core/forward/selection.go
+++ b/core/forward/selection.go
@@ -52,9 +52,12 @@
 }
 
 // enginePenalty returns the part of an engine's rank that is due to its failure rate and
-// its failure domain.
+// its failure domain. A silent engine counts as failing.
 func (r *Router) enginePenalty(e *engines.Engine, now time.Time) float64 {
 	p := failurePenalty * e.FailureRate(now)
+	if e.IsSilent(now) {
+		p = failurePenalty
+	}
 	if e.Domain != r.domain {
 		p += remoteDomainPenalty
 	}
--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -62,7 +62,7 @@
 			h := newHarness(t)
 			h.preferEngine("d1")
 			h.pauseReservations("d1", time.Now().Add(2*time.Second))
-			h.send = func(_ int, c Call, sink Sink) error { return sendAnswer(sink, 200, "id: 1\ndata: a\n\n") }
+			h.send = func(_ int, _ Call, sink Sink) error { return sendAnswer(sink, 200, "id: 1\ndata: a\n\n") }
 			ctx, cancel := context.WithCancelCause(context.Background())
 			defer cancel(nil)
 			if callerLeaves {
@@ -78,3 +78,38 @@
 		})
 	}
 }
+
+// serveStreamsUntil serves streams one after another until an engine has been called after
+// the end of its silence, or the limit has passed since then. It returns the time that it took.
+func (h *harness) serveStreamsUntil(called func() bool, silenceEnds time.Time, limit time.Duration) time.Duration {
+	for time.Since(silenceEnds) < limit {
+		if got := h.serve("stream"); got.err != nil {
+			h.t.Error(got.err)
+		}
+		if time.Now().After(silenceEnds) && called() {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return time.Since(silenceEnds)
+}
+
+// TestDecodeEngineIsUsedAfterItsSilence has a decode engine pause for a second and go on. It
+// must not be left out for longer than it was silent.
+func TestDecodeEngineIsUsedAfterItsSilence(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	h.preferEngine("d1")
+	const silent = time.Second
+	silenceEnds := time.Now().Add(silent)
+	h.pauseReservations("d1", silenceEnds)
+	h.send = func(_ int, _ Call, sink Sink) error { return sendAnswer(sink, 200, "id: 1\ndata: a\n\n") }
+	calledAgain := func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.sent[len(h.sent)-1].Engine.ID == "d1"
+	}
+	if took := h.serveStreamsUntil(calledAgain, silenceEnds, 5*time.Second); took > silent {
+		t.Errorf("left out for %v after a silence of %v", took, silent)
+	}
+}
