--- a/core/contain/contain.go
+++ b/core/contain/contain.go
@@ -19,10 +19,15 @@
 	Stack string
 }
 
-// Call calls f and returns its panic, or nil.
+// Call calls f and returns its panic, or nil. A *Panic of another goroutine that f panics
+// with is returned as it is.
 func Call(f func()) (p *Panic) {
 	defer func() {
-		if cause := recover(); cause != nil {
+		switch cause := recover().(type) {
+		case nil:
+		case *Panic:
+			p = cause
+		default:
 			p = &Panic{Cause: fmt.Sprintf("%.200v", cause), Stack: string(debug.Stack())}
 		}
 	}()
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"monsoonfork/core/contain"
 	"monsoonfork/core/engines"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -22,8 +23,11 @@
 	reserveRefusalPause = 150 * time.Millisecond
 	// reserveInterval is the pause between two rounds.
 	reserveInterval = 30 * time.Millisecond
-	// reserveCallTimeout is the timeout of one call for a reservation.
+	// reserveCallTimeout is how long a request waits for one call for a reservation.
 	reserveCallTimeout = 250 * time.Millisecond
+	// lateReservationTimeout is the timeout of the call itself. Engines without a fault may
+	// pause for up to 2 s.
+	lateReservationTimeout = 3 * time.Second
 	// prefillTimeMargin is the factor by which the estimated prefill time is multiplied when
 	// the latest useful time of a reservation is computed.
 	prefillTimeMargin = 1.5
@@ -134,12 +138,11 @@
 		if ctx.Err() != nil {
 			return decodeReservation{}, false
 		}
-		now = r.now()
 		if fault.Is(err, fault.EndpointRefused) {
-			e.MarkFull(size, now.Add(reserveRefusalPause))
+			e.MarkFull(size, r.now().Add(reserveRefusalPause))
 			continue
 		}
-		e.RecordIncompleteResponse(now)
+		j.recordNoResponse(e, now, err)
 	}
 	return decodeReservation{}, false
 }
@@ -153,10 +156,9 @@
 			end()
 		}
 	}()
+	e.BeginTrial(now)
 	j.reserveCalls++
-	ctx, cancel := context.WithTimeout(ctx, reserveCallTimeout)
-	defer cancel()
-	id, err := j.router.Calls.Reserve(ctx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
+	id, err := j.callReserve(ctx, e, size)
 	if err != nil {
 		return decodeReservation{}, err
 	}
@@ -164,6 +166,67 @@
 	return decodeReservation{engine: e, id: id, end: end}, nil
 }
 
+// reserveResult is the result of a call for a reservation.
+type reserveResult struct {
+	id    string
+	err   error
+	panic *contain.Panic // The call has panicked.
+}
+
+// callReserve asks an engine for a reservation. The call goes on after its timeout, since
+// the engine may have made the reservation: if it answers then, the reservation is released.
+func (j *job) callReserve(ctx context.Context, e *engines.Engine, size ident.Tokens) (string, error) {
+	r := j.router
+	now := r.now()
+	callCtx, cancelCall := context.WithTimeout(context.WithoutCancel(ctx), lateReservationTimeout)
+	result := make(chan reserveResult, 1)
+	go func() {
+		defer cancelCall()
+		var res reserveResult
+		res.panic = contain.Call(func() {
+			res.id, res.err = r.Calls.Reserve(callCtx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
+		})
+		if res.panic == nil && res.err == nil || fault.Is(res.err, fault.EndpointRefused) {
+			e.RecordAnswer(r.now())
+		}
+		result <- res
+	}()
+	timeout := time.NewTimer(reserveCallTimeout)
+	defer timeout.Stop()
+	var err error
+	select {
+	case res := <-result:
+		if res.panic != nil {
+			panic(res.panic)
+		}
+		return res.id, res.err
+	case <-timeout.C:
+		err = fault.New(fault.EndpointTimeout, "engine %s did not answer a reservation in time", e.ID)
+	case <-ctx.Done():
+		err = fault.From(context.Cause(ctx))
+	}
+	endLateCall := e.BeginLateCall()
+	go func() {
+		defer endLateCall()
+		j.releaseLate(e, result)
+	}()
+	return "", err
+}
+
+// releaseLate waits for the result of a call for a reservation that is not needed any more,
+// and releases the reservation.
+func (j *job) releaseLate(e *engines.Engine, result <-chan reserveResult) {
+	// The error is ignored: a panic is logged, and nothing waits for the release.
+	_ = j.boundary().Run("late reservation", func() {
+		switch res := <-result; {
+		case res.panic != nil:
+			panic(res.panic)
+		case res.err == nil:
+			j.router.Calls.ReleaseReservation(e.Entry, res.id)
+		}
+	})
+}
+
 // reservationSize returns the memory, in tokens, to be reserved at a decode engine.
 func (j *job) reservationSize() ident.Tokens { return j.PromptTokens + j.reservedOutput() }
 
