share: instances do not each admit the same tokens

One organisation that asks for several times its rate got more than rate and burst in 8 s, and then nothing for seconds.

The excess is in seconds 20 to 29, when every instance has the whole rate and no cut or restart is under way.

Cause: every instance has a replica of the whole bucket. With 60 instances all levels turn positive at the same moment. The levels turn negative and make up for it, but a window that begins and ends with such a peak holds one too many.

Fix: reports carry what was asked for as well. If the others are asked for more than rate + level / 0.9 s, an instance admits that proportion of its requests, at random, so that all together admit what there is. Inside its rate nothing changes for an organisation.

TestOrganisationInsideRateIsAdmitted passes before and after: 1 or 60 instances, no more than 0.5% refused for which a single token bucket had the tokens.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"time"
 
 	"monsoonfork/core/ident"
@@ -14,7 +15,34 @@
 	level      float64 // Available tokens; negative when other instances used more than was left.
 	refilledAt time.Time
 
-	admitted int64 // Tokens admitted by this instance since it started, less refunds.
+	admitted int64  // Tokens admitted by this instance since it started, less refunds.
+	asked    int64  // Tokens of all requests at this instance since it started.
+	demand   demand // Tokens of all requests at the other instances.
+}
+
+// demandWindow is the time over which demand is averaged.
+const demandWindow = 500 * time.Millisecond
+
+// demand is an exponentially decaying sum of the tokens that were asked for.
+type demand struct {
+	sum float64
+	at  time.Time
+}
+
+// add counts tokens that were asked for.
+func (d *demand) add(tokens int64, now time.Time) {
+	d.sum = d.decayed(now) + float64(max(tokens, 0))
+	d.at = now
+}
+
+// perSecond returns the average number of tokens that are asked for in a second.
+func (d *demand) perSecond(now time.Time) float64 {
+	return d.decayed(now) / demandWindow.Seconds()
+}
+
+// decayed returns what is left of the sum at a later time.
+func (d *demand) decayed(now time.Time) float64 {
+	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/demandWindow.Seconds())
 }
 
 // refill adds the tokens accrued since the last call. It uses the monotonic clock,
@@ -39,18 +67,35 @@
 	b.level = min(b.level, burst*fraction)
 }
 
-// tryCharge deducts cost from the bucket, or returns when enough will have accrued. A
-// request larger than the bucket is admitted when the bucket is full.
-func (b *bucket) tryCharge(cost ident.Tokens, now time.Time) (ok bool, retryAt time.Time) {
+// tryCharge deducts cost from the bucket, or returns when to retry. A request larger
+// than the bucket is admitted when the bucket is full. draw is a random number in
+// [0, 1). Of a demand above what is available, each instance admits the same proportion
+// at random, as all have nearly the same level and each could admit all of it. A full
+// bucket shows that the demand has ended.
+func (b *bucket) tryCharge(cost ident.Tokens, now time.Time, draw float64) (ok bool, retryAt time.Time) {
 	b.refill(now)
+	b.asked += int64(cost)
 	need := min(float64(cost), b.burst*b.fraction)
-	if b.level >= need {
-		b.level -= float64(cost)
-		b.admitted += int64(cost)
-		return true, time.Time{}
+	if b.level < need {
+		perSecond := max(b.rate*b.fraction, 1)
+		return false, now.Add(time.Duration((need - b.level) / perSecond * float64(time.Second)))
 	}
-	perSecond := max(b.rate*b.fraction, 1)
-	return false, now.Add(time.Duration((need - b.level) / perSecond * float64(time.Second)))
+	full := b.level >= b.burst*b.fraction
+	if !full && draw >= b.admissibleProportion(now) {
+		return false, now.Add(propagationTime)
+	}
+	b.level -= float64(cost)
+	b.admitted += int64(cost)
+	return true, time.Time{}
+}
+
+// admissibleProportion returns the proportion of the demand at the other instances that
+// can be admitted; what this instance admits is deducted at once. The level is spread
+// over twice the time that the others need to know of an admission, since a level that
+// is spent sooner swings between both signs.
+func (b *bucket) admissibleProportion(now time.Time) float64 {
+	available := b.rate*b.fraction + max(b.level, 0)/(2*propagationTime.Seconds())
+	return available / max(b.demand.perSecond(now), 1)
 }
 
 // refund returns the tokens of a request that was admitted.
@@ -59,8 +104,9 @@
 	b.admitted -= int64(cost)
 }
 
-// chargeOthers deducts tokens that other instances have admitted.
-func (b *bucket) chargeOthers(tokens int64, now time.Time) {
+// chargeOthers deducts tokens that other instances have admitted, and counts their demand.
+func (b *bucket) chargeOthers(u usage, now time.Time) {
 	b.refill(now)
-	b.level -= float64(tokens)
+	b.level -= float64(u.admitted)
+	b.demand.add(u.asked, now)
 }
--- a/core/share/bucket_test.go
+++ b/core/share/bucket_test.go
@@ -27,7 +27,7 @@
 	admitted := ident.Tokens(0)
 	for range 1000 {
 		now = now.Add(10 * time.Millisecond)
-		if ok, _ := b.tryCharge(40, now); ok {
+		if ok, _ := b.tryCharge(40, now, 0); ok {
 			admitted += 40
 		}
 	}
@@ -43,11 +43,11 @@
 	b := &bucket{refilledAt: now}
 	b.setLimit(1000, 1000, 1, now.Add(time.Second))
 	now = now.Add(time.Second)
-	b.chargeOthers(2000, now)
-	if ok, retryAt := b.tryCharge(100, now.Add(time.Second)); ok || retryAt.Sub(now) < time.Second {
+	b.chargeOthers(usage{admitted: 2000, asked: 2000}, now)
+	if ok, retryAt := b.tryCharge(100, now.Add(time.Second), 0); ok || retryAt.Sub(now) < time.Second {
 		t.Errorf("granted %v, retry after %v; want a refusal while the level is negative", ok, retryAt.Sub(now))
 	}
-	if ok, _ := b.tryCharge(100, now.Add(1200*time.Millisecond)); !ok {
+	if ok, _ := b.tryCharge(100, now.Add(1200*time.Millisecond), 0); !ok {
 		t.Error("refused after the level was positive again")
 	}
 }
@@ -59,13 +59,13 @@
 	now := time.Now()
 	b := &bucket{refilledAt: now}
 	b.setLimit(1000, 1000, 0.1, now) // Empty.
-	if ok, _ := b.tryCharge(700, now.Add(50*time.Millisecond)); ok {
+	if ok, _ := b.tryCharge(700, now.Add(50*time.Millisecond), 0); ok {
 		t.Error("granted although the bucket was not full")
 	}
-	if ok, _ := b.tryCharge(700, now.Add(time.Second)); !ok {
+	if ok, _ := b.tryCharge(700, now.Add(time.Second), 0); !ok {
 		t.Error("refused although the bucket was full")
 	}
-	if ok, _ := b.tryCharge(1, now.Add(5*time.Second)); ok {
+	if ok, _ := b.tryCharge(1, now.Add(5*time.Second), 0); ok {
 		t.Error("granted while the level was negative")
 	}
 }
--- a/core/share/calls.go
+++ b/core/share/calls.go
@@ -34,7 +34,7 @@
 // reportTo reports this instance's usage to the collector of its domain.
 func (s *Shares) reportTo(ctx context.Context, collector ident.InstanceID) error {
 	reply := &ReportReply{}
-	if err := s.call(ctx, collector, MethodReport, &Report{Admitted: s.admittedTotals()}, reply); err != nil {
+	if err := s.call(ctx, collector, MethodReport, &Report{Admitted: s.ownTotals()}, reply); err != nil {
 		return err
 	}
 	s.applyReply(collector, reply)
--- a/core/share/collect.go
+++ b/core/share/collect.go
@@ -13,8 +13,24 @@
 	domain      ident.DomainID
 	liveMembers int // Live members of the domain, as reported by a collector; 0 for a member.
 	reportedAt  time.Time
-	baseline    map[ident.OrganisationID]int64 // Tokens that are not counted, as no report was valid when they were admitted.
-	latest      map[ident.OrganisationID]int64 // Tokens in the last report.
+	baseline    map[ident.OrganisationID]usage // What is not counted, as no report was valid at that time.
+	latest      map[ident.OrganisationID]usage // What the last report contained.
+}
+
+// usage is how many tokens of an organisation were admitted, and asked for.
+type usage struct{ admitted, asked int64 }
+
+// usageOf returns the usage in a message.
+func usageOf(u *Usage) usage { return usage{admitted: u.GetTokens(), asked: u.GetAsked()} }
+
+// plus returns the sum of two usages.
+func (u usage) plus(v usage) usage {
+	return usage{admitted: u.admitted + v.admitted, asked: u.asked + v.asked}
+}
+
+// minus returns the difference of two usages.
+func (u usage) minus(v usage) usage {
+	return usage{admitted: u.admitted - v.admitted, asked: u.asked - v.asked}
 }
 
 // usageTotals adds up the usage that is reported to a collector.
@@ -33,14 +49,14 @@
 	return usageTotals{now: now, sources: make(map[ident.InstanceID]*source)}
 }
 
-// record stores the tokens that a source has admitted since it started.
-func (s *usageTotals) record(from ident.InstanceID, domain ident.DomainID, members int, admitted []*Usage) {
+// record stores the usage that a source has reported since it started.
+func (s *usageTotals) record(from ident.InstanceID, domain ident.DomainID, members int, reported []*Usage) {
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	src := s.sources[from]
 	if src == nil {
-		src = &source{domain: domain, baseline: make(map[ident.OrganisationID]int64), latest: make(map[ident.OrganisationID]int64)}
+		src = &source{domain: domain, baseline: make(map[ident.OrganisationID]usage), latest: make(map[ident.OrganisationID]usage)}
 		s.dropExpired(now)
 		s.sources[from] = src
 	}
@@ -48,12 +64,12 @@
 	// fraction of the rate that is set aside for it.
 	expired := now.Sub(src.reportedAt) >= reportTTL
 	src.reportedAt, src.liveMembers = now, members
-	for _, u := range admitted {
-		name, tokens := ident.OrganisationID(u.GetOrganisation()), u.GetTokens()
+	for _, u := range reported {
+		name, latest := ident.OrganisationID(u.GetOrganisation()), usageOf(u)
 		if expired {
-			src.baseline[name] += tokens - src.latest[name]
+			src.baseline[name] = src.baseline[name].plus(latest.minus(src.latest[name]))
 		}
-		src.latest[name] = tokens
+		src.latest[name] = latest
 	}
 }
 
@@ -85,19 +101,19 @@
 // total adds up the sources that include accepts. Organisations that only other
 // sources report are listed with 0 tokens. The caller holds mu.
 func (s *usageTotals) total(include func(ident.InstanceID, *source) bool) []*Usage {
-	byName := make(map[ident.OrganisationID]int64)
+	byName := make(map[ident.OrganisationID]usage)
 	for id, src := range s.sources {
-		for name, tokens := range src.latest {
-			counted := int64(0)
+		for name, latest := range src.latest {
+			counted := usage{}
 			if include(id, src) {
-				counted = tokens - src.baseline[name]
+				counted = latest.minus(src.baseline[name])
 			}
-			byName[name] += counted
+			byName[name] = byName[name].plus(counted)
 		}
 	}
 	list := make([]*Usage, 0, len(byName))
-	for name, tokens := range byName {
-		list = append(list, &Usage{Organisation: string(name), Tokens: tokens})
+	for name, u := range byName {
+		list = append(list, &Usage{Organisation: string(name), Tokens: u.admitted, Asked: u.asked})
 	}
 	return list
 }
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -134,6 +134,9 @@
 	if err := f.shares[ranked[2].ID].reportTo(t.Context(), next); err != nil {
 		t.Fatal(err)
 	}
+	for _, s := range f.shares {
+		s.random = func() float64 { return 0.999 } // Refuses whenever it may refuse at all.
+	}
 	refused := 0
 	o := organisation(10_000, 10_000)
 	for i := range 100 {
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -3,6 +3,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	reportInterval = 150 * time.Millisecond
 	// reportTTL is how long a report, or the reply to one, is valid.
 	reportTTL = 800 * time.Millisecond
+	// propagationTime is how long it takes until all instances know what one of them has
+	// admitted: a report, an exchange between collectors, and a reply.
+	propagationTime = 3 * reportInterval
 	// callTimeout bounds one call of a report or an exchange.
 	callTimeout = 400 * time.Millisecond
 )
@@ -35,13 +39,14 @@
 	view       func() *membership.View
 	registered func() int // Number of instances in the register.
 	call       link.CallFunc
+	random     func() float64 // Uniform in [0, 1).
 
-	mu             sync.Mutex
-	buckets        map[ident.OrganisationID]*bucket
-	collector      ident.InstanceID               // Collector that answered last.
-	fraction       float64                        // Fraction of the rates in the collector's last reply.
-	repliedAt      time.Time                      // When that reply arrived.
-	othersAdmitted map[ident.OrganisationID]int64 // Tokens admitted by all other instances, as of that reply.
+	mu        sync.Mutex
+	buckets   map[ident.OrganisationID]*bucket
+	collector ident.InstanceID               // Collector that answered last.
+	fraction  float64                        // Fraction of the rates in the collector's last reply.
+	repliedAt time.Time                      // When that reply arrived.
+	others    map[ident.OrganisationID]usage // Usage of all other instances, as of that reply.
 
 	totals usageTotals
 }
@@ -50,14 +55,15 @@
 // registered the number of instances in the register.
 func New(view func() *membership.View, registered func() int, call link.CallFunc, logger log.Logger, now func() time.Time) *Shares {
 	return &Shares{
-		log:            log.With(logger, "part", "Share"),
-		now:            now,
-		view:           view,
-		registered:     registered,
-		call:           call,
-		buckets:        make(map[ident.OrganisationID]*bucket),
-		othersAdmitted: make(map[ident.OrganisationID]int64),
-		totals:         newUsageTotals(now),
+		log:        log.With(logger, "part", "Share"),
+		now:        now,
+		view:       view,
+		registered: registered,
+		call:       call,
+		random:     rand.Float64,
+		buckets:    make(map[ident.OrganisationID]*bucket),
+		others:     make(map[ident.OrganisationID]usage),
+		totals:     newUsageTotals(now),
 	}
 }
 
@@ -71,7 +77,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(o, now)
-	ok, retryAt := b.tryCharge(cost, now)
+	ok, retryAt := b.tryCharge(cost, now, s.random())
 	if !ok {
 		return forward.Admission{RetryAt: retryAt, RateShare: s.currentFraction(now), CollectorAnsweredAt: s.repliedAt}
 	}
@@ -117,13 +123,13 @@
 	return max(1, live, registered)
 }
 
-// admittedTotals returns the tokens that this instance has admitted since it started.
-func (s *Shares) admittedTotals() []*Usage {
+// ownTotals returns the usage of this instance since it started.
+func (s *Shares) ownTotals() []*Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]*Usage, 0, len(s.buckets))
 	for name, b := range s.buckets {
-		list = append(list, &Usage{Organisation: string(name), Tokens: b.admitted})
+		list = append(list, &Usage{Organisation: string(name), Tokens: b.admitted, Asked: b.asked})
 	}
 	return list
 }
@@ -139,8 +145,8 @@
 	chargeable := s.collector == collector && now.Sub(s.repliedAt) < reportTTL
 	for _, u := range r.GetOthers() {
 		name := ident.OrganisationID(u.GetOrganisation())
-		delta := u.GetTokens() - s.othersAdmitted[name]
-		s.othersAdmitted[name] = u.GetTokens()
+		delta := usageOf(u).minus(s.others[name])
+		s.others[name] = usageOf(u)
 		if b := s.buckets[name]; b != nil && chargeable {
 			b.chargeOthers(delta, now)
 		}
