share: the usage of a dropped source stays in the totals

What callers could see: QUOTA two minutes after an instance has ended. A collector drops a source two minutes after its last report, as soon as a new source reports. The totals then fell by all that the source had ever admitted, and every member of the domain took the difference for tokens that had been given back: the buckets of all organisations were full at once, in all members.

Ruled out that anything else lowers a total by more than a refund: a source that returns is counted from its first report on.

What a dropped source was counted with is kept in a sum for its domain, so that totals never fall. The sums are bounded by domains times organisations.

--- a/core/share/collect.go
+++ b/core/share/collect.go
@@ -39,6 +39,7 @@
 
 	mu      sync.Mutex
 	sources map[ident.InstanceID]*source
+	dropped map[ident.DomainID]map[ident.OrganisationID]usage // Usage of sources that were dropped, so that totals never fall.
 }
 
 // sourceRetention is how long a source is kept after its last report.
@@ -46,7 +47,7 @@
 
 // newUsageTotals returns totals without any source.
 func newUsageTotals(now func() time.Time) usageTotals {
-	return usageTotals{now: now, sources: make(map[ident.InstanceID]*source)}
+	return usageTotals{now: now, sources: make(map[ident.InstanceID]*source), dropped: make(map[ident.DomainID]map[ident.OrganisationID]usage)}
 }
 
 // record stores the usage that a source has reported since it started.
@@ -73,21 +74,35 @@
 	}
 }
 
-// dropExpired removes sources whose last report is older than sourceRetention. The
-// caller holds mu.
+// dropExpired removes sources whose last report is older than sourceRetention, and keeps
+// the sums of what they were counted with. The caller holds mu.
 func (s *usageTotals) dropExpired(now time.Time) {
 	for id, src := range s.sources {
-		if now.Sub(src.reportedAt) > sourceRetention {
-			delete(s.sources, id)
+		if now.Sub(src.reportedAt) <= sourceRetention {
+			continue
 		}
+		sums := s.dropped[src.domain]
+		if sums == nil {
+			sums = make(map[ident.OrganisationID]usage)
+			s.dropped[src.domain] = sums
+		}
+		for name := range src.latest {
+			sums[name] = sums[name].plus(src.counted(name))
+		}
+		delete(s.sources, id)
 	}
 }
 
+// counted returns what a source is counted with.
+func (src *source) counted(name ident.OrganisationID) usage {
+	return src.latest[name].minus(src.baseline[name])
+}
+
 // totalExcept returns the counted tokens of all sources but one.
 func (s *usageTotals) totalExcept(excluded ident.InstanceID) []*Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.total(func(id ident.InstanceID, _ *source) bool { return id != excluded })
+	return s.total(func(id ident.InstanceID, _ *source) bool { return id != excluded }, func(ident.DomainID) bool { return true })
 }
 
 // domainTotal returns the counted tokens of the members of a domain, and how many of
@@ -95,22 +110,32 @@
 func (s *usageTotals) domainTotal(domain ident.DomainID) ([]*Usage, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.total(func(_ ident.InstanceID, src *source) bool { return src.domain == domain }), s.liveInDomain(domain)
+	list := s.total(func(_ ident.InstanceID, src *source) bool { return src.domain == domain }, func(d ident.DomainID) bool { return d == domain })
+	return list, s.liveInDomain(domain)
 }
 
-// total adds up the sources that include accepts. Organisations that only other
-// sources report are listed with 0 tokens. The caller holds mu.
-func (s *usageTotals) total(include func(ident.InstanceID, *source) bool) []*Usage {
+// total adds up the sources that include accepts, and the dropped sources of the domains
+// that includeDropped accepts. Organisations that only other sources report are listed
+// with 0 tokens. The caller holds mu.
+func (s *usageTotals) total(include func(ident.InstanceID, *source) bool, includeDropped func(ident.DomainID) bool) []*Usage {
 	byName := make(map[ident.OrganisationID]usage)
 	for id, src := range s.sources {
-		for name, latest := range src.latest {
+		for name := range src.latest {
 			counted := usage{}
 			if include(id, src) {
-				counted = latest.minus(src.baseline[name])
+				counted = src.counted(name)
 			}
 			byName[name] = byName[name].plus(counted)
 		}
 	}
+	for domain, sums := range s.dropped {
+		if !includeDropped(domain) {
+			continue
+		}
+		for name, counted := range sums {
+			byName[name] = byName[name].plus(counted)
+		}
+	}
 	list := make([]*Usage, 0, len(byName))
 	for name, u := range byName {
 		list = append(list, &Usage{Organisation: string(name), Tokens: u.admitted, Asked: u.asked})
--- a/core/share/collect_test.go
+++ b/core/share/collect_test.go
@@ -80,3 +80,25 @@
 		t.Errorf("total except a1 = %d, want 170", got)
 	}
 }
+
+// TestDroppedSourceReturnsNoTokens guards against totals that fall when a source is dropped:
+// members would take the difference for tokens that were given back.
+func TestDroppedSourceReturnsNoTokens(t *testing.T) {
+	now := time.Now()
+	s := newUsageTotals(func() time.Time { return now })
+	for _, domain := range []ident.DomainID{"a", "b"} {
+		gone, next := ident.InstanceID(domain+"-gone"), ident.InstanceID(domain+"-next")
+		s.record(gone, domain, 1, usages(0))
+		s.record(gone, domain, 1, usages(5000))
+		before, _ := s.domainTotal(domain)
+		now = now.Add(sourceRetention + time.Second)
+		s.record(next, domain, 1, usages(0))
+		after, _ := s.domainTotal(domain)
+		if got, want := after[0].GetTokens(), before[0].GetTokens(); got != want {
+			t.Errorf("total of domain %s = %d after a source was dropped, want still %d", domain, got, want)
+		}
+	}
+	if got := s.totalExcept("a-next")[0].GetTokens(); got != 10_000 {
+		t.Errorf("total except a-next = %d, want the 10000 of the dropped sources", got)
+	}
+}
