share: a reply is valid from the sending of its report

What callers could see: QUOTA after a freeze. A reply of the collector was valid for 0.8 s from its arrival. An instance that is frozen between its report and the reply finds the reply when it runs again, and admitted with the fraction of the whole rate from before the freeze, while the collector has long set only its share aside. The lease of the share thus ended later at the borrower than at the lender, in a small way at each reply.

Ruled out as a protection: the time limit of the call, since after a freeze its timer and the reply are ready at the same time and either may win.

Test before: admitted 10000 after a freeze of 5 s, want at most its share of 2500 After: passes. The time at which the report was sent is stored, and the reply is valid for 0.8 s from then; the collector counts from the arrival of the report, which is later. In the log, heard_ms of a refusal counts from the report too. TestUsageBeforeFirstRequestIsNotCharged passes the time of the report to applyReply; its checks are unchanged.

--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -102,8 +102,8 @@
 	RetryAt time.Time // Time for a retry, if the tokens were not granted.
 	Refund  func()    // Returns the tokens; for requests that have not run.
 
-	// For the log: the share of the rate that this instance may grant, and when it last
-	// had an answer from its collector, the instance that sums up what all instances admit.
+	// For the log: the share of the rate that this instance may grant, and when it sent the
+	// last report that its collector, the instance that sums up what all admit, has answered.
 	RateShare           float64
 	CollectorAnsweredAt time.Time
 }
--- a/core/share/calls.go
+++ b/core/share/calls.go
@@ -34,10 +34,11 @@
 // reportTo reports this instance's usage to the collector of its domain.
 func (s *Shares) reportTo(ctx context.Context, collector ident.InstanceID) error {
 	reply := &ReportReply{}
+	sentAt := s.now()
 	if err := s.call(ctx, collector, MethodReport, &Report{Admitted: s.ownTotals()}, reply); err != nil {
 		return err
 	}
-	s.applyReply(collector, reply)
+	s.applyReply(collector, reply, sentAt)
 	return nil
 }
 
--- a/core/share/collect_test.go
+++ b/core/share/collect_test.go
@@ -50,8 +50,8 @@
 func TestUsageBeforeFirstRequestIsNotCharged(t *testing.T) {
 	view := membership.NewTable(membership.Member{ID: "a1", Domain: "a"}, nopLogger, time.Now).View
 	s := New(view, func() int { return 2 }, nil, nopLogger, time.Now)
-	s.applyReply("c", &ReportReply{Part: 1, Others: usages(1_000_000)})
-	s.applyReply("c", &ReportReply{Part: 1, Others: usages(2_000_000)})
+	s.applyReply("c", &ReportReply{Part: 1, Others: usages(1_000_000)}, time.Now())
+	s.applyReply("c", &ReportReply{Part: 1, Others: usages(2_000_000)}, time.Now())
 	o := organisation(1000, 1000)
 	time.Sleep(20 * time.Millisecond)
 	if got := s.Admit(o, ident.Tokens(1)); !got.Granted {
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -156,3 +156,30 @@
 		t.Errorf("%d refusals of an organisation within its rate", refused)
 	}
 }
+
+// TestThawedInstanceUsesOnlyOwnShare guards against an instance that was frozen during a report
+// and takes the reply, which is as old as the freeze, for a new one.
+func TestThawedInstanceUsesOnlyOwnShare(t *testing.T) {
+	f := newFleet(2, 2)
+	f.reportOnce()
+	f.reportOnce()
+	s := f.shares["a0"]
+	call := s.call
+	s.call = func(ctx context.Context, to ident.InstanceID, method string, req, resp proto.Message) error {
+		err := call(ctx, to, method, req, resp)
+		f.now = f.now.Add(5 * time.Second)
+		return err
+	}
+	collector, _ := s.view().Owner("a", collectorKey)
+	if err := s.reportTo(t.Context(), collector.ID); err != nil {
+		t.Fatal(err)
+	}
+	o := organisation(10_000, 10_000)
+	total := ident.Tokens(0)
+	for s.Admit(o, 100).Granted {
+		total += 100
+	}
+	if want := ident.Tokens(2500); total > want {
+		t.Errorf("admitted %d after a freeze of 5 s, want at most its share of %d", total, want)
+	}
+}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -41,12 +41,12 @@
 	call       link.CallFunc
 	random     func() float64 // Uniform in [0, 1).
 
-	mu        sync.Mutex
-	buckets   map[ident.OrganisationID]*bucket
-	collector ident.InstanceID               // Collector that answered last.
-	fraction  float64                        // Fraction of the rates in the collector's last reply.
-	repliedAt time.Time                      // When that reply arrived.
-	others    map[ident.OrganisationID]usage // Usage of all other instances, as of that reply.
+	mu         sync.Mutex
+	buckets    map[ident.OrganisationID]*bucket
+	collector  ident.InstanceID               // Collector that answered last.
+	fraction   float64                        // Fraction of the rates in the collector's last reply.
+	reportedAt time.Time                      // When the report was sent that the reply answers.
+	others     map[ident.OrganisationID]usage // Usage of all other instances, as of that reply.
 
 	totals usageTotals
 }
@@ -79,7 +79,7 @@
 	b := s.bucket(o, now)
 	ok, retryAt := b.tryCharge(cost, now, s.random())
 	if !ok {
-		return forward.Admission{RetryAt: retryAt, RateShare: s.currentFraction(now), CollectorAnsweredAt: s.repliedAt}
+		return forward.Admission{RetryAt: retryAt, RateShare: s.currentFraction(now), CollectorAnsweredAt: s.reportedAt}
 	}
 	return forward.Admission{Granted: true, Refund: sync.OnceFunc(func() {
 		s.mu.Lock()
@@ -104,7 +104,7 @@
 // buckets: the collector's, or that of one instance alone if no reply of a collector is
 // valid. The caller holds mu.
 func (s *Shares) currentFraction(now time.Time) float64 {
-	if now.Sub(s.repliedAt) < reportTTL {
+	if now.Sub(s.reportedAt) < reportTTL {
 		return s.fraction
 	}
 	return 1 / float64(ExpectedInstances(s.view(), s.registered()))
@@ -134,15 +134,16 @@
 	return list
 }
 
-// applyReply applies a collector's reply to the buckets.
-func (s *Shares) applyReply(collector ident.InstanceID, r *ReportReply) {
+// applyReply applies a collector's reply to the buckets. The reply is valid from the time
+// at which the report was sent, since this instance may have been paused since.
+func (s *Shares) applyReply(collector ident.InstanceID, r *ReportReply, sentAt time.Time) {
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// A collector counts from the first report that it received, so the totals of two
 	// collectors can't be compared. The first reply of a new collector, or after a gap,
 	// charges nothing; the following replies are compared with it.
-	chargeable := s.collector == collector && now.Sub(s.repliedAt) < reportTTL
+	chargeable := s.collector == collector && sentAt.Sub(s.reportedAt) < reportTTL
 	for _, u := range r.GetOthers() {
 		name := ident.OrganisationID(u.GetOrganisation())
 		delta := usageOf(u).minus(s.others[name])
@@ -154,5 +155,5 @@
 	if r.GetPart() != s.fraction || collector != s.collector {
 		_ = level.Info(s.log).Log("msg", event.RateShareChanged, "part", r.GetPart(), "was", s.fraction, "collector", collector, "expected", ExpectedInstances(s.view(), s.registered()))
 	}
-	s.collector, s.fraction, s.repliedAt = collector, r.GetPart(), now
+	s.collector, s.fraction, s.reportedAt = collector, r.GetPart(), sentAt
 }
