--- a/core/share/collect.go
+++ b/core/share/collect.go
@@ -13,8 +13,24 @@
 	domain      ident.DomainID
 	liveMembers int // Live members of the domain, as reported by a collector; 0 for a member.
 	reportedAt  time.Time
-	baseline    map[ident.OrganisationID]int64 // Tokens that are not counted, as no report was valid when they were admitted.
-	latest      map[ident.OrganisationID]int64 // Tokens in the last report.
+	baseline    map[ident.OrganisationID]usage // What is not counted, as no report was valid at that time.
+	latest      map[ident.OrganisationID]usage // What the last report contained.
+}
+
+// usage is how many tokens of an organisation were admitted, and asked for.
+type usage struct{ admitted, asked int64 }
+
+// usageOf returns the usage in a message.
+func usageOf(u *Usage) usage { return usage{admitted: u.GetTokens(), asked: u.GetAsked()} }
+
+// plus returns the sum of two usages.
+func (u usage) plus(v usage) usage {
+	return usage{admitted: u.admitted + v.admitted, asked: u.asked + v.asked}
+}
+
+// minus returns the difference of two usages.
+func (u usage) minus(v usage) usage {
+	return usage{admitted: u.admitted - v.admitted, asked: u.asked - v.asked}
 }
 
 // usageTotals adds up the usage that is reported to a collector.
@@ -23,6 +39,7 @@
 
 	mu      sync.Mutex
 	sources map[ident.InstanceID]*source
+	dropped map[ident.DomainID]map[ident.OrganisationID]usage // Usage of sources that were dropped, so that totals never fall.
 }
 
 // sourceRetention is how long a source is kept after its last report.
@@ -30,17 +47,17 @@
 
 // newUsageTotals returns totals without any source.
 func newUsageTotals(now func() time.Time) usageTotals {
-	return usageTotals{now: now, sources: make(map[ident.InstanceID]*source)}
+	return usageTotals{now: now, sources: make(map[ident.InstanceID]*source), dropped: make(map[ident.DomainID]map[ident.OrganisationID]usage)}
 }
 
-// record stores the tokens that a source has admitted since it started.
-func (s *usageTotals) record(from ident.InstanceID, domain ident.DomainID, members int, admitted []*Usage) {
+// record stores the usage that a source has reported since it started.
+func (s *usageTotals) record(from ident.InstanceID, domain ident.DomainID, members int, reported []*Usage) {
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	src := s.sources[from]
 	if src == nil {
-		src = &source{domain: domain, baseline: make(map[ident.OrganisationID]int64), latest: make(map[ident.OrganisationID]int64)}
+		src = &source{domain: domain, baseline: make(map[ident.OrganisationID]usage), latest: make(map[ident.OrganisationID]usage)}
 		s.dropExpired(now)
 		s.sources[from] = src
 	}
@@ -48,30 +65,44 @@
 	// fraction of the rate that is set aside for it.
 	expired := now.Sub(src.reportedAt) >= reportTTL
 	src.reportedAt, src.liveMembers = now, members
-	for _, u := range admitted {
-		name, tokens := ident.OrganisationID(u.GetOrganisation()), u.GetTokens()
+	for _, u := range reported {
+		name, latest := ident.OrganisationID(u.GetOrganisation()), usageOf(u)
 		if expired {
-			src.baseline[name] += tokens - src.latest[name]
+			src.baseline[name] = src.baseline[name].plus(latest.minus(src.latest[name]))
 		}
-		src.latest[name] = tokens
+		src.latest[name] = latest
 	}
 }
 
-// dropExpired removes sources whose last report is older than sourceRetention. The
-// caller holds mu.
+// dropExpired removes sources whose last report is older than sourceRetention, and keeps
+// the sums of what they were counted with. The caller holds mu.
 func (s *usageTotals) dropExpired(now time.Time) {
 	for id, src := range s.sources {
-		if now.Sub(src.reportedAt) > sourceRetention {
-			delete(s.sources, id)
+		if now.Sub(src.reportedAt) <= sourceRetention {
+			continue
+		}
+		sums := s.dropped[src.domain]
+		if sums == nil {
+			sums = make(map[ident.OrganisationID]usage)
+			s.dropped[src.domain] = sums
 		}
+		for name := range src.latest {
+			sums[name] = sums[name].plus(src.counted(name))
+		}
+		delete(s.sources, id)
 	}
 }
 
+// counted returns what a source is counted with.
+func (src *source) counted(name ident.OrganisationID) usage {
+	return src.latest[name].minus(src.baseline[name])
+}
+
 // totalExcept returns the counted tokens of all sources but one.
 func (s *usageTotals) totalExcept(excluded ident.InstanceID) []*Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.total(func(id ident.InstanceID, _ *source) bool { return id != excluded })
+	return s.total(func(id ident.InstanceID, _ *source) bool { return id != excluded }, func(ident.DomainID) bool { return true })
 }
 
 // domainTotal returns the counted tokens of the members of a domain, and how many of
@@ -79,25 +110,35 @@
 func (s *usageTotals) domainTotal(domain ident.DomainID) ([]*Usage, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.total(func(_ ident.InstanceID, src *source) bool { return src.domain == domain }), s.liveInDomain(domain)
+	list := s.total(func(_ ident.InstanceID, src *source) bool { return src.domain == domain }, func(d ident.DomainID) bool { return d == domain })
+	return list, s.liveInDomain(domain)
 }
 
-// total adds up the sources that include accepts. Organisations that only other
-// sources report are listed with 0 tokens. The caller holds mu.
-func (s *usageTotals) total(include func(ident.InstanceID, *source) bool) []*Usage {
-	byName := make(map[ident.OrganisationID]int64)
+// total adds up the sources that include accepts, and the dropped sources of the domains
+// that includeDropped accepts. Organisations that only other sources report are listed
+// with 0 tokens. The caller holds mu.
+func (s *usageTotals) total(include func(ident.InstanceID, *source) bool, includeDropped func(ident.DomainID) bool) []*Usage {
+	byName := make(map[ident.OrganisationID]usage)
 	for id, src := range s.sources {
-		for name, tokens := range src.latest {
-			counted := int64(0)
+		for name := range src.latest {
+			counted := usage{}
 			if include(id, src) {
-				counted = tokens - src.baseline[name]
+				counted = src.counted(name)
 			}
-			byName[name] += counted
+			byName[name] = byName[name].plus(counted)
+		}
+	}
+	for domain, sums := range s.dropped {
+		if !includeDropped(domain) {
+			continue
+		}
+		for name, counted := range sums {
+			byName[name] = byName[name].plus(counted)
 		}
 	}
 	list := make([]*Usage, 0, len(byName))
-	for name, tokens := range byName {
-		list = append(list, &Usage{Organisation: string(name), Tokens: tokens})
+	for name, u := range byName {
+		list = append(list, &Usage{Organisation: string(name), Tokens: u.admitted, Asked: u.asked})
 	}
 	return list
 }
--- a/core/share/collect_test.go
+++ b/core/share/collect_test.go
@@ -50,8 +50,8 @@
 func TestUsageBeforeFirstRequestIsNotCharged(t *testing.T) {
 	view := membership.NewTable(membership.Member{ID: "a1", Domain: "a"}, nopLogger, time.Now).View
 	s := New(view, func() int { return 2 }, nil, nopLogger, time.Now)
-	s.applyReply("c", &ReportReply{Part: 1, Others: usages(1_000_000)})
-	s.applyReply("c", &ReportReply{Part: 1, Others: usages(2_000_000)})
+	s.applyReply("c", &ReportReply{Part: 1, Others: usages(1_000_000)}, time.Now())
+	s.applyReply("c", &ReportReply{Part: 1, Others: usages(2_000_000)}, time.Now())
 	o := organisation(1000, 1000)
 	time.Sleep(20 * time.Millisecond)
 	if got := s.Admit(o, ident.Tokens(1)); !got.Granted {
@@ -80,3 +80,25 @@
 		t.Errorf("total except a1 = %d, want 170", got)
 	}
 }
+
+// TestDroppedSourceReturnsNoTokens guards against totals that fall when a source is dropped:
+// members would take the difference for tokens that were given back.
+func TestDroppedSourceReturnsNoTokens(t *testing.T) {
+	now := time.Now()
+	s := newUsageTotals(func() time.Time { return now })
+	for _, domain := range []ident.DomainID{"a", "b"} {
+		gone, next := ident.InstanceID(domain+"-gone"), ident.InstanceID(domain+"-next")
+		s.record(gone, domain, 1, usages(0))
+		s.record(gone, domain, 1, usages(5000))
+		before, _ := s.domainTotal(domain)
+		now = now.Add(sourceRetention + time.Second)
+		s.record(next, domain, 1, usages(0))
+		after, _ := s.domainTotal(domain)
+		if got, want := after[0].GetTokens(), before[0].GetTokens(); got != want {
+			t.Errorf("total of domain %s = %d after a source was dropped, want still %d", domain, got, want)
+		}
+	}
+	if got := s.totalExcept("a-next")[0].GetTokens(); got != 10_000 {
+		t.Errorf("total except a-next = %d, want the 10000 of the dropped sources", got)
+	}
+}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -3,6 +3,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -23,6 +24,9 @@
 	reportInterval = 150 * time.Millisecond
 	// reportTTL is how long a report, or the reply to one, is valid.
 	reportTTL = 800 * time.Millisecond
+	// propagationTime is how long it takes until all instances know what one of them has
+	// admitted: a report, an exchange between collectors, and a reply.
+	propagationTime = 3 * reportInterval
 	// callTimeout bounds one call of a report or an exchange.
 	callTimeout = 400 * time.Millisecond
 )
@@ -35,13 +39,14 @@
 	view       func() *membership.View
 	registered func() int // Number of instances in the register.
 	call       link.CallFunc
+	random     func() float64 // Uniform in [0, 1).
 
-	mu             sync.Mutex
-	buckets        map[ident.OrganisationID]*bucket
-	collector      ident.InstanceID               // Collector that answered last.
-	fraction       float64                        // Fraction of the rates in the collector's last reply.
-	repliedAt      time.Time                      // When that reply arrived.
-	othersAdmitted map[ident.OrganisationID]int64 // Tokens admitted by all other instances, as of that reply.
+	mu         sync.Mutex
+	buckets    map[ident.OrganisationID]*bucket
+	collector  ident.InstanceID               // Collector that answered last.
+	fraction   float64                        // Fraction of the rates in the collector's last reply.
+	reportedAt time.Time                      // When the report was sent that the reply answers.
+	others     map[ident.OrganisationID]usage // Usage of all other instances, as of that reply.
 
 	totals usageTotals
 }
@@ -50,14 +55,15 @@
 // registered the number of instances in the register.
 func New(view func() *membership.View, registered func() int, call link.CallFunc, logger log.Logger, now func() time.Time) *Shares {
 	return &Shares{
-		log:            log.With(logger, "part", "Share"),
-		now:            now,
-		view:           view,
-		registered:     registered,
-		call:           call,
-		buckets:        make(map[ident.OrganisationID]*bucket),
-		othersAdmitted: make(map[ident.OrganisationID]int64),
-		totals:         newUsageTotals(now),
+		log:        log.With(logger, "part", "Share"),
+		now:        now,
+		view:       view,
+		registered: registered,
+		call:       call,
+		random:     rand.Float64,
+		buckets:    make(map[ident.OrganisationID]*bucket),
+		others:     make(map[ident.OrganisationID]usage),
+		totals:     newUsageTotals(now),
 	}
 }
 
@@ -71,9 +77,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b := s.bucket(o, now)
-	ok, retryAt := b.tryCharge(cost, now)
+	ok, retryAt := b.tryCharge(cost, now, s.random())
 	if !ok {
-		return forward.Admission{RetryAt: retryAt, RateShare: s.currentFraction(now), CollectorAnsweredAt: s.repliedAt}
+		return forward.Admission{RetryAt: retryAt, RateShare: s.currentFraction(now), CollectorAnsweredAt: s.reportedAt}
 	}
 	return forward.Admission{Granted: true, Refund: sync.OnceFunc(func() {
 		s.mu.Lock()
@@ -98,7 +104,7 @@
 // buckets: the collector's, or that of one instance alone if no reply of a collector is
 // valid. The caller holds mu.
 func (s *Shares) currentFraction(now time.Time) float64 {
-	if now.Sub(s.repliedAt) < reportTTL {
+	if now.Sub(s.reportedAt) < reportTTL {
 		return s.fraction
 	}
 	return 1 / float64(ExpectedInstances(s.view(), s.registered()))
@@ -117,30 +123,31 @@
 	return max(1, live, registered)
 }
 
-// admittedTotals returns the tokens that this instance has admitted since it started.
-func (s *Shares) admittedTotals() []*Usage {
+// ownTotals returns the usage of this instance since it started.
+func (s *Shares) ownTotals() []*Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list := make([]*Usage, 0, len(s.buckets))
 	for name, b := range s.buckets {
-		list = append(list, &Usage{Organisation: string(name), Tokens: b.admitted})
+		list = append(list, &Usage{Organisation: string(name), Tokens: b.admitted, Asked: b.asked})
 	}
 	return list
 }
 
-// applyReply applies a collector's reply to the buckets.
-func (s *Shares) applyReply(collector ident.InstanceID, r *ReportReply) {
+// applyReply applies a collector's reply to the buckets. The reply is valid from the time
+// at which the report was sent, since this instance may have been paused since.
+func (s *Shares) applyReply(collector ident.InstanceID, r *ReportReply, sentAt time.Time) {
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	// A collector counts from the first report that it received, so the totals of two
 	// collectors can't be compared. The first reply of a new collector, or after a gap,
 	// charges nothing; the following replies are compared with it.
-	chargeable := s.collector == collector && now.Sub(s.repliedAt) < reportTTL
+	chargeable := s.collector == collector && sentAt.Sub(s.reportedAt) < reportTTL
 	for _, u := range r.GetOthers() {
 		name := ident.OrganisationID(u.GetOrganisation())
-		delta := u.GetTokens() - s.othersAdmitted[name]
-		s.othersAdmitted[name] = u.GetTokens()
+		delta := usageOf(u).minus(s.others[name])
+		s.others[name] = usageOf(u)
 		if b := s.buckets[name]; b != nil && chargeable {
 			b.chargeOthers(delta, now)
 		}
@@ -148,5 +155,5 @@
 	if r.GetPart() != s.fraction || collector != s.collector {
 		_ = level.Info(s.log).Log("msg", event.RateShareChanged, "part", r.GetPart(), "was", s.fraction, "collector", collector, "expected", ExpectedInstances(s.view(), s.registered()))
 	}
-	s.collector, s.fraction, s.repliedAt = collector, r.GetPart(), now
+	s.collector, s.fraction, s.reportedAt = collector, r.GetPart(), sentAt
 }
