core/forward: reservations are no longer than the configuration allows

What callers could see: on a deployment whose engines grant reservations of less than 1.5 s, no reservation was granted, so that no stream was served; or the engine's slot was held for a time that it does not promise.

Cause: the longest reservation of a service is decoded into catalog.ModelPool, and nothing read it.

Fix: the validity asked for is at most that. Without it, or with one that is not above 0, it stays 1.5 s.

--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -34,6 +34,7 @@
 	send     func(n int, c Call, sink Sink) error // n is the number of the call, from 1.
 	prefill  func(n int, c Call) (string, error)
 	reserve  func(e engines.Entry) (string, error)
+	reserved []time.Duration // Validity of each reservation that was asked for.
 }
 
 // newHarness returns a harness with two plain, two decode and two prefill engines.
@@ -154,7 +155,10 @@
 			defer h.mu.Unlock()
 			h.released = append(h.released, id)
 		},
-		Reserve: func(_ context.Context, e engines.Entry, _ ident.Tokens, _, _ time.Time) (string, error) {
+		Reserve: func(_ context.Context, e engines.Entry, _ ident.Tokens, until, _ time.Time) (string, error) {
+			h.mu.Lock()
+			h.reserved = append(h.reserved, time.Until(until))
+			h.mu.Unlock()
 			return h.reserve(e)
 		},
 	}
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -14,8 +14,8 @@
 const (
 	// maxReserveEngines is how many engines are asked for a reservation in one round.
 	maxReserveEngines = 4
-	// reservationTime is the validity of a reservation. It covers the prefill and its
-	// queueing delay.
+	// reservationTime is the validity of a reservation, unless the engines of a service grant
+	// only shorter ones. It covers the prefill and its queueing delay.
 	reservationTime = 1500 * time.Millisecond
 	// reserveRefusalPause is how long an engine is not asked again after it has refused a
 	// reservation.
@@ -121,7 +121,7 @@
 		end := e.BeginRequest(size)
 		j.reserveCalls++
 		callCtx, cancel := context.WithTimeout(ctx, reserveCallTimeout)
-		id, err := r.Calls.Reserve(callCtx, e.Entry, size, now.Add(reservationTime), now.Add(connectTimeout))
+		id, err := r.Calls.Reserve(callCtx, e.Entry, size, now.Add(j.reservationTime()), now.Add(connectTimeout))
 		cancel()
 		if err == nil {
 			return decodeReservation{engine: e, id: id, end: end}, true
@@ -140,6 +140,15 @@
 	return decodeReservation{}, false
 }
 
+// reservationTime returns the validity of the reservations that the request asks for.
+func (j *job) reservationTime() time.Duration {
+	longest := j.service.Model.MaxReservationMS
+	if longest <= 0 || longest > float64(reservationTime.Milliseconds()) {
+		return reservationTime
+	}
+	return time.Duration(longest * float64(time.Millisecond))
+}
+
 // reservationSize returns the memory, in tokens, to be reserved at a decode engine.
 func (j *job) reservationSize() ident.Tokens { return j.PromptTokens + j.reservedOutput() }
 
