core/stagecontrol: engines get no requests and no second order during a long change of stage

What callers could see: on a deployment whose engines take longer than about 10 s for a change of stage, requests went to engines that did not serve yet, were refused and sent again, and an engine that had not answered its order could get another one.

Cause: the time of a change is decoded into catalog.ModelPool, and nothing read it; the times of the exclusion (18 s) and between two orders (15 s) are constants.

Fix: both are at least the longest time that the configuration states, after the end of the window in which orders are sent. It is at most an hour. Up to 10 s nothing changes.

Evidence, TestSlowStageChangeExcludesLonger with the constants in force: change of 1m0s: excluded for 18s, want 1m8s; 4 orders within a change of a minute, want 1 After: passes; go test -race of core/stagecontrol and core/replication and go test ./platform pass. The other changed tests set the new field to "not stated".

--- a/core/catalog/holder.go
+++ b/core/catalog/holder.go
@@ -65,6 +65,25 @@
 	return names
 }
 
+// maxStageChangeTime bounds what a configuration may state as the time of a stage change.
+const maxStageChangeTime = time.Hour
+
+// StageChangeTime returns the longest time that a change of an engine's stage takes in a
+// service of the newest catalog, or 0 if it is not known.
+func (h *Holder) StageChangeTime() time.Duration {
+	c := h.Current()
+	if c == nil {
+		return 0
+	}
+	longest := 0.0
+	for _, s := range c.Services {
+		if s.Model != nil {
+			longest = max(longest, s.Model.StageChangeSeconds)
+		}
+	}
+	return time.Duration(min(longest, maxStageChangeTime.Seconds()) * float64(time.Second))
+}
+
 // Version returns the version of the newest catalog, or 0 if there is none yet.
 func (h *Holder) Version() ident.Revision {
 	if c := h.Current(); c != nil {
--- a/core/replication/fleet_test.go
+++ b/core/replication/fleet_test.go
@@ -97,7 +97,7 @@
 		for m := range members {
 			id := ident.InstanceID(fmt.Sprintf("%s%d", domain, m))
 			all = append(all, membership.Member{ID: id, Domain: ident.DomainID(domain), PeerAddress: ident.Address(id)})
-			fleet[id] = &instance{id: id, notices: stagecontrol.NoticeBoard{Now: time.Now}}
+			fleet[id] = &instance{id: id, notices: stagecontrol.NoticeBoard{Now: time.Now, ChangeTime: func() time.Duration { return 0 }}}
 		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/core/replication/replication_test.go
+++ b/core/replication/replication_test.go
@@ -132,7 +132,7 @@
 func TestLargeDeltaIsLeftOut(t *testing.T) {
 	const listed = 3000
 	st := &fakeStore{followers: make(map[ident.InstanceID]bool), engineCount: listed}
-	i := &instance{id: "a0", healthy: true, notices: stagecontrol.NoticeBoard{Now: time.Now}}
+	i := &instance{id: "a0", healthy: true, notices: stagecontrol.NoticeBoard{Now: time.Now, ChangeTime: func() time.Duration { return 0 }}}
 	i.Replicator = newReplicator(nil, st, i, membership.NewTable(membership.Member{ID: "a0", Domain: "a"}, log.NewNopLogger(), time.Now))
 	i.Table.Replace(st.list(1), 1)
 	reply, err := i.Serve(context.Background(), "a1", &PullRequest{Of: "a0"})
@@ -215,7 +215,7 @@
 // once, as unhealthy, with the configuration that it has.
 func TestReplyReportsUnhealthyInstance(t *testing.T) {
 	st := &fakeStore{followers: make(map[ident.InstanceID]bool)}
-	i := &instance{id: "a0", version: 4, notices: stagecontrol.NoticeBoard{Now: time.Now}}
+	i := &instance{id: "a0", version: 4, notices: stagecontrol.NoticeBoard{Now: time.Now, ChangeTime: func() time.Duration { return 0 }}}
 	i.Replicator = newReplicator(nil, st, i, membership.NewTable(membership.Member{ID: "a0", Domain: "a"}, log.NewNopLogger(), time.Now))
 	reply, err := i.Serve(context.Background(), "b0", &PullRequest{Of: "a0"})
 	r, ok := reply.(*PullReply)
--- a/core/stagecontrol/controller.go
+++ b/core/stagecontrol/controller.go
@@ -43,7 +43,8 @@
 	BootTime func() boottime.Instant                    // Reads the boot clock.
 	Pause    func(ctx context.Context, d time.Duration) // Waits for d or until ctx ends.
 
-	OrderSeparation time.Duration // Least time between orders of two lease holders.
+	ChangeTime      func() time.Duration // How long engines take for a change of stage; 0 if unknown.
+	OrderSeparation time.Duration        // Least time between orders of two lease holders.
 	Self            ident.InstanceID
 	Log             log.Logger
 
@@ -72,8 +73,8 @@
 	orderWindow = 5 * time.Second
 	// separationMargin covers orders in transit and clocks that run at different rates.
 	separationMargin = 2 * time.Second
-	// orderCooldown is how long an engine gets no other order after one: the change of
-	// stage takes time, and an order without an answer may be carried out late.
+	// orderCooldown is how long an engine gets no other order after one, unless a change of
+	// stage takes longer: an order without an answer may be carried out late.
 	orderCooldown = 15 * time.Second
 	// acquireRetryDelay is the pause after the lease could not be acquired.
 	acquireRetryDelay = 3 * time.Second
@@ -169,13 +170,16 @@
 			if !ok || c.inCooldown(change.Engine.ID) {
 				break
 			}
-			c.pending[change.Engine.ID] = pendingOrder{change.To, c.BootTime().Add(orderCooldown)}
+			c.pending[change.Engine.ID] = pendingOrder{change.To, c.BootTime().Add(c.cooldown())}
 			changes = append(changes, change)
 		}
 	}
 	return changes
 }
 
+// cooldown returns how long an engine gets no other order after one.
+func (c *Controller) cooldown() time.Duration { return max(orderCooldown, orderWindow+c.ChangeTime()) }
+
 // inCooldown reports whether an engine must not get an order now.
 func (c *Controller) inCooldown(id ident.EndpointID) bool {
 	return c.BootTime().Before(c.pending[id].until)
--- a/core/stagecontrol/notice.go
+++ b/core/stagecontrol/notice.go
@@ -12,7 +12,8 @@
 )
 
 // stageChangeTime is how long an engine gets no requests after a notice that it is about
-// to change its stage, unless the list of engines shows the new stage before. The engine
+// to change its stage, unless the list of engines shows the new stage before, or the change
+// takes longer. The engine
 // ends its streams first, which takes seconds. Until then it refuses requests, although
 // it still grants reservations.
 const stageChangeTime = 18 * time.Second
@@ -44,6 +45,9 @@
 	// Exclude excludes an engine from requests until it is at a stage, or until a time.
 	Exclude func(id ident.EndpointID, to engines.Stage, until time.Time)
 	Now     func() time.Time
+	// ChangeTime returns how long engines take for a change of stage, once their streams have
+	// ended; 0 if it is not known.
+	ChangeTime func() time.Duration
 
 	mu       sync.Mutex
 	raw      []byte
@@ -66,13 +70,19 @@
 		b.raw, b.revision = raw, revision
 	}
 	b.mu.Unlock()
-	until := b.Now().Add(stageChangeTime)
+	until := b.Now().Add(exclusionTime(b.ChangeTime()))
 	for _, c := range n.Changes {
 		b.Exclude(c.Engine, c.To, until)
 	}
 	return nil
 }
 
+// exclusionTime returns how long an engine gets no requests after a notice, if a change of
+// stage takes the given time.
+func exclusionTime(change time.Duration) time.Duration {
+	return max(stageChangeTime, noticeLead+orderWindow+separationMargin+change)
+}
+
 // decodeNotice decodes and checks a notice. The error has kind BadText.
 func decodeNotice(raw []byte) (Notice, error) {
 	var n Notice
--- a/core/stagecontrol/notice_test.go
+++ b/core/stagecontrol/notice_test.go
@@ -17,10 +17,13 @@
 	`{"Changes":[{"Engine":"e","To":99}]}`, `{"Changes":[{"Engine":"e","To":-1}]}`, strings.Repeat("[", 100_000), "\xff",
 }
 
+// noChangeTime is the time of a stage change that the configuration does not state.
+func noChangeTime() time.Duration { return 0 }
+
 // newTestBoard returns a board and the stages of the engines that it has excluded.
 func newTestBoard() (*NoticeBoard, map[ident.EndpointID]engines.Stage) {
 	excluded := make(map[ident.EndpointID]engines.Stage)
-	b := &NoticeBoard{Now: time.Now, Exclude: func(id ident.EndpointID, to engines.Stage, _ time.Time) { excluded[id] = to }}
+	b := &NoticeBoard{Now: time.Now, ChangeTime: noChangeTime, Exclude: func(id ident.EndpointID, to engines.Stage, _ time.Time) { excluded[id] = to }}
 	return b, excluded
 }
 
@@ -45,6 +48,28 @@
 	}
 }
 
+// TestSlowStageChangeExcludesLonger guards against requests to an engine, or a second order to
+// it, while it still changes its stage, if that takes longer than usual.
+func TestSlowStageChangeExcludesLonger(t *testing.T) {
+	now := time.Now()
+	for change, want := range map[time.Duration]time.Duration{0: stageChangeTime, 2 * time.Second: stageChangeTime, time.Minute: time.Minute + 8*time.Second} {
+		var until time.Time
+		b := &NoticeBoard{Now: func() time.Time { return now }, ChangeTime: func() time.Duration { return change }}
+		b.Exclude = func(_ ident.EndpointID, _ engines.Stage, end time.Time) { until = end }
+		if err := b.Put([]byte(`{"Changes":[{"Engine":"e","To":1}]}`), 1); err != nil || until.Sub(now) != want {
+			t.Errorf("change of %v: excluded for %v, %v; want %v", change, until.Sub(now), err, want)
+		}
+	}
+	f := newFleet(4, 8)
+	f.dropAnswers = true
+	c := f.controller("a")
+	c.ChangeTime = func() time.Duration { return time.Minute }
+	f.advance(time.Minute, c)
+	if len(f.orders) != 1 {
+		t.Errorf("%d orders within a change of a minute, want 1", len(f.orders))
+	}
+}
+
 // FuzzNotice guards against notices that panic the decoder or exclude an engine until it
 // has a stage that does not exist.
 func FuzzNotice(f *testing.F) {
--- a/core/stagecontrol/stagecontrol_test.go
+++ b/core/stagecontrol/stagecontrol_test.go
@@ -55,9 +55,10 @@
 // controller returns the controller of one instance.
 func (f *fleet) controller(self string) *Controller {
 	return &Controller{
-		Services: func() []ident.ServiceID { return []ident.ServiceID{"s"} },
-		Engines:  f.table.ServiceEngines,
-		IsOwner:  func() bool { return true },
+		Services:   func() []ident.ServiceID { return []ident.ServiceID{"s"} },
+		Engines:    f.table.ServiceEngines,
+		IsOwner:    func() bool { return true },
+		ChangeTime: noChangeTime,
 		Acquire: func(_ context.Context, ttl time.Duration, n Notice) (ident.Epoch, error) {
 			if f.boot.Before(f.leaseUntil) {
 				return 0, fault.New(fault.NotHolder, "another instance holds the lease")
