io/operator: the client keeps what a response says of the request's run

What operators could see: programs that use the client were told that an edit had not run, though the daemon had said that it may have, and not when to come back.

Cause: decodeError read kind and message only; Ran was the default of the kind.

Fix: Ran and RetryAfterMS are restored. An unknown Ran becomes MayHaveRun, and the time until a retry is at most an hour.

--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -122,6 +122,9 @@
 	return body, res.Header, nil
 }
 
+// maxRetryAfter bounds the time until a retry in an error response.
+const maxRetryAfter = time.Hour
+
 // decodeError converts an error response to an error.
 func decodeError(status int, body []byte) error {
 	var answer ErrorResponse
@@ -134,8 +137,24 @@
 			for _, p := range answer.Problems {
 				message += fmt.Sprintf("\n  %s", p)
 			}
-			return fault.New(k, "%s", message)
+			return answer.restore(fault.New(k, "%s", message))
 		}
 	}
 	return fault.New(fault.Internal, "%s: %s", answer.Kind, answer.Message)
 }
+
+// restore returns err with what the response says of it besides kind and message. An unknown
+// value of Ran becomes MayHaveRun, which promises nothing.
+func (r ErrorResponse) restore(err *fault.Error) *fault.Error {
+	err = err.WithRan(fault.MayHaveRun)
+	for _, ran := range []fault.Ran{fault.NotRun, fault.DidRun} {
+		if ran.String() == r.Ran {
+			err = err.WithRan(ran)
+		}
+	}
+	if r.RetryAfterMS > 0 {
+		after := time.Duration(min(r.RetryAfterMS, maxRetryAfter.Milliseconds())) * time.Millisecond
+		err = err.WithRetryAfter(time.Now().Add(after))
+	}
+	return err
+}
