core/keyvalue: the index of an entry's creation is no longer decoded

Nothing reads it: writes are conditional on ModifyIndex. The stand-in still sends it, as the store does. The fake store of io/store does not set it any more, since the field is gone.

--- a/core/keyvalue/keyvalue.go
+++ b/core/keyvalue/keyvalue.go
@@ -31,7 +31,6 @@
 type Entry struct {
 	Key         string
 	Value       []byte // Base64 in JSON.
-	CreateIndex Index
 	ModifyIndex Index
 	Session     LeaseID // The lease that locks the key; empty if it is not locked.
 }
--- a/io/store/fake_test.go
+++ b/io/store/fake_test.go
@@ -132,7 +132,7 @@
 	if r.Method == http.MethodDelete {
 		delete(f.entries, key)
 	} else {
-		f.entries[key] = keyvalue.Entry{Key: key, Value: value, ModifyIndex: f.index, CreateIndex: f.index, Session: keyvalue.LeaseID(q.Get("acquire"))}
+		f.entries[key] = keyvalue.Entry{Key: key, Value: value, ModifyIndex: f.index, Session: keyvalue.LeaseID(q.Get("acquire"))}
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
