io/engine: phases and start times of held requests, and sizes in load reports, are not decoded

Nothing reads them: the reaper decides by attempt and holder, placement by its own leases, and the text has the size of an engine's cache. The soak reads the stand-ins' own type. Load.Slots stays, as TestStateQueries reads it.

--- a/io/engine/listing.go
+++ b/io/engine/listing.go
@@ -8,26 +8,11 @@
 	"monsoonfork/core/ident"
 )
 
-// Phase is the phase of a request that an engine holds.
-type Phase string
-
-// The phases, in the spelling of the engines' API. PhaseKept is a finished prefill
-// whose KV cache the engine keeps for the transfer to a decode engine.
-const (
-	PhaseWaiting  Phase = "waiting"
-	PhasePrefill  Phase = "prefill"
-	PhaseKept     Phase = "kept"
-	PhaseTransfer Phase = "transfer"
-	PhaseDecode   Phase = "decode"
-)
-
 // HeldRequest is an entry of an engine's list of the requests that it holds.
 type HeldRequest struct {
-	Attempt       string           `json:"rid"`
-	Holder        ident.InstanceID `json:"holder"`
-	Phase         Phase            `json:"phase"`
-	Pieces        ident.Pieces     `json:"pieces"`
-	StartedUnixMS int64            `json:"started_unix_ms"`
+	Attempt string           `json:"rid"`
+	Holder  ident.InstanceID `json:"holder"`
+	Pieces  ident.Pieces     `json:"pieces"`
 }
 
 // Load is an engine's load report. It may be out of date; ReportedUnixMS is the
@@ -37,7 +22,6 @@
 	Waiting        int          `json:"waiting"`
 	Slots          int          `json:"slots"`
 	PiecesUsed     ident.Pieces `json:"pieces_used"`
-	Pieces         ident.Pieces `json:"pieces"`
 	ReportedUnixMS int64        `json:"reported_unix_ms"`
 }
 
