core/catalog: properties of engines that nothing uses are no longer decoded

Removed from the catalog and from the platform's messages: the slots of an engine (the engine's entry has them, and they are used), bytes of a token in the KV cache and the bandwidth of links (no estimate of transfers is made), tokens in an event of a stream (events are forwarded as they are), the number of polls for cache events (none is made), the time for which a prefilled prompt is kept (it is used or released within the request that made it, and the engine's refusal covers the rest), and the path of health probes (none is sent; health is judged by answers).

No behaviour changes; the stand-in of the operator and the catalog of the tests of core/forward do not set them any more, since the fields are gone. An unknown field of the configuration is still ignored.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -69,22 +69,15 @@
 // Service is a set of interchangeable engines.
 type Service struct {
 	Name           ident.ServiceID
-	HealthPath     string
 	MaxConnections int        // To one engine, from all callers.
 	Model          *ModelPool // Nil for plain services.
 }
 
 // ModelPool holds the properties that all engines of a model service share.
 type ModelPool struct {
-	Slots                   int
-	KVCacheTokens           ident.Tokens
-	KVBytesPerToken         ident.Bytes // KV cache of one token.
-	LinkMbps                float64
-	TokensPerEvent          int     // Tokens in one event of a stream.
-	HandleTTLSeconds        float64 // How long a prefilled prompt is kept.
-	StageChangeSeconds      float64 // How long a change of stage takes.
-	MaxReservationMS        float64 // Longest reservation; 0 if there are none.
-	MaxConcurrentEventPolls int
+	KVCacheTokens      ident.Tokens
+	StageChangeSeconds float64 // How long a change of stage takes.
+	MaxReservationMS   float64 // Longest reservation; 0 if there are none.
 }
 
 // Organisation is a customer with keys and a rate.
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -44,7 +44,7 @@
 	c, err := catalog.New(catalog.Catalog{
 		Version: 1,
 		Services: []catalog.Service{
-			{Name: "plain"}, {Name: "model", Model: &catalog.ModelPool{Slots: 4, KVCacheTokens: 10_000}},
+			{Name: "plain"}, {Name: "model", Model: &catalog.ModelPool{KVCacheTokens: 10_000}},
 		},
 		Routes: []catalog.Route{
 			route("safe", catalog.Idempotent, "plain", 2), route("once", catalog.AtMostOnce, "plain", 2),
