io/caller: a method with lower-case letters is refused, not changed

What callers could see: a request with the method "pOST" or "get" ran as POST or GET. Methods are case-sensitive: an engine got another method than its caller had sent.

Cause: the parser of nbhttp changes the letters of a method to upper case before it compares it with the methods that it knows.

Fix: headerChecker, which sees each byte of the request line before the parser, refuses a method with a lower-case letter as malformed, as other unknown methods are.

--- a/io/caller/headerchecker.go
+++ b/io/caller/headerchecker.go
@@ -7,7 +7,8 @@
 
 // The states of a line of the header section.
 const (
-	inRequestLine lineState = iota
+	inMethod lineState = iota
+	inRequestLine
 	atLineStart
 	inName
 	inValue
@@ -41,6 +42,14 @@
 func (h *headerChecker) checkByte(b byte) *fault.Error {
 	whitespace := b == ' ' || b == '\t'
 	switch h.state {
+	case inMethod:
+		if 'a' <= b && b <= 'z' {
+			// The parser would change it to upper case.
+			return fault.New(fault.BadRequest, "malformed HTTP request: lower-case letter in the method")
+		}
+		if whitespace {
+			h.state = inRequestLine
+		}
 	case atLineStart:
 		if whitespace {
 			return fault.New(fault.BadRequest, "malformed HTTP request: folded header line")
