--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -34,6 +34,7 @@
 	send     func(n int, c Call, sink Sink) error // n is the number of the call, from 1.
 	prefill  func(n int, c Call) (string, error)
 	reserve  func(e engines.Entry) (string, error)
+	reserved []time.Duration // Validity of each reservation that was asked for.
 }
 
 // newHarness returns a harness with two plain, two decode and two prefill engines.
@@ -43,7 +44,7 @@
 	c, err := catalog.New(catalog.Catalog{
 		Version: 1,
 		Services: []catalog.Service{
-			{Name: "plain"}, {Name: "model", Model: &catalog.ModelPool{Slots: 4, KVCacheTokens: 10_000}},
+			{Name: "plain"}, {Name: "model", Model: &catalog.ModelPool{KVCacheTokens: 10_000}},
 		},
 		Routes: []catalog.Route{
 			route("safe", catalog.Idempotent, "plain", 2), route("once", catalog.AtMostOnce, "plain", 2),
@@ -154,7 +155,10 @@
 			defer h.mu.Unlock()
 			h.released = append(h.released, id)
 		},
-		Reserve: func(_ context.Context, e engines.Entry, _ ident.Tokens, _, _ time.Time) (string, error) {
+		Reserve: func(_ context.Context, e engines.Entry, _ ident.Tokens, until, _ time.Time) (string, error) {
+			h.mu.Lock()
+			h.reserved = append(h.reserved, time.Until(until))
+			h.mu.Unlock()
 			return h.reserve(e)
 		},
 	}
