settings: PeerListenAddress, for an instance whose peers connect through a proxy

PeerListenAddress names the address to listen on if it differs; PeerAddress stays what others are told. Its host is also the source of outgoing connections, as before with PeerAddress, so that a proxy can tell the instances apart.

Ruled out: the partition of io/peer, which drops bytes in the process itself and shows neither refused connections nor data that arrives late; network namespaces, which need more rights than the soak has.

--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -109,7 +109,7 @@
 	}, nil
 }
 
-// listenLinks creates the links of a node and listens at its peer address.
+// listenLinks creates the links of a node and listens for other instances.
 func listenLinks(n *kernel.Node) (*peer.Links, error) {
 	opts := []peer.Option{peer.WithMetrics(n.Metrics)}
 	if n.Settings.TLS.Enabled() {
@@ -119,13 +119,13 @@
 		}
 		opts = append(opts, peer.WithTLS(cfg))
 	}
-	if host, _, err := net.SplitHostPort(string(n.Settings.PeerAddress)); err == nil {
+	if host, _, err := net.SplitHostPort(string(n.Settings.PeerListener())); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 			opts = append(opts, peer.WithLocalIP(ip))
 		}
 	}
 	links := peer.New(n.ID, n.Settings.Domain, n.Log, opts...)
-	if _, err := links.Listen(n.Settings.PeerAddress); err != nil {
+	if _, err := links.Listen(n.Settings.PeerListener()); err != nil {
 		return nil, err
 	}
 	return links, nil
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -20,6 +20,7 @@
 	Domain              ident.DomainID  `yaml:"Domain"`              // Failure domain of the instance.
 	CallerAddress       ident.Address   `yaml:"CallerAddress"`       // Address on which callers are served.
 	PeerAddress         ident.Address   `yaml:"PeerAddress"`         // Address to which other instances connect.
+	PeerListenAddress   ident.Address   `yaml:"PeerListenAddress"`   // Address on which the instance listens for other instances, if a proxy forwards PeerAddress to it; empty means PeerAddress.
 	OperatorAddress     ident.Address   `yaml:"OperatorAddress"`     // Address on which operators are served.
 	StoreAddresses      []ident.Address `yaml:"StoreAddresses"`      // Addresses of the platform's key-value service.
 	InstanceListAddress ident.Address   `yaml:"InstanceListAddress"` // Address of the platform's instance list; may be empty.
@@ -69,6 +70,14 @@
 // Enabled reports whether connections between instances use TLS.
 func (t TLS) Enabled() bool { return t.CertFile != "" }
 
+// PeerListener returns the address on which the instance listens for other instances.
+func (s *Settings) PeerListener() ident.Address {
+	if s.PeerListenAddress != "" {
+		return s.PeerListenAddress
+	}
+	return s.PeerAddress
+}
+
 // Defaults and ranges of settings.
 const (
 	defaultHeartbeatMS     = 500
@@ -131,6 +140,9 @@
 	c.required("Domain", string(s.Domain))
 	c.address("CallerAddress", s.CallerAddress)
 	c.address("PeerAddress", s.PeerAddress)
+	if s.PeerListenAddress != "" {
+		c.address("PeerListenAddress", s.PeerListenAddress)
+	}
 	c.address("OperatorAddress", s.OperatorAddress)
 	if len(s.StoreAddresses) == 0 && !c.Failed("StoreAddresses") {
 		c.Add("StoreAddresses", "is missing", "give at least one host:port of the key-value service")
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -33,6 +33,7 @@
 		"missing name":     {"Name: a\n", "", "Name: is missing"},
 		"host name":        {"CallerAddress: 127.0.0.1:8080", "CallerAddress: localhost:8080", "line 3: CallerAddress: \"localhost:8080\""},
 		"no port":          {"PeerAddress: 127.0.0.1:8081", "PeerAddress: 127.0.0.1", "line 4: PeerAddress"},
+		"no listen port":   {"Name: a", "Name: a\nPeerListenAddress: 127.0.0.1", "line 2: PeerListenAddress"},
 		"no store":         {"StoreAddresses: [127.0.0.1:8500]\n", "", "StoreAddresses: is missing"},
 		"bad peer":         {"[127.0.0.1:8181]", "[x]", "line 7: FirstPeers[0]"},
 		"bad level":        {"Name: a", "Name: a\nLogLevel: loud", "line 2: LogLevel"},
