platformsoak: faults between instances, and a check that the members agree

Each now has a loopback address of its own and a relay in front of its peer address; the relay refuses connections while the process does not run. New check MembersAgree: after the fault-free end of a run each instance counts all others as live and no process that has ended.

--- a/lab/platformsoak/check.go
+++ b/lab/platformsoak/check.go
@@ -37,6 +37,7 @@
 	r.checkRetryAfter(requests, arrivals)
 	r.checkRates(requests, runs)
 	r.checkRecovery(requests)
+	r.checkMembers(r.readMembers())
 	for _, p := range r.testbed.replicas {
 		if slots, memory := p.engine.Usage(); slots != 0 || memory != 0 {
 			r.addFinding(EnginesAreFree, "%s: %d requests and %d tokens", p.name, slots, memory)
--- a/lab/platformsoak/finding.go
+++ b/lab/platformsoak/finding.go
@@ -27,6 +27,7 @@
 	RequestsAreAnswered                   // A request that was passed on to engines without a fault only is answered.
 	RetryAfterIsKept                      // An engine that turned a request away gets almost no others from the instance before the time that it gave.
 	MemoryIsBounded                       // No instance uses more than maxResidentBytes.
+	MembersAgree                          // After the faults each instance counts all others as live, and no process that has ended.
 	EnginesAreFree                        // After the run no engine holds requests or memory.
 )
 
--- a/lab/platformsoak/finding_string.go
+++ b/lab/platformsoak/finding_string.go
@@ -23,12 +23,13 @@
 	_ = x[RequestsAreAnswered-12]
 	_ = x[RetryAfterIsKept-13]
 	_ = x[MemoryIsBounded-14]
-	_ = x[EnginesAreFree-15]
+	_ = x[MembersAgree-15]
+	_ = x[EnginesAreFree-16]
 }
 
-const _Promise_name = "RunsOnceRefusalsAreTrueAnswersAreWholeRunsForOwnOrganisationEnginesSeeNoKeyLeavingGetsNoWorkChangesAreInForceRatesHoldWorkEndsWithItsCallerPlannedStopCutsNoneProcessesLiveRecoversRequestsAreAnsweredRetryAfterIsKeptMemoryIsBoundedEnginesAreFree"
+const _Promise_name = "RunsOnceRefusalsAreTrueAnswersAreWholeRunsForOwnOrganisationEnginesSeeNoKeyLeavingGetsNoWorkChangesAreInForceRatesHoldWorkEndsWithItsCallerPlannedStopCutsNoneProcessesLiveRecoversRequestsAreAnsweredRetryAfterIsKeptMemoryIsBoundedMembersAgreeEnginesAreFree"
 
-var _Promise_index = [...]uint8{0, 8, 23, 38, 60, 75, 92, 109, 118, 139, 158, 171, 179, 198, 214, 229, 243}
+var _Promise_index = [...]uint8{0, 8, 23, 38, 60, 75, 92, 109, 118, 139, 158, 171, 179, 198, 214, 229, 241, 255}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/lab/platformsoak/schedule.go
+++ b/lab/platformsoak/schedule.go
@@ -18,12 +18,17 @@
 	maxConcurrentFaults = 3
 )
 
+// firstFaultPart is the part of the run whose random source draws the details of the first
+// fault; those of later faults follow.
+const firstFaultPart = 1000
+
 // target is the component that a fault is injected into. At most one of instance and
 // replica is set.
 type target struct {
 	name     string
 	instance *instance
 	replica  *replica
+	random   *rand.Rand // Draws the details of the fault.
 }
 
 // targetKind is the kind of component that a fault is injected into.
@@ -35,6 +40,7 @@
 	engineTarget
 	soundEngineTarget // An engine that has no fault in the checks: callers must not notice.
 	storeTarget
+	soundInstanceTarget // An instance that has no fault in the checks: all time bounds hold.
 	operatorTarget
 )
 
@@ -61,9 +67,10 @@
 	var active sync.WaitGroup
 	defer active.Wait()
 	sleep(ctx, firstFault)
-	for len(rows) > 0 && ctx.Err() == nil {
+	for n := uint64(0); len(rows) > 0 && ctx.Err() == nil; n++ {
 		e := rows[random.IntN(len(rows))]
 		t := r.drawTarget(random, e.kind)
+		t.random = r.randomSource(firstFaultPart + n)
 		length := randomDuration(random, shortestFault, longestFault)
 		if time.Now().Add(length).After(last) {
 			return
@@ -85,7 +92,7 @@
 // drawTarget draws a target of the given kind.
 func (r *run) drawTarget(random *rand.Rand, kind targetKind) target {
 	switch kind {
-	case instanceTarget:
+	case instanceTarget, soundInstanceTarget:
 		i := r.testbed.instances[random.IntN(len(r.testbed.instances))]
 		return target{name: i.name, instance: i}
 	case engineTarget, soundEngineTarget:
@@ -104,7 +111,7 @@
 // runFault begins a fault and ends it after its length.
 func (r *run) runFault(ctx context.Context, e faultSpec, t target, length time.Duration) {
 	r.logf("%s on %s for %.1fs", e.name, t.name, length.Seconds())
-	if e.kind != soundEngineTarget {
+	if e.kind != soundEngineTarget && e.kind != soundInstanceTarget {
 		defer r.beginFault(t.name)()
 	}
 	end, err := e.begin(r, t)
--- a/lab/platformsoak/testbed.go
+++ b/lab/platformsoak/testbed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync"
 	"syscall"
@@ -69,6 +70,8 @@
 	name      string
 	settings  settings.Settings
 	storeLink *relay.Relay // Relay on the link from the instance to the store.
+	peerLink  *relay.Relay // Relay on the links from other instances to this one.
+	peerIP    netip.Addr   // Source of the links to other instances.
 
 	mu           sync.Mutex
 	process      *process.Process
@@ -184,8 +187,8 @@
 }
 
 // newRelay returns a relay that is closed with the testbed.
-func (w *testbed) newRelay(target string) (*relay.Relay, error) {
-	r, err := relay.New(target)
+func (w *testbed) newRelay(target string, options ...relay.Option) (*relay.Relay, error) {
+	r, err := relay.New(target, options...)
 	if err == nil {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -212,6 +215,9 @@
 			}
 			*to = ident.Address(address)
 		}
+		if err := w.addPeerLink(i, s, n); err != nil {
+			return err
+		}
 		s.StoreAddresses = []ident.Address{ident.Address(i.storeLink.Address())}
 		s.Bounds = settings.Bounds{
 			RepeatRatio: repeatRatio, RepeatSlack: repeatSlack, RepeatWindowS: repeatWindow.Seconds(),
@@ -242,6 +248,9 @@
 	if err != nil {
 		return err
 	}
+	if err := i.peerLink.Accept(); err != nil {
+		return err
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.startCount++
@@ -250,6 +259,9 @@
 		Name: fmt.Sprintf("%s-%d", i.name, i.startCount), Path: w.program,
 		Args: []string{"serve", "--settings", path}, Env: []string{invariant.FatalEnv + "=1"},
 	})
+	if err == nil {
+		go i.refusePeersAfter(i.process)
+	}
 	return err
 }
 
