--- a/lab/platformsoak/check_test.go
+++ b/lab/platformsoak/check_test.go
@@ -82,6 +82,24 @@
 	}
 }
 
+// TestCheckPlannedStopIgnoresKills checks a request that ends without an answer during a
+// planned stop: it is a finding unless the process was killed meanwhile.
+func TestCheckPlannedStopIgnoresKills(t *testing.T) {
+	for _, killed := range []bool{false, true} {
+		r := newTestRun()
+		a, runs := goodRequest(r)
+		a.answer.Err = errors.New("EOF")
+		r.plannedStops[a.process] = a.sentAt
+		if killed {
+			r.interrupted[a.process] = []time.Time{a.endedAt}
+		}
+		r.checkPlannedStop(a, runs)
+		if got := r.findingCounts()[PlannedStopCutsNone]; (got == 1) == killed {
+			t.Errorf("killed %v: found %v", killed, r.findings)
+		}
+	}
+}
+
 // TestCheckLeavingIgnoresInstancesWithFaults checks a request that reaches a leaving
 // engine too late: it is a finding unless the instance or the store had a fault.
 func TestCheckLeavingIgnoresInstancesWithFaults(t *testing.T) {
--- a/lab/process/process.go
+++ b/lab/process/process.go
@@ -144,6 +144,11 @@
 	return p.cmd.Process.Signal(syscall.SIGTERM)
 }
 
+// Hangup sends SIGHUP, upon which a daemon reloads its settings.
+func (p *Process) Hangup() error {
+	return p.cmd.Process.Signal(syscall.SIGHUP)
+}
+
 // Wait waits until the process has exited and returns its exit error.
 func (p *Process) Wait(ctx context.Context) error {
 	select {
