platformsoak: connections that callers hold open until the process is gone

Each instance now has three connections that are held until it closes them, across all faults: idle up to 3 s, then a request whose bytes are sent in two parts, up to 3 s apart, cut anywhere, with its answer read to the end. Their requests go through all checks. New check HeldRequestsAreAnswered: a whole request on such a connection ends with an answer or a refusal, unless it is closed within 200 ms of the last byte (a close that crosses it), its deadline passed, its engine had a fault, or the process was killed, paused or in the last sixth of its stop time.

--- a/lab/platformsoak/check.go
+++ b/lab/platformsoak/check.go
@@ -63,6 +63,7 @@
 	}
 	r.checkDisconnect(a, runs)
 	r.checkPlannedStop(a, runs)
+	r.checkHeld(a, runs)
 }
 
 // checkPlannedStop reports a request that was cut by a planned stop of its instance.
--- a/lab/platformsoak/finding_string.go
+++ b/lab/platformsoak/finding_string.go
@@ -23,13 +23,14 @@
 	_ = x[RequestsAreAnswered-12]
 	_ = x[RetryAfterIsKept-13]
 	_ = x[MemoryIsBounded-14]
-	_ = x[MembersAgree-15]
-	_ = x[EnginesAreFree-16]
+	_ = x[HeldRequestsAreAnswered-15]
+	_ = x[MembersAgree-16]
+	_ = x[EnginesAreFree-17]
 }
 
-const _Promise_name = "RunsOnceRefusalsAreTrueAnswersAreWholeRunsForOwnOrganisationEnginesSeeNoKeyLeavingGetsNoWorkChangesAreInForceRatesHoldWorkEndsWithItsCallerPlannedStopCutsNoneProcessesLiveRecoversRequestsAreAnsweredRetryAfterIsKeptMemoryIsBoundedMembersAgreeEnginesAreFree"
+const _Promise_name = "RunsOnceRefusalsAreTrueAnswersAreWholeRunsForOwnOrganisationEnginesSeeNoKeyLeavingGetsNoWorkChangesAreInForceRatesHoldWorkEndsWithItsCallerPlannedStopCutsNoneProcessesLiveRecoversRequestsAreAnsweredRetryAfterIsKeptMemoryIsBoundedHeldRequestsAreAnsweredMembersAgreeEnginesAreFree"
 
-var _Promise_index = [...]uint8{0, 8, 23, 38, 60, 75, 92, 109, 118, 139, 158, 171, 179, 198, 214, 229, 241, 255}
+var _Promise_index = [...]uint16{0, 8, 23, 38, 60, 75, 92, 109, 118, 139, 158, 171, 179, 198, 214, 229, 252, 264, 278}
 
 func (i Promise) String() string {
 	idx := int(i) - 0
--- a/lab/platformsoak/soak.go
+++ b/lab/platformsoak/soak.go
@@ -103,6 +103,7 @@
 	work.Go(func() { r.watchProcesses(ctx) })
 	work.Go(func() { r.runFaults(ctx) })
 	work.Go(func() { r.probeChanges(ctx) })
+	work.Go(func() { r.holdConnections(ctx) })
 	r.sendRequests(ctx)
 	work.Wait()
 }
@@ -228,5 +229,6 @@
 	sentAt         time.Time
 	disconnectedAt time.Time // When the caller disconnected early; zero if it did not.
 	endedAt        time.Time
+	held           bool // Sent in two parts on a connection that is held open.
 	answer         standin.Answer
 }
