platformsoak: held callers do not disconnect early

Only the callers of sendRequests draw one now, in the same order of draws as before. The check is unchanged.

--- a/lab/platformsoak/held.go
+++ b/lab/platformsoak/held.go
@@ -55,7 +55,7 @@
 			return
 		}
 		a := r.drawRequest(random, 0)
-		a.Disconnect, a.held, a.instance, a.process = nil, true, i.name, process
+		a.held, a.instance, a.process = true, i.name, process
 		a.ID = fmt.Sprintf("%d-held-%d-%d-%d", r.cfg.Seed, number, time.Since(r.start).Milliseconds(), n)
 		if !r.sendHeld(h, a, random) {
 			return
--- a/lab/platformsoak/load.go
+++ b/lab/platformsoak/load.go
@@ -45,6 +45,7 @@
 			continue
 		}
 		a := r.drawRequest(random, n)
+		r.drawDisconnect(random, a)
 		c := callers[i.name][random.IntN(callersPerInstance)]
 		open.Go(func() { r.sendRequest(c, i, a) })
 	}
@@ -67,16 +68,6 @@
 		if a.organisation == overLimitOrganisation {
 			a.Prompt *= overLimitPromptFactor
 		}
-		if random.Float64() < disconnectShare {
-			disconnect := make(chan struct{})
-			a.Disconnect = disconnect
-			time.AfterFunc(time.Duration(random.IntN(900))*time.Millisecond, func() {
-				r.mu.Lock()
-				a.disconnectedAt = time.Now()
-				r.mu.Unlock()
-				close(disconnect)
-			})
-		}
 	case kind < streamShare+openShare:
 		a.Path, a.Key, a.organisation = "/open/x", "", ""
 	case random.IntN(2) == 0:
@@ -87,6 +78,21 @@
 	return a
 }
 
+// drawDisconnect lets the callers of some streams disconnect early.
+func (r *run) drawDisconnect(random *rand.Rand, a *request) {
+	if !a.Stream || random.Float64() >= disconnectShare {
+		return
+	}
+	disconnect := make(chan struct{})
+	a.Disconnect = disconnect
+	time.AfterFunc(time.Duration(random.IntN(900))*time.Millisecond, func() {
+		r.mu.Lock()
+		a.disconnectedAt = time.Now()
+		r.mu.Unlock()
+		close(disconnect)
+	})
+}
+
 // sendRequest sends a request to an instance and records its answer.
 func (r *run) sendRequest(c *standin.Caller, i *instance, a *request) {
 	r.mu.Lock()
