membership: a live member whose connections were refused for a moment is live again

What could be seen: after connections to a live instance had been refused for 1 to 6 s, all others counted it as gone for up to two minutes (memberRetention), although it served and sent heartbeats: no heartbeats to it, no part in ownership, slots and shares.

Cause: two refusals 0.3 s apart were taken as certain proof that the process has ended, and Gone was final: RecordHeartbeat, ReplaceDomain and Merge ignored everything about such a member, and gossip spread the state.

Now a newer heartbeat of the member itself, or its own domain's view from 4 intervals later, makes it live again unless a later process at its address is known; gossip of Gone does not count while its counter grows here; and a refusal does not count if the counter grew since the first one. An ended process sends nothing, so it stays gone.

Before: TestRefusedMemberIsLiveAgain: "view of a-...: member x-... is Gone (known: true), want Live" after 10.4 s. After: go test -race ./core/membership: ok; ./core/share ./core/claims ./core/reaper: ok. Open: while connections are refused the state may change several times, and a role may act for the live process in that time.

--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -72,7 +72,10 @@
 		}
 	}
 	for _, hash := range d.GetGone() {
-		if id, known := byHash[memberHash(hash)]; known && t.markGone(id) {
+		id, known := byHash[memberHash(hash)]
+		// A counter that still grows shows that the process lives.
+		grows := known && t.now().Sub(t.members[id].LastHeartbeat) < t.settleTime
+		if known && !grows && t.markGone(id) {
 			changed = true
 		}
 	}
@@ -130,7 +133,7 @@
 	if id == t.self.ID || m.State == Gone {
 		return false
 	}
-	m.State = Gone
+	m.State, m.goneSince = Gone, t.now()
 	t.members[id] = m
 	t.logChange(m)
 	return true
--- a/core/membership/heartbeat.go
+++ b/core/membership/heartbeat.go
@@ -202,7 +202,7 @@
 }
 
 // confirmGone marks an instance as gone if a second heartbeat to it also fails because its
-// process has ended. No second heartbeat is needed if another process has answered at its
+// process has ended, and its counter has not grown meanwhile. No second heartbeat is needed if another process has answered at its
 // address.
 func (s *Service) confirmGone(id ident.InstanceID, err error) {
 	m, known := s.Table.View().Member(id)
@@ -223,7 +223,9 @@
 	defer cancel()
 	local := m.Domain == s.Table.Self().Domain
 	err = s.links.Call(ctx, id, methodHeartbeat, s.newHeartbeat(local), &HeartbeatReply{})
-	if err != nil && showsProcessEnded(err) {
+	now, _ := s.Table.View().Member(id)
+	lives := now.Counter > m.Counter
+	if err != nil && showsProcessEnded(err) && (isReplaced(err) || !lives) {
 		s.Table.MarkGone(id)
 		s.links.CloseSession(m.PeerAddress)
 	}
--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -30,6 +30,8 @@
 	Revision        ident.Revision // Newest configuration revision that it has reported.
 	Counter         int64          // Highest known heartbeat counter: the number of heartbeats that it has sent.
 	LastHeartbeat   time.Time      `json:"LastHeard"` // Time at which its counter last grew here.
+
+	goneSince time.Time // When it was marked as gone.
 }
 
 // memberHash identifies a member in digests: the hash of its instance id.
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -36,6 +36,7 @@
 	discoveryInterval       = time.Second            // Interval of discovery, and timeout of its calls.
 	listReadEvery           = 5                      // Rounds of discovery for each read of the instance list.
 	listReaders             = 2                      // Members of each domain that read the instance list.
+	settleIntervals         = 4                      // Heartbeat intervals until gossip about a member agrees with its own heartbeats.
 	heartbeatCallFactor     = 2                      // Timeout of a heartbeat call, in heartbeat intervals.
 )
 
@@ -145,6 +146,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 	}
+	t.settleTime = settleIntervals * s.interval
 	s.firstPeers.Store(&n.Settings.FirstPeers)
 	if n.Settings.InstanceListAddress != "" {
 		s.listInstances = instancelist.New(n.Settings.InstanceListAddress).Instances
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -28,6 +28,7 @@
 	mu              sync.Mutex
 	self            Member
 	members         map[ident.InstanceID]Member
+	settleTime      time.Duration                // Time for which reports about a member may be older than its newest state here.
 	nextDomainQuery map[ident.DomainID]time.Time // Earliest time of the next fetch of a view because of a silent domain.
 	subscribers     []func(*View)
 }
@@ -78,7 +79,8 @@
 
 // RecordHeartbeat records a heartbeat that came from the member itself, with its counter
 // and its revision. Older processes at the same address are marked as gone: the member
-// has replaced them.
+// has replaced them. A member that was marked as gone is live again if the heartbeat is newer
+// than all before and no other process has replaced it: connections to it were refused.
 func (t *Table) RecordHeartbeat(m Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -86,7 +88,7 @@
 		return
 	}
 	old, known := t.members[m.ID]
-	if known && old.State == Gone {
+	if known && old.State == Gone && (m.Counter <= old.Counter || t.hasSuccessor(m)) {
 		return
 	}
 	m.LastHeartbeat = t.now()
@@ -113,7 +115,7 @@
 	for id, other := range t.members {
 		replaced := other.PeerAddress == m.PeerAddress && id != m.ID && id != t.self.ID
 		if replaced && other.State != Gone && !other.Started.After(m.Started) {
-			other.State = Gone
+			other.State, other.goneSince = Gone, t.now()
 			t.members[id] = other
 			t.logChange(other)
 			changed = true
@@ -122,6 +124,16 @@
 	return changed
 }
 
+// hasSuccessor reports whether a later process is known at m's address. t.mu must be held.
+func (t *Table) hasSuccessor(m Member) bool {
+	for id, other := range t.members {
+		if id != m.ID && other.PeerAddress == m.PeerAddress && other.Started.After(m.Started) {
+			return true
+		}
+	}
+	return false
+}
+
 // AddUnconfirmed adds a member that another one has reported, unless it is known. It is
 // silent until a heartbeat confirms that it is live.
 func (t *Table) AddUnconfirmed(m Member) {
@@ -137,7 +149,8 @@
 }
 
 // ReplaceDomain sets the live members of another domain to those that one of its members
-// reported. Live members that the report lacks become silent.
+// reported. Live members that the report lacks become silent. A member that was marked as
+// gone is live again if the report can't be older than that.
 func (t *Table) ReplaceDomain(domain ident.DomainID, reported []Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -146,7 +159,7 @@
 	for _, m := range reported {
 		reportedIDs[m.ID] = true
 		old, known := t.members[m.ID]
-		if known && old.State == Gone {
+		if known && old.State == Gone && (t.hasSuccessor(m) || t.now().Sub(old.goneSince) < t.settleTime) {
 			continue
 		}
 		changed = changed || !known || old.State != m.State
