serve: a stop is not lost among reloads

What could be seen: an instance that got SIGTERM while several SIGHUP were pending ran on until SIGKILL, so that its requests in progress were cut.

Cause: one channel of four signals held both kinds, and signal.Notify drops a signal for which the channel has no room. Four pending reloads, during the start or while one reload is slow, dropped a SIGTERM.

Each kind has a channel of its own now, of one signal: a second stop changes nothing, and a reload that is dropped while another one is pending is covered by that one, which reads the file later.

--- a/cmd/monsoonfork/verb/serve.go
+++ b/cmd/monsoonfork/verb/serve.go
@@ -46,14 +46,15 @@
 	logger := newLogger(out, cfg.LogLevel)
 	// Before callers are served: a signal that arrives before the call has its default
 	// effect, which ends the process.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(reloads, syscall.SIGHUP)
 	n := kernel.NewNode(cfg, logger)
 	if err := n.Start(context.Background()); err != nil {
 		return err
 	}
 	_ = level.Info(n.Log).Log("msg", event.Serving, "callers", string(cfg.CallerAddress), "operators", string(cfg.OperatorAddress))
-	s.waitForStop(n, signals)
+	s.waitForStop(n, stops, reloads)
 	// Later signals are ignored, since a planned stop cuts no request. Its duration is
 	// bounded by the deadlines of the requests and, on the platform, by the setting StopS.
 	ctx, cancel := stopContext(cfg)
@@ -73,17 +74,16 @@
 )
 
 // waitForStop returns on a signal to stop. Until then it reloads changed settings.
-func (s *serve) waitForStop(n *kernel.Node, signals <-chan os.Signal) {
+func (s *serve) waitForStop(n *kernel.Node, stops, reloads <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	seen := versionOfFile(s.Settings)
 	for {
 		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				_ = level.Info(n.Log).Log("msg", event.StopRequested, "signal", sig)
-				return
-			}
+		case sig := <-stops:
+			_ = level.Info(n.Log).Log("msg", event.StopRequested, "signal", sig)
+			return
+		case <-reloads:
 			seen = versionOfFile(s.Settings)
 			s.reload(n, "signal")
 		case <-ticker.C:
