--- a/lab/platformsoak/check.go
+++ b/lab/platformsoak/check.go
@@ -257,24 +257,27 @@
 	}
 	for _, o := range initialConfiguration().Organisations {
 		limit := (o.Rate*quotaWindow.Seconds()+o.Burst)*(1+quotaOvershoot) + quotaSlack
-		if used := largestWindowSum(charges[o.Name]); used > limit {
-			r.addFinding(RatesHold, "%s used %.0f tokens in %v; the limit is %.0f", o.Name, used, quotaWindow, limit)
+		if used, until := largestWindowSum(charges[o.Name]); used > limit {
+			r.addFinding(RatesHold, "%s used %.0f tokens in %v until %.1fs; the limit is %.0f", o.Name, used, quotaWindow, until.Sub(r.start).Seconds(), limit)
 		}
 	}
 }
 
-// largestWindowSum returns the largest sum of tokens in any window of quotaWindow.
-func largestWindowSum(list []charge) float64 {
+// largestWindowSum returns the largest sum of tokens in any window of quotaWindow, and the
+// end of that window.
+func largestWindowSum(list []charge) (largest float64, until time.Time) {
 	slices.SortFunc(list, func(a, b charge) int { return a.at.Compare(b.at) })
-	largest, sum, start := 0.0, 0.0, 0
+	sum, start := 0.0, 0
 	for _, t := range list {
 		sum += t.tokens
 		for ; t.at.Sub(list[start].at) > quotaWindow; start++ {
 			sum -= list[start].tokens
 		}
-		largest = max(largest, sum)
+		if sum > largest {
+			largest, until = sum, t.at
+		}
 	}
-	return largest
+	return largest, until
 }
 
 // checkRecovery reports a run in which too few requests were served after the faults.
