--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -36,6 +36,7 @@
 	discoveryInterval       = time.Second            // Interval of discovery, and timeout of its calls.
 	listReadEvery           = 5                      // Rounds of discovery for each read of the instance list.
 	listReaders             = 2                      // Members of each domain that read the instance list.
+	settleIntervals         = 4                      // Heartbeat intervals until gossip about a member agrees with its own heartbeats.
 	heartbeatCallFactor     = 2                      // Timeout of a heartbeat call, in heartbeat intervals.
 )
 
@@ -109,7 +110,7 @@
 	}, nil
 }
 
-// listenLinks creates the links of a node and listens at its peer address.
+// listenLinks creates the links of a node and listens for other instances.
 func listenLinks(n *kernel.Node) (*peer.Links, error) {
 	opts := []peer.Option{peer.WithMetrics(n.Metrics)}
 	if n.Settings.TLS.Enabled() {
@@ -119,13 +120,13 @@
 		}
 		opts = append(opts, peer.WithTLS(cfg))
 	}
-	if host, _, err := net.SplitHostPort(string(n.Settings.PeerAddress)); err == nil {
+	if host, _, err := net.SplitHostPort(string(n.Settings.PeerListener())); err == nil {
 		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
 			opts = append(opts, peer.WithLocalIP(ip))
 		}
 	}
 	links := peer.New(n.ID, n.Settings.Domain, n.Log, opts...)
-	if _, err := links.Listen(n.Settings.PeerAddress); err != nil {
+	if _, err := links.Listen(n.Settings.PeerListener()); err != nil {
 		return nil, err
 	}
 	return links, nil
@@ -145,6 +146,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 	}
+	t.settleTime = settleIntervals * s.interval
 	s.firstPeers.Store(&n.Settings.FirstPeers)
 	if n.Settings.InstanceListAddress != "" {
 		s.listInstances = instancelist.New(n.Settings.InstanceListAddress).Instances
