--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"github.com/go-kit/log/level"
 
@@ -12,39 +13,55 @@
 	"monsoonfork/core/ident"
 )
 
-// maxStreamAttempts limits the attempts of one request at decode engines.
-const maxStreamAttempts = 4
+const (
+	// maxStreamAttempts limits the attempts of one request at decode engines.
+	maxStreamAttempts = 4
+	// failedAnswerTime limits how long the rest of an engine's error answer is awaited before
+	// the request goes to another engine.
+	failedAnswerTime = 100 * time.Millisecond
+)
 
 // stream is a request to a model service, whose answer is forwarded as it arrives.
 type stream struct {
 	*job
 	splitter      eventSplitter
-	isEventStream bool // The answer is a stream of server-sent events.
-	attempts      int  // Number of attempts, with the current one.
-	possibleRuns  int  // Number of engines that may have run the request.
+	isEventStream bool        // The answer is a stream of server-sent events.
+	attempts      int         // Number of attempts, with the current one.
+	possibleRuns  int         // Number of engines that may have run the request.
+	failedAnswer  *callResult // The last complete error answer of an engine after which a retry was tried; otherwise nil.
 
 	replacement  *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
 	stalledAt    ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
 	localPrefill *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
 }
 
-// serveModel serves the request by the engines of a model service, with retries.
+// serveModel serves the request by the engines of a model service, with retries. If an engine
+// has failed with an answer and no other engine has answered, the caller gets that answer.
 func (j *job) serveModel(ctx context.Context) error {
 	s := &stream{job: j}
 	s.splitter.lastID = j.LastEventID
 	defer s.discardReplacement()
+	err := s.serve(ctx)
+	if err == nil || s.failedAnswer == nil || s.headSent || fault.Is(err, fault.CallerGone) {
+		return err
+	}
+	return s.sendAnswer(*s.failedAnswer)
+}
+
+// serve makes attempts until one succeeds or no other is allowed.
+func (s *stream) serve(ctx context.Context) error {
 	for s.attempts = 1; ; s.attempts++ {
 		err := s.attempt(ctx)
 		if err == nil {
 			return nil
 		}
 		if ctx.Err() != nil {
-			return j.interruptedStreamError(ctx, s.possibleRuns)
+			return s.interruptedStreamError(ctx, s.possibleRuns)
 		}
 		if s.replacement == nil && (s.attempts >= maxStreamAttempts || !s.mayRetry(err)) {
 			return s.finalError(err)
 		}
-		_ = level.Info(j.log).Log("msg", event.RetryingAtAnotherEngine, "try", s.attempts, "begun", j.headSent, "event", s.splitter.lastID, "err", err)
+		_ = level.Info(s.log).Log("msg", event.RetryingAtAnotherEngine, "try", s.attempts, "begun", s.headSent, "event", s.splitter.lastID, "err", err)
 	}
 }
 
@@ -174,10 +191,15 @@
 // other answer when it is complete. A resumable stream that stalls is cancelled as soon
 // as it can be resumed at another engine.
 func (s *stream) send(ctx context.Context, call Call) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	buffered := callResult{}
 	err := s.sendMonitored(ctx, call, Sink{
 		OnHead: func(h Head) error {
 			buffered.head = h
+			if s.isRetryableFailure(h) {
+				time.AfterFunc(failedAnswerTime, cancel)
+			}
 			s.isEventStream = strings.HasPrefix(h.Header.Get("Content-Type"), "text/event-stream") && h.Status < 300
 			return s.checkHead(h)
 		},
@@ -193,6 +215,9 @@
 		return fault.Wrap(errStreamStalled, fault.EndpointTimeout, "the call was replaced").WithRan(fault.From(err).Ran)
 	}
 	s.discardReplacement()
+	if s.isRetryableFailure(buffered.head) {
+		return s.keepFailedAnswer(buffered, err)
+	}
 	if err != nil {
 		return err
 	}
@@ -206,15 +231,28 @@
 	return s.sendEvents(buffered.head, s.splitter.partial)
 }
 
-// checkHead rejects an answer with a server error while another engine may still be
-// tried, and an answer other than events after events have been sent to the caller.
+// isRetryableFailure reports whether an answer is a server error and another engine may be
+// tried.
+func (s *stream) isRetryableFailure(h Head) bool {
+	return h.Status >= 500 && !s.headSent && s.repeatable() && s.possibleRuns < s.route.MaxEngines
+}
+
+// keepFailedAnswer keeps an error answer for the case that no retry can be made, if it is
+// complete (err is nil), and returns the error of the attempt.
+func (s *stream) keepFailedAnswer(answer callResult, err error) error {
+	failed := fault.New(fault.EndpointFailed, "the engine failed with status %d", answer.head.Status)
+	if err != nil {
+		return fault.Wrap(err, failed.Kind, "%s", failed.Message)
+	}
+	s.failedAnswer = &answer
+	return failed
+}
+
+// checkHead rejects an answer other than events after events have been sent to the caller.
 func (s *stream) checkHead(h Head) error {
 	if s.headSent && !s.isEventStream {
 		return fault.New(fault.AnswerBroken, "the stream can't be resumed: the engine answered with status %d and no events", h.Status)
 	}
-	if h.Status >= 500 && s.repeatable() && s.possibleRuns < s.route.MaxEngines {
-		return fault.New(fault.EndpointFailed, "the engine failed with status %d", h.Status)
-	}
 	return nil
 }
 
