core/forward: a silent prefill engine gets single calls

What callers could see: with a dead prefill engine in the list, streams were late again and again: each prompt that was sent there waited for 0.5 s and more before another engine prefilled it.

Cause: a prefill that times out was recorded only as a queueing delay, which falls while no call shows that the engine still does not answer; then every request may choose the engine until the first of them has timed out.

Now a prefill that times out at an engine which has sent nothing marks it as silent: it is left out for as long as it has been silent, and then gets one call. If the engine has answered others meanwhile, the wait is a queueing delay, as before.

Before: TestDeadPrefillEngineIsTriedSeldom: FAIL, "6 calls after the first timeout, want 1 or 2" (4 s). After: passes. Ruled out: a health probe of silent engines; operators pay for those.

--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -115,7 +115,7 @@
 	var best *engines.Engine
 	var lowest, estimated time.Duration
 	for _, e := range s.router.Engines(s.service.Name) {
-		if e.CurrentStage() != engines.Prefill || !e.Accepts(now) || e.IsChangingStage(now) || e.FailureRate(now) > maxPrefillFailureRate || !e.HasCapacity(s.PromptTokens, now) {
+		if e.CurrentStage() != engines.Prefill || !e.Accepts(now) || e.IsChangingStage(now) || e.IsSilent(now) || e.FailureRate(now) > maxPrefillFailureRate || !e.HasCapacity(s.PromptTokens, now) {
 			continue
 		}
 		t := s.estimatePrefill(e, 1)
@@ -166,13 +166,18 @@
 	queued := e.Load().Prefill
 	defer e.BeginPrefill(s.PromptTokens)()
 	limit := time.Duration(prefillTimeoutFactor*float64(estimated)) + prefillTimeoutSlack
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	callCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	started := s.router.now()
-	handle, err := s.router.Calls.Prefill(ctx, s.newCall(e))
+	e.BeginTrial(started)
+	handle, err := s.router.Calls.Prefill(callCtx, s.newCall(e))
 	now := s.router.now()
 	took := now.Sub(started)
 	if err != nil {
+		timedOut := callCtx.Err() != nil && ctx.Err() == nil
+		if timedOut && e.RecordNoAnswer(started, now) {
+			return "", err
+		}
 		s.recordEngineOutcome(e, callResult{heardAt: started, err: err})
 		e.RecordQueueDelay(took, now)
 		return "", err
--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -146,3 +147,34 @@
 		})
 	}
 }
+
+// TestDeadPrefillEngineIsTriedSeldom has a prefill engine never answer. After its first calls
+// have timed out it must get single calls with growing pauses, as each delays a request.
+func TestDeadPrefillEngineIsTriedSeldom(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	began := time.Now()
+	firstTimeout := began.Add(prefillTimeoutSlack + 100*time.Millisecond)
+	var trials atomic.Int64
+	h.router.Calls.Prefill = func(ctx context.Context, c Call) (string, error) {
+		if c.Engine.ID != "f1" {
+			return "handle", nil
+		}
+		if time.Now().After(firstTimeout) {
+			trials.Add(1)
+		}
+		<-ctx.Done()
+		return "", fault.From(context.Cause(ctx)).WithRan(fault.MayHaveRun)
+	}
+	h.send = func(_ int, _ Call, sink Sink) error { return sendAnswer(sink, 200, "id: 1\ndata: a\n\n") }
+	var callers sync.WaitGroup
+	for time.Since(began) < 4*time.Second {
+		callers.Go(func() { h.serve("stream") })
+		time.Sleep(20 * time.Millisecond)
+	}
+	callers.Wait()
+	// Silent for 0.5 s at the first timeout, then tried after 1 s, 3 s and 7 s at the earliest.
+	if n := trials.Load(); n < 1 || n > 2 {
+		t.Errorf("%d calls after the first timeout, want 1 or 2", n)
+	}
+}
