core/forward: a silent engine of a plain service gets single calls

What callers could see: requests that may run only once were lost one after the other at an engine that did not answer, as long as the list had it.

Cause: nothing records a call that ends with its request's deadline, as it ends with the context of the request. Only the open calls count as load, so that each time they had ended the engine looked idle, and got the next request.

Now an engine that has not begun to answer after the hedge delay of the route is silent until it sends something: it is ranked last for as long as it has been silent so far, and then gets one call. A call that ends unanswered extends this.

Before: TestSilentPlainEngineGetsFewCalls/1m0s: FAIL, "5 calls during the silence, want at most 3" (2 of 2 runs). The part with a silence of 1.5 s passed before. After: passes (4 of 4).

Ruled out: sending a request that may run only once to a second engine; the first may have run it. Tried, not kept: a test that counted calls during a pause of 1.5 s; it passed on the code before, and its check for calls afterwards failed in 1 of 3 runs, as it ended 0.1 s after the latest time at which the engine is to be called again.

--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -174,14 +174,19 @@
 }
 
 // callEngine calls one engine and buffers its answer. An answer of more than
-// maxBufferedAnswer bytes is forwarded without buffering.
+// maxBufferedAnswer bytes is forwarded without buffering. An engine that has not begun to
+// answer after the hedge delay is silent until it does.
 func (p *plainCalls) callEngine(ctx context.Context, e *engines.Engine, call Call) callResult {
-	res := callResult{engine: e, heardAt: p.router.now()}
-	e.BeginTrial(res.heardAt)
+	sent := p.router.now()
+	res := callResult{engine: e, heardAt: sent}
+	e.BeginTrial(sent)
 	end := e.BeginRequest(0)
 	defer end()
+	silenceTimer := time.AfterFunc(p.hedgeDelay(), func() { e.RecordNoAnswer(sent, p.router.now()) })
+	defer silenceTimer.Stop()
 	err := p.router.Calls.Send(ctx, call, Sink{
 		OnHead: func(h Head) error {
+			silenceTimer.Stop()
 			res.head, res.heardAt = h, p.router.now()
 			e.RecordAnswer(res.heardAt)
 			return nil
@@ -199,6 +204,8 @@
 	res.err = err
 	if ctx.Err() == nil {
 		p.recordEngineOutcome(e, res)
+	} else if now := p.router.now(); res.heardAt.Equal(sent) && now.Sub(sent) >= p.hedgeDelay() {
+		e.RecordNoAnswer(sent, now)
 	}
 	return res
 }
--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -178,3 +178,41 @@
 		t.Errorf("%d calls after the first timeout, want 1 or 2", n)
 	}
 }
+
+// TestSilentPlainEngineGetsFewCalls has an engine of a plain service fall silent, for a while
+// or for good. Requests that may run only once are lost there, so that it must get single
+// calls with growing pauses; and it must be called again after its silence.
+func TestSilentPlainEngineGetsFewCalls(t *testing.T) {
+	t.Parallel()
+	for _, silent := range []time.Duration{1500 * time.Millisecond, time.Minute} {
+		t.Run(silent.String(), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			began := time.Now()
+			silenceEnds := began.Add(silent)
+			var during, after atomic.Int64
+			h.send = func(_ int, c Call, sink Sink) error {
+				if c.Engine.ID == "p1" && time.Now().Before(silenceEnds) {
+					during.Add(1)
+					time.Sleep(time.Until(silenceEnds))
+				} else if c.Engine.ID == "p1" {
+					after.Add(1)
+				}
+				return sendAnswer(sink, 200, "ok")
+			}
+			var callers sync.WaitGroup
+			for time.Since(began) < min(2*silent+500*time.Millisecond, 5*time.Second) {
+				callers.Go(func() { h.serve("once") })
+				time.Sleep(20 * time.Millisecond)
+			}
+			callers.Wait()
+			// Each call ends after a second; the pauses after the calls last 1, 3 and 4 s.
+			if n := during.Load(); n > 3 {
+				t.Errorf("%d calls during the silence, want at most 3", n)
+			}
+			if silent < time.Minute && after.Load() == 0 {
+				t.Error("not called after the silence")
+			}
+		})
+	}
+}
