core/request: the last attempt waits for a silent engine

Cause: the limits for prefill, first token and the time between tokens are the same in every attempt.

Now the last attempt has only the request's deadline. A host that is dead is still noticed by keep-alive probes.

Before: TestLastAttemptOutlastsSilence: FAIL, "0 tokens, EndpointTimeout: no first token". After: passes. Open, in docs/design/connections.md: earlier attempts are aborted after 2 s before the next pair of engines is granted, and with an empty retry budget none follows.

--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -30,20 +30,23 @@
 	*completion
 	placed     *PlacedAttempt
 	log        log.Logger
-	startIndex int // Number of tokens delivered by earlier attempts.
+	startIndex int  // Number of tokens delivered by earlier attempts.
+	isLast     bool // No other attempt can follow, so that a silent engine is waited for.
 
 	prefillSent bool
 	decodeSent  bool
 }
 
 // runAttempt runs an attempt on its reserved engines. When it returns, either
-// the engines hold no memory for the attempt, or an abort is in progress.
-func (r *completion) runAttempt(placed *PlacedAttempt) (CompletionResult, error) {
+// the engines hold no memory for the attempt, or an abort is in progress. isLast says that
+// no other attempt can follow.
+func (r *completion) runAttempt(placed *PlacedAttempt, isLast bool) (CompletionResult, error) {
 	a := &attempt{
 		completion: r,
 		placed:     placed,
 		log:        log.With(r.session.log, "attempt", placed.ID, "prefill", string(placed.Prefill.Name), "decode", string(placed.Decode.Name)),
 		startIndex: len(r.delivered),
+		isLast:     isLast,
 	}
 	table := &r.session.pipeline.attempts
 	table.add(placed.ID)
@@ -150,7 +153,7 @@
 		Transfer:     prefilled.Transfer,
 		Limits: httpcall.Limits{
 			FirstByteDeadline: a.stageDeadline(a.estimatedTransferTime()),
-			ReadTimeout:       interTokenTimeout,
+			ReadTimeout:       a.readTimeout(),
 			ResponseDeadline:  a.session.Deadline,
 		},
 	}, func(d engine.Delta) error {
@@ -184,9 +187,20 @@
 	}
 }
 
+// readTimeout returns the longest allowed time between two tokens; 0 means no limit.
+func (a *attempt) readTimeout() time.Duration {
+	if a.isLast {
+		return 0
+	}
+	return interTokenTimeout
+}
+
 // stageDeadline returns the deadline of a stage with the estimated duration d. It
 // is never after the deadline of the request.
 func (a *attempt) stageDeadline(d time.Duration) time.Time {
+	if a.isLast {
+		return a.session.Deadline
+	}
 	deadline := a.session.pipeline.now().Add(max(minStageTimeout, stageTimeoutFactor*d))
 	if deadline.After(a.session.Deadline) {
 		return a.session.Deadline
--- a/core/request/completion.go
+++ b/core/request/completion.go
@@ -196,7 +196,7 @@
 	if err != nil {
 		return CompletionResult{}, err
 	}
-	return r.runAttempt(placed)
+	return r.runAttempt(placed, number >= maxAttempts)
 }
 
 // remainingTokens returns how many more tokens may be delivered.
