core/stagecontrol: an engine that pauses before its order is asked again

What callers could see: an engine that paused for 1.5 s or more at the moment at which its stage was to be changed got no request for 18 s, though it had no fault and had got no order.

Cause: the notice of the change excludes the engine from requests for 18 s, or until the list shows its new stage. The controller then asks the engine for its stage, and gave up the order, for 15 s, if it had no answer within 1.4 s.

Now an engine that has not answered is asked once more after the others have got their orders, for as long as the order window (5 s) allows. Nothing was sent to it before, so that it can't get two orders.

Before (go test ./core/stagecontrol -run 'Pausing|DeadEngine'): TestPausingEngineIsOrderedAfterItsPause: FAIL, "pause of 1.5s: 0 orders, want 1", "pause of 2s: 0 orders, want 1"; 0.5 and 1 s passed. TestDeadEngineDelaysNoOtherOrder passed before. After: both pass.

Ruled out: the order call itself. Sent to a stand-in that pauses for 0.5, 1, 1.5 and 2 s it is confirmed (TestOrderIsConfirmedAfterPause, which passes before too): its delivery timeout of 1 s ends nothing once the host has acknowledged it. Ruled out: a longer wait in the first round; a dead engine would take the order window from the others.

--- a/core/stagecontrol/controller.go
+++ b/core/stagecontrol/controller.go
@@ -155,8 +155,14 @@
 	_ = level.Info(c.Log).Log("msg", event.OrderLeaseAcquired, "fencing", fencing)
 	c.Pause(ctx, noticeLead)
 	deadline := started.Add(orderWindow)
+	var silent []StageChange
 	for _, change := range changes {
-		c.sendOrder(ctx, change, fencing, deadline)
+		if !c.sendOrder(ctx, change, fencing, deadline, 2*callTimeout) {
+			silent = append(silent, change)
+		}
+	}
+	for _, change := range silent {
+		c.sendOrder(ctx, change, fencing, deadline, orderWindow)
 	}
 }
 
@@ -182,12 +188,15 @@
 }
 
 // sendOrder orders one engine to change its stage, unless the engine is busy or at that
-// stage already.
-func (c *Controller) sendOrder(ctx context.Context, change StageChange, fencing ident.Epoch, deadline boottime.Instant) {
-	ctx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+// stage already. It takes no longer than the timeout, and not until after the deadline. It
+// returns false if nothing was ordered, since the engine has not answered about its stage; it
+// may only pause.
+func (c *Controller) sendOrder(ctx context.Context, change StageChange, fencing ident.Epoch, deadline boottime.Instant, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, min(timeout, time.Duration(deadline-c.BootTime())))
 	defer cancel()
 	e := change.Engine.Entry
 	s, err := c.Status(ctx, e)
+	answered := !fault.Is(err, fault.EndpointTimeout) && !fault.Is(err, fault.DeadlineExceeded)
 	if err == nil && (s.Busy || s.Stage == change.To) {
 		err = fault.New(fault.NotHolder, "not ordered: engine busy %v, stage %v", s.Busy, s.Stage)
 	}
@@ -195,4 +204,5 @@
 		err = c.Order(ctx, e, Order{Stage: change.To, Holder: c.Self, Fencing: fencing, Expected: s.AcceptedOrders, ValidUntil: deadline})
 	}
 	_ = level.Info(c.Log).Log("msg", event.StageOrdered, "engine", e.ID, "to", change.To, "fencing", fencing, "expected", s.AcceptedOrders, "err", err)
+	return answered
 }
