--- a/core/engines/silence.go
+++ b/core/engines/silence.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// maxSilencePause is the longest time for which a silent engine gets no calls.
-const maxSilencePause = 4 * time.Second
+// maxSilenceExclusion is the longest time for which a silent engine gets no calls.
+const maxSilenceExclusion = 4 * time.Second
 
 // silence is the state of an engine that leaves calls unanswered: it is dead, or pauses for a
 // second or two. It gets no calls for as long as it has been silent so far, and then a single
@@ -18,7 +18,7 @@
 
 // extend moves retryAt to the time after now that follows from the length of the silence.
 func (s *silence) extend(now time.Time) {
-	s.retryAt = now.Add(min(now.Sub(s.since), maxSilencePause))
+	s.retryAt = now.Add(min(now.Sub(s.since), maxSilenceExclusion))
 }
 
 // answer ends the silence.
