--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,3 +115,104 @@
 		t.Errorf("left out for %v after a silence of %v", took, silent)
 	}
 }
+
+// TestPrefillEngineIsUsedAfterItsSilence has a prefill engine pause and go on, for a time after
+// which its calls have timed out or not. It must not be left out for longer than it was silent.
+func TestPrefillEngineIsUsedAfterItsSilence(t *testing.T) {
+	t.Parallel()
+	for _, silent := range []time.Duration{400 * time.Millisecond, 1200 * time.Millisecond} {
+		t.Run(silent.String(), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			silenceEnds := time.Now().Add(silent)
+			var calledAgain atomic.Bool
+			h.router.Calls.Prefill = func(ctx context.Context, c Call) (string, error) {
+				if c.Engine.ID != "f1" || time.Now().After(silenceEnds) {
+					calledAgain.Store(calledAgain.Load() || c.Engine.ID == "f1")
+					return "handle", nil
+				}
+				timer := time.NewTimer(time.Until(silenceEnds))
+				defer timer.Stop()
+				select {
+				case <-timer.C:
+					return "handle", nil
+				case <-ctx.Done():
+					return "", fault.From(context.Cause(ctx)).WithRan(fault.MayHaveRun)
+				}
+			}
+			h.send = func(_ int, _ Call, sink Sink) error { return sendAnswer(sink, 200, "id: 1\ndata: a\n\n") }
+			if took := h.serveStreamsUntil(calledAgain.Load, silenceEnds, 5*time.Second); took > silent+200*time.Millisecond {
+				t.Errorf("left out for %v after a silence of %v", took, silent)
+			}
+		})
+	}
+}
+
+// TestDeadPrefillEngineIsTriedSeldom has a prefill engine never answer. After its first calls
+// have timed out it must get single calls with growing pauses, as each delays a request.
+func TestDeadPrefillEngineIsTriedSeldom(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	began := time.Now()
+	firstTimeout := began.Add(prefillTimeoutSlack + 100*time.Millisecond)
+	var trials atomic.Int64
+	h.router.Calls.Prefill = func(ctx context.Context, c Call) (string, error) {
+		if c.Engine.ID != "f1" {
+			return "handle", nil
+		}
+		if time.Now().After(firstTimeout) {
+			trials.Add(1)
+		}
+		<-ctx.Done()
+		return "", fault.From(context.Cause(ctx)).WithRan(fault.MayHaveRun)
+	}
+	h.send = func(_ int, _ Call, sink Sink) error { return sendAnswer(sink, 200, "id: 1\ndata: a\n\n") }
+	var callers sync.WaitGroup
+	for time.Since(began) < 4*time.Second {
+		callers.Go(func() { h.serve("stream") })
+		time.Sleep(20 * time.Millisecond)
+	}
+	callers.Wait()
+	// Silent for 0.5 s at the first timeout, then tried after 1 s, 3 s and 7 s at the earliest.
+	if n := trials.Load(); n < 1 || n > 2 {
+		t.Errorf("%d calls after the first timeout, want 1 or 2", n)
+	}
+}
+
+// TestSilentPlainEngineGetsFewCalls has an engine of a plain service fall silent, for a while
+// or for good. Requests that may run only once are lost there, so that it must get single
+// calls with growing pauses; and it must be called again after its silence.
+func TestSilentPlainEngineGetsFewCalls(t *testing.T) {
+	t.Parallel()
+	for _, silent := range []time.Duration{1500 * time.Millisecond, time.Minute} {
+		t.Run(silent.String(), func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t)
+			began := time.Now()
+			silenceEnds := began.Add(silent)
+			var during, after atomic.Int64
+			h.send = func(_ int, c Call, sink Sink) error {
+				if c.Engine.ID == "p1" && time.Now().Before(silenceEnds) {
+					during.Add(1)
+					time.Sleep(time.Until(silenceEnds))
+				} else if c.Engine.ID == "p1" {
+					after.Add(1)
+				}
+				return sendAnswer(sink, 200, "ok")
+			}
+			var callers sync.WaitGroup
+			for time.Since(began) < min(2*silent+500*time.Millisecond, 5*time.Second) {
+				callers.Go(func() { h.serve("once") })
+				time.Sleep(20 * time.Millisecond)
+			}
+			callers.Wait()
+			// Each call ends after a second; the pauses after the calls last 1, 3 and 4 s.
+			if n := during.Load(); n > 3 {
+				t.Errorf("%d calls during the silence, want at most 3", n)
+			}
+			if silent < time.Minute && after.Load() == 0 {
+				t.Error("not called after the silence")
+			}
+		})
+	}
+}
