Revert "share: trial: charge what others admitted before an organisation's first request here"

TestFirstRequestsAtEachInstanceAreCharged passes with it.

Reverted because TestUsageBeforeFirstRequestIsNotCharged fails with it: it demands that a first request is not refused for 1,000,000 tokens that others have admitted 20 ms before at a rate of 1,000 a second, which contradicts a rate over all instances.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -1,8 +1,6 @@
 package share
 
 import (
-	"math"
-	"slices"
 	"time"
 
 	"monsoonfork/core/ident"
@@ -17,28 +15,8 @@
 	refilledAt time.Time
 
 	admitted int64 // Tokens admitted by this instance since it started, less refunds.
-
-	early []charge // Tokens that others admitted before the limits were known, with their time.
-}
-
-// charge is a number of tokens that were admitted at a time.
-type charge struct {
-	at     time.Time
-	tokens int64
 }
 
-// Charges before the limits of a bucket are known.
-const (
-	earlyChargeAge      = time.Minute // Age from which on a charge no longer counts.
-	earlyChargeInterval = time.Second // Charges of this time are kept as one.
-)
-
-// newBucket returns a bucket whose limits are not known yet.
-func newBucket(now time.Time) *bucket { return &bucket{refilledAt: now, level: math.Inf(1)} }
-
-// limitsKnown reports whether setLimit was called.
-func (b *bucket) limitsKnown() bool { return b.rate != 0 }
-
 // refill adds the tokens accrued since the last call. It uses the monotonic clock,
 // so that no tokens accrue while the machine is suspended.
 func (b *bucket) refill(now time.Time) {
@@ -50,12 +28,11 @@
 }
 
 // setLimit sets the rate, the burst and the usable fraction of both. A new bucket
-// starts full at its fraction, less what others have admitted, so a restarted instance can admit that fraction of one
+// starts full at its fraction, so a restarted instance can admit that fraction of one
 // burst in addition.
 func (b *bucket) setLimit(rate, burst, fraction float64, now time.Time) {
-	if !b.limitsKnown() {
+	if b.rate == 0 {
 		b.rate, b.burst, b.fraction = rate, burst, fraction
-		b.applyEarlyCharges()
 	}
 	b.refill(now)
 	b.rate, b.burst, b.fraction = rate, burst, fraction
@@ -84,35 +61,6 @@
 
 // chargeOthers deducts tokens that other instances have admitted.
 func (b *bucket) chargeOthers(tokens int64, now time.Time) {
-	if !b.limitsKnown() {
-		b.addEarlyCharge(tokens, now)
-		return
-	}
 	b.refill(now)
 	b.level -= float64(tokens)
 }
-
-// addEarlyCharge keeps a charge until the limits are known.
-func (b *bucket) addEarlyCharge(tokens int64, now time.Time) {
-	if tokens == 0 {
-		return
-	}
-	if n := len(b.early); n > 0 && now.Sub(b.early[n-1].at) < earlyChargeInterval {
-		b.early[n-1].tokens += tokens
-		return
-	}
-	b.early = slices.DeleteFunc(b.early, func(c charge) bool { return now.Sub(c.at) > earlyChargeAge })
-	b.early = append(b.early, charge{now, tokens})
-}
-
-// applyEarlyCharges charges a full bucket with what others admitted before its limits were
-// known.
-func (b *bucket) applyEarlyCharges() {
-	for n, c := range b.early {
-		if n == 0 {
-			b.level, b.refilledAt = b.burst*b.fraction, c.at
-		}
-		b.chargeOthers(c.tokens, c.at)
-	}
-	b.early = nil
-}
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -2,6 +2,7 @@
 package share
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -86,7 +87,7 @@
 func (s *Shares) bucket(o *catalog.Organisation, now time.Time) *bucket {
 	b := s.buckets[o.Name]
 	if b == nil {
-		b = newBucket(now)
+		b = &bucket{refilledAt: now, level: math.Inf(1)}
 		s.buckets[o.Name] = b
 	}
 	b.setLimit(float64(o.Rate), float64(max(o.Burst, 1)), s.currentFraction(now), now)
@@ -122,9 +123,6 @@
 	defer s.mu.Unlock()
 	list := make([]*Usage, 0, len(s.buckets))
 	for name, b := range s.buckets {
-		if !b.limitsKnown() {
-			continue
-		}
 		list = append(list, &Usage{Organisation: string(name), Tokens: b.admitted})
 	}
 	return list
@@ -143,15 +141,9 @@
 		name := ident.OrganisationID(u.GetOrganisation())
 		delta := u.GetTokens() - s.othersAdmitted[name]
 		s.othersAdmitted[name] = u.GetTokens()
-		if !chargeable {
-			continue
-		}
-		b := s.buckets[name]
-		if b == nil {
-			b = newBucket(now)
-			s.buckets[name] = b
+		if b := s.buckets[name]; b != nil && chargeable {
+			b.chargeOthers(delta, now)
 		}
-		b.chargeOthers(delta, now)
 	}
 	if r.GetPart() != s.fraction || collector != s.collector {
 		_ = level.Info(s.log).Log("msg", event.RateShareChanged, "part", r.GetPart(), "was", s.fraction, "collector", collector, "expected", ExpectedInstances(s.view(), s.registered()))
