platformsoak: a call that a crashed engine cut off before it read it

A call that its engine never reads leaves no arrival, so the check counted the prefill engine alone.

--- a/lab/platformsoak/check_test.go
+++ b/lab/platformsoak/check_test.go
@@ -249,6 +249,16 @@
 	}
 }
 
+// TestLastEngineIn finds the engine that a request was last sent to in a log.
+func TestLastEngineIn(t *testing.T) {
+	log := []byte("ts=1 request=1-7 calls=1 last=i-0003 err=x\nts=2 request=1-8 msg=refused last= err=y\nts=3 request=1-70 last=i-0004\n")
+	for id, want := range map[string]string{"1-7": "i-0003", "1-8": "", "1-70": "i-0004", "1-9": ""} {
+		if got := lastEngineIn(log, id); got != want {
+			t.Errorf("request %s: %q, want %q", id, got, want)
+		}
+	}
+}
+
 // TestCheckAnnounced checks a request sent to an engine whose announcement of leaving was
 // passed on before: it is a finding if it was sent later than announcedTime by the same
 // process, and that was not interrupted.
