share: a new bucket starts at the level that is left

What callers could see: QUOTA when many instances are restarted while an organisation is loud. The bucket of an organisation was full at its first request, for the fraction of the rate that this instance knew: with 36 of 60 instances restarted at once each had a burst of its own. What others admitted was taken out of existing buckets only.

Now an instance keeps what the others have admitted in the last 2 s. A new bucket is full, and is then charged with that in order; it owes nothing at the start. The demand of the others is kept in the same place, so that it is known before the first request, and does not decay while replies are missing: otherwise an instance would admit everything just then. An instance without a valid reply has its share to itself and does not draw.

No check of an existing test has changed; chargeOthers takes tokens again.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"math"
 	"time"
 
 	"monsoonfork/core/ident"
@@ -15,34 +14,10 @@
 	level      float64 // Available tokens; negative when other instances used more than was left.
 	refilledAt time.Time
 
-	admitted int64  // Tokens admitted by this instance since it started, less refunds.
-	asked    int64  // Tokens of all requests at this instance since it started.
-	demand   demand // Tokens of all requests at the other instances.
-}
-
-// demandWindow is the time over which demand is averaged.
-const demandWindow = 500 * time.Millisecond
-
-// demand is an exponentially decaying sum of the tokens that were asked for.
-type demand struct {
-	sum float64
-	at  time.Time
-}
-
-// add counts tokens that were asked for.
-func (d *demand) add(tokens int64, now time.Time) {
-	d.sum = d.decayed(now) + float64(max(tokens, 0))
-	d.at = now
-}
-
-// perSecond returns the average number of tokens that are asked for in a second.
-func (d *demand) perSecond(now time.Time) float64 {
-	return d.decayed(now) / demandWindow.Seconds()
-}
+	othersDemand float64 // Tokens per second that the other instances are asked for; 0 if unknown.
 
-// decayed returns what is left of the sum at a later time.
-func (d *demand) decayed(now time.Time) float64 {
-	return d.sum * math.Exp(-now.Sub(d.at).Seconds()/demandWindow.Seconds())
+	admitted int64 // Tokens admitted by this instance since it started, less refunds.
+	asked    int64 // Tokens of all requests at this instance since it started.
 }
 
 // refill adds the tokens accrued since the last call. It uses the monotonic clock,
@@ -55,9 +30,7 @@
 	b.level = min(b.level, b.burst*b.fraction)
 }
 
-// setLimit sets the rate, the burst and the usable fraction of both. A new bucket
-// starts full at its fraction, so a restarted instance can admit that fraction of one
-// burst in addition.
+// setLimit sets the rate, the burst and the usable fraction of both.
 func (b *bucket) setLimit(rate, burst, fraction float64, now time.Time) {
 	if b.rate == 0 {
 		b.rate, b.burst, b.fraction = rate, burst, fraction
@@ -81,7 +54,7 @@
 		return false, now.Add(time.Duration((need - b.level) / perSecond * float64(time.Second)))
 	}
 	full := b.level >= b.burst*b.fraction
-	if !full && draw >= b.admissibleProportion(now) {
+	if !full && draw >= b.admissibleProportion() {
 		return false, now.Add(propagationTime)
 	}
 	b.level -= float64(cost)
@@ -93,9 +66,9 @@
 // can be admitted; what this instance admits is deducted at once. The level is spread
 // over twice the time that the others need to know of an admission, since a level that
 // is spent sooner swings between both signs.
-func (b *bucket) admissibleProportion(now time.Time) float64 {
+func (b *bucket) admissibleProportion() float64 {
 	available := b.rate*b.fraction + max(b.level, 0)/(2*propagationTime.Seconds())
-	return available / max(b.demand.perSecond(now), 1)
+	return available / max(b.othersDemand, 1)
 }
 
 // refund returns the tokens of a request that was admitted.
@@ -104,9 +77,8 @@
 	b.admitted -= int64(cost)
 }
 
-// chargeOthers deducts tokens that other instances have admitted, and counts their demand.
-func (b *bucket) chargeOthers(u usage, now time.Time) {
+// chargeOthers deducts tokens that other instances have admitted.
+func (b *bucket) chargeOthers(tokens int64, now time.Time) {
 	b.refill(now)
-	b.level -= float64(u.admitted)
-	b.demand.add(u.asked, now)
+	b.level -= float64(tokens)
 }
--- a/core/share/bucket_test.go
+++ b/core/share/bucket_test.go
@@ -43,7 +43,7 @@
 	b := &bucket{refilledAt: now}
 	b.setLimit(1000, 1000, 1, now.Add(time.Second))
 	now = now.Add(time.Second)
-	b.chargeOthers(usage{admitted: 2000, asked: 2000}, now)
+	b.chargeOthers(2000, now)
 	if ok, retryAt := b.tryCharge(100, now.Add(time.Second), 0); ok || retryAt.Sub(now) < time.Second {
 		t.Errorf("granted %v, retry after %v; want a refusal while the level is negative", ok, retryAt.Sub(now))
 	}
--- /dev/null
+++ b/core/share/demand.go
@@ -0,0 +1,42 @@
+package share
+
+import (
+	"math"
+	"time"
+)
+
+// demandWindow is the time over which demand is averaged.
+const demandWindow = 500 * time.Millisecond
+
+// admissionHistory is how long admissions of other instances are kept for new buckets.
+const admissionHistory = 2 * time.Second
+
+// demand is what the other instances were asked for, as an exponentially decaying sum, and
+// what they have admitted lately. The sum does not decay without replies of a collector.
+type demand struct {
+	sum        float64
+	at         time.Time
+	admissions []othersAdmission // Oldest first.
+}
+
+// othersAdmission is what other instances have admitted between two replies.
+type othersAdmission struct {
+	at     time.Time // When the second reply arrived.
+	tokens int64
+}
+
+// add counts the usage of other instances since the previous reply.
+func (d *demand) add(u usage, now time.Time) {
+	d.sum = d.sum*math.Exp(-now.Sub(d.at).Seconds()/demandWindow.Seconds()) + float64(max(u.asked, 0))
+	d.at = now
+	d.admissions = append(d.admissions, othersAdmission{at: now, tokens: u.admitted})
+	for now.Sub(d.admissions[0].at) > admissionHistory {
+		d.admissions = d.admissions[1:]
+	}
+}
+
+// resume keeps the sum over a time without comparable replies.
+func (d *demand) resume(now time.Time) { d.at = now }
+
+// perSecond returns the average number of tokens that are asked for in a second.
+func (d *demand) perSecond() float64 { return d.sum / demandWindow.Seconds() }
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -43,10 +43,12 @@
 
 	mu         sync.Mutex
 	buckets    map[ident.OrganisationID]*bucket
-	collector  ident.InstanceID               // Collector that answered last.
-	fraction   float64                        // Fraction of the rates in the collector's last reply.
-	reportedAt time.Time                      // When the report was sent that the reply answers.
-	others     map[ident.OrganisationID]usage // Usage of all other instances, as of that reply.
+	collector  ident.InstanceID                 // Collector that answered last.
+	fraction   float64                          // Fraction of the rates in the collector's last reply.
+	reportedAt time.Time                        // When the report was sent that the reply answers.
+	others     map[ident.OrganisationID]usage   // Usage of all other instances, as of that reply.
+	demands    map[ident.OrganisationID]*demand // Demand at all other instances.
+	compared   bool                             // Whether two replies have been compared since the start.
 
 	totals usageTotals
 }
@@ -63,6 +65,7 @@
 		random:     rand.Float64,
 		buckets:    make(map[ident.OrganisationID]*bucket),
 		others:     make(map[ident.OrganisationID]usage),
+		demands:    make(map[ident.OrganisationID]*demand),
 		totals:     newUsageTotals(now),
 	}
 }
@@ -92,11 +95,35 @@
 // caller holds mu.
 func (s *Shares) bucket(o *catalog.Organisation, now time.Time) *bucket {
 	b := s.buckets[o.Name]
+	demand := s.othersDemand(o.Name, now)
 	if b == nil {
-		b = &bucket{refilledAt: now, level: math.Inf(1)}
+		b = s.newBucket(o, now)
 		s.buckets[o.Name] = b
 	}
 	b.setLimit(float64(o.Rate), float64(max(o.Burst, 1)), s.currentFraction(now), now)
+	b.othersDemand = demand
+	return b
+}
+
+// newBucket returns a bucket at the level that it would have if it had existed before:
+// full for its fraction, less what other instances have admitted lately. Before that is
+// known it holds only the share of this instance. The caller holds mu.
+func (s *Shares) newBucket(o *catalog.Organisation, now time.Time) *bucket {
+	b := &bucket{refilledAt: now, level: math.Inf(1)}
+	rate, burst, fraction := float64(o.Rate), float64(max(o.Burst, 1)), s.currentFraction(now)
+	if !s.compared {
+		b.level = burst * s.ownFraction()
+	}
+	d := s.demands[o.Name]
+	if d == nil || len(d.admissions) == 0 {
+		return b
+	}
+	b.refilledAt = d.admissions[0].at
+	b.setLimit(rate, burst, fraction, b.refilledAt)
+	for _, a := range d.admissions {
+		b.chargeOthers(a.tokens, a.at)
+	}
+	b.level = max(b.level, 0)
 	return b
 }
 
@@ -107,6 +134,11 @@
 	if now.Sub(s.reportedAt) < reportTTL {
 		return s.fraction
 	}
+	return s.ownFraction()
+}
+
+// ownFraction returns the fraction of each rate that is set aside for one instance.
+func (s *Shares) ownFraction() float64 {
 	return 1 / float64(ExpectedInstances(s.view(), s.registered()))
 }
 
@@ -148,12 +180,40 @@
 		name := ident.OrganisationID(u.GetOrganisation())
 		delta := usageOf(u).minus(s.others[name])
 		s.others[name] = usageOf(u)
-		if b := s.buckets[name]; b != nil && chargeable {
-			b.chargeOthers(delta, now)
-		}
+		s.applyUsage(name, delta, chargeable, now)
 	}
+	s.compared = s.compared || chargeable
 	if r.GetPart() != s.fraction || collector != s.collector {
 		_ = level.Info(s.log).Log("msg", event.RateShareChanged, "part", r.GetPart(), "was", s.fraction, "collector", collector, "expected", ExpectedInstances(s.view(), s.registered()))
 	}
 	s.collector, s.fraction, s.reportedAt = collector, r.GetPart(), sentAt
 }
+
+// applyUsage applies what other instances have admitted and were asked for since the
+// previous reply. If the replies can't be compared, it keeps what is known. The caller
+// holds mu.
+func (s *Shares) applyUsage(name ident.OrganisationID, delta usage, comparable bool, now time.Time) {
+	d := s.demands[name]
+	if d == nil {
+		d = &demand{}
+		s.demands[name] = d
+	}
+	if !comparable {
+		d.resume(now)
+		return
+	}
+	d.add(delta, now)
+	if b := s.buckets[name]; b != nil {
+		b.chargeOthers(delta.admitted, now)
+	}
+}
+
+// othersDemand returns how many tokens per second the other instances are asked for, or
+// 0 if no reply is valid: the share of this instance is then its own. The caller holds mu.
+func (s *Shares) othersDemand(name ident.OrganisationID, now time.Time) float64 {
+	d := s.demands[name]
+	if d == nil || now.Sub(s.reportedAt) >= reportTTL {
+		return 0
+	}
+	return d.perSecond()
+}
