share: instances alone do not each add a whole request

What callers could see: QUOTA when many instances lose their collectors at once. An instance alone has 1 / expected of rate and burst. A request larger than that share was admitted as soon as the bucket was full, and then waited for. Of 60 instances each admitted one of 12,000 tokens out of a share of 2,967: 720,000 tokens out of a burst of 178,000.

Ruled out: refusing such requests (no large request would be served in a partition), and saving up for them (the same sum, only later).

Now such a request is drawn for: with a full bucket it is admitted with the probability of bucket / cost, and the bucket is spent either way; a debt follows as before if it is admitted. With the whole rate nothing changes: a request larger than the whole burst is admitted with a full bucket.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -41,8 +41,9 @@
 }
 
 // tryCharge deducts cost from the bucket, or returns when to retry. A request larger
-// than the bucket is admitted when the bucket is full. draw is a random number in
-// [0, 1). Of a demand above what is available, each instance admits the same proportion
+// than the bucket needs a full bucket, and is admitted in the proportion that the bucket
+// has to it, so that instances that are alone add no more than their shares together.
+// draw is a random number in [0, 1). Of a demand above what is available, each instance admits the same proportion
 // at random, as all have nearly the same level and each could admit all of it. A full
 // bucket shows that the demand has ended.
 func (b *bucket) tryCharge(cost ident.Tokens, now time.Time, draw float64) (ok bool, retryAt time.Time) {
@@ -57,6 +58,10 @@
 	if !full && draw >= b.admissibleProportion() {
 		return false, now.Add(propagationTime)
 	}
+	if draw >= need/min(float64(cost), b.burst) {
+		b.level -= need
+		return false, now.Add(time.Duration(need / max(b.rate*b.fraction, 1) * float64(time.Second)))
+	}
 	b.level -= float64(cost)
 	b.admitted += int64(cost)
 	return true, time.Time{}
--- a/core/share/restart_test.go
+++ b/core/share/restart_test.go
@@ -1,26 +1,26 @@
 package share
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 )
 
-// end isolates instances for good. The others know that they have ended.
+// end isolates instances for good and sends them nothing any more.
 func (l *load) end(ids []ident.InstanceID) {
 	for _, id := range ids {
 		l.fleet.isolated[id] = true
 	}
 	var live []ident.InstanceID
 	for _, id := range l.ids {
-		if l.fleet.isolated[id] {
-			continue
-		}
-		live = append(live, id)
-		for _, ended := range ids {
-			l.fleet.tables[id].MarkGone(ended)
+		if !l.fleet.isolated[id] {
+			live = append(live, id)
 		}
 	}
 	l.ids = live
@@ -33,6 +33,15 @@
 	l.waiting = waiting
 }
 
+// noticeEnd lets the others know that instances have ended.
+func (l *load) noticeEnd(ended []ident.InstanceID) {
+	for _, id := range l.ids {
+		for _, other := range ended {
+			l.fleet.tables[id].MarkGone(other)
+		}
+	}
+}
+
 // start adds a new instance for each of those that have ended.
 func (l *load) start(ended []ident.InstanceID) {
 	for _, id := range ended {
@@ -69,6 +78,7 @@
 			ended = append(ended, l.ids[n])
 		}
 		l.end(ended)
+		l.noticeEnd(ended)
 		fewer := loud
 		fewer.instances = 24
 		l.run(fewer, 1500*time.Millisecond)
@@ -80,3 +90,25 @@
 		}
 	}
 }
+
+// TestInstancesAloneDoNotEachAddRequest guards against an excess of the rate by instances that are
+// alone and each admit a request that is larger than their share of the burst.
+func TestInstancesAloneDoNotEachAddRequest(t *testing.T) {
+	const rate = 178_000
+	for seed := range uint64(4) {
+		l := newLoad(seed)
+		for _, id := range l.ids {
+			l.fleet.isolated[id] = true
+		}
+		for _, s := range l.fleet.shares {
+			s.call = func(context.Context, ident.InstanceID, string, proto.Message, proto.Message) error {
+				return fault.New(fault.PeerUnavailable, "no collector")
+			}
+		}
+		l.run(traffic{rate: rate, perSecond: 65, cost: 12_000, instances: 60}, 10*time.Second)
+		limit := ident.Tokens((rate*quotaWindow.Seconds() + rate) * (1 + quotaOvershoot))
+		if got := l.mostIn(quotaWindow); got > limit {
+			t.Errorf("seed %d: %d tokens admitted in %v, want at most %d", seed, got, quotaWindow, limit)
+		}
+	}
+}
