share: a full bucket shows the end of a demand only after a reply

What callers could see: QUOTA when collectors end while an organisation is loud. Without replies nothing that others admit is deducted, so that every bucket fills within a second; a full bucket was taken as the sign that the demand is over, and each instance admitted all that it was asked for until its reply expired (0.8 s).

Now the demand is forgotten when a bucket is full after a reply has been deducted.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -40,12 +40,15 @@
 	b.level = min(b.level, burst*fraction)
 }
 
-// tryCharge deducts cost from the bucket, or returns when to retry. A request larger
-// than the bucket needs a full bucket, and is admitted in the proportion that the bucket
-// has to it, so that instances that are alone add no more than their shares together.
-// draw is a random number in [0, 1). Of a demand above what is available, each instance admits the same proportion
-// at random, as all have nearly the same level and each could admit all of it. A full
-// bucket shows that the demand has ended.
+// tryCharge deducts cost from the bucket, or returns when to retry. draw is a random
+// number in [0, 1).
+//
+// Of a demand above what is available, each instance admits the same proportion at
+// random, as all have nearly the same level and each could admit all of it.
+//
+// A request larger than the bucket needs a full bucket, and is admitted in the proportion
+// that the bucket has to it, so that instances that are alone add no more than their
+// shares together.
 func (b *bucket) tryCharge(cost ident.Tokens, now time.Time, draw float64) (ok bool, retryAt time.Time) {
 	b.refill(now)
 	b.asked += int64(cost)
@@ -54,8 +57,7 @@
 		perSecond := max(b.rate*b.fraction, 1)
 		return false, now.Add(time.Duration((need - b.level) / perSecond * float64(time.Second)))
 	}
-	full := b.level >= b.burst*b.fraction
-	if !full && draw >= b.admissibleProportion() {
+	if draw >= b.admissibleProportion() {
 		return false, now.Add(propagationTime)
 	}
 	if draw >= need/min(float64(cost), b.burst) {
@@ -87,3 +89,6 @@
 	b.refill(now)
 	b.level -= float64(tokens)
 }
+
+// full reports whether the bucket holds all tokens that it can hold.
+func (b *bucket) full() bool { return b.level >= b.burst*b.fraction }
--- a/core/share/demand.go
+++ b/core/share/demand.go
@@ -38,5 +38,8 @@
 // resume keeps the sum over a time without comparable replies.
 func (d *demand) resume(now time.Time) { d.at = now }
 
+// end forgets the sum: a bucket that is full after a reply shows that the demand is over.
+func (d *demand) end() { d.sum = 0 }
+
 // perSecond returns the average number of tokens that are asked for in a second.
 func (d *demand) perSecond() float64 { return d.sum / demandWindow.Seconds() }
--- a/core/share/restart_test.go
+++ b/core/share/restart_test.go
@@ -91,6 +91,34 @@
 	}
 }
 
+// TestLostCollectorsKeepRate guards against an excess of the rate by instances whose collectors
+// have all ended at the same moment.
+func TestLostCollectorsKeepRate(t *testing.T) {
+	const rate = 178_000
+	loud := traffic{rate: rate, perSecond: 65, cost: 12_000, instances: 60}
+	for seed := range uint64(4) {
+		l := newLoad(seed)
+		l.run(traffic{rate: rate, perSecond: 8, cost: 12_000, instances: 60}, 3*time.Second)
+		l.run(loud, 4*time.Second)
+		var collectors []ident.InstanceID
+		view := l.fleet.shares[l.ids[0]].view()
+		for _, domain := range view.Domains() {
+			owner, _ := view.Owner(domain, collectorKey)
+			collectors = append(collectors, owner.ID)
+		}
+		l.end(collectors)
+		loud.instances = len(l.ids)
+		l.run(loud, time.Second)
+		l.noticeEnd(collectors)
+		l.run(loud, 4*time.Second)
+		loud.instances = 60
+		limit := ident.Tokens((rate*quotaWindow.Seconds() + rate) * (1 + quotaOvershoot))
+		if got := l.mostIn(quotaWindow); got > limit {
+			t.Errorf("seed %d: %d tokens admitted in %v, want at most %d", seed, got, quotaWindow, limit)
+		}
+	}
+}
+
 // TestInstancesAloneDoNotEachAddRequest guards against an excess of the rate by instances that are
 // alone and each admit a request that is larger than their share of the burst.
 func TestInstancesAloneDoNotEachAddRequest(t *testing.T) {
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -205,6 +205,9 @@
 	d.add(delta, now)
 	if b := s.buckets[name]; b != nil {
 		b.chargeOthers(delta.admitted, now)
+		if b.full() {
+			d.end()
+		}
 	}
 }
 
