--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -40,7 +40,7 @@
 	writeClosed     bool               // The sending side was closed after the last response.
 	discarding      bool               // A rejection was sent: further input is discarded.
 	reading         bool               // The poller is reading and parsing input.
-	closing         bool               // The connection is being closed and is no longer read.
+	closing         bool               // The connection is being closed, or is about to be, and is no longer read.
 }
 
 // newConn returns the state of a new connection.
@@ -59,6 +59,13 @@
 	return c.reading
 }
 
+// stopReading makes the poller read no further input. What it is reading now is parsed.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+}
+
 // endRead records that the poller has parsed all input that it has read.
 func (c *conn) endRead() {
 	c.mu.Lock()
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -106,10 +106,10 @@
 		timeout = fault.New(fault.RequestTimeout, "the request was not complete in time")
 		c.rejection = timeout
 	}
-	c.closing = c.isIdle(now)
-	closing := c.closing
+	idle := c.isIdle(now)
+	c.closing = c.closing || idle
 	c.mu.Unlock()
-	if closing {
+	if idle {
 		_ = c.nbc.Close()
 	}
 	if timeout != nil {
--- a/io/caller/conntable.go
+++ b/io/caller/conntable.go
@@ -74,7 +74,8 @@
 	return n
 }
 
-// hasRequests reports whether a response on an open connection is not written yet.
+// hasRequests reports whether an open connection has a request whose response is not written
+// yet, or is being read.
 func (t *connTable) hasRequests() bool {
 	found := false
 	t.each(func(c *conn) {
@@ -83,7 +84,7 @@
 		}
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		found = found || c.activeRequests > 0
+		found = found || c.activeRequests > 0 || c.reading
 	})
 	return found
 }
--- a/io/caller/forward.go
+++ b/io/caller/forward.go
@@ -35,7 +35,7 @@
 func (s *Server) serveForward(x *exchange, received time.Time) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
-	x.conn.setCancel(func(f *fault.Error) { cancel(f) })
+	x.setCancel(func(f *fault.Error) { cancel(f) })
 	f := &ForwardedRequest{Request: x.req, Received: received, x: x, ctx: ctx}
 	body, err := io.ReadAll(x.req.Body)
 	if err != nil {
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -55,11 +55,34 @@
 		c.markLastRequest()
 	}
 	x := &exchange{server: s, conn: c, w: response, req: r}
+	if s.closing.Load() {
+		x.refuseDuringClose()
+		return
+	}
 	if p := contain.Call(func() { x.serve(received) }); p != nil {
 		x.reportPanic(p)
 	}
 }
 
+// refuseDuringClose refuses a request that has arrived since the server closes, and makes it
+// the last one of its connection.
+func (x *exchange) refuseDuringClose() {
+	x.responseID = x.req.Header.Get(httpcall.RequestIDHeader)
+	x.conn.markLastRequest()
+	err := errClosing.WithRan(fault.NotRun)
+	x.logRejection(err)
+	x.writeError(err)
+}
+
+// setCancel sets the function that cancels the request, and calls it at once if the server has
+// begun to close: Close has then cancelled the requests that it found before.
+func (x *exchange) setCancel(cancel func(*fault.Error)) {
+	x.conn.setCancel(cancel)
+	if x.server.closing.Load() {
+		x.conn.cancelWith(errClosing)
+	}
+}
+
 // serve passes the request to the forwarding handler or serves it.
 func (x *exchange) serve(received time.Time) {
 	if x.server.forwardHandler != nil {
@@ -139,7 +162,7 @@
 		return err
 	}
 	x.session = session
-	x.conn.setCancel(session.Cancel)
+	x.setCancel(session.Cancel)
 	defer func() { session.Close(err) }()
 	body, err := io.ReadAll(x.req.Body)
 	if err != nil {
--- a/io/caller/read.go
+++ b/io/caller/read.go
@@ -49,8 +49,7 @@
 }
 
 // onData passes bytes to their connection, or to the data handler of a connection that is
-// not a caller's. Callers' bytes are discarded while the server closes. A request on which
-// parsing panics is rejected.
+// not a caller's. A request on which parsing panics is rejected.
 func (s *Server) onData(nbc *nbio.Conn, c *conn, data []byte) {
 	if c == nil {
 		if handler := nbc.DataHandler(); handler != nil {
@@ -58,9 +57,6 @@
 		}
 		return
 	}
-	if s.closing.Load() {
-		return
-	}
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
 	if err := boundary.Run("read", func() { c.feed(data) }); err != nil {
 		c.sendRejection(fault.From(err))
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -34,6 +34,8 @@
 	nbhttpKeepaliveTime = 10 * 365 * 24 * time.Hour
 	// closeTimeout limits how long Close waits for handlers of cancelled requests.
 	closeTimeout = time.Second
+	// lastRefusalTime limits how long Close then waits for the refusal of what was read last.
+	lastRefusalTime = 50 * time.Millisecond
 	// closePollInterval is how often Close checks whether these handlers have returned.
 	closePollInterval = 2 * time.Millisecond
 	// maxParserBytes is what the parser of nbhttp buffers of a request at most. limiter
@@ -56,7 +58,7 @@
 	conns        connTable
 	openRequests atomic.Int64 // Requests whose handler has not returned.
 	draining     atomic.Bool
-	closing      atomic.Bool // Input is read and discarded.
+	closing      atomic.Bool // New requests are refused.
 	barrier      atomic.Pointer[poller.Barrier]
 	metrics      serverMetrics
 
@@ -212,12 +214,18 @@
 	return nil
 }
 
-// Close stops accepting requests, cancels all, waits up to closeTimeout for their handlers,
-// which record the outcomes, and closes all connections.
+// errClosing is the error of requests that a close ends or refuses.
+var errClosing = fault.New(fault.ShuttingDown, "the process is shutting down")
+
+// Close refuses new requests, cancels all others, waits up to closeTimeout for their handlers,
+// which record the outcomes, and closes all connections. A request that arrives after the
+// wait is not read; its connection is reset.
 func (s *Server) Close() error {
 	s.closing.Store(true)
-	s.conns.each(func(c *conn) { c.cancelWith(fault.New(fault.ShuttingDown, "the process is shutting down")) })
+	s.conns.each(func(c *conn) { c.cancelWith(errClosing) })
 	s.awaitRequests()
+	s.conns.each((*conn).stopReading)
+	s.awaitRequestsUntil(time.Now().Add(lastRefusalTime))
 	s.engine.Stop()
 	if barrier := s.barrier.Load(); barrier != nil {
 		barrier.Close()
@@ -228,9 +236,11 @@
 }
 
 // awaitRequests waits up to closeTimeout until the handlers of all requests have returned
-// and their responses are written.
-func (s *Server) awaitRequests() {
-	deadline := time.Now().Add(closeTimeout)
+// and their responses are written, and until what has been read is parsed.
+func (s *Server) awaitRequests() { s.awaitRequestsUntil(time.Now().Add(closeTimeout)) }
+
+// awaitRequestsUntil is awaitRequests with another limit.
+func (s *Server) awaitRequestsUntil(deadline time.Time) {
 	for (s.openRequests.Load() > 0 || s.conns.hasRequests()) && time.Now().Before(deadline) {
 		time.Sleep(closePollInterval)
 	}
