--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -30,6 +30,7 @@
 	possibleRuns  int         // Number of engines that may have run the request.
 	failedAnswer  *callResult // The last complete error answer of an engine after which a retry was tried; otherwise nil.
 
+	prefilled    bool               // A prefill engine has prefilled the prompt in this or an earlier attempt.
 	replacement  *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
 	stalledAt    ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
 	localPrefill *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -130,16 +130,18 @@
 }
 
 // prefill has the prompt prefilled. If a prefill engine does not accept the call, others
-// are tried. It returns the zero value if the decode engine is to do the prefill.
+// are tried. It returns the zero value if the decode engine is to do the prefill. The first
+// prefill that an engine accepts is not an extra call; all others are.
 func (s *stream) prefill(ctx context.Context, decode *engines.Engine) (prefilledPrompt, error) {
 	for range maxPrefillAttempts {
 		e, estimated := s.choosePrefill(decode)
-		if e == nil {
+		if e == nil || s.prefilled && !s.router.takeExtraCall(s.service.Name) {
 			break
 		}
 		started := s.router.now()
 		handle, err := s.callPrefill(ctx, e, estimated)
 		if err == nil {
+			s.prefilled = true
 			s.logStage("read", e, started)
 			return prefilledPrompt{e, Source{Address: e.Address, Handle: handle}}, nil
 		}
@@ -148,7 +150,7 @@
 		}
 		f := fault.From(err)
 		_ = level.Info(s.log).Log("msg", event.PrefillFailed, "engine", e.ID, "estimate_ms", estimated.Milliseconds(), "ran", f.Ran, "err", err)
-		if f.Kind == fault.EndpointRefused || f.Ran != fault.NotRun {
+		if !s.prefilled && (f.Kind == fault.EndpointRefused || f.Ran != fault.NotRun) {
 			s.router.chargeExtraCall(s.service.Name)
 		}
 		if f.Ran != fault.NotRun {
--- a/core/forward/stall_test.go
+++ b/core/forward/stall_test.go
@@ -193,7 +193,7 @@
 	if len(h.sent) != 2 || h.sent[0].Engine.ID == h.sent[1].Engine.ID || h.sent[1].LastEventID != strconv.Itoa(silentAfter) {
 		t.Errorf("calls %+v, want a second one at the other engine", h.sent)
 	}
-	h.checkExtraCalls(1)
+	h.checkExtraCalls(2) // A decode and a prefill.
 }
 
 // TestStallAfterEarlyFirstEventIsDetected has an engine send its first event long before
@@ -268,7 +268,7 @@
 	if len(h.sent) != 2 {
 		t.Errorf("%d calls, want 2", len(h.sent))
 	}
-	h.checkExtraCalls(1)
+	h.checkExtraCalls(2) // A decode and a prefill.
 }
 
 // checkExtraCalls checks how many extra calls of the model service were counted, and that
