--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -62,8 +62,7 @@
 
 func newLimitHistory(l Limits) *limitHistory { return &limitHistory{current: l} }
 
-// set replaces the current limits. Zero fields of l keep their value; RequestTimeout is at
-// least HeaderTimeout.
+// set replaces the current limits. Zero fields of l keep their value.
 func (h *limitHistory) set(l Limits, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -81,7 +80,6 @@
 	setPositive(&h.current.MaxBodyBytes, l.MaxBodyBytes)
 	setPositive(&h.current.HeaderTimeout, l.HeaderTimeout)
 	setPositive(&h.current.RequestTimeout, l.RequestTimeout)
-	h.current.RequestTimeout = max(h.current.RequestTimeout, h.current.HeaderTimeout)
 	setPositive(&h.current.IdleTimeout, l.IdleTimeout)
 }
 
@@ -93,7 +91,7 @@
 }
 
 // at returns the limits that apply at a time: the largest of the current ones and of those
-// that callers may still rely on.
+// that callers may still rely on. RequestTimeout is at least HeaderTimeout.
 func (h *limitHistory) at(now time.Time) Limits {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -109,6 +107,7 @@
 			l.IdleTimeout = max(l.IdleTimeout, e.IdleTimeout)
 		}
 	}
+	l.RequestTimeout = max(l.RequestTimeout, l.HeaderTimeout)
 	return l
 }
 
