--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -51,6 +51,8 @@
 	mu      sync.Mutex
 	current Limits
 	earlier []earlierLimits
+
+	requestTimeout time.Duration // The request timeout that was set; the current one may be longer.
 }
 
 // earlierLimits are limits that were replaced.
@@ -60,7 +62,9 @@
 	idleUntil     time.Time // Until then idle connections are kept for their IdleTimeout.
 }
 
-func newLimitHistory(l Limits) *limitHistory { return &limitHistory{current: l} }
+func newLimitHistory(l Limits) *limitHistory {
+	return &limitHistory{current: l, requestTimeout: l.RequestTimeout}
+}
 
 // set replaces the current limits. Zero fields of l keep their value; RequestTimeout is at
 // least HeaderTimeout.
@@ -80,8 +84,8 @@
 	setPositive(&h.current.MaxHeaderBytes, l.MaxHeaderBytes)
 	setPositive(&h.current.MaxBodyBytes, l.MaxBodyBytes)
 	setPositive(&h.current.HeaderTimeout, l.HeaderTimeout)
-	setPositive(&h.current.RequestTimeout, l.RequestTimeout)
-	h.current.RequestTimeout = max(h.current.RequestTimeout, h.current.HeaderTimeout)
+	setPositive(&h.requestTimeout, l.RequestTimeout)
+	h.current.RequestTimeout = max(h.requestTimeout, h.current.HeaderTimeout)
 	setPositive(&h.current.IdleTimeout, l.IdleTimeout)
 }
 
