--- a/io/caller/limithistory_test.go
+++ b/io/caller/limithistory_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/go-kit/log"
+	"github.com/lesismal/nbio"
 )
 
 // TestRequestTimeoutFollowsHeaderTimeoutDown guards against a request timeout that, once raised
@@ -24,3 +27,33 @@
 		t.Errorf("request timeout %v, want the last one set, 30s", got)
 	}
 }
+
+// TestLimitsChangeWhileConnectionOpens guards against a new connection that misses a change of
+// the limits, and is closed too early, since the change comes between the reading of the limits
+// and the connection's entry in the table.
+func TestLimitsChangeWhileConnectionOpens(t *testing.T) {
+	_, server := connPair(t)
+	nbc, err := nbio.NBConn(server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewForwardingServer(nil, log.NewNopLogger())
+	shard := s.conns.shard(nbc)
+	shard.mu.Lock() // Blocks the entry in the table.
+	opened := make(chan struct{})
+	go func() {
+		s.onOpen(nbc)
+		close(opened)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	// What SetLimits does while the table doesn't have the connection.
+	s.limits.set(Limits{IdleTimeout: 3 * defaultLimits.IdleTimeout}, time.Now())
+	shard.mu.Unlock()
+	<-opened
+	c := s.conns.get(nbc)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if idle := c.closeDeadline.Sub(c.idleSince); idle < 3*defaultLimits.IdleTimeout {
+		t.Errorf("the connection is closed after %v, want at least %v", idle, 3*defaultLimits.IdleTimeout)
+	}
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -164,7 +164,9 @@
 		}
 	}
 	setSocketOptions(nbc)
-	s.conns.add(nbc, newConn(nbc, s.limits, s.metrics))
+	state := newConn(nbc, s.limits, s.metrics)
+	s.conns.add(nbc, state)
+	state.extendIdleTime(time.Now()) // SetLimits may have missed it.
 }
 
 // onClose removes a connection. nbhttp calls it only after the connection's handler has
