io/httpcall: tests of dead endpoints time the call from its send

Two tests of this branch failed once, with -race beside a load average of 26 to 42: TestDeadEndpointIsDetected (16 MB) took 4.04 s where 4 s are allowed, and TestIdleConnectionHasShortUserTimeout could not connect within its 2 s.

Cause: both measured the work of the test. Five tests build bodies of 16 MB at the same time; the log now shows 0.24 to 1.13 s until the call was sent, and 3.22 to 3.23 s from then until it failed, in five runs with -race (two of them on one processor each, side by side). The second test is not about time, but its deadline was set before the body was built.

The bound of 4 s stays and is now taken from the send, which is when the bytes can begin to be unacknowledged. The call of the second test has 20 s.

--- a/io/httpcall/silence_test.go
+++ b/io/httpcall/silence_test.go
@@ -112,13 +112,14 @@
 			t.Parallel()
 			e, dropped := serveDead(t)
 			started := time.Now()
+			var sent time.Time
 			_, err := poolCall(t, newTestPool(t), e, "r", func(c *Call) {
 				c.Body = []byte(strings.Repeat("x", size))
 				c.Limits.ResponseDeadline = time.Now().Add(20 * time.Second)
-				c.BeforeSend = func() error { <-dropped; return nil }
+				c.BeforeSend = func() error { <-dropped; sent = time.Now(); return nil }
 			})
-			took := time.Since(started)
-			t.Logf("failed after %v: %v", took, err)
+			took := time.Since(sent)
+			t.Logf("sent after %v, failed %v later: %v", sent.Sub(started), took, err)
 			if !fault.Is(err, fault.EndpointFailed) && !fault.Is(err, fault.EndpointTimeout) || took > detectWithin {
 				t.Errorf("failed after %v with %v, want a failure within %v", took, err, detectWithin)
 			}
@@ -165,7 +166,11 @@
 	t.Parallel()
 	e := serveAccepted(t, func(net.Conn) {})
 	p := newTestPool(t)
-	if _, err := poolCall(t, p, e, "r", func(c *Call) { c.Body = []byte(strings.Repeat("x", largeBodyBytes)) }); err != nil {
+	_, err := poolCall(t, p, e, "r", func(c *Call) {
+		c.Body = []byte(strings.Repeat("x", largeBodyBytes))
+		c.Limits.ResponseDeadline = time.Now().Add(20 * time.Second)
+	})
+	if err != nil {
 		t.Fatal(err)
 	}
 	idle := p.popIdle(Call{Address: e.address})
@@ -175,7 +180,7 @@
 	defer func() { _ = idle.Close() }()
 	var got int
 	var getErr error
-	err := withDescriptor(idle.Conn, func(fd int) { got, getErr = unix.GetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })
+	err = withDescriptor(idle.Conn, func(fd int) { got, getErr = unix.GetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) })
 	if err != nil || getErr != nil || got != int(poolUserTimeout.Milliseconds()) {
 		t.Errorf("TCP_USER_TIMEOUT = %d ms, %v, %v; want %v", got, err, getErr, poolUserTimeout)
 	}
