io/peer: a panic in the handler of another instance's call ends only the call

What callers could see: a message that made a handler panic ended the process, with all its connections, and each other instance to which the sender sent it. No such message is known: this is the boundary that the items of the store already have.

Cause: handlers run in goroutines of their own without a recover.

Fix: runHandler logs the panic with its stack and replies with an internal error, which does not say that the call has not run.

Evidence, TestPanicInHandlerEndsOnlyItsCall before: the test process ends with "panic: odd message". After: passes; go test -race ./io/peer passes.

--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -108,12 +110,19 @@
 	return true
 }
 
-// runHandler runs the handler of a call and returns its reply.
-func (l *Links) runHandler(ctx context.Context, from ident.InstanceID, header *CallHeader) *Reply {
+// runHandler runs the handler of a call and returns its reply. A panic of the handler ends
+// only the call: otherwise the calling instance would end each instance that it calls.
+func (l *Links) runHandler(ctx context.Context, from ident.InstanceID, header *CallHeader) (reply *Reply) {
 	h := l.handlerFor(header.GetMethod())
 	if h == nil {
 		return failureReply(fault.New(fault.NotFound, "unknown method %s", header.GetMethod()))
 	}
+	defer func() {
+		if cause := recover(); cause != nil {
+			_ = level.Error(l.log).Log("msg", event.PanicContained, "step", header.GetMethod(), "err", fmt.Sprintf("%.200v", cause), "stack", string(debug.Stack()))
+			reply = failureReply(fault.New(fault.Internal, "the handler of %s panicked", header.GetMethod()))
+		}
+	}()
 	resp, err := h(ctx, from, header.GetPayload())
 	if err != nil {
 		return failureReply(err)
