core/budget: an odd key among the slots' records hides no other slot

What callers could see: 429 for requests within the rate of their organisation. A key of another writer under the prefix of a domain's slots, or one malformed record, made the list of all slots fail. An instance took that for a store that does not answer, and claimed no slot whose holder had not ended; the tokens of such slots were not minted.

Cause: decodeListing returned the first error in place of the list.

Fix: invalid records and other keys are left out, and logged once while they stay as they are, at most 16 of a listing. A claim of a slot whose record is invalid fails, since its key exists: no tokens are minted twice.

Ruled out: the same in the list of engines, the register and the texts, which skip odd items. Not changed: a log of claims with an odd entry is refused as a whole, since a skipped claim could let a call run twice.

--- a/core/budget/role.go
+++ b/core/budget/role.go
@@ -44,7 +44,7 @@
 		organisations: reader.organisations,
 		layout:        reader.layout,
 		peers:         links.Call,
-		store:         newSlotStore(client, n.Settings.Domain),
+		store:         newSlotStore(client, n.Settings.Domain, n.Log),
 	}
 	b := newBudget(n.ID, n.Settings.Domain, deps, withLog(n.Log), withMetrics(n.Metrics), withTimeSource(n.Now))
 	if err := b.logAdmissions(n.Settings.AdmissionLog); err != nil {
--- a/core/budget/slotstore.go
+++ b/core/budget/slotstore.go
@@ -6,12 +6,20 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"sync"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/keyvalue"
 )
 
+// maxLoggedRecords is the number of invalid records in a listing that are logged.
+const maxLoggedRecords = 16
+
 // slotRecord is the JSON value of a slot in the store. The holder renews it
 // by incrementing Beat; a slot with an empty Holder is free.
 type slotRecord struct {
@@ -53,8 +61,9 @@
 
 // newSlotStore returns access to the records of a domain's slots in the
 // platform's key-value store.
-func newSlotStore(c *keyvalue.Client, domain ident.DomainID) slotStore {
+func newSlotStore(c *keyvalue.Client, domain ident.DomainID, logger log.Logger) slotStore {
 	prefix := slotPrefix(domain)
+	records := &slotListing{prefix: prefix, log: logger}
 	return slotStore{
 		get: func(ctx context.Context, slot int) (storedSlot, error) {
 			listing, err := c.Get(ctx, prefix+strconv.Itoa(slot))
@@ -72,7 +81,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return decodeListing(prefix, listing)
+			return records.decode(listing), nil
 		},
 		swap: func(ctx context.Context, slot int, r slotRecord, version uint64) keyvalue.Outcome {
 			raw, err := json.Marshal(r)
@@ -94,19 +103,48 @@
 	return storedSlot{record: r, version: uint64(e.ModifyIndex)}, nil
 }
 
-// decodeListing decodes all records of a domain, keyed by slot number.
-func decodeListing(prefix string, listing keyvalue.Listing) (map[int]storedSlot, error) {
+// slotListing decodes the records of a domain's slots.
+type slotListing struct {
+	prefix string
+	log    log.Logger
+
+	mu     sync.Mutex
+	logged map[string]keyvalue.Index // Invalid records in the last listing that are logged.
+}
+
+// decode decodes all records of a domain, keyed by slot number. It leaves out invalid ones and
+// keys of other writers: a claim of such a slot fails, as its key exists. Each is logged once
+// while it stays as it is, and of each listing maxLoggedRecords at most.
+func (d *slotListing) decode(listing keyvalue.Listing) map[int]storedSlot {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	slots := make(map[int]storedSlot, len(listing.Entries))
+	logged := make(map[string]keyvalue.Index)
 	for _, e := range listing.Entries {
-		number, err := strconv.Atoi(strings.TrimPrefix(e.Key, prefix))
-		if err != nil {
-			return nil, fault.Wrap(err, fault.Internal, "key %s does not end with a slot number", e.Key)
+		number, slot, err := d.decodeSlot(e)
+		if err == nil {
+			slots[number] = slot
+			continue
 		}
-		slot, err := decodeEntry(e)
-		if err != nil {
-			return nil, err
+		if len(logged) == maxLoggedRecords {
+			continue
 		}
-		slots[number] = slot
+		if d.logged[e.Key] != e.ModifyIndex {
+			_ = level.Warn(d.log).Log("msg", event.StoreItemIgnored, "key", e.Key, "revision", uint64(e.ModifyIndex), "err", err)
+		}
+		logged[e.Key] = e.ModifyIndex
+	}
+	d.logged = logged
+	return slots
+}
+
+// decodeSlot decodes one record and the number of its slot.
+func (d *slotListing) decodeSlot(e keyvalue.Entry) (int, storedSlot, error) {
+	name := strings.TrimPrefix(e.Key, d.prefix)
+	number, err := strconv.Atoi(name)
+	if err != nil || number < 0 || name != strconv.Itoa(number) {
+		return 0, storedSlot{}, fault.New(fault.Internal, "the key does not end with a slot number")
 	}
-	return slots, nil
+	slot, err := decodeEntry(e)
+	return number, slot, err
 }
