io/engine: an answer with a negative count of tokens is broken

What callers and operators could see: a response with negative prompt_tokens, an error line for the invariant Budget.UsedWithinCharge, and an organisation that was refunded more than its request had been charged, so that its rate was exceeded.

Cause: the counts of an engine's answers were used as decoded.

Fix: Prefill and Decode refuse them, like other answers that can't be right.

Ruled out: counts that are too large; what is charged is at most the bound of the prompt.

--- a/io/engine/decode.go
+++ b/io/engine/decode.go
@@ -161,6 +161,9 @@
 		return nil
 	}
 	s.finish.PromptTokens = e.Usage.PromptTokens
+	if e.Usage.PromptTokens < 0 {
+		s.finishErr = fault.New(fault.AnswerBroken, "the engine reported %d tokens of the prompt", e.Usage.PromptTokens)
+	}
 	if e.Usage.CompletionTokens != s.finish.Tokens {
 		s.finishErr = fault.New(fault.AnswerBroken, "received %d tokens, but the engine reported %d", s.finish.Tokens, e.Usage.CompletionTokens)
 	}
--- a/io/engine/prefill.go
+++ b/io/engine/prefill.go
@@ -70,6 +70,9 @@
 		c.http.CountMismatchedID()
 		return PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine's response belongs to another request")
 	}
+	if response.Usage.PromptTokens < 0 {
+		return PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine reported %d tokens", response.Usage.PromptTokens)
+	}
 	if len(response.Transfer) == 0 {
 		return PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine's response has no transfer parameters")
 	}
