core/share: a collector's share that is no fraction is ignored

What callers could see: 429 for all requests with a rate at an instance, until it ended: one reply of a collector with a share that is not a number made the level of its buckets the same. With a share of zero or below, or infinity, requests were refused or admitted beyond the rate.

Cause: the share was used as decoded.

Fix: such a reply counts as one that did not come, and is logged as such.

--- a/core/share/calls.go
+++ b/core/share/calls.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 	"monsoonfork/core/reporting"
@@ -37,6 +38,9 @@
 	if err := s.call(ctx, collector, MethodReport, &Report{Admitted: s.admittedTotals()}, reply); err != nil {
 		return err
 	}
+	if part := reply.GetPart(); !(part > 0 && part <= 1) { // Also if it is not a number.
+		return fault.New(fault.PeerUnavailable, "the collector answered with a share of %v", part)
+	}
 	s.applyReply(collector, reply)
 	return nil
 }
