cmd/monsoonfork: the check of decoded fields notices if its search finds too little

It names a field of each way in which types are decoded, so that a change of the search or of a decoder can't leave it without anything to check. An entry for a function that does not exist is gone.

--- a/cmd/monsoonfork/decodedfields_test.go
+++ b/cmd/monsoonfork/decodedfields_test.go
@@ -25,11 +25,10 @@
 // arguments, which has the given index. A function of this module that passes a parameter on
 // to one of them counts too.
 var decodingFunctions = map[string]int{
-	"encoding/json.Unmarshal":                             1,
-	"(*encoding/json.Decoder).Decode":                     0,
-	"monsoonfork/core/strictyaml.Decode":                  1,
-	"google.golang.org/protobuf/proto.Unmarshal":          1,
-	"google.golang.org/protobuf/encoding/protodelim.From": 1,
+	"encoding/json.Unmarshal":                    1,
+	"(*encoding/json.Decoder).Decode":            0,
+	"monsoonfork/core/strictyaml.Decode":         1,
+	"google.golang.org/protobuf/proto.Unmarshal": 1,
 }
 
 // translatedTypes are types that decoders fill from a wire type, field by field.
@@ -346,13 +345,32 @@
 	return written
 }
 
+// checkFound fails the test if the search misses types that are decoded in different ways.
+func checkFound(t *testing.T, fields map[*types.Var]string) {
+	t.Helper()
+	found := make(map[string]bool)
+	for _, name := range fields {
+		found[name] = true
+	}
+	for _, name := range []string{
+		"core/settings.Settings.LogLevel", "core/text.Route.Access", "core/catalog.Route.TimeoutMS", "platform/wire.Route.Kind",
+		"platform/wire.Item.Key", "core/replication.PullReply.Healthy", "core/claims.Head.Seq", "io/engine.Load.Running",
+	} {
+		if !found[name] {
+			t.Errorf("the search does not find %s", name)
+		}
+	}
+}
+
 // TestDecodedFieldsAreUsed guards against a setting or an announcement of others that is
 // decoded and then has no effect.
 func TestDecodedFieldsAreUsed(t *testing.T) {
 	m := loadModule(t)
 	used := m.usedFields()
+	fields := m.decodedFields(t)
+	checkFound(t, fields)
 	unused := make(map[string]bool)
-	for field, name := range m.decodedFields(t) {
+	for field, name := range fields {
 		if !used[field] && !field.Embedded() {
 			unused[name] = true
 		}
