share: late refunds do not come on top of the rate

What callers could see: QUOTA after seconds in which the engines of an organisation's requests had no room. Requests wait after their admission, and are refused in the end as not run; their tokens were returned whenever that was. By then as many tokens had accrued anew, so that twice the rate was admitted for as long as such refusals went on: three seconds of waiting requests give three rates more in a window in which all others run.

Now tokens are returned only within burst / rate of their admission: what a bucket holds at any time has accrued within that time, so that what is charged then belongs to no later window. Within that time up to one burst may still come on top.

The price: a loud organisation whose requests wait longer and are refused does not get these tokens back; one inside its rate has a bucket that has filled meanwhile.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -78,8 +78,13 @@
 	return available / max(b.othersDemand, 1)
 }
 
-// refund returns the tokens of a request that was admitted.
-func (b *bucket) refund(cost ident.Tokens) {
+// refund returns the tokens of a request that was admitted at a time. Tokens that a
+// bucket holds at any time have accrued within the time in which it fills. Older ones
+// are not returned: they would come on top of a whole bucket that has accrued since.
+func (b *bucket) refund(cost ident.Tokens, admittedAt, now time.Time) {
+	if now.Sub(admittedAt).Seconds() > b.burst/b.rate {
+		return
+	}
 	b.level += float64(cost)
 	b.admitted -= int64(cost)
 }
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -87,7 +87,7 @@
 	return forward.Admission{Granted: true, Refund: sync.OnceFunc(func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		b.refund(cost)
+		b.refund(cost, now, s.now())
 	})}
 }
 
