io/caller: a drain's response does not wait for the next request to be read

Callers could see: during a drain, the response to a request is held back as long as the poller goes on reading the same connection. A caller that sends a second request without a pause (a long body, or bytes without end) gets the response to the first one only after that; while such bytes come, the handler and so the drain do not end.

Cause: isLastResponse waits until the poller has returned from reading, and the poller returns only after a read that finds the socket empty. Nothing else woke the waiter.

Ruled out: a deadlock between the handler and the poller. The poller hands requests to goroutines and does not wait for handlers.

Before: TestResponseDoesNotWaitForNextRequest lastresponse_test.go:74: the response waits while the next request is read After: passes. go test -race ./io/caller passed once with the condition activeRequests == 1; with <= 1 the tests of last responses, drains and closes passed five times under -race, and the whole package was not run again.

Why it works: the wait only has to tell whether another request has arrived. Once one has begun (requestDeadline is set) or is accepted (activeRequests), the response is not the last one, whatever is read later. The begin of a request and a rejection now wake the waiter.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -40,14 +40,14 @@
 	writeClosed     bool               // The sending side was closed after the last response.
 	discarding      bool               // A rejection was sent: further input is discarded.
 	reading         bool               // The poller is reading and parsing input.
-	readEnded       *sync.Cond         // Signalled when reading becomes false.
+	readChanged     *sync.Cond         // Signalled when reading becomes false, or a request is begun or rejected.
 	closing         bool               // The connection is being closed, or is about to be, and is no longer read.
 }
 
 // newConn returns the state of a new connection.
 func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics) *conn {
 	c := &conn{nbc: nbc, limits: limits, metrics: m}
-	c.readEnded = sync.NewCond(&c.mu)
+	c.readChanged = sync.NewCond(&c.mu)
 	c.startIdleTime(time.Now())
 	return c
 }
@@ -73,7 +73,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = false
-	c.readEnded.Broadcast()
+	c.readChanged.Broadcast()
 }
 
 // hasInput reports whether input has arrived that is not parsed yet. The caller must hold
@@ -143,6 +143,7 @@
 	if c.requestDeadline.IsZero() {
 		c.requestDeadline = now.Add(min(c.progress.limits.HeaderTimeout, c.progress.limits.RequestTimeout))
 	}
+	c.readChanged.Broadcast()
 }
 
 // startBody replaces the timeout of the headers by that of the whole request.
@@ -197,6 +198,7 @@
 	if !alreadyDiscarding {
 		c.activeRequests++
 	}
+	c.readChanged.Broadcast()
 	c.mu.Unlock()
 	if alreadyDiscarding {
 		return
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -25,13 +25,13 @@
 // isLastResponse reports whether the connection is closed after the response being written.
 // With drain it stops accepting requests, unless others have arrived already: a caller that
 // is told of the close does not read their responses. The request itself may still count
-// as input being read, as its handler starts before the poller has returned; so it waits for
-// the poller.
+// as input being read, as its handler starts before the poller has returned; so it waits until
+// the poller has returned or has begun to parse another request.
 func (c *conn) isLastResponse(drain bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for drain && !c.lastRequest && c.reading {
-		c.readEnded.Wait()
+	for drain && !c.lastRequest && c.reading && c.activeRequests <= 1 && c.requestDeadline.IsZero() {
+		c.readChanged.Wait()
 	}
 	if c.activeRequests > 1 {
 		return false
--- a/io/caller/lastresponse_test.go
+++ b/io/caller/lastresponse_test.go
@@ -53,3 +53,24 @@
 		t.Errorf("%d earlier limits are kept although none differs", len(h.earlier))
 	}
 }
+
+// TestResponseDoesNotWaitForNextRequest guards against a response during a drain that waits
+// until all of the next request is read, which a caller may send without a pause or an end.
+func TestResponseDoesNotWaitForNextRequest(t *testing.T) {
+	c, _ := unreadConn(t)
+	c.beginRead()
+	t.Cleanup(c.endRead)
+	c.accept(false)
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		c.isLastResponse(true)
+	}()
+	time.Sleep(20 * time.Millisecond)
+	c.startRequest()
+	select {
+	case <-answered:
+	case <-time.After(time.Second):
+		t.Error("the response waits while the next request is read")
+	}
+}
