core/forward: a silent engine is not asked for reservations while a late call is open

While the other decode engines are full, every waiting request asked a silent one again in each round.

Cause: IsSilent only adds to the rank of a decode engine; it is asked when no other is left. BeginLateCall says that a silent engine gets no other call meanwhile, and nothing did that.

Calls that began before the silence was noticed, and those after each late call ends, are still as many as there are requests.

--- a/core/engines/silence.go
+++ b/core/engines/silence.go
@@ -21,6 +21,9 @@
 	s.retryAt = now.Add(min(now.Sub(s.since), maxSilenceExclusion))
 }
 
+// awaitsLateAnswer reports whether an open call would show the end of the silence.
+func (s *silence) awaitsLateAnswer() bool { return !s.since.IsZero() && s.lateCalls > 0 }
+
 // answer ends the silence.
 func (s *silence) answer(now time.Time) {
 	s.answeredAt, s.since, s.retryAt = now, time.Time{}, time.Time{}
@@ -56,7 +59,15 @@
 func (e *Engine) IsSilent(now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return now.Before(e.silence.retryAt) || (!e.silence.since.IsZero() && e.silence.lateCalls > 0)
+	return now.Before(e.silence.retryAt) || e.silence.awaitsLateAnswer()
+}
+
+// AwaitsLateAnswer reports whether the engine is silent and a call is open whose answer would
+// end the silence.
+func (e *Engine) AwaitsLateAnswer() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.silence.awaitsLateAnswer()
 }
 
 // BeginLateCall is to be called for a call that goes on after its caller has stopped waiting
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -128,7 +128,7 @@
 	}
 	for _, e := range list {
 		now := r.now()
-		if !e.Accepts(now) {
+		if !e.Accepts(now) || e.AwaitsLateAnswer() {
 			continue
 		}
 		reserved, err := j.reserveAt(ctx, e, size, now)
--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/catalog"
 	"monsoonfork/core/engines"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -216,3 +217,33 @@
 		})
 	}
 }
+
+// TestSilentDecodeEngineGetsFewCalls guards against requests that all ask a silent engine for
+// reservations again and again while the other engines are full: each call stays open.
+func TestSilentDecodeEngineGetsFewCalls(t *testing.T) {
+	t.Parallel()
+	const concurrent, length = 10, 1500 * time.Millisecond
+	h := newHarness(t)
+	h.router.Admit = func(*catalog.Organisation, ident.Tokens) Admission { // The harness counts for one caller only.
+		return Admission{Granted: true, Refund: func() {}}
+	}
+	var calls atomic.Int64
+	h.router.Calls.Reserve = func(ctx context.Context, e engines.Entry, _ ident.Tokens, _, _ time.Time) (string, error) {
+		if e.ID != "d1" {
+			return "", fault.New(fault.EndpointRefused, "full")
+		}
+		calls.Add(1)
+		<-ctx.Done()
+		return "", fault.From(ctx.Err()).WithRan(fault.MayHaveRun)
+	}
+	var callers sync.WaitGroup
+	for began := time.Now(); time.Since(began) < length; {
+		for range concurrent {
+			callers.Go(func() { _ = h.serve("stream") })
+		}
+		callers.Wait()
+	}
+	if n := calls.Load(); n > concurrent {
+		t.Errorf("%d calls, want at most the %d that began before the silence was noticed", n, concurrent)
+	}
+}
