--- a/cmd/monsoonfork/decodedfields_test.go
+++ b/cmd/monsoonfork/decodedfields_test.go
@@ -56,7 +56,6 @@
 	"platform/wire.EngineEntry.ColdRemainingMS": "only its type is checked",
 	"platform/wire.Item.CreateRevision":         "only its type is checked; set by the stand-in",
 	"platform/wire.Item.Lease":                  "only its type is checked; set by the stand-in",
-	"platform/wire.Lease.TTLMS":                 "a field of the request for a lease; the answer repeats it",
 }
 
 // listedPackage is a package in the output of "go list".
