--- a/core/membership/heartbeat.go
+++ b/core/membership/heartbeat.go
@@ -202,8 +202,8 @@
 }
 
 // confirmGone marks an instance as gone if a second heartbeat to it also fails because its
-// process has ended, and its counter has not grown meanwhile. No second heartbeat is needed if another process has answered at its
-// address.
+// process has ended, and its counter has not grown meanwhile. No second heartbeat is needed
+// if another process has answered at its address.
 func (s *Service) confirmGone(id ident.InstanceID, err error) {
 	m, known := s.Table.View().Member(id)
 	if !known || m.State == Gone {
