core/request: a max_tokens near the largest number is too large

Callers could see: on a route without a key, a completion with a max_tokens near 2^63 was placed on engines, with a negative need of memory, so that the dispatcher counted the engine's memory as less used than it was and placed more than fits. With a key, the budget refused it as malformed instead of too large.

Cause: the sum of the prompt's tokens and max_tokens overflowed and was below the model's limit.

Ruled out: the deployment on the platform, whose decoder bounds each count to 1e9 (FuzzDecodeRequest).

Why it works: max_tokens is compared with what the prompt leaves of the limit, which can't overflow as both are positive.

--- a/core/request/completion.go
+++ b/core/request/completion.go
@@ -88,7 +88,7 @@
 	}
 	r.model = model
 	r.maxPromptTokens = r.Prompt.TokenUpperBound(model.MinBytesPerToken)
-	if r.maxPromptTokens+r.MaxTokens > model.MaxTokens {
+	if r.maxPromptTokens > model.MaxTokens || r.MaxTokens > model.MaxTokens-r.maxPromptTokens { // The sum may overflow.
 		return fault.New(fault.RequestTooLarge, "the prompt has up to %d tokens, with max_tokens %d above the %d of model %s",
 			r.maxPromptTokens, r.MaxTokens, model.MaxTokens, r.Model)
 	}
