core/placement: token counts whose sum overflows are refused

Other instances could see: a request with a count near 2^63 was placed with a negative need of memory (-922,337,203,685,477,570 pieces reserved in the test), after which the engine got more requests than fit.

Cause: the check of a request bounded its counts from below only, and cost is their sum. The entry that receives callers' requests has the model's limit (e2e: core/request), the dispatcher has to check what another instance sends.

Ruled out: the model's limit as the bound here, as the dispatcher's configuration may lag behind the entry's. The bound is the one that the platform's decoder has, 1e9.

Why it works: the sum of two counts of at most 1e9 can't overflow.

--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -43,13 +43,16 @@
 // decode memory is reserved for the same number.
 func (r Request) cost() ident.Tokens { return r.PromptTokens + r.MaxTokens }
 
+// maxTokens bounds each token count of a request, so that sums of counts don't overflow.
+const maxTokens ident.Tokens = 1_000_000_000
+
 // check returns an error of kind BadRequest if a field is out of range.
 func (r Request) check() error {
 	switch {
 	case r.ID == "" || r.Attempt < 1:
 		return fault.New(fault.BadRequest, "request has no id or attempt")
-	case r.PromptTokens < 1 || r.MaxTokens < 0:
-		return fault.New(fault.BadRequest, "request has %d prompt tokens and %d output tokens; at least 1 and 0 are required", r.PromptTokens, r.MaxTokens)
+	case r.PromptTokens < 1 || r.MaxTokens < 0 || r.PromptTokens > maxTokens || r.MaxTokens > maxTokens:
+		return fault.New(fault.BadRequest, "request has %d prompt tokens and %d output tokens; at least 1 and 0 and at most %d are required", r.PromptTokens, r.MaxTokens, maxTokens)
 	case r.Deadline.IsZero():
 		return fault.New(fault.BadRequest, "request has no deadline")
 	}
