core/placement: a negative number of output tokens is not refunded

Cause: the unused tokens are max_tokens less the output, which was taken as sent.

Ruled out: counts above max_tokens, which refund nothing.

Why it works: an output below 0 counts as 0, so that at most max_tokens are refunded.

--- a/core/placement/dispatcher.go
+++ b/core/placement/dispatcher.go
@@ -277,7 +277,7 @@
 	if wasPrefilling && l.prefill != nil {
 		d.predictPrefillEnd(l.prefill, now)
 	}
-	unused := max(0, l.record.MaxTokens-o.OutputTokens)
+	unused := max(0, l.record.MaxTokens-max(0, o.OutputTokens))
 	d.queue.refund(l.record.Organisation, unused)
 	updateBreakers(l, o, now)
 	for _, e := range []*engineState{l.prefill, l.decode} {
--- a/core/placement/invalidnumbers_test.go
+++ b/core/placement/invalidnumbers_test.go
@@ -23,3 +23,20 @@
 		t.Errorf("%d pieces are reserved", d.reservedPieces)
 	}
 }
+
+// TestNegativeOutputIsNotRefunded guards against an event with a negative number of tokens,
+// with which an organisation goes before all others for a long time.
+func TestNegativeOutputIsNotRefunded(t *testing.T) {
+	for _, output := range []ident.Tokens{-1_000_000, math.MinInt64} {
+		f := newFixture(t, 1)
+		g := granted(f.Submit(f.request("a"), "i1"))
+		second := granted(f.Submit(f.request("a"), "i1"))
+		f.Submit(f.request("a"), "i1")
+		before := f.queue.flows["a"].virtualTime
+		f.Release(g.Lease, Outcome{Result: Completed, OutputTokens: output})
+		refunded := before - f.queue.flows["a"].virtualTime
+		if refunded > 100 || second == nil {
+			t.Errorf("output of %d tokens: %v refunded, want at most 100", output, refunded)
+		}
+	}
+}
