io/engine: a load report with counts out of range is broken

Callers could see (own text): an engine that reports running and waiting requests, or used memory, near 2^63 counted as idle, and one that reports negative ones as having more room than it has, so that requests were placed on full engines.

Cause: the counts were used as decoded; their sums overflow in the dispatcher and in the baseline policies.

Ruled out: limiting them in the dispatcher, as two policies read the report. The number of slots is not checked, as nothing reads it (TestDecodedFieldsAreUsed).

Why it works: a report with a count below 0 or above 1e9 is an AnswerBroken, after which the engine's last report stays in force, as after no answer.

--- a/io/engine/listing.go
+++ b/io/engine/listing.go
@@ -5,9 +5,13 @@
 	"net/http"
 	"strconv"
 
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
 
+// maxLoadCount bounds each count of a load report, so that sums of counts don't overflow.
+const maxLoadCount = 1_000_000_000
+
 // HeldRequest is an entry of an engine's list of the requests that it holds.
 type HeldRequest struct {
 	Attempt string           `json:"rid"`
@@ -25,6 +29,16 @@
 	ReportedUnixMS int64        `json:"reported_unix_ms"`
 }
 
+// check returns an error of kind AnswerBroken if a count is out of range.
+func (l Load) check() error {
+	for _, n := range []int{l.Running, l.Waiting, int(l.PiecesUsed)} {
+		if n < 0 || n > maxLoadCount {
+			return fault.New(fault.AnswerBroken, "the engine reported a load of %d, want 0 to %d", n, maxLoadCount)
+		}
+	}
+	return nil
+}
+
 // CacheEvent is a change of an engine's prefix cache.
 type CacheEvent struct {
 	Seq         int64    `json:"seq"`
@@ -63,8 +77,10 @@
 // Load returns an engine's newest load report.
 func (c *Client) Load(ctx context.Context, to ident.Address) (Load, error) {
 	var load Load
-	err := c.doShortCall(ctx, to, http.MethodGet, "/load", nil, &load, c.shortCallLimits())
-	return load, err
+	if err := c.doShortCall(ctx, to, http.MethodGet, "/load", nil, &load, c.shortCallLimits()); err != nil {
+		return Load{}, err
+	}
+	return load, load.check()
 }
 
 // KVEvents returns the cache events with a sequence number above after.
