core/placement: restored leases with counts out of range are skipped

Other instances could see: after a change of the dispatcher, a lease with negative counts, or an engine's list with negative or overflowing pieces, made an engine's memory count as free (-93 pieces reserved in the test), so that more requests were placed than fit.

Cause: leases that instances and engines report were reserved as decoded.

Ruled out: skipping requests that an engine lists: the engine does run them, and a slot has to stay reserved. Their pieces are limited to 0 and the engine's memory.

Evidence: TestInvalidLeasesAreNotRestored and TestInvalidPiecesAreLimited failed with the checks taken out and pass now; go test -race -short ./core/placement, ./core/event and ./cmd/monsoonfork pass.

Why it works: each lease of a reply is checked by itself, with the bounds of a request; one out of range is logged (new event "invalid record of an instance ignored") and the others are restored.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -81,6 +81,7 @@
 	FollowingChanged        // following of the store changed
 	RegistrationFailed      // registration failed
 	MemberStateChanged      // member state changed
+	PeerRecordIgnored       // invalid record of an instance ignored
 	InstanceListUnavailable // instance list unavailable
 	HandshakeFailed         // handshake failed
 	ReplyNotSent            // reply not sent
--- a/core/event/event_string.go
+++ b/core/event/event_string.go
@@ -72,31 +72,31 @@
 	_ = x[FollowingChanged-61]
 	_ = x[RegistrationFailed-62]
 	_ = x[MemberStateChanged-63]
-	_ = x[InstanceListUnavailable-64]
-	_ = x[HandshakeFailed-65]
-	_ = x[ReplyNotSent-66]
-	_ = x[Serving-67]
-	_ = x[SettingsReloaded-68]
-	_ = x[SettingsRejected-69]
-	_ = x[RoleStarted-70]
-	_ = x[StopRequested-71]
-	_ = x[Draining-72]
-	_ = x[DrainFailed-73]
-	_ = x[CloseFailed-74]
-	_ = x[ShutdownFailed-75]
-	_ = x[Stopped-76]
-	_ = x[AnswerEncodingFailed-77]
-	_ = x[LinesDropped-78]
-	_ = x[InvariantViolated-79]
-	_ = x[PanicContained-80]
-	_ = x[PollerSlow-81]
-	_ = x[HandlerPanicked-82]
-	_ = x[eventCount-83]
+	_ = x[PeerRecordIgnored-64]
+	_ = x[InstanceListUnavailable-65]
+	_ = x[HandshakeFailed-66]
+	_ = x[ReplyNotSent-67]
+	_ = x[Serving-68]
+	_ = x[SettingsReloaded-69]
+	_ = x[SettingsRejected-70]
+	_ = x[RoleStarted-71]
+	_ = x[StopRequested-72]
+	_ = x[Draining-73]
+	_ = x[DrainFailed-74]
+	_ = x[CloseFailed-75]
+	_ = x[ShutdownFailed-76]
+	_ = x[Stopped-77]
+	_ = x[AnswerEncodingFailed-78]
+	_ = x[LinesDropped-79]
+	_ = x[InvariantViolated-80]
+	_ = x[PanicContained-81]
+	_ = x[PollerSlow-82]
+	_ = x[HandlerPanicked-83]
 }
 
-const _Event_name = "answeredrefusedfailedrefusals suppressedengine failedprefill failedstream stalledretrying at another enginerelease failed, will expirerequest donerequest failedrequest refusedattempt failed, trying another engineendpoint failed, trying anotherabort not acknowledgedoutcome of a call unknownoutcome of call not recordedplacednot placedredirected to another domaindispatcher starteddispatcher recovereddispatcher stoppedaborting orphaned attemptengine changedengine list changedengine announced that it leavesengine pausedinvalid pause of an engine ignoredstage orderedinvalid stage notice ignoredorder lease acquiredorder lease not acquiredorder sentorder not confirmedbecame controllernot the controllerno longer the controllerrate share changedcollector reachability changedexchange with collector failedslot claimedslot claimed without the storeslot resumed mintingslot no longer heldconfiguration appliedconfiguration rejectedinvalid engine entry ignoredinvalid register entry ignoredinvalid store item ignoredrevision in forcereading the text failedinvalid pull replypull failedreading the head failedwatching the head failededit acceptededit not acceptedstore unreachablestore reachable againstore history compacted, listing againfollowing of the store changedregistration failedmember state changedinstance list unavailablehandshake failedreply not sentservingsettings reloadedsettings rejectedrole startedstop requesteddrainingdrain failedclose failedoperator server shutdown failedstoppedencoding the answer failedlog lines droppedinvariant violatedpanic containedpoller did not respond in timepanic in a request handlerNumber of events; keep last."
+const _Event_name = "answeredrefusedfailedrefusals suppressedengine failedprefill failedstream stalledretrying at another enginerelease failed, will expirerequest donerequest failedrequest refusedattempt failed, trying another engineendpoint failed, trying anotherabort not acknowledgedoutcome of a call unknownoutcome of call not recordedplacednot placedredirected to another domaindispatcher starteddispatcher recovereddispatcher stoppedaborting orphaned attemptengine changedengine list changedengine announced that it leavesengine pausedinvalid pause of an engine ignoredstage orderedinvalid stage notice ignoredorder lease acquiredorder lease not acquiredorder sentorder not confirmedbecame controllernot the controllerno longer the controllerrate share changedcollector reachability changedexchange with collector failedslot claimedslot claimed without the storeslot resumed mintingslot no longer heldconfiguration appliedconfiguration rejectedinvalid engine entry ignoredinvalid register entry ignoredinvalid store item ignoredrevision in forcereading the text failedinvalid pull replypull failedreading the head failedwatching the head failededit acceptededit not acceptedstore unreachablestore reachable againstore history compacted, listing againfollowing of the store changedregistration failedmember state changedinvalid record of an instance ignoredinstance list unavailablehandshake failedreply not sentservingsettings reloadedsettings rejectedrole startedstop requesteddrainingdrain failedclose failedoperator server shutdown failedstoppedencoding the answer failedlog lines droppedinvariant violatedpanic containedpoller did not respond in timepanic in a request handler"
 
-var _Event_index = [...]uint16{0, 8, 15, 21, 40, 53, 67, 81, 107, 134, 146, 160, 175, 212, 243, 265, 290, 318, 324, 334, 362, 380, 400, 418, 443, 457, 476, 507, 520, 554, 567, 595, 615, 639, 649, 668, 685, 703, 727, 745, 775, 805, 817, 847, 867, 886, 907, 929, 957, 987, 1013, 1030, 1053, 1071, 1082, 1105, 1129, 1142, 1159, 1176, 1197, 1235, 1265, 1284, 1304, 1329, 1345, 1359, 1366, 1383, 1400, 1412, 1426, 1434, 1446, 1458, 1489, 1496, 1522, 1539, 1557, 1572, 1602, 1628, 1656}
+var _Event_index = [...]uint16{0, 8, 15, 21, 40, 53, 67, 81, 107, 134, 146, 160, 175, 212, 243, 265, 290, 318, 324, 334, 362, 380, 400, 418, 443, 457, 476, 507, 520, 554, 567, 595, 615, 639, 649, 668, 685, 703, 727, 745, 775, 805, 817, 847, 867, 886, 907, 929, 957, 987, 1013, 1030, 1053, 1071, 1082, 1105, 1129, 1142, 1159, 1176, 1197, 1235, 1265, 1284, 1304, 1341, 1366, 1382, 1396, 1403, 1420, 1437, 1449, 1463, 1471, 1483, 1495, 1526, 1533, 1559, 1576, 1594, 1609, 1639, 1665}
 
 func (i Event) String() string {
 	idx := int(i) - 0
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -90,6 +90,7 @@
 	FollowingChanged:        {SubsystemDependencies, "This instance has started or stopped watching the store on behalf of its failure domain.", []string{"follows", "why"}},
 	RegistrationFailed:      {SubsystemDependencies, "The registration of the failure domain's instances failed.", []string{"err"}},
 	MemberStateChanged:      {SubsystemDependencies, "The state of an instance changed: it is live, leaving, silent or gone.", []string{"member", "state", "member_domain"}},
+	PeerRecordIgnored:       {SubsystemDependencies, "A record that another instance has sent is out of range and is skipped; the other records are used. record says what it describes.", []string{"from", "record", "err"}},
 	InstanceListUnavailable: {SubsystemDependencies, "The instance list does not answer.", []string{"err"}},
 	HandshakeFailed:         {SubsystemDependencies, "The handshake that opens a link to a peer failed.", []string{"err"}},
 	ReplyNotSent:            {SubsystemDependencies, "The reply to a peer's call could not be sent.", []string{"method", "to", "err"}},
--- a/core/placement/invalidnumbers_test.go
+++ b/core/placement/invalidnumbers_test.go
@@ -3,9 +3,13 @@
 import (
 	"math"
 	"testing"
+	"time"
+
+	"github.com/go-kit/log"
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/text"
 )
 
 // TestOverflowingRequestIsRefused guards against token counts of another instance whose sum
@@ -40,3 +44,34 @@
 		}
 	}
 }
+
+// TestInvalidLeasesAreNotRestored guards against a lease of another instance whose numbers make
+// an engine's memory count as free, and against its keeping the leases behind it from being
+// restored.
+func TestInvalidLeasesAreNotRestored(t *testing.T) {
+	f := newFixture(t, 1, WithRecovery())
+	reply := &HeldReply{Leases: []*HeldLease{
+		{Lease: "n.1", Decode: "d0", Prefill: "p0", PromptTokens: -500, MaxTokens: 10},
+		{Lease: "n.2", Decode: "d0", Prefill: "p0", PromptTokens: 10, MaxTokens: -500},
+		{Lease: "n.3", Decode: "d0", Prefill: "p0", PromptTokens: math.MaxInt64, MaxTokens: math.MaxInt64},
+		{Decode: "d0", Prefill: "p0", PromptTokens: 10}, nil,
+		{Lease: "v.1", Decode: "d0", Prefill: "p0", PromptTokens: 10, MaxTokens: 10, DeadlineUs: 1_000_000},
+	}}
+	p := &Placement{log: log.NewNopLogger(), now: time.Now}
+	f.RestoreLeases(p.validLeases("i1", reply))
+	f.FinishRecovery()
+	if d := f.engines["d0"]; d.reservedPieces != 2 || d.reservedSlots != 1 {
+		t.Errorf("%d pieces and %d slots are reserved, want 2 and 1", d.reservedPieces, d.reservedSlots)
+	}
+}
+
+// TestInvalidPiecesAreLimited guards against an engine's list of requests whose numbers of
+// pieces are negative or overflow, so that its memory counts as free.
+func TestInvalidPiecesAreLimited(t *testing.T) {
+	e := text.Engine{MemoryPieces: 100, TokensPerPiece: 10}
+	for pieces, want := range map[ident.Pieces]ident.Tokens{-1: 0, math.MinInt64: 0, 7: 70, 101: 1000, math.MaxInt64: 1000} {
+		if got := tokensHeld(pieces, e); got != want {
+			t.Errorf("%d pieces hold %d tokens, want %d", pieces, got, want)
+		}
+	}
+}
--- a/core/placement/request.go
+++ b/core/placement/request.go
@@ -127,6 +127,15 @@
 	Deadline     time.Time
 }
 
+// check returns an error of kind BadRequest if a field is out of range.
+func (h LeaseRecord) check() error {
+	inRange := func(n ident.Tokens) bool { return n >= 0 && n <= maxTokens }
+	if h.Lease == "" || !inRange(h.PromptTokens) || !inRange(h.MaxTokens) {
+		return fault.New(fault.BadRequest, "lease %.80q has %d prompt tokens and %d output tokens; an id and 0 to %d are required", h.Lease, h.PromptTokens, h.MaxTokens, maxTokens)
+	}
+	return nil
+}
+
 // Load is a load report of an engine. It lags behind the actual load.
 type Load struct {
 	Running    int
--- a/core/placement/runner_recovery.go
+++ b/core/placement/runner_recovery.go
@@ -61,17 +61,30 @@
 			if err := p.links.Call(ctx, m.ID, methodOpenLeases, req, reply); err != nil {
 				return
 			}
+			valid := p.validLeases(m.ID, reply)
 			mu.Lock()
 			defer mu.Unlock()
-			for _, l := range reply.GetLeases() {
-				records = append(records, leaseFromProto(l, m.ID, p.now()))
-			}
+			records = append(records, valid...)
 		}()
 	}
 	wg.Wait()
 	return records
 }
 
+// validLeases returns the leases of a reply without those whose numbers are out of range.
+func (p *Placement) validLeases(holder ident.InstanceID, reply *HeldReply) []LeaseRecord {
+	records := make([]LeaseRecord, 0, len(reply.GetLeases()))
+	for _, l := range reply.GetLeases() {
+		h := leaseFromProto(l, holder, p.now())
+		if err := h.check(); err != nil {
+			_ = level.Warn(p.log).Log("msg", event.PeerRecordIgnored, "from", string(holder), "record", "lease", "err", err)
+			continue
+		}
+		records = append(records, h)
+	}
+	return records
+}
+
 // listEngineRequests returns the open requests of each engine. An engine that does
 // not answer is missing from the result.
 func (r *runner) listEngineRequests() map[ident.EndpointID][]EngineRequest {
@@ -111,7 +124,7 @@
 			}
 			records = append(records, LeaseRecord{
 				Lease: l.Lease, Holder: l.Holder, Decode: e.Name,
-				PromptTokens: ident.Tokens(l.Pieces) * e.TokensPerPiece,
+				PromptTokens: tokensHeld(l.Pieces, e),
 				Phase:        Decoding, Deadline: r.placement.now(),
 			})
 		}
@@ -119,6 +132,12 @@
 	return records
 }
 
+// tokensHeld returns the tokens that pieces of an engine's memory hold. A number of pieces that
+// the engine can't have counts as the nearest one that it can.
+func tokensHeld(pieces ident.Pieces, e text.Engine) ident.Tokens {
+	return ident.Tokens(min(max(0, pieces), e.MemoryPieces)) * e.TokensPerPiece
+}
+
 // dropStaleLeases drops leases whose end event was lost: the holder is gone or the
 // deadline has passed, and no engine lists the attempt any more.
 func (r *runner) dropStaleLeases() {
