core/budget: an interval of tokens with an unlimited rate is invalid

Other instances could see: an interval with an infinite rate, or one near the largest number, was added to an organisation's pool, after which all its requests were admitted.

Cause: the check of a received interval asked only for a rate above 0.

Ruled out: the organisation's own rate as the bound, since instances apply changes of the configuration at different times.

Why it works: with at most 1e12 tokens a second and intervals of at most a year, sums of tokens stay finite, and the limit's check sees what is admitted.

--- a/core/budget/messages.go
+++ b/core/budget/messages.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// maxIntervalRate bounds the rate of a received interval, so that sums of tokens are finite.
+const maxIntervalRate = 1e12
+
 // decodeAges decodes and validates the protobuf form of an interval.
 func decodeAges(m *AgedInterval) (IntervalAges, error) {
 	a := IntervalAges{
@@ -37,7 +40,7 @@
 		Rate:   ident.TokensPerSecond(m.GetTokensPerSecond()),
 	}
 	ordered := 0 <= a.Newest && a.Newest <= a.Oldest && a.Oldest <= maxIntervalLength
-	if !ordered || !(a.Rate > 0) {
+	if !ordered || !(a.Rate > 0 && a.Rate <= maxIntervalRate) {
 		return IntervalAges{}, fault.New(fault.BadRequest, "malformed token interval: ages %v to %v, rate %v", a.Oldest, a.Newest, a.Rate)
 	}
 	return a, nil
