core/budget: an odd interval costs only itself

Other instances could see: one interval out of range in a message with tokens made the receiver discard the message's other tokens, and, when the owner of an account changed, those of all organisations behind it. Tokens move, so that they were lost: less was admitted.

Cause: decoding stopped at the first error, at each of four callers.

Ruled out: an error for the whole message, as the sender has given the tokens up already.

Evidence: TestInvalidIntervalCostsOnlyItself failed before (0 and 0 of 100 and 100 tokens) and passes now, as does TestUnlimitedRateIsInvalid.

Why it works: each interval is checked by itself; one out of range is logged and left out.

--- a/core/budget/background.go
+++ b/core/budget/background.go
@@ -81,11 +81,7 @@
 		return err
 	}
 	for _, s := range reply.GetStocks() {
-		intervals, err := decodeStock(s, sentAt.ExpiryTime)
-		if err != nil {
-			return err
-		}
-		b.accounts.addTokens(ident.OrganisationID(s.GetOrganisation()), intervals)
+		b.accounts.addTokens(ident.OrganisationID(s.GetOrganisation()), b.decodeStock(from, s, sentAt.ExpiryTime))
 	}
 	return nil
 }
@@ -96,8 +92,6 @@
 	now := b.clock.Now()
 	reply := b.slots.collectSlot(now, number, b.organisations())
 	for _, s := range reply {
-		if intervals, err := decodeStock(s, now.ExpiryTime); err == nil {
-			b.accounts.addTokens(ident.OrganisationID(s.GetOrganisation()), intervals)
-		}
+		b.accounts.addTokens(ident.OrganisationID(s.GetOrganisation()), b.decodeStock(b.self, s, now.ExpiryTime))
 	}
 }
--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -143,15 +143,12 @@
 	sentAt := h.b.clock.Now()
 	reply := &SpareReply{}
 	owner, ok := h.b.view().Owner(q.domain, string(org))
-	var intervals []Interval
 	var err error
 	if ok {
 		req := &SpareRequest{Organisation: string(org), Tokens: q.tokens}
 		err = h.b.call(context.WithoutCancel(ctx), tokenRequestTimeout, owner.ID, methodSpare, req, reply)
 	}
-	if err == nil {
-		intervals, err = decodeStock(reply.GetStock(), sentAt.ExpiryTime)
-	}
+	intervals := h.b.decodeStock(owner.ID, reply.GetStock(), sentAt.ExpiryTime) // Not used after an error.
 	now := h.b.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/core/budget/collect.go
+++ b/core/budget/collect.go
@@ -137,8 +137,8 @@
 	for _, s := range reply.GetStocks() {
 		org := ident.OrganisationID(s.GetOrganisation())
 		request, ok := batch[org]
-		intervals, err := decodeStock(s, sentAt.ExpiryTime)
-		if err != nil || !ok || len(intervals) == 0 {
+		intervals := t.b.decodeStock(holder, s, sentAt.ExpiryTime)
+		if !ok || len(intervals) == 0 {
 			continue
 		}
 		t.b.accounts.addTokens(org, intervals)
--- a/core/budget/invalidmessages_test.go
+++ b/core/budget/invalidmessages_test.go
@@ -1,11 +1,44 @@
 package budget
 
 import (
+	"context"
 	"math"
 	"testing"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membership"
 )
 
+// newAnsweredBudget returns a Budget that holds slot 0 of domain d0. Other instances answer its
+// calls with reply; "loud" and "even" are the only organisations.
+func newAnsweredBudget(reply proto.Message) *Budget {
+	b := newSingleBudget(0)
+	b.view = membership.NewTable(membership.Member{ID: "a", Domain: "d0"}, b.log, time.Now).View
+	b.layout = func() (int, int) { return 2, 4 }
+	b.limits = func(org ident.OrganisationID) (Limit, bool) {
+		return Limit{Rate: 1000, Burst: 5000}, org == "loud" || org == "even"
+	}
+	b.peers = func(_ context.Context, _ ident.InstanceID, _ string, _, resp proto.Message) error {
+		proto.Reset(resp)
+		if proto.MessageName(resp) == proto.MessageName(reply) {
+			proto.Merge(resp, reply)
+		}
+		return nil
+	}
+	return b
+}
+
+// pooled returns the tokens in the pool of an organisation.
+func pooled(b *Budget, org ident.OrganisationID) float64 {
+	s := b.accounts.shardFor(org)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.account(org).pool.Amount()
+}
+
 // TestUnlimitedRateIsInvalid guards against tokens of another instance whose rate is so large
 // that an organisation is admitted without a limit.
 func TestUnlimitedRateIsInvalid(t *testing.T) {
@@ -16,3 +49,20 @@
 		}
 	}
 }
+
+// TestInvalidIntervalCostsOnlyItself guards against an interval of another instance that is out
+// of range and with which all other tokens of the message are lost.
+func TestInvalidIntervalCostsOnlyItself(t *testing.T) {
+	valid := &AgedInterval{OldestNs: int64(time.Second), TokensPerSecond: 100}
+	reply := &TakeReply{Stocks: []*Stock{
+		{Organisation: "loud", Intervals: []*AgedInterval{{OldestNs: -1, TokensPerSecond: 1}, valid}}, nil,
+		{Organisation: "even", Intervals: []*AgedInterval{valid}},
+	}}
+	b := newAnsweredBudget(reply)
+	if err := b.pullTokens(t.Context(), "b", &OfferRequest{Organisations: []string{"loud", "even"}}); err != nil {
+		t.Error(err)
+	}
+	if loud, even := pooled(b, "loud"), pooled(b, "even"); loud != 100 || even != 100 {
+		t.Errorf("%v and %v tokens were added, want 100 and 100", loud, even)
+	}
+}
--- a/core/budget/messages.go
+++ b/core/budget/messages.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -57,16 +60,18 @@
 	return s
 }
 
-// decodeStock decodes received tokens. sentAt is the receiver's time before
-// it sent the request, so before the tokens can have been sent.
-func decodeStock(s *Stock, sentAt Instant) ([]Interval, error) {
+// decodeStock decodes the tokens received from an instance, without those that are out of range.
+// sentAt is the receiver's time before it sent the request, so before the tokens can have been
+// sent.
+func (b *Budget) decodeStock(from ident.InstanceID, s *Stock, sentAt Instant) []Interval {
 	list := make([]Interval, 0, len(s.GetIntervals()))
 	for _, m := range s.GetIntervals() {
 		a, err := decodeAges(m)
 		if err != nil {
-			return nil, err
+			_ = level.Warn(b.log).Log("msg", event.PeerRecordIgnored, "from", string(from), "record", "tokens", "err", err)
+			continue
 		}
 		list = append(list, a.interval(sentAt))
 	}
-	return list, nil
+	return list
 }
