core/budget: an invalid number of tokens left counts as none

Other instances could see: after a reply to a loan whose number of tokens left is not a number, the borrower never asked that failure domain again, so that an organisation was refused while the domain had tokens. After an infinite one, it asked that domain first for all that it missed.

Cause: the number was stored as decoded, and a comparison with what is not a number is false.

Ruled out: counting the reply as a failure, as its tokens are valid and are used.

Why it works: a number below 0, above 1e18 or that is not one counts as 0, from which the estimate grows with what the domain mints.

--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -6,6 +6,10 @@
 	"sort"
 	"sync"
 
+	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/event"
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
 
@@ -157,7 +161,21 @@
 		return true
 	}
 	a.pool.Add(intervals...)
-	a.borrowing.recordReply(q.domain, sentAt.ExpiryTime, reply.GetLeft(), len(intervals) > 0)
+	a.borrowing.recordReply(q.domain, sentAt.ExpiryTime, h.tokensLeft(owner.ID, reply), len(intervals) > 0)
 	h.b.metrics.borrowed.Inc(int64(totalTokens(intervals)))
 	return len(intervals) > 0
 }
+
+// maxTokensLeft bounds the tokens that a lender may report to have left.
+const maxTokensLeft = 1e18
+
+// tokensLeft returns the tokens that a lender has left: none if it reports an invalid number.
+func (h *accountOwner) tokensLeft(lender ident.InstanceID, reply *SpareReply) float64 {
+	left := reply.GetLeft()
+	if left >= 0 && left <= maxTokensLeft { // NaN is not in the range.
+		return left
+	}
+	err := fault.New(fault.BadRequest, "%v tokens are left", left)
+	_ = level.Warn(h.b.log).Log("msg", event.PeerRecordIgnored, "from", string(lender), "record", "tokens left", "err", err)
+	return 0
+}
--- a/core/budget/invalidmessages_test.go
+++ b/core/budget/invalidmessages_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/ident"
@@ -31,6 +32,13 @@
 	return b
 }
 
+// viewWithLender returns the view of instance a with another one in domain d1.
+func viewWithLender() *membership.View {
+	table := membership.NewTable(membership.Member{ID: "a", Domain: "d0"}, log.NewNopLogger(), time.Now)
+	table.RecordHeartbeat(membership.Member{ID: "b", Domain: "d1", PeerAddress: "b"})
+	return table.View()
+}
+
 // pooled returns the tokens in the pool of an organisation.
 func pooled(b *Budget, org ident.OrganisationID) float64 {
 	s := b.accounts.shardFor(org)
@@ -66,3 +74,19 @@
 		t.Errorf("%v and %v tokens were added, want 100 and 100", loud, even)
 	}
 }
+
+// TestInvalidTokensLeftAreNone guards against a lender's report that is not a number, after
+// which its domain is never asked again, or is infinite, after which it is asked first always.
+func TestInvalidTokensLeftAreNone(t *testing.T) {
+	for _, left := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat64} {
+		b := newAnsweredBudget(&SpareReply{Left: left})
+		b.view = viewWithLender
+		s := b.accounts.shardFor("loud")
+		a := s.account("loud")
+		b.accounts.borrowFromDomain(t.Context(), s, a, "loud", borrowRequest{"d1", 10})
+		later := b.clock.Now().ExpiryTime.Add(time.Second)
+		if got := a.borrowing.estimate("d1", later, Limit{Rate: 1000, Burst: 5000}, 2); !(got > 0 && got <= 600) {
+			t.Errorf("%v tokens left: a second later %v are expected, want about 500", left, got)
+		}
+	}
+}
--- a/core/budget/slotmanager.go
+++ b/core/budget/slotmanager.go
@@ -43,6 +43,9 @@
 	stopping      bool // Set by releaseAll; no slots are claimed any more.
 }
 
+// maxSlots bounds the numbers of slots that other instances may name.
+const maxSlots = 10_000
+
 // newSlotManager returns a slotManager that holds no slots.
 func newSlotManager(b *Budget) *slotManager {
 	return &slotManager{
