--- a/core/budget/invalidmessages_test.go
+++ b/core/budget/invalidmessages_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 )
@@ -90,3 +91,14 @@
 		}
 	}
 }
+
+// TestInvalidRequestForTokensIsRefused guards against a request for a number of tokens that is
+// not a number, for which the age of the tokens that are left is undefined.
+func TestInvalidRequestForTokensIsRefused(t *testing.T) {
+	b := newAnsweredBudget(&TakeReply{})
+	for _, tokens := range []float64{math.NaN(), math.Inf(1), -1} {
+		if reply, err := b.serveSpare(t.Context(), "b", &SpareRequest{Organisation: "loud", Tokens: tokens}); !fault.Is(err, fault.BadRequest) {
+			t.Errorf("%v tokens: %v, %v, want BadRequest", tokens, reply, err)
+		}
+	}
+}
