core/budget: slots that can't exist are not recorded

Other instances could see: each number that an announcement or a release of a slot names, negative ones too, was recorded for ever, so that messages with other numbers fill the memory.

Cause: the numbers were used as decoded.

Ruled out: the configured number of slots as the bound, since instances apply changes of the configuration at different times.

Why it works: numbers from 10,000 on and below 0 are refused and logged; the other slots of the same announcement are recorded.

--- a/core/budget/announce.go
+++ b/core/budget/announce.go
@@ -198,6 +198,11 @@
 	defer k.mu.Unlock()
 	for _, c := range req.GetHeld() {
 		number, epoch := int(c.GetSlot()), ident.Epoch(c.GetEpoch())
+		if !validSlot(number) {
+			reply.Refused = append(reply.Refused, &SlotClaim{Slot: c.GetSlot()})
+			k.logInvalidSlot(from, number)
+			continue
+		}
 		s := k.slotView(number)
 		if h, ok := k.heldSlots[number]; ok && epoch > h.record.Epoch {
 			k.dropSlot(number, "taken over")
--- a/core/budget/claim.go
+++ b/core/budget/claim.go
@@ -368,7 +368,11 @@
 }
 
 // serveReleased records that a slot is free and wakes the claim loop.
-func (k *slotManager) serveReleased(req *ReleasedRequest) {
+func (k *slotManager) serveReleased(from ident.InstanceID, req *ReleasedRequest) {
+	if !validSlot(int(req.GetSlot())) {
+		k.logInvalidSlot(from, int(req.GetSlot()))
+		return
+	}
 	k.mu.Lock()
 	s := k.slotView(int(req.GetSlot()))
 	s.holder = ""
--- a/core/budget/invalidmessages_test.go
+++ b/core/budget/invalidmessages_test.go
@@ -102,3 +102,20 @@
 		}
 	}
 }
+
+// TestSlotsOutOfRangeAreNotRecorded guards against announcements of slots that can't exist, each
+// of which takes memory for ever.
+func TestSlotsOutOfRangeAreNotRecorded(t *testing.T) {
+	b := newAnsweredBudget(&TakeReply{})
+	known := len(b.slots.slotViews)
+	for _, slot := range []int32{-1, math.MinInt32, maxSlots, math.MaxInt32} {
+		reply := b.slots.serveAnnounce("b", &AnnounceRequest{Held: []*SlotClaim{{Slot: slot, Epoch: 1}, {Slot: 1, Epoch: 1}}})
+		if len(reply.GetRefused()) != 1 || reply.GetRefused()[0].GetSlot() != slot {
+			t.Errorf("slot %d: %v", slot, reply)
+		}
+		b.slots.serveReleased("b", &ReleasedRequest{Slot: slot})
+	}
+	if got := len(b.slots.slotViews); got != known+1 {
+		t.Errorf("%d slots are recorded, want %d", got, known+1)
+	}
+}
--- a/core/budget/serve.go
+++ b/core/budget/serve.go
@@ -97,7 +97,7 @@
 }
 
 // serveReleased handles the notification that a slot is free.
-func (b *Budget) serveReleased(_ context.Context, _ ident.InstanceID, req *ReleasedRequest) (proto.Message, error) {
-	b.slots.serveReleased(req)
+func (b *Budget) serveReleased(_ context.Context, from ident.InstanceID, req *ReleasedRequest) (proto.Message, error) {
+	b.slots.serveReleased(from, req)
 	return &Done{}, nil
 }
--- a/core/budget/slotmanager.go
+++ b/core/budget/slotmanager.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/event"
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
 
@@ -46,6 +47,15 @@
 // maxSlots bounds the numbers of slots that other instances may name.
 const maxSlots = 10_000
 
+// validSlot reports whether a slot of this number may exist.
+func validSlot(number int) bool { return number >= 0 && number < maxSlots }
+
+// logInvalidSlot logs that an instance has named a slot that can't exist.
+func (k *slotManager) logInvalidSlot(from ident.InstanceID, number int) {
+	err := fault.New(fault.BadRequest, "slot %d is not from 0 to %d", number, maxSlots-1)
+	_ = level.Warn(k.b.log).Log("msg", event.PeerRecordIgnored, "from", string(from), "record", "slot", "err", err)
+}
+
 // newSlotManager returns a slotManager that holds no slots.
 func newSlotManager(b *Budget) *slotManager {
 	return &slotManager{
