core/budget: a settlement uses no more than was charged, and not less than nothing

Operators could see: after a settlement with a number of tokens above the charge or below 0, the independent check of an organisation's limit counted wrongly (9.2e18 tokens in the test), so that later admissions were reported as violations, or violations were not.

Cause: the difference between charge and use was passed to the check as it came; it overflows.

Ruled out: the pool, to which at most the charged tokens return.

Why it works: the number is limited to 0 and the charge before it is used.

--- a/core/budget/accounts.go
+++ b/core/budget/accounts.go
@@ -238,12 +238,14 @@
 }
 
 // settle closes a reservation and refunds its unused tokens. A second
-// settlement of the same reservation has no effect.
+// settlement of the same reservation has no effect. A number of used tokens that
+// the reservation doesn't hold counts as the nearest one that it does.
 func (h *accountOwner) settle(org ident.OrganisationID, id uint64, used ident.Tokens) {
 	now := h.b.clock.Now()
 	s := h.shardFor(org)
 	s.mu.Lock()
 	res, unused, ok := s.reservations.settle(id, used)
+	used = min(max(0, used), res.charged)
 	if ok {
 		a := s.account(res.org)
 		a.pool.Add(unused...)
--- a/core/budget/invalidmessages_test.go
+++ b/core/budget/invalidmessages_test.go
@@ -119,3 +119,22 @@
 		t.Errorf("%d slots are recorded, want %d", got, known+1)
 	}
 }
+
+// TestInvalidUseIsLimited guards against a settlement with a number of tokens that the
+// reservation doesn't hold, after which the check of the limit is wrong for later admissions.
+func TestInvalidUseIsLimited(t *testing.T) {
+	for used, want := range map[ident.Tokens]float64{math.MinInt64: 0, -1: 0, 30: 30, 101: 100, math.MaxInt64: 100} {
+		b := newAnsweredBudget(&TakeReply{})
+		limit, _ := b.limits("loud")
+		now := b.clock.Now().ExpiryTime
+		b.accounts.addTokens("loud", []Interval{{Start: now.Add(-time.Second), End: now, Rate: 500}})
+		c, ok := b.accounts.charge(b.accounts.shardFor("loud"), "loud", limit, 100)
+		if !ok {
+			t.Fatal("not charged")
+		}
+		b.accounts.settle("loud", c.reservationID, used)
+		if got := b.accounts.shardFor("loud").account("loud").limitCheck.level; got != want {
+			t.Errorf("%d of 100 tokens used: the check counts %v, want %v", used, got, want)
+		}
+	}
+}
