core/config/relay: a confirmation is never in the future

Operators could see: with the policy that refuses keyed requests of a cut-off instance, an instance accepted keys without a confirmation of the store for as long as another instance's clock had been set back (an hour in the test), since the age that it reported was negative. An age near the largest number overflowed to the same effect.

Cause: the age of a reply was used as decoded.

Ruled out: the instance's own calls of the store, whose time is that of their begin.

Evidence: TestConfirmationIsNotInTheFuture failed before for six ages and passes now.

Why it works: an age below 0 or above a year is logged and doesn't count, so that the next relay is asked.

--- a/core/config/relay/confirm.go
+++ b/core/config/relay/confirm.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/event"
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
 )
@@ -14,6 +17,10 @@
 // An older confirmation is requested again from the relays.
 const confirmationInterval = time.Second
 
+// maxConfirmationAge bounds the age of another instance's confirmation. A negative one, after
+// a step of that instance's clock, would lie in the future.
+const maxConfirmationAge = 365 * 24 * time.Hour
+
 // recordConfirmation records that the store, in a call begun at requestedAt,
 // returned no newer revision than this process has. Earlier times than the
 // recorded one are ignored.
@@ -79,7 +86,13 @@
 	if err := s.links.Call(ctx, id, methodConfirm, &ConfirmationRequest{}, reply); err != nil || !reply.GetKnown() {
 		return false
 	}
-	age := time.Duration(reply.GetAgeMs()) * time.Millisecond
+	ageMS := reply.GetAgeMs()
+	if ageMS < 0 || ageMS > maxConfirmationAge.Milliseconds() {
+		err := fault.New(fault.BadRequest, "the confirmation is %d ms old", ageMS)
+		_ = level.Warn(s.log).Log("msg", event.PeerRecordIgnored, "from", string(id), "record", "confirmation", "err", err)
+		return false
+	}
+	age := time.Duration(ageMS) * time.Millisecond
 	s.recordConfirmation(requestedAt.Add(-age))
 	return age <= 2*confirmationInterval
 }
