core/membership: a reported member does not change its domain

Other instances could see: a view of another domain that lists this instance, or a member of its domain, as one of the other domain took it out of its own, so that an instance was no longer a member of its own domain and others owned its keys.

Cause: the reported members of a domain replaced the entries with their ids, whatever domain those were of. Records are now merged in Table.mergeView, without a connection, for the test.

Ruled out: heartbeats, which an instance sends about itself.

Evidence: TestReportedRecordsKeepOwnDomain failed before (no member live in the own domain, 2 wanted) and passes now.

Why it works: an id is that of a process, which doesn't change its domain, so that an entry of another domain is kept.

--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -269,19 +269,7 @@
 	if err != nil {
 		return err
 	}
-	var reported []Member
-	for _, r := range reply.GetMembers() {
-		m := memberFromRecord(r)
-		s.Table.AddUnconfirmed(m)
-		if m.Domain == remote.Domain {
-			reported = append(reported, m)
-		}
-	}
-	// A member is authoritative for its own domain: the members that it reports as live
-	// there are live here too, so that all daemons compute the same owners of keys.
-	if remote.Domain != s.Table.Self().Domain {
-		s.Table.ReplaceDomain(remote.Domain, reported)
-	}
+	s.Table.mergeView(remote, reply)
 	return nil
 }
 
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -10,6 +10,7 @@
 
 	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/link"
 )
 
 // Times after which table entries are deleted or queried.
@@ -148,6 +149,23 @@
 	t.publish()
 }
 
+// mergeView adds the members of the view that another instance has reported.
+func (t *Table) mergeView(remote link.Remote, reply *ViewReply) {
+	var reported []Member
+	for _, r := range reply.GetMembers() {
+		m := memberFromRecord(r)
+		t.AddUnconfirmed(m)
+		if m.Domain == remote.Domain {
+			reported = append(reported, m)
+		}
+	}
+	// A member is authoritative for its own domain: the members that it reports as live
+	// there are live here too, so that all daemons compute the same owners of keys.
+	if remote.Domain != t.Self().Domain {
+		t.ReplaceDomain(remote.Domain, reported)
+	}
+}
+
 // ReplaceDomain sets the live members of another domain to those that one of its members
 // reported. Live members that the report lacks become silent. A member that was marked as
 // gone is live again if the report can't be older than that.
@@ -159,6 +177,9 @@
 	for _, m := range reported {
 		reportedIDs[m.ID] = true
 		old, known := t.members[m.ID]
+		if known && old.Domain != domain { // A process stays in its domain.
+			continue
+		}
 		if known && old.State == Gone && (t.hasSuccessor(m) || t.now().Sub(old.goneSince) < t.settleTime) {
 			continue
 		}
