core/membership: incomplete records of members are skipped

Other instances could see: a record without an instance, a domain or an address in a reported view became a member of this table, live if it named the domain of the sender, and so the owner of keys that nobody serves. It was reported on to others.

Cause: records of views were not checked; those of heartbeats were, but for the address.

Ruled out: checking the form of addresses, which the platform's differ in.

Evidence: TestIncompleteRecordsAreIgnored failed before (6 members, 3 wanted, two of them live without an id or an address) and passes now; go test ./core/membership passes.

Why it works: decoding a record returns an error, with which a record is logged and skipped by itself.

--- a/core/membership/heartbeat.go
+++ b/core/membership/heartbeat.go
@@ -153,7 +153,7 @@
 		return
 	}
 	answer := reply.GetHeartbeat()
-	if s.applyHeartbeat(answer) {
+	if _, needsView := s.applyHeartbeat(m.ID, answer); needsView {
 		s.fetchViewAndMerge(ctx, m, answer)
 		return
 	}
--- a/core/membership/invalidrecord_test.go
+++ b/core/membership/invalidrecord_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log"
 
+	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
 )
 
@@ -31,3 +32,20 @@
 		t.Errorf("live in a: %v, in b: %v", v.Live("a"), v.Live("b"))
 	}
 }
+
+// TestIncompleteRecordsAreIgnored guards against records without an instance, a domain or an
+// address, which count as live members that own keys, and against their keeping the records
+// behind them from being read.
+func TestIncompleteRecordsAreIgnored(t *testing.T) {
+	table := newReportedTable(
+		nil, &MemberRecord{Domain: "b", PeerAddress: "b2"}, &MemberRecord{Instance: "b2", Domain: "b"}, &MemberRecord{Instance: "b3", PeerAddress: "b3"},
+		&MemberRecord{Instance: "b1", Domain: "b", PeerAddress: "b1"},
+	)
+	var ids []ident.InstanceID
+	for _, m := range table.View().Members() {
+		ids = append(ids, m.ID)
+	}
+	if len(ids) != 3 || len(table.View().Live("b")) != 1 {
+		t.Errorf("members %q, live in b: %v", ids, table.View().Live("b"))
+	}
+}
--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
 
@@ -53,8 +54,11 @@
 }
 
 // memberFromRecord returns the member that a protobuf message describes, in state Live or
-// Leaving.
-func memberFromRecord(r *MemberRecord) Member {
+// Leaving. The error has kind BadRequest if the message is incomplete.
+func memberFromRecord(r *MemberRecord) (Member, error) {
+	if r.GetInstance() == "" || r.GetDomain() == "" || r.GetPeerAddress() == "" {
+		return Member{}, fault.New(fault.BadRequest, "the record of member %.80q in domain %.80q at %.80q is incomplete", r.GetInstance(), r.GetDomain(), r.GetPeerAddress())
+	}
 	m := Member{
 		ID:              ident.InstanceID(r.GetInstance()),
 		Domain:          ident.DomainID(r.GetDomain()),
@@ -65,5 +69,5 @@
 	if r.GetLeaving() {
 		m.State = Leaving
 	}
-	return m
+	return m, nil
 }
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
@@ -206,13 +208,13 @@
 }
 
 // applyHeartbeat updates the table from a received heartbeat and calls the revision hooks.
-// It reports whether the sender's view should be fetched, as Merge does.
-func (s *Service) applyHeartbeat(heartbeat *Heartbeat) (needsView bool) {
-	r := heartbeat.GetSelf()
-	if r.GetInstance() == "" || r.GetDomain() == "" {
-		return false
+// It returns the sender, and whether its view should be fetched, as Merge does.
+func (s *Service) applyHeartbeat(from ident.InstanceID, heartbeat *Heartbeat) (sender Member, needsView bool) {
+	m, err := memberFromRecord(heartbeat.GetSelf())
+	if err != nil {
+		_ = level.Warn(s.log).Log("msg", event.PeerRecordIgnored, "from", string(from), "record", "heartbeat", "err", err)
+		return Member{}, false
 	}
-	m := memberFromRecord(r)
 	m.Counter = heartbeat.GetCounter()
 	m.Revision = ident.Revision(heartbeat.GetRevision())
 	s.Table.RecordHeartbeat(m)
@@ -222,13 +224,13 @@
 	for _, hook := range hooks {
 		hook(m.ID, m.Revision)
 	}
-	return heartbeat.GetDigest() != nil && s.Table.Merge(heartbeat.GetDigest())
+	return m, heartbeat.GetDigest() != nil && s.Table.Merge(heartbeat.GetDigest())
 }
 
 // serveHeartbeat answers a heartbeat of another member.
-func (s *Service) serveHeartbeat(_ context.Context, _ ident.InstanceID, req *Heartbeat) (proto.Message, error) {
-	if s.applyHeartbeat(req) {
-		s.fetchViewInBackground(memberFromRecord(req.GetSelf()), req)
+func (s *Service) serveHeartbeat(_ context.Context, from ident.InstanceID, req *Heartbeat) (proto.Message, error) {
+	if m, needsView := s.applyHeartbeat(from, req); needsView {
+		s.fetchViewInBackground(m, req)
 	}
 	local := req.GetSelf().GetDomain() == string(s.Table.Self().Domain)
 	return &HeartbeatReply{Heartbeat: s.newHeartbeat(local)}, nil
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -153,7 +153,11 @@
 func (t *Table) mergeView(remote link.Remote, reply *ViewReply) {
 	var reported []Member
 	for _, r := range reply.GetMembers() {
-		m := memberFromRecord(r)
+		m, err := memberFromRecord(r)
+		if err != nil {
+			_ = level.Warn(t.log).Log("msg", event.PeerRecordIgnored, "from", string(remote.Instance), "record", "member", "err", err)
+			continue
+		}
 		t.AddUnconfirmed(m)
 		if m.Domain == remote.Domain {
 			reported = append(reported, m)
