core/settings: bounds out of range are problems

Operators could see: a settings file whose bounds are negative, not numbers or too large for a duration was accepted. A stop then had a deadline in the past or none that is defined, and the retry budget a window of no defined length.

Cause: the bounds of the platform were decoded, but not checked.

Ruled out: lower limits, as 0 means none; the platform's values (8 s, 10 s, 54, 3,000 ms) are far from the new largest one of 1e6.

Why it works: each bound has to be a number from 0 to 1e6 in its unit, as MemoryMB has.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -89,6 +89,7 @@
 	minOrderLeaseMS        = 2_000
 	maxOrderLeaseMS        = 60_000
 	maxMemoryMB            = 1_000_000
+	maxBound               = 1_000_000 // Largest value of a field of Bounds, in the field's unit.
 	defaultLogLevel        = "info"
 )
 
@@ -130,6 +131,15 @@
 	return s, nil
 }
 
+// check adds the problems of bounds.
+func (b Bounds) check(c checker) {
+	c.bound("Bounds.RepeatRatio", b.RepeatRatio)
+	c.bound("Bounds.RepeatSlack", b.RepeatSlack)
+	c.bound("Bounds.RepeatWindowS", b.RepeatWindowS)
+	c.bound("Bounds.StopS", b.StopS)
+	c.inRange("Bounds.OrderLeaseMS", b.OrderLeaseMS, 0, maxBound)
+}
+
 // checker collects the problems of settings.
 type checker struct{ *strictyaml.Checker }
 
@@ -168,6 +178,7 @@
 	if valid := s.MemoryMB >= 0 && s.MemoryMB <= maxMemoryMB; !valid && !c.Failed("MemoryMB") { // NaN is not valid.
 		c.Addf("MemoryMB", fmt.Sprintf("give 0 to %d", maxMemoryMB), "%g is out of range", s.MemoryMB)
 	}
+	s.Bounds.check(c)
 	if !slices.Contains(logLevels, s.LogLevel) && !c.Failed("LogLevel") {
 		c.Addf("LogLevel", "give debug, info, warn or error", "%q is not a level", s.LogLevel)
 	}
@@ -198,6 +209,13 @@
 	}
 }
 
+// bound adds a problem if a value is not a number from 0 to maxBound.
+func (c checker) bound(path string, value float64) {
+	if inRange := value >= 0 && value <= maxBound; !inRange && !c.Failed(path) { // NaN is not in the range.
+		c.Addf(path, fmt.Sprintf("give 0 to %d", maxBound), "%g is out of range", value)
+	}
+}
+
 // inRange adds a problem if a number is below lowest or above highest.
 func (c checker) inRange(path string, value, lowest, highest int64) {
 	if (value < lowest || value > highest) && !c.Failed(path) {
