engineapi: the roles for orders, placement and reaping no longer import the engine client

Three packages of core/ decided on messages that were declared in io/engine, and were given its client. The messages (state, held requests, load, cache events, orders) move to core/engineapi, with Calls, a struct of function fields that the role Engines provides. KVEvents is CacheEvents now, as its result.

Run: go test on core/orders, core/placement, core/reaper, io/engine, cmd/..., lab/process and lab/endtoend; -race -short on core/orders, core/reaper and io/engine; vet; linter.

--- a/cmd/monsoonfork/decodedfields_test.go
+++ b/cmd/monsoonfork/decodedfields_test.go
@@ -51,7 +51,7 @@
 	"core/strictyaml.Problem.Message":           "printed by its String method",
 	"core/strictyaml.Problem.Remedy":            "printed by its String method",
 	"core/text.Service.DependsOn":               "checked for unknown names and cycles, and shown in plans; calls between services do not pass through the router",
-	"io/engine.Load.Slots":                      "the text has the number; a test of the protocol reads it",
+	"core/engineapi.Load.Slots":                      "the text has the number; a test of the protocol reads it",
 	"platform/wire.EngineEntry.ChangeSequence":  "only its type is checked",
 	"platform/wire.EngineEntry.ColdRemainingMS": "only its type is checked",
 	"platform/wire.Item.CreateRevision":         "only its type is checked; set by the stand-in",
@@ -353,7 +353,7 @@
 	}
 	for _, name := range []string{
 		"core/settings.Settings.LogLevel", "core/text.Route.Access", "core/catalog.Route.TimeoutMS", "platform/wire.Route.Kind",
-		"platform/wire.Item.Key", "core/replication.PullReply.Healthy", "core/claims.Head.Seq", "io/engine.Load.Running",
+		"platform/wire.Item.Key", "core/replication.PullReply.Healthy", "core/claims.Head.Seq", "core/engineapi.Load.Running",
 	} {
 		if !found[name] {
 			t.Errorf("the search does not find %s", name)
--- a/core/orders/compare.go
+++ b/core/orders/compare.go
@@ -4,15 +4,15 @@
 	"slices"
 	"strings"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // difference is one respect in which an engine differs from the configuration
 // text, and the order that resolves it.
 type difference struct {
-	kind    engine.OrderKind
+	kind    engineapi.OrderKind
 	model   ident.ModelID
 	version string
 	adapter string
@@ -27,13 +27,13 @@
 
 // readsWeights reports whether the order makes the engine read from the weight
 // store.
-func (d difference) readsWeights() bool { return d.kind != engine.SetRole }
+func (d difference) readsWeights() bool { return d.kind != engineapi.SetRole }
 
 // differences compares what the configuration text declares for an engine with
 // what the engine reports. Models and adapters come before the role, because a
 // change of role may have to wait for a long time. Models and adapters that are
 // loaded but not declared are not differences.
-func differences(t *text.Text, e text.Engine, s engine.State) []difference {
+func differences(t *text.Text, e text.Engine, s engineapi.State) []difference {
 	var found []difference
 	index := t.Index()
 	for _, name := range e.Models {
@@ -42,29 +42,29 @@
 		}
 	}
 	if want := roleName(e.Role); want != s.Role {
-		found = append(found, difference{kind: engine.SetRole, role: want})
+		found = append(found, difference{kind: engineapi.SetRole, role: want})
 	}
 	return found
 }
 
 // modelDifferences compares one model. If the text declares no version, any
 // version is accepted.
-func modelDifferences(m text.Model, s engine.State) []difference {
+func modelDifferences(m text.Model, s engineapi.State) []difference {
 	var found []difference
-	at := slices.IndexFunc(s.Models, func(l engine.LoadedModel) bool { return l.Name == m.Name })
-	var loaded engine.LoadedModel
+	at := slices.IndexFunc(s.Models, func(l engineapi.LoadedModel) bool { return l.Name == m.Name })
+	var loaded engineapi.LoadedModel
 	switch {
 	case at < 0:
-		found = append(found, difference{kind: engine.LoadModel, model: m.Name, version: m.Version})
+		found = append(found, difference{kind: engineapi.LoadModel, model: m.Name, version: m.Version})
 	case m.Version != "" && s.Models[at].Version != m.Version:
 		loaded = s.Models[at]
-		found = append(found, difference{kind: engine.SetVersion, model: m.Name, version: m.Version})
+		found = append(found, difference{kind: engineapi.SetVersion, model: m.Name, version: m.Version})
 	default:
 		loaded = s.Models[at]
 	}
 	for _, adapter := range m.Adapters {
 		if !slices.Contains(loaded.Adapters, adapter) {
-			found = append(found, difference{kind: engine.LoadAdapter, model: m.Name, adapter: adapter})
+			found = append(found, difference{kind: engineapi.LoadAdapter, model: m.Name, adapter: adapter})
 		}
 	}
 	return found
--- a/core/orders/fake_test.go
+++ b/core/orders/fake_test.go
@@ -8,11 +8,11 @@
 	"github.com/go-kit/log"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // clock is a clock that tests advance.
@@ -143,8 +143,10 @@
 	snapshot := &config.Snapshot{Revision: 1, Text: t}
 	c.IsOwner = func() bool { return true }
 	c.Snapshot = func() *config.Snapshot { return snapshot }
-	c.State = func(context.Context, ident.Address) (engine.State, error) { return engine.State{Role: "decode"}, nil }
-	c.Requests = func(context.Context, ident.Address) ([]engine.HeldRequest, error) { return nil, nil }
+	c.State = func(context.Context, ident.Address) (engineapi.State, error) {
+		return engineapi.State{Role: "decode"}, nil
+	}
+	c.Requests = func(context.Context, ident.Address) ([]engineapi.HeldRequest, error) { return nil, nil }
 	return c
 }
 
--- a/core/orders/limits.go
+++ b/core/orders/limits.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // pool identifies the engines of the domain that serve a model in one role,
@@ -28,7 +28,7 @@
 // what the order has to wait for. It limits how many engines load weights at once
 // and lets one engine of a pool change its version at a time.
 func (c *Controller) reserve(e text.Engine, d difference) string {
-	if d.kind == engine.SetRole {
+	if d.kind == engineapi.SetRole {
 		if why := c.roleChangeBlocked(e); why != "" {
 			return why
 		}
@@ -39,7 +39,7 @@
 	if d.readsWeights() && c.activeLoads >= c.tuning.MaxLoads {
 		return fmt.Sprintf("%d engines are already loading", c.activeLoads)
 	}
-	if d.kind == engine.SetVersion {
+	if d.kind == engineapi.SetVersion {
 		p := pool{d.model, e.Role}
 		if other, taken := c.versionChanges[p]; taken && other.engine != e.Name && (other.until.IsZero() || now.Before(other.until)) {
 			return fmt.Sprintf("%s changes its version first", other.engine)
@@ -66,7 +66,7 @@
 	}
 	rec := c.engines[e.Name]
 	rec.notBefore = endsBy
-	if d.kind != engine.SetVersion {
+	if d.kind != engineapi.SetVersion {
 		return
 	}
 	p := pool{d.model, e.Role}
--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -13,10 +13,10 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // Controller compares the engines of the domain with the configuration text and
@@ -29,9 +29,9 @@
 	Snapshot func() *config.Snapshot
 	// State reads what an engine serves, Requests lists the requests that it holds,
 	// and Send sends it an order.
-	State    func(ctx context.Context, to ident.Address) (engine.State, error)
-	Requests func(ctx context.Context, to ident.Address) ([]engine.HeldRequest, error)
-	Send     func(ctx context.Context, to ident.Address, o engine.Order, s engine.OrderLimits) error
+	State    func(ctx context.Context, to ident.Address) (engineapi.State, error)
+	Requests func(ctx context.Context, to ident.Address) ([]engineapi.HeldRequest, error)
+	Send     func(ctx context.Context, to ident.Address, o engineapi.Order, s engineapi.OrderLimits) error
 
 	domain         ident.DomainID
 	log            log.Logger
--- a/core/orders/orders_test.go
+++ b/core/orders/orders_test.go
@@ -10,27 +10,27 @@
 
 	"github.com/go-kit/log"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 func TestDifferences(t *testing.T) {
 	declared := newTestText("e")
 	e := declared.Engines[0]
-	loaded := func(version string, adapters ...string) []engine.LoadedModel {
-		return []engine.LoadedModel{{Name: "m", Version: version, Adapters: adapters}, {Name: "other"}}
+	loaded := func(version string, adapters ...string) []engineapi.LoadedModel {
+		return []engineapi.LoadedModel{{Name: "m", Version: version, Adapters: adapters}, {Name: "other"}}
 	}
 	for _, c := range []struct {
-		state engine.State
+		state engineapi.State
 		want  []string
 	}{
-		{engine.State{Role: "decode", Models: loaded("v2", "y", "x")}, nil},
-		{engine.State{Role: "decode"}, []string{"load_model m v2", "load_adapter m x"}},
-		{engine.State{Role: "prefill", Models: loaded("v1", "x")}, []string{"set_version m v2", "set_role decode"}},
-		{engine.State{Role: "decode", Models: loaded("v2")}, []string{"load_adapter m x"}},
+		{engineapi.State{Role: "decode", Models: loaded("v2", "y", "x")}, nil},
+		{engineapi.State{Role: "decode"}, []string{"load_model m v2", "load_adapter m x"}},
+		{engineapi.State{Role: "prefill", Models: loaded("v1", "x")}, []string{"set_version m v2", "set_role decode"}},
+		{engineapi.State{Role: "decode", Models: loaded("v2")}, []string{"load_adapter m x"}},
 	} {
 		var got []string
 		for _, d := range differences(declared, e, c.state) {
@@ -41,7 +41,7 @@
 		}
 	}
 	declared.Models[0].Version = ""
-	if got := differences(declared, e, engine.State{Role: "decode", Models: loaded("v9", "x")}); len(got) > 0 {
+	if got := differences(declared, e, engineapi.State{Role: "decode", Models: loaded("v9", "x")}); len(got) > 0 {
 		t.Errorf("a text without a version: got differences %v", got)
 	}
 }
@@ -69,7 +69,7 @@
 	now := newClock()
 	c := newTestController(newFakeStore(now), newTestText("e"))
 	sent := 0
-	c.Send = func(_ context.Context, _ ident.Address, _ engine.Order, s engine.OrderLimits) error {
+	c.Send = func(_ context.Context, _ ident.Address, _ engineapi.Order, s engineapi.OrderLimits) error {
 		now.advance(time.Minute)
 		if err := s.BeforeSend(); err != nil {
 			return err
@@ -88,12 +88,12 @@
 func TestSendLimitsEndWithLease(t *testing.T) {
 	now := newClock()
 	c := newTestController(newFakeStore(now), newTestText("e"))
-	c.State = func(context.Context, ident.Address) (engine.State, error) {
+	c.State = func(context.Context, ident.Address) (engineapi.State, error) {
 		now.advance(9500 * time.Millisecond) // The lease lasts 10 s.
-		return engine.State{Role: "decode"}, nil
+		return engineapi.State{Role: "decode"}, nil
 	}
 	sent := false
-	c.Send = func(_ context.Context, _ ident.Address, _ engine.Order, s engine.OrderLimits) error {
+	c.Send = func(_ context.Context, _ ident.Address, _ engineapi.Order, s engineapi.OrderLimits) error {
 		sent = true
 		g, _ := c.leases.currentGrant()
 		if s.SendBy.After(g.Deadline) || s.DeliveryTimeout != time.Second {
@@ -116,7 +116,7 @@
 }
 
 // send records an order and confirms it.
-func (r *sendRecorder) send(_ context.Context, to ident.Address, _ engine.Order, s engine.OrderLimits) error {
+func (r *sendRecorder) send(_ context.Context, to ident.Address, _ engineapi.Order, s engineapi.OrderLimits) error {
 	if err := s.BeforeSend(); err != nil {
 		return err
 	}
@@ -231,7 +231,7 @@
 	now := newClock()
 	c := newTestController(newFakeStore(now), newTestText("e"))
 	sent := 0
-	c.Send = func(_ context.Context, _ ident.Address, _ engine.Order, s engine.OrderLimits) error {
+	c.Send = func(_ context.Context, _ ident.Address, _ engineapi.Order, s engineapi.OrderLimits) error {
 		sent++
 		if err := s.BeforeSend(); err != nil {
 			return err
@@ -265,17 +265,17 @@
 		names = append(names, ident.EndpointID(fmt.Sprintf("e%d", i)))
 	}
 	for _, c := range []struct {
-		state engine.State
+		state engineapi.State
 		limit int
 	}{
-		{engine.State{Role: "decode", Models: []engine.LoadedModel{{Name: "m", Version: "v1", Adapters: []string{"x"}}}}, 1},
-		{engine.State{Role: "decode", Models: []engine.LoadedModel{{Name: "m", Version: "v2"}}}, DefaultTuning().MaxLoads},
+		{engineapi.State{Role: "decode", Models: []engineapi.LoadedModel{{Name: "m", Version: "v1", Adapters: []string{"x"}}}}, 1},
+		{engineapi.State{Role: "decode", Models: []engineapi.LoadedModel{{Name: "m", Version: "v2"}}}, DefaultTuning().MaxLoads},
 	} {
 		controller := newTestController(newFakeStore(now), newTestText(names...))
-		controller.State = func(context.Context, ident.Address) (engine.State, error) { return c.state, nil }
+		controller.State = func(context.Context, ident.Address) (engineapi.State, error) { return c.state, nil }
 		release := make(chan struct{})
 		entered := make(chan struct{}, len(names))
-		controller.Send = func(context.Context, ident.Address, engine.Order, engine.OrderLimits) error {
+		controller.Send = func(context.Context, ident.Address, engineapi.Order, engineapi.OrderLimits) error {
 			entered <- struct{}{}
 			<-release
 			return nil
@@ -309,13 +309,13 @@
 	now := newClock()
 	declared := newTestText("e")
 	c := newTestController(newFakeStore(now), declared)
-	var held []engine.HeldRequest
-	c.State = func(context.Context, ident.Address) (engine.State, error) {
-		return engine.State{Role: "prefill", Models: []engine.LoadedModel{{Name: "m", Version: "v2", Adapters: []string{"x"}}}}, nil
+	var held []engineapi.HeldRequest
+	c.State = func(context.Context, ident.Address) (engineapi.State, error) {
+		return engineapi.State{Role: "prefill", Models: []engineapi.LoadedModel{{Name: "m", Version: "v2", Adapters: []string{"x"}}}}, nil
 	}
-	c.Requests = func(context.Context, ident.Address) ([]engine.HeldRequest, error) { return held, nil }
+	c.Requests = func(context.Context, ident.Address) ([]engineapi.HeldRequest, error) { return held, nil }
 	sent := 0
-	c.Send = func(context.Context, ident.Address, engine.Order, engine.OrderLimits) error { sent++; return nil }
+	c.Send = func(context.Context, ident.Address, engineapi.Order, engineapi.OrderLimits) error { sent++; return nil }
 	step := func(want int, what string) {
 		t.Helper()
 		now.advance(2 * time.Second)
@@ -330,7 +330,7 @@
 		step(0, "not marked as Leaving")
 	}
 	declared.Engines[0].State = text.Leaving
-	held = []engine.HeldRequest{{Attempt: "r"}}
+	held = []engineapi.HeldRequest{{Attempt: "r"}}
 	step(0, "marked as Leaving recently")
 	step(0, "marked as Leaving recently")
 	step(0, "marked as Leaving recently")
@@ -346,7 +346,7 @@
 	f := newFakeStore(now)
 	f.revision = 2 // The test controller's configuration text has revision 1.
 	c := newTestController(f, newTestText("e"))
-	c.Send = func(context.Context, ident.Address, engine.Order, engine.OrderLimits) error {
+	c.Send = func(context.Context, ident.Address, engineapi.Order, engineapi.OrderLimits) error {
 		t.Error("an order was sent for an older configuration text")
 		return nil
 	}
@@ -358,8 +358,10 @@
 func TestHigherFencingNumberAtEngine(t *testing.T) {
 	now := newClock()
 	c := newTestController(newFakeStore(now), newTestText("e"))
-	c.State = func(context.Context, ident.Address) (engine.State, error) { return engine.State{Fencing: 40}, nil }
-	c.Send = func(context.Context, ident.Address, engine.Order, engine.OrderLimits) error { return nil }
+	c.State = func(context.Context, ident.Address) (engineapi.State, error) {
+		return engineapi.State{Fencing: 40}, nil
+	}
+	c.Send = func(context.Context, ident.Address, engineapi.Order, engineapi.OrderLimits) error { return nil }
 	reconcileOnce(c, now)
 	c.leases.maintain(t.Context(), true)
 	c.leases.maintain(t.Context(), true)
--- a/core/orders/role.go
+++ b/core/orders/role.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/keyvalue"
 	"monsoonfork/core/membership"
-	"monsoonfork/io/engine"
 )
 
 // ownerKey identifies this role when its owner is chosen among the live members
@@ -29,7 +29,7 @@
 	var (
 		table   *membership.Table
 		holder  *config.Holder
-		engines *engine.Client
+		engines *engineapi.Calls
 		client  *keyvalue.Client
 	)
 	if err := n.Require(&table, &holder, &engines, &client); err != nil {
--- a/core/orders/send.go
+++ b/core/orders/send.go
@@ -6,16 +6,16 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // sendOrder sends one order to an engine and records its outcome.
 func (c *Controller) sendOrder(g Grant, e text.Engine, d difference) {
-	o := engine.Order{
+	o := engineapi.Order{
 		ID:      c.nextOrderID(g.Fencing),
 		Fencing: g.Fencing,
 		Kind:    d.kind,
@@ -43,12 +43,12 @@
 
 // sendLimits returns the time limits of an order that is about to be sent. It is
 // not sent after the deadline of the grant.
-func (c *Controller) sendLimits(g Grant, e text.Engine, check func() error) engine.OrderLimits {
+func (c *Controller) sendLimits(g Grant, e text.Engine, check func() error) engineapi.OrderLimits {
 	sendBy := c.now().Add(c.tuning.DeliveryTimeout)
 	if g.Deadline.Before(sendBy) {
 		sendBy = g.Deadline
 	}
-	return engine.OrderLimits{
+	return engineapi.OrderLimits{
 		SendBy:          sendBy,
 		DeliveryTimeout: c.tuning.DeliveryTimeout,
 		ConfirmBy:       latestOrderEnd(c.now(), c.tuning, e),
@@ -75,7 +75,7 @@
 
 // recordOutcome records the outcome of an order. After a confirmed order the
 // engine is compared again at once.
-func (c *Controller) recordOutcome(e text.Engine, o engine.Order, err error, sent bool) {
+func (c *Controller) recordOutcome(e text.Engine, o engineapi.Order, err error, sent bool) {
 	if err == nil {
 		c.metrics.confirmed.Inc(1)
 		c.updateRecord(e.Name, func(rec *engineRecord, now time.Time) {
--- a/core/orders/unlisted_test.go
+++ b/core/orders/unlisted_test.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // TestUnlistedEngineKeepsWaitForItsOrder guards against two orders that overlap at an
@@ -19,7 +19,7 @@
 	now := newClock()
 	c := newTestController(newFakeStore(now), newTestText("e"))
 	var sent []time.Time
-	c.Send = func(_ context.Context, _ ident.Address, _ engine.Order, l engine.OrderLimits) error {
+	c.Send = func(_ context.Context, _ ident.Address, _ engineapi.Order, l engineapi.OrderLimits) error {
 		if err := l.BeforeSend(); err != nil {
 			return err
 		}
--- a/core/placement/engine_queries.go
+++ b/core/placement/engine_queries.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // EngineRequest is an entry of an engine's own list of open requests.
@@ -32,24 +32,24 @@
 	CacheEvents func(ctx context.Context, e text.Engine, after int64) (CachePage, error)
 }
 
-// NewEngineQueries returns the queries of an engine client.
-func NewEngineQueries(client *engine.Client) EngineQueries {
+// NewEngineQueries returns the queries that make these calls.
+func NewEngineQueries(calls *engineapi.Calls) EngineQueries {
 	return EngineQueries{
 		Requests: func(ctx context.Context, e text.Engine) ([]EngineRequest, error) {
-			return listRequests(ctx, client, e)
+			return listRequests(ctx, calls, e)
 		},
 		Load: func(ctx context.Context, e text.Engine) (Load, error) {
-			return readLoad(ctx, client, e)
+			return readLoad(ctx, calls, e)
 		},
 		CacheEvents: func(ctx context.Context, e text.Engine, after int64) (CachePage, error) {
-			return readCacheEvents(ctx, client, e, after)
+			return readCacheEvents(ctx, calls, e, after)
 		},
 	}
 }
 
 // listRequests returns the open requests of an engine.
-func listRequests(ctx context.Context, client *engine.Client, e text.Engine) ([]EngineRequest, error) {
-	requests, err := client.Requests(ctx, e.Address)
+func listRequests(ctx context.Context, calls *engineapi.Calls, e text.Engine) ([]EngineRequest, error) {
+	requests, err := calls.Requests(ctx, e.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -61,8 +61,8 @@
 }
 
 // readLoad returns the load report of an engine.
-func readLoad(ctx context.Context, client *engine.Client, e text.Engine) (Load, error) {
-	l, err := client.Load(ctx, e.Address)
+func readLoad(ctx context.Context, calls *engineapi.Calls, e text.Engine) (Load, error) {
+	l, err := calls.Load(ctx, e.Address)
 	return Load{
 		Running: l.Running, Waiting: l.Waiting, PiecesUsed: l.PiecesUsed,
 		Reported: time.UnixMilli(l.ReportedUnixMS),
@@ -70,8 +70,8 @@
 }
 
 // readCacheEvents returns the cache events of an engine after a sequence number.
-func readCacheEvents(ctx context.Context, client *engine.Client, e text.Engine, after int64) (CachePage, error) {
-	p, err := client.KVEvents(ctx, e.Address, after)
+func readCacheEvents(ctx context.Context, calls *engineapi.Calls, e text.Engine, after int64) (CachePage, error) {
+	p, err := calls.CacheEvents(ctx, e.Address, after)
 	page := CachePage{LastSequence: p.Last, Gap: p.HasGap(after)}
 	for _, ev := range p.Events {
 		page.Events = append(page.Events, CacheEvent{Type: ev.Type, Hashes: ev.BlockHashes})
--- a/core/placement/role.go
+++ b/core/placement/role.go
@@ -4,10 +4,10 @@
 	"context"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
-	"monsoonfork/io/engine"
 )
 
 func init() {
@@ -25,12 +25,12 @@
 		links  *link.Links
 		table  *membership.Table
 		holder *config.Holder
-		client *engine.Client
+		calls  *engineapi.Calls
 	)
-	if err := n.Require(&links, &table, &holder, &client); err != nil {
+	if err := n.Require(&links, &table, &holder, &calls); err != nil {
 		return nil, err
 	}
-	p := New(links, table, holder, n.Log, WithRegistry(n.Metrics), WithEngines(NewEngineQueries(client)))
+	p := New(links, table, holder, n.Log, WithRegistry(n.Metrics), WithEngines(NewEngineQueries(calls)))
 	kernel.Provide(n, p)
 	p.Start()
 	return &kernel.Callbacks{Drain: p.Drain, Close: p.Close, Dump: p.Dump}, nil
--- a/core/reaper/reaper.go
+++ b/core/reaper/reaper.go
@@ -12,10 +12,10 @@
 	"github.com/go-kit/log/level"
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // Tuning contains the reaper's intervals and timeouts.
@@ -74,7 +74,7 @@
 	QueryHolder func(ctx context.Context, holder ident.InstanceID, attempts []string) HolderReply
 	// ListAttempts returns the attempts at an engine, with their holders. Abort
 	// aborts one; held reports whether the engine had it.
-	ListAttempts func(ctx context.Context, to ident.Address) ([]engine.HeldRequest, error)
+	ListAttempts func(ctx context.Context, to ident.Address) ([]engineapi.HeldRequest, error)
 	Abort        func(ctx context.Context, to ident.Address, attempt string) (held bool, err error)
 
 	log     log.Logger
--- a/core/reaper/reaper_test.go
+++ b/core/reaper/reaper_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/go-kit/log"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // testReaper is a reaper with one simulated engine, simulated holders and a manual
@@ -48,12 +48,12 @@
 		}
 		return HolderReply{}
 	}
-	b.ListAttempts = func(context.Context, ident.Address) ([]engine.HeldRequest, error) {
+	b.ListAttempts = func(context.Context, ident.Address) ([]engineapi.HeldRequest, error) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		var list []engine.HeldRequest
+		var list []engineapi.HeldRequest
 		for attempt, holder := range b.holders {
-			list = append(list, engine.HeldRequest{Attempt: attempt, Holder: holder})
+			list = append(list, engineapi.HeldRequest{Attempt: attempt, Holder: holder})
 		}
 		return list, nil
 	}
--- a/core/reaper/role.go
+++ b/core/reaper/role.go
@@ -9,13 +9,13 @@
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/link"
 	"monsoonfork/core/membership"
 	"monsoonfork/core/request"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // methodHolds is the method that asks an instance which attempts it serves.
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var engines *engine.Client
+	var engines *engineapi.Calls
 	if err := n.Require(&engines); err != nil {
 		return nil, err
 	}
--- a/core/reaper/sweep.go
+++ b/core/reaper/sweep.go
@@ -7,9 +7,9 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 const (
@@ -75,7 +75,7 @@
 // evaluate updates the tracked attempts of an engine and aborts those whose holder
 // has ended or that have expired. It returns, by holder, the attempts for which a
 // query is due.
-func (r *Reaper) evaluate(e text.Engine, held []engine.HeldRequest, now time.Time) map[ident.InstanceID][]string {
+func (r *Reaper) evaluate(e text.Engine, held []engineapi.HeldRequest, now time.Time) map[ident.InstanceID][]string {
 	queries := make(map[ident.InstanceID][]string)
 	listed := make(map[string]bool, len(held))
 	limit := r.LongestRouteTimeout()
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/io/httpcall"
@@ -58,6 +59,14 @@
 	return c
 }
 
+// Calls returns the client's calls besides completions.
+func (c *Client) Calls() *engineapi.Calls {
+	return &engineapi.Calls{
+		State: c.State, Requests: c.Requests, Load: c.Load, CacheEvents: c.CacheEvents,
+		Order: c.Order, Abort: c.Abort,
+	}
+}
+
 // registerMetrics registers the client's counters in r.
 func (c *Client) registerMetrics(r metrics.Registry) {
 	c.abortsAcknowledged = metrics.GetOrRegisterCounter("Engine.Aborted", r)
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/io/httpcall"
@@ -145,7 +146,7 @@
 	if load, err := p.client.Load(t.Context(), address); err != nil || load.Slots == 0 {
 		t.Errorf("Load: got %+v, error %v; want slots", load, err)
 	}
-	if _, err := p.client.KVEvents(t.Context(), address, 0); err != nil {
+	if _, err := p.client.CacheEvents(t.Context(), address, 0); err != nil {
 		t.Error(err)
 	}
 	if state, err := p.client.State(t.Context(), address); err != nil || state.Role != "prefill" {
@@ -159,16 +160,16 @@
 	p := newEnginePair(t)
 	address := ident.Address(p.decode.Address())
 	deadline := time.Now().Add(10 * time.Second)
-	order := Order{ID: "o1", Fencing: 5, Kind: LoadModel, Model: "drafts", Version: "v1"}
-	if err := p.client.Order(t.Context(), address, order, OrderLimits{SendBy: deadline, ConfirmBy: deadline}); err != nil {
+	order := engineapi.Order{ID: "o1", Fencing: 5, Kind: engineapi.LoadModel, Model: "drafts", Version: "v1"}
+	if err := p.client.Order(t.Context(), address, order, engineapi.OrderLimits{SendBy: deadline, ConfirmBy: deadline}); err != nil {
 		t.Fatal(err)
 	}
 	order.ID, order.Fencing = "o2", 4
-	if err := p.client.Order(t.Context(), address, order, OrderLimits{SendBy: deadline, ConfirmBy: deadline}); !fault.Is(err, fault.NotHolder) {
+	if err := p.client.Order(t.Context(), address, order, engineapi.OrderLimits{SendBy: deadline, ConfirmBy: deadline}); !fault.Is(err, fault.NotHolder) {
 		t.Errorf("order with an outdated fencing number: got %v, want NotHolder", err)
 	}
 	order.ID, order.Fencing = "o3", 6
-	err := p.client.Order(t.Context(), address, order, OrderLimits{SendBy: time.Now().Add(-time.Second), ConfirmBy: deadline})
+	err := p.client.Order(t.Context(), address, order, engineapi.OrderLimits{SendBy: time.Now().Add(-time.Second), ConfirmBy: deadline})
 	if err == nil || fault.From(err).Ran != fault.NotRun {
 		t.Errorf("order after SendBy: got %v, want an error with NotRun", err)
 	}
--- a/io/engine/listing.go
+++ b/io/engine/listing.go
@@ -5,71 +5,29 @@
 	"net/http"
 	"strconv"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 )
 
-// HeldRequest is an entry of an engine's list of the requests that it holds.
-type HeldRequest struct {
-	Attempt string           `json:"rid"`
-	Holder  ident.InstanceID `json:"holder"`
-	Pieces  ident.Pieces     `json:"pieces"`
-}
-
-// Load is an engine's load report. It may be out of date; ReportedUnixMS is the
-// time of the report.
-type Load struct {
-	Running        int          `json:"running"`
-	Waiting        int          `json:"waiting"`
-	Slots          int          `json:"slots"`
-	PiecesUsed     ident.Pieces `json:"pieces_used"`
-	ReportedUnixMS int64        `json:"reported_unix_ms"`
-}
-
-// CacheEvent is a change of an engine's prefix cache.
-type CacheEvent struct {
-	Seq         int64    `json:"seq"`
-	Type        string   `json:"type"` // "stored", "removed" or "cleared".
-	BlockHashes []string `json:"block_hashes"`
-}
-
-// CacheEvents is a page of cache events and the sequence number of the newest one.
-type CacheEvents struct {
-	Events []CacheEvent `json:"events"`
-	Last   int64        `json:"last"`
-}
-
-// HasGap reports whether the page lacks any event with a sequence number above after,
-// up to Last.
-func (p CacheEvents) HasGap(after int64) bool {
-	next := after + 1
-	for _, e := range p.Events {
-		if e.Seq != next {
-			return true
-		}
-		next++
-	}
-	return next != p.Last+1
-}
-
 // Requests lists the requests that an engine holds now.
-func (c *Client) Requests(ctx context.Context, to ident.Address) ([]HeldRequest, error) {
+func (c *Client) Requests(ctx context.Context, to ident.Address) ([]engineapi.HeldRequest, error) {
 	var response struct {
-		Requests []HeldRequest `json:"requests"`
+		Requests []engineapi.HeldRequest `json:"requests"`
 	}
 	err := c.doShortCall(ctx, to, http.MethodGet, "/requests", nil, &response, c.shortCallLimits())
 	return response.Requests, err
 }
 
 // Load returns an engine's newest load report.
-func (c *Client) Load(ctx context.Context, to ident.Address) (Load, error) {
-	var load Load
+func (c *Client) Load(ctx context.Context, to ident.Address) (engineapi.Load, error) {
+	var load engineapi.Load
 	err := c.doShortCall(ctx, to, http.MethodGet, "/load", nil, &load, c.shortCallLimits())
 	return load, err
 }
 
-// KVEvents returns the cache events with a sequence number above after.
-func (c *Client) KVEvents(ctx context.Context, to ident.Address, after int64) (CacheEvents, error) {
-	var page CacheEvents
+// CacheEvents returns the cache events with a sequence number above after.
+func (c *Client) CacheEvents(ctx context.Context, to ident.Address, after int64) (engineapi.CacheEvents, error) {
+	var page engineapi.CacheEvents
 	target := "/kv_events?after=" + strconv.FormatInt(after, 10)
 	err := c.doShortCall(ctx, to, http.MethodGet, target, nil, &page, c.shortCallLimits())
 	return page, err
--- a/io/engine/role.go
+++ b/io/engine/role.go
@@ -16,13 +16,15 @@
 }
 
 // startRole starts the role. It provides the HTTP client that all calls to endpoints
-// share and the client for engines.
+// share, the client for engines and its calls besides completions.
 func startRole(_ context.Context, n *kernel.Node) (*kernel.Callbacks, error) {
 	calls, err := httpcall.New(httpcall.WithMetrics(n.Metrics))
 	if err != nil {
 		return nil, err
 	}
 	kernel.Provide(n, calls)
-	kernel.Provide(n, New(calls, n.ID, WithMetrics(n.Metrics)))
+	client := New(calls, n.ID, WithMetrics(n.Metrics))
+	kernel.Provide(n, client)
+	kernel.Provide(n, client.Calls())
 	return &kernel.Callbacks{Close: func() error { calls.Close(); return nil }}, nil
 }
--- a/lab/bench/instance.go
+++ b/lab/bench/instance.go
@@ -46,7 +46,7 @@
 	inst := &instance{id: id, domain: domain, peerLinks: links, self: self, configHolder: config.NewHolder(), engineClient: engine.New(httpClient, id)}
 	inst.members = membership.NewTable(self, log.NewNopLogger(), time.Now)
 	links.AddressOf = inst.members.AddressOf
-	options = append([]placement.ServiceOption{placement.WithEngines(placement.NewEngineQueries(inst.engineClient))}, options...)
+	options = append([]placement.ServiceOption{placement.WithEngines(placement.NewEngineQueries(inst.engineClient.Calls()))}, options...)
 	inst.placement = placement.New(links.RoleLinks(), inst.members, inst.configHolder, log.NewNopLogger(), options...)
 	return inst, nil
 }
