platformsoak: a fault that makes an instance slow

The soak suspended an instance for seconds or not at all, so that an instance whose machine is overloaded (it gets a quarter of the time, in short pieces) was never played. It counts as a fault, so that bounds of time do not hold at that instance; that requests run once, refusals are true, answers are whole and changes never go back is checked as always.

--- a/lab/platformsoak/table.go
+++ b/lab/platformsoak/table.go
@@ -34,6 +34,7 @@
 		{"InstanceKilled", instanceTarget, killInstance},
 		{"InstanceStopped", instanceTarget, stopInstance},
 		{"InstancePaused", instanceTarget, pauseInstance},
+		{"InstanceSlow", instanceTarget, slowInstance},
 		{"InstanceReloaded", instanceTarget, reloadInstance},
 		{"AllKilled", operatorTarget, killAllInstances},
 		{"StoreSilent", storeTarget, storeFault(standin.StoreUnresponsive)},
