--- a/core/reaper/fuzz_test.go
+++ b/core/reaper/fuzz_test.go
@@ -9,9 +9,9 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
-	"monsoonfork/io/engine"
 )
 
 // fuzzInputTime bounds the time for one input.
@@ -34,7 +34,7 @@
 		}
 	}
 	f.Fuzz(func(t *testing.T, rawList, rawReply []byte) {
-		var list []engine.HeldRequest
+		var list []engineapi.HeldRequest
 		reply := &HoldsReply{}
 		if json.Unmarshal(rawList, &list) != nil || proto.Unmarshal(rawReply, reply) != nil {
 			return
@@ -54,17 +54,17 @@
 			return r
 		}
 		b.holderStates["ended"] = Ended
-		b.ListAttempts = func(context.Context, ident.Address) ([]engine.HeldRequest, error) {
-			return append(slices.Clone(list), engine.HeldRequest{Attempt: "next", Holder: "ended"}), nil
+		b.ListAttempts = func(context.Context, ident.Address) ([]engineapi.HeldRequest, error) {
+			return append(slices.Clone(list), engineapi.HeldRequest{Attempt: "next", Holder: "ended"}), nil
 		}
 		b.advance(b.tuning.QueryDelay + 2*b.tuning.SweepInterval)
 		for _, attempt := range b.aborted {
-			holderEnded := slices.ContainsFunc(list, func(h engine.HeldRequest) bool { return h.Attempt == attempt && h.Holder == "ended" })
+			holderEnded := slices.ContainsFunc(list, func(h engineapi.HeldRequest) bool { return h.Attempt == attempt && h.Holder == "ended" })
 			if attempt != "next" && !notHeld[attempt] && !holderEnded {
 				t.Errorf("%q was aborted after the reply %v for %s", attempt, reply.GetHeld(), rawList)
 			}
 		}
-		if !slices.Contains(b.aborted, "next") && !slices.ContainsFunc(list, func(h engine.HeldRequest) bool { return h.Attempt == "next" }) {
+		if !slices.Contains(b.aborted, "next") && !slices.ContainsFunc(list, func(h engineapi.HeldRequest) bool { return h.Attempt == "next" }) {
 			t.Error("the attempt of an ended holder was not aborted")
 		}
 		if elapsed := time.Since(started); elapsed > fuzzInputTime {
--- a/io/engine/queryfuzz_test.go
+++ b/io/engine/queryfuzz_test.go
@@ -79,13 +79,13 @@
 		e.body = body
 		_, err := e.client.Requests(ctx, e.address)
 		load, loadErr := e.client.Load(ctx, e.address)
-		page, pageErr := e.client.KVEvents(ctx, e.address, 0)
+		page, pageErr := e.client.CacheEvents(ctx, e.address, 0)
 		for _, err := range []error{err, loadErr, pageErr} {
 			if err != nil && !fault.Is(err, fault.AnswerBroken) {
 				t.Errorf("error %v, want AnswerBroken", err)
 			}
 		}
-		if loadErr == nil && load.check() != nil {
+		if loadErr == nil && load.Check() != nil {
 			t.Errorf("load %+v", load)
 		}
 		page.HasGap(page.Last)
