io/store: only an answer with status 200 is a lease or a write

Roles could see: an answer to the creation of a lease with another status below 500, such as 403 or 404, and an id counted as a lease that the store had not given, and one of 201 to a write as made or as a conflict.

Cause: the status was checked for the statuses that say that a write was not attempted, and for failures, but not for success.

Ruled out: counting other statuses as "not written", as the write may have been made: its outcome is unknown.

Evidence: TestUnexpectedStatusIsNoSuccess failed before for 201, 403 and 404 and passes now; go test ./io/store passes.

--- a/io/store/kv.go
+++ b/io/store/kv.go
@@ -95,6 +95,8 @@
 		return keyvalue.NotWritten, fault.New(fault.StoreUnavailable, "the store refused the write with status %d", res.status)
 	case err != nil:
 		return keyvalue.Unknown, err
+	case res.status != http.StatusOK:
+		return keyvalue.Unknown, fault.New(fault.StoreUnavailable, "the store responded to a write with status %d", res.status)
 	}
 	switch strings.TrimSpace(string(res.body)) {
 	case "true":
--- a/io/store/lease.go
+++ b/io/store/lease.go
@@ -27,7 +27,7 @@
 		return keyvalue.Lease{}, err
 	}
 	var created struct{ ID keyvalue.LeaseID }
-	if err := json.Unmarshal(res.body, &created); err != nil || created.ID == "" {
+	if err := json.Unmarshal(res.body, &created); err != nil || created.ID == "" || res.status != http.StatusOK {
 		return keyvalue.Lease{}, fault.New(fault.StoreUnavailable, "the store did not create a lease: status %d", res.status)
 	}
 	return keyvalue.Lease{ID: created.ID, Deadline: deadline, TTL: ttl}, nil
