membership: the links and the instance list come from roles of their own

core/membership made the links to other instances and the client of the instance list itself, and so imported io/peer and io/instancelist; it was one of two packages left in the list of exempt packages of TestImportsFollowLayers. The roles Links (io/peer) and InstanceList (io/instancelist) do that now, and start before Membership, which tells the links where instances are with link.Links.UseMembers. membership.InstanceList returns the addresses of live instances; the state of a listed instance stays in io/instancelist. No behaviour changes: the links close right after Membership, as before, as roles stop in reverse order.

Only core/request is exempt now. The test of PeerListenAddress moves to io/peer with the code; the tests of membership end service and links together.

--- a/cmd/monsoonfork/imports_test.go
+++ b/cmd/monsoonfork/imports_test.go
@@ -13,7 +13,7 @@
 // coreImportsIO lists the packages of core/ that are exempt from the rule not to
 // import io/. No package may be added.
 var coreImportsIO = map[string]bool{
-	"core/membership": true, "core/request": true,
+	"core/request": true,
 }
 
 // TestImportsFollowLayers checks that decisions stay independent of protocols: no
--- a/cmd/monsoonfork/verb/roles.go
+++ b/cmd/monsoonfork/verb/roles.go
@@ -12,7 +12,9 @@
 	_ "monsoonfork/core/reaper"       // Reaper
 	_ "monsoonfork/io/caller"         // Caller
 	_ "monsoonfork/io/engine"         // Engines
+	_ "monsoonfork/io/instancelist"   // InstanceList
 	_ "monsoonfork/io/operator"       // Operator, Process
+	_ "monsoonfork/io/peer"           // Links
 	_ "monsoonfork/io/store"          // Store
 	_ "monsoonfork/platform"          // Routing
 )
--- a/core/budget/daemon_test.go
+++ b/core/budget/daemon_test.go
@@ -22,6 +22,7 @@
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
 	"monsoonfork/core/text"
+	_ "monsoonfork/io/instancelist" // Role InstanceList.
 	"monsoonfork/io/peer"
 	_ "monsoonfork/io/store" // Registers the role Store.
 )
--- a/core/config/relay/relay_test.go
+++ b/core/config/relay/relay_test.go
@@ -17,6 +17,7 @@
 	"monsoonfork/core/invariant"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
+	_ "monsoonfork/io/instancelist" // Role InstanceList.
 	"monsoonfork/io/peer"
 	"monsoonfork/io/standin/control"
 	standin "monsoonfork/io/standin/store"
--- a/core/link/link.go
+++ b/core/link/link.go
@@ -38,6 +38,12 @@
 	CallAddress func(ctx context.Context, address ident.Address, method string, req, resp proto.Message) (Remote, error)
 	// Serve registers the handler of a method. Roles call it while they start.
 	Serve func(method string, h Handler)
+	// CloseSession closes the session to an address. The next call opens another one.
+	CloseSession func(address ident.Address)
+	// UseMembers sets, before the first call, how the addresses of instances are found, and
+	// what is called after each call by Call that failed with PeerUnavailable. The latter must
+	// not block.
+	UseMembers func(addressOf func(ident.InstanceID) (ident.Address, bool), unreachable func(ident.InstanceID, error))
 }
 
 // Handle registers h as the handler of a method, such as "Budget.Take", and decodes its
--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -8,7 +8,6 @@
 
 	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/instancelist"
 )
 
 // discoveryLoop discovers instances that are not in the table: at the first peers of the
@@ -22,7 +21,7 @@
 			s.fetchUnknownViews((*f)())
 		}
 		if round%listReadEvery == 0 && s.isListReader() {
-			s.fetchUnknownViews(s.listedAddresses(s.listInstances))
+			s.fetchUnknownViews(s.readInstanceList(s.listedAddresses))
 		}
 		select {
 		case <-s.ctx.Done():
@@ -35,7 +34,7 @@
 // isListReader reports whether this daemon reads the instance list. Only listReaders
 // members of each domain do, so that the number of calls does not grow with the fleet.
 func (s *Service) isListReader() bool {
-	if s.listInstances == nil {
+	if s.listedAddresses == nil {
 		return false
 	}
 	v := s.Table.View()
@@ -48,18 +47,12 @@
 	return false
 }
 
-// listedAddresses returns the peer addresses of the live instances in the list.
-func (s *Service) listedAddresses(listed func(context.Context) ([]instancelist.Instance, error)) []ident.Address {
-	instances, err := listed(s.ctx)
+// readInstanceList returns the peer addresses of the live instances in the list.
+func (s *Service) readInstanceList(listed InstanceList) []ident.Address {
+	addresses, err := listed(s.ctx)
 	if err != nil {
 		_ = level.Debug(s.log).Log("msg", event.InstanceListUnavailable, "err", err)
 	}
-	var addresses []ident.Address
-	for _, i := range instances {
-		if i.State == instancelist.Live {
-			addresses = append(addresses, i.PeerAddress)
-		}
-	}
 	return addresses
 }
 
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -15,16 +15,27 @@
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/settings"
-	"monsoonfork/io/instancelist"
 	"monsoonfork/io/peer"
 )
 
 // testHeartbeat is the heartbeat interval of the tests' services.
 const testHeartbeat = 50 * time.Millisecond
 
+// testService is a service and the links that it uses.
+type testService struct {
+	*Service
+	peerLinks *peer.Links
+}
+
+// stop ends the service and its links, as the end of its process does.
+func (s *testService) stop() {
+	_ = s.Close()
+	_ = s.peerLinks.Close()
+}
+
 // startTestService starts a service that listens at address, or on a free port if address
 // is empty.
-func startTestService(t *testing.T, name string, domain ident.DomainID, address ident.Address, firstPeers ...ident.Address) *Service {
+func startTestService(t *testing.T, name string, domain ident.DomainID, address ident.Address, firstPeers ...ident.Address) *testService {
 	t.Helper()
 	n := kernel.NewNode(&settings.Settings{
 		Name:        name,
@@ -41,14 +52,15 @@
 		t.Fatal(err)
 	}
 	self := Member{ID: n.ID, Domain: domain, PeerAddress: bound, Started: n.Started}
-	s := newService(NewTable(self, log.NewNopLogger(), time.Now), links, config.NewHolder(), n)
+	s := newService(NewTable(self, log.NewNopLogger(), time.Now), links.RoleLinks(), config.NewHolder(), n)
 	s.run()
-	t.Cleanup(func() { _ = s.Close() })
-	return s
+	started := &testService{Service: s, peerLinks: links}
+	t.Cleanup(started.stop)
+	return started
 }
 
 // waitState waits until the view of s has member id in the state want.
-func waitState(t *testing.T, s *Service, id ident.InstanceID, want State) {
+func waitState(t *testing.T, s *testService, id ident.InstanceID, want State) {
 	t.Helper()
 	deadline := time.Now().Add(10 * time.Second)
 	for {
@@ -66,7 +78,7 @@
 func TestMembersDiscoverEachOtherThroughOneFirstPeer(t *testing.T) {
 	a := startTestService(t, "a", "d1", "")
 	first := a.Table.Self().PeerAddress
-	all := []*Service{
+	all := []*testService{
 		a,
 		startTestService(t, "b", "d1", "", first),
 		startTestService(t, "c", "d2", "", first),
@@ -94,10 +106,10 @@
 	idA, idB := a.Table.Self().ID, b.Table.Self().ID
 	waitState(t, a, idB, Live)
 	waitState(t, b, idA, Live)
-	a.links.Partition().Cut("d2")
+	a.peerLinks.Partition().Cut("d2")
 	waitState(t, a, idB, Silent)
 	waitState(t, b, idA, Silent)
-	a.links.Partition().Cut()
+	a.peerLinks.Partition().Cut()
 	waitState(t, a, idB, Live)
 	waitState(t, b, idA, Live)
 }
@@ -107,7 +119,7 @@
 	b := startTestService(t, "b", "d1", "", a.Table.Self().PeerAddress)
 	idB := b.Table.Self().ID
 	waitState(t, a, idB, Live)
-	_ = b.Close()
+	b.stop()
 	waitState(t, a, idB, Gone)
 }
 
@@ -117,7 +129,7 @@
 	idB := b.Table.Self().ID
 	waitState(t, a, idB, Live)
 	address := b.Table.Self().PeerAddress
-	_ = b.Close()
+	b.stop()
 	successor := startTestService(t, "b", "d1", address, a.Table.Self().PeerAddress)
 	waitState(t, a, idB, Gone)
 	waitState(t, a, successor.Table.Self().ID, Live)
@@ -206,13 +218,10 @@
 func TestMembersDiscoverEachOtherThroughTheInstanceList(t *testing.T) {
 	a := startTestService(t, "a", "d1", "")
 	b := startTestService(t, "b", "d2", "")
-	list := func(context.Context) ([]instancelist.Instance, error) {
-		return []instancelist.Instance{
-			{Name: "a", PeerAddress: a.Table.Self().PeerAddress},
-			{Name: "b", PeerAddress: b.Table.Self().PeerAddress},
-		}, nil
+	listed := func(context.Context) ([]ident.Address, error) {
+		return []ident.Address{a.Table.Self().PeerAddress, b.Table.Self().PeerAddress}, nil
 	}
-	a.fetchUnknownViews(a.listedAddresses(list))
+	a.fetchUnknownViews(a.readInstanceList(listed))
 	waitState(t, a, b.Table.Self().ID, Live)
 	waitState(t, b, a.Table.Self().ID, Live)
 }
--- a/core/membership/refused_test.go
+++ b/core/membership/refused_test.go
@@ -15,7 +15,7 @@
 )
 
 // startRelayedService starts a service that others reach through a relay.
-func startRelayedService(t *testing.T, name string, domain ident.DomainID, firstPeer ident.Address) (*Service, *relay.Relay) {
+func startRelayedService(t *testing.T, name string, domain ident.DomainID, firstPeer ident.Address) (*testService, *relay.Relay) {
 	t.Helper()
 	n := kernel.NewNode(&settings.Settings{
 		Name: name, Domain: domain, HeartbeatMS: testHeartbeat.Milliseconds(), FirstPeers: []ident.Address{firstPeer},
@@ -31,10 +31,11 @@
 	}
 	t.Cleanup(func() { _ = r.Close() })
 	self := Member{ID: n.ID, Domain: domain, PeerAddress: ident.Address(r.Address()), Started: n.Started}
-	s := newService(NewTable(self, log.NewNopLogger(), time.Now), links, config.NewHolder(), n)
+	s := newService(NewTable(self, log.NewNopLogger(), time.Now), links.RoleLinks(), config.NewHolder(), n)
 	s.run()
-	t.Cleanup(func() { _ = s.Close() })
-	return s, r
+	started := &testService{Service: s, peerLinks: links}
+	t.Cleanup(started.stop)
+	return started, r
 }
 
 // TestRefusedMemberIsLiveAgain guards against a live instance that others count as ended
@@ -56,7 +57,7 @@
 		if err := r.Accept(); err != nil {
 			t.Fatal(err)
 		}
-		for _, s := range []*Service{a, b, other} {
+		for _, s := range []*testService{a, b, other} {
 			waitState(t, s, id, Live)
 		}
 	}
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,8 +15,6 @@
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/link"
 	"monsoonfork/core/settings"
-	"monsoonfork/io/instancelist"
-	"monsoonfork/io/peer"
 )
 
 // Names of the remote methods.
@@ -43,18 +40,22 @@
 // RevisionHook is called when a member reports its configuration revision.
 type RevisionHook func(from ident.InstanceID, revision ident.Revision)
 
+// InstanceList returns the peer addresses of the instances that the platform lists as live.
+// With an error, it returns those that it could read.
+type InstanceList func(context.Context) ([]ident.Address, error)
+
 // Service keeps the table of members up to date, by heartbeats and discovery.
 type Service struct {
 	Table *Table
 
 	log                 log.Logger
-	links               *peer.Links
+	links               *link.Links
 	holder              *config.Holder
 	now                 func() time.Time
 	interval            time.Duration
 	firstPeers          atomic.Pointer[[]ident.Address]
-	registeredAddresses atomic.Pointer[func() []ident.Address]                 // Further addresses for discovery, see AddDiscoverySource.
-	listInstances       func(context.Context) ([]instancelist.Instance, error) // Reads the instance list; nil if there is none.
+	registeredAddresses atomic.Pointer[func() []ident.Address] // Further addresses for discovery, see AddDiscoverySource.
+	listedAddresses     InstanceList                           // Nil if there is no instance list.
 
 	hookMu sync.Mutex
 	hooks  []RevisionHook
@@ -76,15 +77,19 @@
 		Name:        "Membership",
 		Summary:     "maintains the list of live instances of the domain and of some in other domains",
 		Deployments: settings.Deployments{settings.OwnText, settings.Platform},
+		DependsOn:   []string{"Links", "InstanceList"},
 		Start:       start,
 	})
 }
 
-// start starts the role. It also creates and provides the links to other instances, and the
-// holder of the configuration, whose revision heartbeats carry.
+// start starts the role. It also creates and provides the holder of the configuration, whose
+// revision heartbeats carry.
 func start(_ context.Context, n *kernel.Node) (*kernel.Callbacks, error) {
-	links, err := listenLinks(n)
-	if err != nil {
+	var (
+		links  *link.Links
+		listed InstanceList
+	)
+	if err := n.Require(&links, &listed); err != nil {
 		return nil, err
 	}
 	holder := config.NewHolder()
@@ -96,8 +101,7 @@
 		Started:         n.Started,
 	}
 	s := newService(NewTable(self, n.Log, n.Now), links, holder, n)
-	kernel.Provide(n, links)
-	kernel.Provide(n, links.RoleLinks())
+	s.listedAddresses = listed
 	kernel.Provide(n, holder)
 	kernel.Provide(n, s.Table)
 	kernel.Provide(n, s)
@@ -110,31 +114,9 @@
 	}, nil
 }
 
-// listenLinks creates the links of a node and listens for other instances.
-func listenLinks(n *kernel.Node) (*peer.Links, error) {
-	opts := []peer.Option{peer.WithMetrics(n.Metrics)}
-	if n.Settings.TLS.Enabled() {
-		cfg, err := peer.LoadTLS(n.Settings.TLS)
-		if err != nil {
-			return nil, err
-		}
-		opts = append(opts, peer.WithTLS(cfg))
-	}
-	if host, _, err := net.SplitHostPort(string(n.Settings.PeerListener())); err == nil {
-		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
-			opts = append(opts, peer.WithLocalIP(ip))
-		}
-	}
-	links := peer.New(n.ID, n.Settings.Domain, n.Log, opts...)
-	if _, err := links.Listen(n.Settings.PeerListener()); err != nil {
-		return nil, err
-	}
-	return links, nil
-}
-
 // newService returns a service and registers its remote methods. Its loops are started by
 // run.
-func newService(t *Table, links *peer.Links, holder *config.Holder, n *kernel.Node) *Service {
+func newService(t *Table, links *link.Links, holder *config.Holder, n *kernel.Node) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
 		Table:    t,
@@ -148,14 +130,9 @@
 	}
 	t.settleTime = settleIntervals * s.interval
 	s.firstPeers.Store(&n.Settings.FirstPeers)
-	if n.Settings.InstanceListAddress != "" {
-		s.listInstances = instancelist.New(n.Settings.InstanceListAddress).Instances
-	}
-	links.AddressOf = t.AddressOf
-	links.Unreachable = s.handleCallFailure
-	linkCalls := links.RoleLinks()
-	link.Handle(linkCalls, methodHeartbeat, s.serveHeartbeat)
-	link.Handle(linkCalls, methodView, s.serveView)
+	links.UseMembers(t.AddressOf, s.handleCallFailure)
+	link.Handle(links, methodHeartbeat, s.serveHeartbeat)
+	link.Handle(links, methodView, s.serveView)
 	return s
 }
 
@@ -180,14 +157,14 @@
 	s.wg.Go(f)
 }
 
-// Close stops the loops, waits for all goroutines and closes the links.
+// Close stops the loops and waits for all goroutines.
 func (s *Service) Close() error {
 	s.spawnMu.Lock()
 	s.closed = true
 	s.spawnMu.Unlock()
 	s.cancel()
 	s.wg.Wait()
-	return s.links.Close()
+	return nil
 }
 
 // OnRevision registers a hook that is called whenever a member reports its revision.
--- a/io/instancelist/client.go
+++ b/io/instancelist/client.go
@@ -104,6 +104,19 @@
 	return parseEntries(entries)
 }
 
+// LiveAddresses returns the peer addresses of the live instances in the list, with the error
+// of Instances.
+func (c *Client) LiveAddresses(ctx context.Context) ([]ident.Address, error) {
+	instances, err := c.Instances(ctx)
+	var addresses []ident.Address
+	for _, i := range instances {
+		if i.State == Live {
+			addresses = append(addresses, i.PeerAddress)
+		}
+	}
+	return addresses, err
+}
+
 // parseEntries decodes the entries of a list and skips malformed ones.
 func parseEntries(entries []json.RawMessage) ([]Instance, error) {
 	var instances []Instance
--- a/core/membership/listen_test.go
+++ b/io/peer/listen_test.go
@@ -1,4 +1,4 @@
-package membership
+package peer
 
 import (
 	"net"
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -27,7 +27,12 @@
 
 // RoleLinks returns the links in the form of package link, which roles depend on.
 func (l *Links) RoleLinks() *link.Links {
-	return &link.Links{Call: l.Call, CallAddress: l.CallAddress, Serve: l.registerHandler}
+	return &link.Links{
+		Call: l.Call, CallAddress: l.CallAddress, Serve: l.registerHandler, CloseSession: l.CloseSession,
+		UseMembers: func(addressOf func(ident.InstanceID) (ident.Address, bool), unreachable func(ident.InstanceID, error)) {
+			l.AddressOf, l.Unreachable = addressOf, unreachable
+		},
+	}
 }
 
 // handlerFor returns the handler of a method, or nil if there is none.
