httpcall: the connection of a new call waits for the events that its poller holds

Cause: a call closes its connection from its own goroutine. nbio fetches events in batches and finds the connection of an event by its descriptor, so that the endpoint's close of the former connection was applied to the next one with its descriptor. io/caller waits for its pollers since; httpcall.Client did not.

Fix: before a connection is registered, Client waits until its poller has read a byte that was sent after the connection got its descriptor; what the poller fetches later can't belong to the closed one. The wait ends with the call's deadlines and context, as not run. Calls are concurrent, so Barrier takes any number of goroutines: one byte is under way at a time, and all that come meanwhile share the next one. Its former limit of 1 s is now io/caller's.

Ruled out: other ways to that message (the endpoint of the test answers each request on a new connection; Client keeps no connections); closing from the poller only, since nbio closes after its own failed writes too; waiting during the connect, since nbio duplicates the descriptor after it.

Other users of nbio were looked for: io/caller and io/httpcall are the only ones.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -41,6 +41,9 @@
 	// maxParserBytes is what the parser of nbhttp buffers of a request at most. limiter
 	// enforces the limits in force, which are smaller.
 	maxParserBytes = 1 << 30
+	// barrierTimeout limits how long a new connection waits for its poller, as a poller that
+	// has stopped reads nothing.
+	barrierTimeout = time.Second
 	// pollers is the number of poller goroutines.
 	pollers = 2
 )
@@ -159,7 +162,9 @@
 		return
 	}
 	if barrier := s.barrier.Load(); barrier != nil && !s.closing.Load() {
-		if err := barrier.Await(nbc.Hash()); err != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), barrierTimeout)
+		defer cancel()
+		if err := barrier.Await(ctx, nbc.Hash()); err != nil {
 			_ = level.Warn(s.log).Log("msg", event.PollerSlow, "err", err)
 		}
 	}
--- a/io/caller/staleevent_test.go
+++ b/io/caller/staleevent_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net"
 	"os"
 	"testing"
@@ -107,8 +108,10 @@
 func TestPollerRespondsWhileServerCloses(t *testing.T) {
 	s, _ := newForwardingTestServer(t, respondEmpty)
 	s.closing.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), barrierTimeout)
+	defer cancel()
 	for hash := range pollers {
-		if err := s.barrier.Load().Await(hash); err != nil {
+		if err := s.barrier.Load().Await(ctx, hash); err != nil {
 			t.Errorf("poller %d: %v", hash, err)
 		}
 	}
--- a/io/httpcall/bench_test.go
+++ b/io/httpcall/bench_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -46,19 +47,30 @@
 	return ln.Addr().String()
 }
 
+// reportPercentiles reports the median and the 99th percentile of durations.
+func reportPercentiles(b *testing.B, durations []time.Duration) {
+	slices.Sort(durations)
+	b.ReportMetric(float64(durations[len(durations)/2].Nanoseconds()), "p50-ns/op")
+	b.ReportMetric(float64(durations[len(durations)*99/100].Nanoseconds()), "p99-ns/op")
+}
+
 // BenchmarkNewConnection measures calls with Client, which opens a connection for each.
 func BenchmarkNewConnection(b *testing.B) {
 	addr := serveFixedResponse(b)
 	c := newClient(b)
 	body := []byte(strings.Repeat("x", 1000))
+	var durations []time.Duration
 	for b.Loop() {
 		var a recorder
-		deadline := time.Now().Add(10 * time.Second)
+		started := time.Now()
+		deadline := started.Add(10 * time.Second)
 		call := Call{Address: ident.Address(addr), Method: "POST", Target: "/", Body: body, ID: "r", Limits: Limits{ConnectDeadline: deadline, ResponseDeadline: deadline}}
 		if err := c.Do(context.Background(), call, a.sink()); err != nil {
 			b.Fatal(err)
 		}
+		durations = append(durations, time.Since(started))
 	}
+	reportPercentiles(b, durations)
 }
 
 // BenchmarkPooledConnection measures calls on one open connection that is never checked:
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -86,7 +86,7 @@
 		return err
 	}
 	x := newExchange(call, c.maxBytes)
-	nbc, err := c.attachToPoller(conn, x)
+	nbc, err := c.attachToPoller(ctx, conn, x)
 	if err != nil {
 		return err
 	}
@@ -95,7 +95,7 @@
 		return cancellationError(ctx, fault.NotRun)
 	}
 	if deadline := call.Limits.SendDeadline; !deadline.IsZero() && !time.Now().Before(deadline) {
-		return fault.New(fault.DeadlineExceeded, "the deadline to send the request has passed").WithRan(fault.NotRun)
+		return sendDeadlineError()
 	}
 	if call.BeforeSend != nil {
 		if err := call.BeforeSend(); err != nil {
@@ -145,8 +145,10 @@
 // response.
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
 
-// attachToPoller registers the connection with the poller, with x as its processor.
-func (c *Client) attachToPoller(conn net.Conn, x *exchange) (*nbio.Conn, error) {
+// attachToPoller registers the connection with the poller, with x as its processor. Before
+// that it waits until the poller holds no event for an earlier connection with the same
+// descriptor.
+func (c *Client) attachToPoller(ctx context.Context, conn net.Conn, x *exchange) (*nbio.Conn, error) {
 	nbc, err := nbio.NBConn(conn)
 	if err != nil {
 		_ = conn.Close()
@@ -166,12 +168,43 @@
 		c.engine.DataHandler(conn, data)
 	})
 	nbc.Unlock()
+	if err := c.awaitPoller(ctx, nbc, x.call.Limits); err != nil {
+		_ = nbc.Close()
+		return nil, err
+	}
 	if _, err := c.engine.AddConn(nbc); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "cannot register the connection with the poller").WithRan(fault.NotRun)
 	}
 	return nbc, nil
 }
 
+// awaitPoller waits until the poller has handled the events that it has already fetched, which
+// may be those of a closed connection with the descriptor of nbc.
+func (c *Client) awaitPoller(ctx context.Context, nbc *nbio.Conn, l Limits) error {
+	ctx, cancel := withDeadline(ctx, earliest(l.ConnectDeadline, l.ResponseDeadline), fault.New(fault.Internal, "the poller did not take the connection over in time"))
+	defer cancel()
+	ctx, cancel = withDeadline(ctx, l.SendDeadline, sendDeadlineError())
+	defer cancel()
+	err := c.barrier.Await(ctx, nbc.Hash())
+	if err != nil && ctx.Err() != nil {
+		return cancellationError(ctx, fault.NotRun)
+	}
+	return err
+}
+
+// withDeadline is context.WithDeadlineCause, or without effect if the deadline is zero.
+func withDeadline(ctx context.Context, deadline time.Time, cause error) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return ctx, func() {}
+	}
+	return context.WithDeadlineCause(ctx, deadline, cause)
+}
+
+// sendDeadlineError returns the error of a call that is not sent before its SendDeadline.
+func sendDeadlineError() *fault.Error {
+	return fault.New(fault.DeadlineExceeded, "the deadline to send the request has passed").WithRan(fault.NotRun)
+}
+
 // encode returns the call as an HTTP/1.1 request message.
 func encode(call Call) ([]byte, error) {
 	if !isValidTarget(call.Target) {
--- a/io/httpcall/client.go
+++ b/io/httpcall/client.go
@@ -27,6 +27,7 @@
 // Client makes calls, each on a new connection. It is safe for concurrent use.
 type Client struct {
 	engine   *nbhttp.Engine
+	barrier  *poller.Barrier
 	pollers  int
 	maxBytes int
 	registry metrics.Registry
@@ -81,6 +82,11 @@
 	if err := poller.Start(c.engine); err != nil {
 		return nil, err
 	}
+	var err error
+	if c.barrier, err = poller.NewBarrier(c.engine); err != nil {
+		c.engine.Stop()
+		return nil, err
+	}
 	return c, nil
 }
 
@@ -95,6 +101,7 @@
 	c.mu.Unlock()
 	c.runningCalls.Wait()
 	c.engine.Stop()
+	c.barrier.Close()
 }
 
 // CountMismatchedID counts a response whose body has the id of another request.
--- a/io/poller/barrier_test.go
+++ b/io/poller/barrier_test.go
@@ -19,7 +19,7 @@
 			t.Fatalf("%d pollers: %v", n, err)
 		}
 		for hash := range 2 * n {
-			if err := b.Await(hash); err != nil {
+			if err := b.Await(t.Context(), hash); err != nil {
 				t.Errorf("%d pollers, hash %d: %v", n, hash, err)
 			}
 		}
--- a/io/poller/poller.go
+++ b/io/poller/poller.go
@@ -2,6 +2,7 @@
 package poller
 
 import (
+	"context"
 	"net"
 	"os"
 	"sync"
@@ -16,7 +17,7 @@
 )
 
 const (
-	// probeTimeout bounds the wait for one poller to read a byte.
+	// probeTimeout bounds the wait for the pollers to read a byte each.
 	probeTimeout = 10 * time.Second
 	// maxProbes bounds the socket pairs that are opened to reach all pollers.
 	maxProbes = 64
@@ -49,8 +50,10 @@
 		return err
 	}
 	defer closeProbes(probes)
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
 	for _, p := range probes {
-		if err := p.awaitRead(probeTimeout); err != nil {
+		if err := p.awaitRead(ctx); err != nil {
 			return err
 		}
 	}
@@ -105,9 +108,12 @@
 
 // probe is a socket pair. A poller reads one end; peer is the other.
 type probe struct {
-	conn     *nbio.Conn
-	peer     *os.File
-	received chan struct{} // Holds an element after a read.
+	conn *nbio.Conn
+	peer *os.File
+
+	mu     sync.Mutex
+	sent   chan struct{} // Closed when the byte under way is read; nil without one.
+	wanted chan struct{} // Closed when the byte after it is read; nil if none is to be sent.
 }
 
 // newProbe opens a socket pair and adds one end to the engine.
@@ -116,7 +122,7 @@
 	if err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "cannot create a socket pair")
 	}
-	p := &probe{peer: os.NewFile(uintptr(fds[1]), "probe"), received: make(chan struct{}, 1)}
+	p := &probe{peer: os.NewFile(uintptr(fds[1]), "probe")}
 	file := os.NewFile(uintptr(fds[0]), "probe")
 	std, err := net.FileConn(file)
 	_ = file.Close()
@@ -128,12 +134,7 @@
 		_ = p.peer.Close()
 		return nil, fault.Wrap(err, fault.Internal, "cannot use a socket pair")
 	}
-	p.conn.OnData(func(*nbio.Conn, []byte) {
-		select {
-		case p.received <- struct{}{}:
-		default:
-		}
-	})
+	p.conn.OnData(func(*nbio.Conn, []byte) { p.onRead() })
 	if _, err := engine.AddConn(p.conn); err != nil {
 		_ = p.peer.Close()
 		return nil, fault.Wrap(err, fault.Internal, "cannot add a socket pair to the nbhttp engine")
@@ -141,20 +142,6 @@
 	return p, nil
 }
 
-// awaitRead sends a byte and waits until the poller has read it. The poller reads it after
-// all events that it had fetched before.
-func (p *probe) awaitRead(timeout time.Duration) error {
-	if _, err := p.peer.Write([]byte{1}); err != nil {
-		return fault.Wrap(err, fault.Internal, "cannot write to the poller's socket pair")
-	}
-	select {
-	case <-p.received:
-		return nil
-	case <-time.After(timeout):
-		return fault.New(fault.Internal, "a poller did not read the probe byte in time")
-	}
-}
-
 // close closes both ends of the socket pair.
 func (p *probe) close() {
 	_ = p.conn.Close()
