poller: a probe is found for each of three pollers and more

What could be seen: the start of an engine, or its barrier, failed with "no probe for each poller after 64 probes". The program's engines have two pollers; no process failed. It came up once as a failure of TestEachPollerHasProbe (20 runs with -race, after another test had left a descriptor open).

Cause: the engine chooses the poller by the descriptor. Each probe that was not needed took three descriptors, together with the one that was opened after it, so that with three pollers all later probes had the same one.

Fix: as many descriptors are opened that the next probe has the next poller.

--- a/io/poller/poller.go
+++ b/io/poller/poller.go
@@ -62,8 +62,8 @@
 
 // newProbes opens a probe for each poller of an engine, by the index of the poller. The
 // engine chooses the poller by the file descriptor. A probe takes two descriptors, so that
-// all probes could have the same poller; a further descriptor is opened after each one that
-// is not needed.
+// all probes could have the same poller; as many more are opened after each one that is not
+// needed that the next one has the next poller, if the descriptors are free.
 func newProbes(engine *nbhttp.Engine) ([]*probe, error) {
 	probes := make([]*probe, engine.NPoller)
 	var unneeded []*probe
@@ -90,13 +90,22 @@
 			continue
 		}
 		unneeded = append(unneeded, p)
-		if fd, err := syscall.Dup(int(p.peer.Fd())); err == nil {
-			fillers = append(fillers, os.NewFile(uintptr(fd), "filler"))
-		}
+		fillers = append(fillers, duplicates(p.peer, engine.NPoller-1)...)
 	}
 	return probes, nil
 }
 
+// duplicates returns up to n duplicates of a file.
+func duplicates(f *os.File, n int) []*os.File {
+	var all []*os.File
+	for range n {
+		if fd, err := syscall.Dup(int(f.Fd())); err == nil {
+			all = append(all, os.NewFile(uintptr(fd), "filler"))
+		}
+	}
+	return all
+}
+
 // closeProbes closes probes, some of which may be nil.
 func closeProbes(probes []*probe) {
 	for _, p := range probes {
