follow: the next Run is no recovery of the store

What could be seen: an instance that stops following the store and follows it again held back the removals of engines for 2.2 s, as after an outage, although the store had answered all the time. That is longer than engines go on serving after they have left, so that requests could reach an engine that had gone. An outage that began before Run was not reported at all: there was no line about it and OnLost was not called.

Cause: the end of Run set the same flag as a failed call, and the first list of the next Run found it changed.

Fix: the state is unknown, answering or failing, and unknown outside of Run. An outage is a mark of its own, set by a failed call and cleared by the next answer. It is kept across Runs on purpose: if a Run ends in an outage, the store may have come back just before the next one, and the engines need their time to register again.

Ruled out: clearing the mark at the start of Run, since entries that lapsed in the outage would then be taken for gone at the first list.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -64,14 +64,25 @@
 	settled bool // The pause after the first list has begun. Used only by Run.
 
 	mu         sync.Mutex
-	healthy    bool
+	state      storeState
+	outage     bool // The store has not answered since its last failure, maybe in an earlier Run.
 	maybeStale bool // The last watch failed, or the first one has not begun.
 	settling   bool
 	stateSince time.Time
 }
 
+// storeState is what a follower knows about the store.
+type storeState int
+
+const (
+	unknown   storeState = iota // There has been no call in the current Run, or Run has ended.
+	answering                   // The last list succeeded.
+	failing                     // The last calls failed.
+)
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	defer f.setState(unknown)
 	delay := minRetryDelay
 	for ctx.Err() == nil {
 		revision, err := f.list(ctx)
@@ -84,7 +95,10 @@
 			_ = level.Info(f.Log).Log("msg", event.HistoryCompacted, "revision", revision)
 			continue
 		}
-		f.setHealthy(ctx, false, err)
+		if ctx.Err() != nil {
+			return // The end of ctx is no failure of the store.
+		}
+		f.recordFailure(err)
 		sleep.For(ctx, delay)
 		delay = min(2*delay, maxRetryDelay)
 	}
@@ -122,7 +136,7 @@
 	if err != nil {
 		return 0, err
 	}
-	f.setHealthy(ctx, true, nil)
+	f.recordAnswer()
 	f.OnList(items, revision)
 	return revision, nil
 }
@@ -160,36 +174,56 @@
 	f.maybeStale = maybeStale
 }
 
-// setHealthy records whether the store answers. It logs a change of that, except after
-// ctx has ended.
-func (f *Follower) setHealthy(ctx context.Context, healthy bool, err error) {
+// setState sets the state and returns the previous one.
+func (f *Follower) setState(s storeState) storeState {
 	f.mu.Lock()
-	f.maybeStale = false
-	changed := f.healthy != healthy
-	first := f.stateSince.IsZero()
-	if changed || first {
-		f.healthy, f.stateSince = healthy, f.Now()
+	defer f.mu.Unlock()
+	previous := f.state
+	f.state, f.maybeStale = s, false
+	if s != previous || f.stateSince.IsZero() {
+		f.stateSince = f.Now()
 	}
-	f.mu.Unlock()
-	switch {
-	case !changed, ctx.Err() != nil:
-	case healthy:
-		_ = level.Info(f.Log).Log("msg", event.StoreReachableAgain)
-		if f.OnRecovered != nil && !first {
-			f.OnRecovered(f.Now())
-		}
-	default:
-		_ = level.Warn(f.Log).Log("msg", event.StoreUnreachable, "err", err)
-		if f.OnLost != nil {
-			f.OnLost()
-		}
+	return previous
+}
+
+// recordFailure records that the store does not answer, and reports the first failure.
+func (f *Follower) recordFailure(err error) {
+	if f.setState(failing) == failing {
+		return
 	}
+	f.setOutage(true)
+	_ = level.Warn(f.Log).Log("msg", event.StoreUnreachable, "err", err)
+	if f.OnLost != nil {
+		f.OnLost()
+	}
+}
+
+// recordAnswer records that the store answers, and reports the end of an outage. An outage
+// that an earlier Run has seen may have ended only now.
+func (f *Follower) recordAnswer() {
+	if f.setState(answering) == answering {
+		return
+	}
+	_ = level.Info(f.Log).Log("msg", event.StoreReachableAgain)
+	if f.setOutage(false) && f.OnRecovered != nil {
+		f.OnRecovered(f.Now())
+	}
+}
+
+// setOutage records whether the store has failed since its last answer, and returns the
+// previous value.
+func (f *Follower) setOutage(outage bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	previous := f.outage
+	f.outage = outage
+	return previous
 }
 
 // Healthy reports whether the data is up to date, and since when the store has or has not
-// answered.
+// answered. It is false after Run.
 func (f *Follower) Healthy() (bool, time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.healthy && !f.maybeStale, f.stateSince
+	return f.state == answering && !f.maybeStale, f.stateSince
 }
