forward: a slow error answer is given up only for another engine

What callers saw: an engine's own 5xx answer whose body took longer than 100 ms became our error (502, or "no decode engine has free memory") if the retry for which its call had been cancelled turned out not to be allowed: the retry budget was used up, or no engine granted a reservation.

Cause: the call was cancelled by a timer, before anything was known of another engine.

Fix: an error answer without an end is treated as a stalled stream. The stall monitor holds a part of the retry budget and reserves at another engine, and cancels the call only then; until that, the engine may complete its answer, which is kept as before. The monitor now also watches calls of idempotent routes to model services, for this alone: silence is no stall there, as before. A stall time that moves forward wakes the monitor.

Ruled out: letting the first call go on beside the retry, since two engines would then work on one request.

What remains: the answer is lost if the engine that has granted the reservation, and all that are asked after it, fail to take the request.

Evidence: TestSlowEngineFailureIsForwardedWithoutRetry failed on the code before in all four cases, and passes now (20 times with -race, with TestGivenUpFailureHoldsNothing and the tests of failed answers that were there).

--- a/core/forward/failedanswer_test.go
+++ b/core/forward/failedanswer_test.go
@@ -1,9 +1,11 @@
 package forward
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"monsoonfork/core/catalog"
 	"monsoonfork/core/engines"
 )
 
@@ -65,3 +67,74 @@
 		t.Errorf("answered after %v, want about %v", took, failedAnswerTime)
 	}
 }
+
+// TestSlowEngineFailureIsForwardedWithoutRetry guards against an engine's own error answer that
+// is given up when it takes its time, before it is certain that another engine can be tried.
+func TestSlowEngineFailureIsForwardedWithoutRetry(t *testing.T) {
+	t.Parallel()
+	for name, obstruct := range map[string]func(*harness){
+		"budget": func(h *harness) { h.router.retrySettings = RetryBudgetSettings{RetryWindow: time.Minute} },
+		"reservation": func(h *harness) {
+			var granted atomic.Bool
+			h.reserve = func(engines.Entry) (string, error) {
+				if granted.Swap(true) {
+					return "", errRefused
+				}
+				return "reservation", nil
+			}
+		},
+	} {
+		for _, kind := range []catalog.Kind{catalog.Stream, catalog.Idempotent} {
+			h := newStallHarness(t, 2)
+			route, _ := h.router.Catalog().Route("h", "/resume/x")
+			route.Kind = kind
+			obstruct(h)
+			h.send = func(_ int, _ Call, sink Sink) error {
+				if err := sendAnswer(sink, 500, "own "); err != nil {
+					return err
+				}
+				time.Sleep(4 * failedAnswerTime)
+				return sink.OnData([]byte("error"))
+			}
+			got := h.serve("resume")
+			if got.err != nil || got.aborted || got.status != 500 || got.body.String() != "own error" {
+				t.Errorf("%s, kind %v: error %v, status %d, %q; want the engine's own answer", name, kind, got.err, got.status, got.body.String())
+			}
+			if len(h.sent) != 1 {
+				t.Errorf("%s, kind %v: %d calls, want 1", name, kind, len(h.sent))
+			}
+		}
+	}
+}
+
+// TestGivenUpFailureHoldsNothing guards against a failing engine that gets a second call, or a
+// reservation or a part of the retry budget that is kept, after its answer without an end was
+// given up for another engine.
+func TestGivenUpFailureHoldsNothing(t *testing.T) {
+	t.Parallel()
+	for _, kind := range []catalog.Kind{catalog.Stream, catalog.Idempotent} {
+		h := newStallHarness(t, 2)
+		route, _ := h.router.Catalog().Route("h", "/resume/x")
+		route.Kind = kind
+		h.send = func(n int, _ Call, sink Sink) error {
+			if n > 1 {
+				return sendAnswer(sink, 200, eventText(1))
+			}
+			for err := sendAnswer(sink, 500); err == nil; err = sink.OnData([]byte("more")) {
+				time.Sleep(failedAnswerTime / 10)
+			}
+			return errBroken
+		}
+		started := time.Now()
+		if got := h.serve("resume"); got.err != nil || got.body.String() != eventText(1) {
+			t.Errorf("kind %v: %v, %q; want the answer of the other engine", kind, got.err, got.body.String())
+		}
+		if took := time.Since(started); took > 4*failedAnswerTime {
+			t.Errorf("kind %v: answered after %v, want about %v", kind, took, failedAnswerTime)
+		}
+		if len(h.sent) != 2 || h.sent[0].Engine.ID == h.sent[1].Engine.ID {
+			t.Errorf("kind %v: calls %+v, want one at each engine", kind, h.sent)
+		}
+		h.checkNothingHeld(nil)
+	}
+}
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -16,8 +16,8 @@
 const (
 	// maxStreamAttempts limits the attempts of one request at decode engines.
 	maxStreamAttempts = 4
-	// failedAnswerTime limits how long the rest of an engine's error answer is awaited before
-	// the request goes to another engine.
+	// failedAnswerTime is how long the rest of an engine's error answer may take before another
+	// engine is looked for.
 	failedAnswerTime = 100 * time.Millisecond
 )
 
@@ -190,20 +190,15 @@
 }
 
 // send makes the call and forwards the answer: a stream of events as it arrives, any
-// other answer when it is complete. A resumable stream that stalls is cancelled as soon
-// as it can be resumed at another engine.
+// other answer when it is complete. A resumable stream that stalls, and an error answer that
+// does not end, are cancelled as soon as another engine has granted a reservation.
 func (s *stream) send(ctx context.Context, e *engines.Engine, call Call) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	s.heardAt = s.router.now()
 	buffered := callResult{}
 	err := s.sendMonitored(ctx, call, Sink{
 		OnHead: func(h Head) error {
 			s.recordData(e)
 			buffered.head = h
-			if s.isRetryableFailure(h) {
-				time.AfterFunc(failedAnswerTime, cancel)
-			}
 			s.isEventStream = strings.HasPrefix(h.Header.Get("Content-Type"), "text/event-stream") && h.Status < 300
 			return s.checkHead(h)
 		},
@@ -216,17 +211,18 @@
 			return s.sendEvents(buffered.head, s.splitter.feed(data))
 		},
 	})
-	if err != nil && s.replacement != nil {
-		return fault.Wrap(errStreamStalled, fault.EndpointTimeout, "the call was replaced").WithRan(fault.From(err).Ran)
+	replaced := err != nil && s.replacement != nil
+	if !replaced {
+		s.discardReplacement()
 	}
-	s.discardReplacement()
-	if s.isRetryableFailure(buffered.head) {
+	switch {
+	case s.isRetryableFailure(buffered.head):
 		return s.keepFailedAnswer(buffered, err)
-	}
-	if err != nil {
+	case replaced:
+		return fault.Wrap(errStreamStalled, fault.EndpointTimeout, "the call was replaced").WithRan(fault.From(err).Ran)
+	case err != nil:
 		return err
-	}
-	if !s.isEventStream {
+	case !s.isEventStream:
 		return s.sendAnswer(buffered)
 	}
 	if !s.headSent && len(s.splitter.partial) == 0 {
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -45,29 +45,34 @@
 	errStreamContinued = errors.New("the engine has continued")
 )
 
-// stallMonitor detects that a resumable stream stalls, and then looks for another engine.
-// The call is cancelled only when another engine has granted a reservation; until then
-// its engine may continue.
+// stallMonitor detects that a resumable stream stalls, or that a repeatable request fails with
+// an answer that does not end, and then looks for another engine. The call is cancelled only
+// when another engine has granted a reservation; until then its engine may continue.
 type stallMonitor struct {
 	stream     *stream
 	cancelCall context.CancelCauseFunc
-	timeout    time.Duration // Longest time between two pieces of data.
+	timeout    time.Duration // Longest time between two pieces of data; 0 if silence is no stall.
 	stop       context.CancelFunc
 	running    sync.WaitGroup
+	earlier    chan struct{} // Holds an element after stallsAt has moved to an earlier time.
 
 	mu          sync.Mutex
 	stallsAt    time.Time          // The stream has stalled if no data arrives before.
+	failed      bool               // The engine has failed: data does not move stallsAt any more.
 	replacement *decodeReservation // Set when the call is cancelled.
 }
 
-// monitorStalls starts the monitor of a call whose context is ctx. Streams that can't be
-// resumed are not monitored.
+// monitorStalls starts the monitor of a call whose context is ctx. Requests that can't be
+// sent to another engine are not monitored, and silence is a stall only of streams.
 func (s *stream) monitorStalls(ctx context.Context, cancelCall context.CancelCauseFunc) *stallMonitor {
-	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
-	m := &stallMonitor{stream: s, cancelCall: cancelCall, timeout: s.stallTimeout()}
-	m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout) + s.localPrefillTime())
+	m := &stallMonitor{stream: s, cancelCall: cancelCall, stallsAt: s.deadline, earlier: make(chan struct{}, 1)}
+	if s.route.Kind == catalog.Stream {
+		objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
+		m.timeout = s.stallTimeout()
+		m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout) + s.localPrefillTime())
+	}
 	ctx, m.stop = context.WithCancel(ctx)
-	if s.route.Kind == catalog.Stream && s.repeatable() && s.route.MaxEngines > 1 {
+	if s.repeatable() && s.route.MaxEngines > 1 {
 		m.running.Go(func() {
 			_ = s.boundary().Run("stall monitor", func() { m.run(ctx) }) // A panic is logged; the call goes on unmonitored.
 		})
@@ -83,7 +88,12 @@
 	monitor := s.monitorStalls(ctx, cancel)
 	defer func() { s.replacement = monitor.close() }()
 	return s.router.Calls.Send(ctx, call, Sink{
-		OnHead: sink.OnHead,
+		OnHead: func(h Head) error {
+			if s.isRetryableFailure(h) {
+				monitor.recordFailedAnswer()
+			}
+			return sink.OnHead(h)
+		},
 		OnData: func(data []byte) error {
 			if err := monitor.recordData(); err != nil {
 				return err
@@ -127,10 +137,43 @@
 	if m.replacement != nil {
 		return errStreamStalled
 	}
-	m.stallsAt = m.stream.router.now().Add(m.timeout)
+	if m.timeout > 0 && !m.failed {
+		m.moveStall(m.stream.router.now().Add(m.timeout))
+	}
 	return nil
 }
 
+// recordFailedAnswer records that the engine has failed: the rest of its answer may take
+// failedAnswerTime.
+func (m *stallMonitor) recordFailedAnswer() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failed = true
+	m.moveStall(m.stream.router.now().Add(failedAnswerTime))
+}
+
+// moveStall sets the time at which the stream stalls. The caller must hold mu.
+func (m *stallMonitor) moveStall(at time.Time) {
+	if at.Before(m.stallsAt) {
+		select {
+		case m.earlier <- struct{}{}:
+		default:
+		}
+	}
+	m.stallsAt = at
+}
+
+// waitForStall waits for d, or until stallsAt moves to an earlier time or ctx ends.
+func (m *stallMonitor) waitForStall(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-m.earlier:
+	case <-ctx.Done():
+	}
+}
+
 // stallTime returns the time at which the stream stalls unless data arrives before.
 func (m *stallMonitor) stallTime() time.Time {
 	m.mu.Lock()
@@ -145,8 +188,7 @@
 	for ctx.Err() == nil {
 		stallsAt := m.stallTime()
 		if wait := stallsAt.Sub(m.stream.router.now()); wait > 0 {
-			// Data may move stallsAt to an earlier time, but not before now plus the timeout.
-			sleep.For(ctx, min(wait, m.timeout))
+			m.waitForStall(ctx, wait)
 			continue
 		}
 		err := m.replace(ctx, stallsAt)
