forward: the reservation of a stream that was not run is released

What callers could see: a decode engine that had refused a stream as not run, or to which no byte of it was sent, kept the slot and the memory of the reservation until it expired, up to 1.5 s later. Other requests were refused or waited meanwhile.

Cause: the reservation was marked as sent after each call, whatever its outcome.

Fix: it is marked only if the engine may have run the stream, as the prefilled prompt of the same attempt is already freed.

Ruled out: releasing after any error, since an engine that may have begun the stream uses the reservation for it.

Evidence: TestReservationOfRefusedStreamIsReleased (a refusal and an unreachable engine) failed on the code before with nothing released, and passes now; with TestReservationOfBrokenStreamIsNotReleased 20 times with -race.

--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -151,7 +151,7 @@
 		defer s.endLocalPrefill()
 	}
 	err := s.send(ctx, e, call)
-	reserved.sent = true
+	reserved.sent = err == nil || fault.From(err).Ran != fault.NotRun
 	if err == nil {
 		now := s.router.now()
 		e.RecordSuccess(now)
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -52,10 +52,10 @@
 	engine *engines.Engine
 	id     string // Assigned by the engine.
 	end    func() // Removes the stream from the engine's load.
-	sent   bool   // The stream was sent to the engine, which releases the reservation itself.
+	sent   bool   // The engine may have run the stream, and then releases the reservation itself.
 }
 
-// endReservation ends the use of a reservation, and releases it if no stream was sent for it.
+// endReservation ends the use of a reservation, and releases it if no stream has run with it.
 func (j *job) endReservation(r *decodeReservation) {
 	defer r.end()
 	if !r.sent {
--- a/core/forward/reserve_test.go
+++ b/core/forward/reserve_test.go
@@ -21,3 +21,41 @@
 		}
 	}
 }
+
+// TestReservationOfRefusedStreamIsReleased guards against memory of a decode engine that is
+// kept for a stream that the engine has not run, until the reservation expires.
+func TestReservationOfRefusedStreamIsReleased(t *testing.T) {
+	t.Parallel()
+	for name, refusal := range map[string]error{"refused": errRefused, "unreachable": errCannotConnect} {
+		h := newHarness(t)
+		granted := h.grantAll()
+		h.send = func(n int, _ Call, sink Sink) error {
+			if n == 1 {
+				return refusal
+			}
+			return sendAnswer(sink, 200, eventText(1))
+		}
+		if got := h.serve("resume"); got.err != nil || len(h.sent) != 2 {
+			t.Fatalf("%s: error %v after %d calls, want the answer of the second engine", name, got.err, len(h.sent))
+		}
+		if first := granted()[0]; len(h.released) != 1 || h.released[0] != first {
+			t.Errorf("%s: released %v, want only the reservation at %s", name, h.released, first)
+		}
+	}
+}
+
+// TestReservationOfBrokenStreamIsNotReleased guards against the release of a reservation that
+// an engine is using, or has used, for a stream that it may have run.
+func TestReservationOfBrokenStreamIsNotReleased(t *testing.T) {
+	t.Parallel()
+	h := newHarness(t)
+	h.send = func(n int, _ Call, sink Sink) error {
+		if n == 1 {
+			return errBroken
+		}
+		return sendAnswer(sink, 200, eventText(1))
+	}
+	if got := h.serve("resume"); got.err != nil || len(h.sent) != 2 || len(h.released) != 0 {
+		t.Errorf("error %v after %d calls, released %v; want two calls and no release", got.err, len(h.sent), h.released)
+	}
+}
