forward: a retry that is not sent uses no part of the retry budget

What could be seen: while no decode engine granted a reservation, each stream whose engine had failed used up a call of the retry budget and was then refused, without any call to an engine. Later streams could not be retried although the budget allowed it. The same happened to a replacement whose engine left before the stream was sent.

Cause: the budget was charged when a retry was decided on, before its reservation.

Fix: a part of the budget is kept when a retry or a replacement is decided on, counted right before the call is sent, and returned if the request ends before. An attempt that has sent nothing leaves its part to the next one.

Ruled out: counting after the call, since a stream lasts longer than the window of the budget. A call that could not connect still counts; nothing has arrived then, so that the budget is used too carefully.

--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -31,10 +31,11 @@
 	possibleRuns  int         // Number of engines that may have run the request.
 	failedAnswer  *callResult // The last complete error answer of an engine after which a retry was tried; otherwise nil.
 
-	prefilled    bool               // A prefill engine has prefilled the prompt in this or an earlier attempt.
-	replacement  *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
-	stalledAt    ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
-	localPrefill *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
+	prefilled      bool               // A prefill engine has prefilled the prompt in this or an earlier attempt.
+	replacement    *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
+	stalledAt      ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
+	holdsExtraCall bool               // A part of the retry budget is kept for the next call to a decode engine.
+	localPrefill   *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
 }
 
 // serveModel serves the request by the engines of a model service, with retries. If an engine
@@ -43,6 +44,7 @@
 	s := &stream{job: j}
 	s.splitter.lastID = j.LastEventID
 	defer s.discardReplacement()
+	defer s.returnExtraCall()
 	err := s.serve(ctx)
 	if err == nil || s.failedAnswer == nil || s.headSent || fault.Is(err, fault.CallerGone) {
 		return err
@@ -90,8 +92,8 @@
 	return f
 }
 
-// mayRetry reports whether the request may be sent to another engine after an error. A
-// permitted retry is taken out of the retry budget.
+// mayRetry reports whether the request may be sent to another engine after an error. A part
+// of the retry budget is kept for a permitted retry until it is sent.
 func (s *stream) mayRetry(err error) bool {
 	f := fault.From(err)
 	if f.Kind == fault.Overloaded || f.Kind == fault.CallerGone {
@@ -106,7 +108,7 @@
 	if s.headSent && !s.isEventStream {
 		return false
 	}
-	return s.callCount == 0 || s.router.takeExtraCall(s.service.Name)
+	return s.callCount == 0 || s.holdExtraCall()
 }
 
 // attempt makes one attempt: it reserves memory at a decode engine, has the prompt
@@ -150,6 +152,7 @@
 		s.localPrefill = s.beginLocalPrefill(e)
 		defer s.endLocalPrefill()
 	}
+	s.useExtraCall()
 	err := s.send(ctx, e, call)
 	reserved.sent = err == nil || fault.From(err).Ran != fault.NotRun
 	if err == nil {
--- a/core/forward/retrybudget.go
+++ b/core/forward/retrybudget.go
@@ -74,6 +74,15 @@
 	return true
 }
 
+// holdExtraCallAnyway keeps a part of the retry budget for an extra call, even if the budget
+// is used up.
+func (r *Router) holdExtraCallAnyway(service ident.ServiceID) {
+	b := &r.retryBudget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window(service).heldCalls++
+}
+
 // useExtraCall counts an extra call for which holdExtraCall has kept a part of the budget.
 func (r *Router) useExtraCall(service ident.ServiceID) {
 	b := &r.retryBudget
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -257,8 +257,8 @@
 	s.replacement = nil
 }
 
-// useReplacement returns the reservation with which a stalled stream is resumed, and
-// counts the extra call. It returns false if there is none.
+// useReplacement returns the reservation with which a stalled stream is resumed, and takes
+// over its part of the retry budget. It returns false if there is none.
 func (s *stream) useReplacement() (decodeReservation, bool) {
 	if s.replacement == nil {
 		return decodeReservation{}, false
@@ -266,16 +266,44 @@
 	reserved := *s.replacement
 	s.replacement = nil
 	s.stalledAt = s.lastEngine
-	s.router.useExtraCall(s.service.Name)
+	s.holdsExtraCall = true
 	return reserved, true
 }
 
 // returnToStalled permits another attempt after a replacement that has not run, also at the
-// engine whose call was cancelled for it. The attempt is charged to the retry budget even if
-// that is used up: the engine would have gone on without this program's decision.
+// engine whose call was cancelled for it. Its call is made even if the retry budget is used
+// up: the engine would have gone on without this program's decision.
 func (s *stream) returnToStalled() bool {
 	delete(s.tried, s.stalledAt)
 	s.stalledAt = ""
-	s.router.chargeExtraCall(s.service.Name)
+	if !s.holdsExtraCall {
+		s.router.holdExtraCallAnyway(s.service.Name)
+		s.holdsExtraCall = true
+	}
 	return true
 }
+
+// holdExtraCall keeps a part of the retry budget for the call of the next attempt, unless an
+// attempt that has sent nothing has left one. It returns false if the budget is used up.
+func (s *stream) holdExtraCall() bool {
+	if !s.holdsExtraCall {
+		s.holdsExtraCall = s.router.holdExtraCall(s.service.Name)
+	}
+	return s.holdsExtraCall
+}
+
+// useExtraCall counts the call that is about to be sent, if it is an extra call.
+func (s *stream) useExtraCall() {
+	if s.holdsExtraCall {
+		s.holdsExtraCall = false
+		s.router.useExtraCall(s.service.Name)
+	}
+}
+
+// returnExtraCall returns the part of the retry budget of a call that was not sent.
+func (s *stream) returnExtraCall() {
+	if s.holdsExtraCall {
+		s.holdsExtraCall = false
+		s.router.returnExtraCall(s.service.Name)
+	}
+}
