forward: a stalled stream asks for reservations in its turn

What could be seen: when an engine with many streams fell silent, each of them asked the other decode engines for a reservation every 200 ms, beside the requests that wait in order. They took memory before cheaper requests that were waiting for it, and the engines got a call from each at the same moment.

Cause: the stall monitor asked without a place in the queue of the service.

Fix: it takes a place while it asks. It counts as on time for as long as a resumed answer may wait (1 s after the stall), and then comes after the requests that are on time. The line "stream stalled" has the reason.

Ruled out: the time objective of the route as its limit. It is for the first event and has mostly passed, so that the stream would never ask while other requests are refused.

The limit of three requests that ask at the same time is not exact, as before: a cheaper request that arrives later is not held up by dearer ones that are asking.

Evidence: TestStalledStreamAsksInTurn failed on the code before and passes now, 20 times with -race.

--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -69,7 +69,7 @@
 	r := s.router
 	started := r.now()
 	defer func() { r.counters.reserveWait.UpdateSince(started) }()
-	w := &waiter{cost: float64(s.reservationSize()) * float64(s.reservedOutput()), reserveBy: s.reserveBy()}
+	w := &waiter{cost: s.reservationCost(), reserveBy: s.reserveBy()}
 	queue := r.reserveQueues.enqueue(s.service.Name, w)
 	defer queue.remove(w)
 	waitUntil := s.waitDeadline()
@@ -96,6 +96,11 @@
 	}
 }
 
+// reservationCost returns the cost of the stream's reservation for the order of waiters.
+func (j *job) reservationCost() float64 {
+	return float64(j.reservationSize()) * float64(j.reservedOutput())
+}
+
 // reserveBy returns the time until which a reservation is early enough for a first event
 // within the route's time objective.
 func (s *stream) reserveBy() time.Time {
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -42,6 +42,7 @@
 	errNoFurtherRun    = errors.New("the request may not be sent to another engine")
 	errNoRetryBudget   = errors.New("the retry budget is used up")
 	errNoReservation   = errors.New("no other decode engine granted a reservation")
+	errOthersFirst     = errors.New("other requests ask for reservations first")
 	errStreamContinued = errors.New("the engine has continued")
 )
 
@@ -223,9 +224,9 @@
 			s.router.returnExtraCall(s.service.Name)
 		}
 	}()
-	reserved, ok := s.tryReserve(ctx)
-	if !ok {
-		return errNoReservation
+	reserved, err := m.reserve(ctx, stalledAt)
+	if err != nil {
+		return err
 	}
 	if replaced = m.cancelIfStalled(stalledAt, reserved); !replaced {
 		s.endReservation(&reserved)
@@ -234,6 +235,23 @@
 	return nil
 }
 
+// reserve asks other engines for a reservation once, if it is the turn of the stream.
+func (m *stallMonitor) reserve(ctx context.Context, stalledAt time.Time) (decodeReservation, error) {
+	s := m.stream
+	w := &waiter{cost: s.reservationCost(), reserveBy: stalledAt.Add(maxResumeWait)}
+	queue := s.router.reserveQueues.enqueue(s.service.Name, w)
+	defer queue.remove(w)
+	if !queue.mayReserve(w, s.router.now()) {
+		return decodeReservation{}, errOthersFirst
+	}
+	reserved, ok := s.tryReserve(ctx)
+	if !ok {
+		queue.recordRefusal(s.router.now())
+		return decodeReservation{}, errNoReservation
+	}
+	return reserved, nil
+}
+
 // cancelIfStalled cancels the call, unless data has arrived after the given stall.
 func (m *stallMonitor) cancelIfStalled(stalledAt time.Time, replacement decodeReservation) bool {
 	m.mu.Lock()
