forward: a broken answer is not behind its objective for the first event

What callers could see: a stream that could be resumed broke off, and was aborted 1 s later although an engine had free memory. Its first event was there, but the time objective for it had passed, so that the stream counted as late: a late request does not ask while other requests of the service have been refused within 300 ms, and comes after all others.

Cause: the place in the queue followed from the objective for the first event also for an answer that has begun. waitDeadline has that case already.

Fix: an answer that has begun is on time until it is given up.

Evidence: TestBrokenStreamIsNotLate failed on the code before and passes now, 20 times with -race.

--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -102,8 +102,11 @@
 }
 
 // reserveBy returns the time until which a reservation is early enough for a first event
-// within the route's time objective.
+// within the route's time objective. An answer that has begun has no such objective left.
 func (s *stream) reserveBy() time.Time {
+	if s.headSent {
+		return s.waitDeadline()
+	}
 	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
 	need := time.Duration(prefillTimeMargin*float64(s.prefillTime(s.PromptTokens, 1))) + firstEventTime
 	return s.Received.Add(objective - need)
--- a/core/forward/resumequeue_test.go
+++ b/core/forward/resumequeue_test.go
@@ -50,3 +50,33 @@
 		}
 	}
 }
+
+// TestBrokenStreamIsNotLate guards against an answer that is aborted although an engine has
+// free memory: its caller still waits, but the time objective for its first event has passed,
+// and requests that have missed theirs do not ask while others are refused.
+func TestBrokenStreamIsNotLate(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	others := h.router.reserveQueues.enqueue("model", &waiter{cost: 1e12, reserveBy: time.Now().Add(time.Minute)})
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(lateRefusalPause / 10):
+				others.recordRefusal(time.Now())
+			}
+		}
+	}()
+	h.send = func(n int, c Call, sink Sink) error {
+		if n > 1 {
+			return sendStream(c, sink, 0, 0)
+		}
+		_ = sendAnswer(sink, 200, eventText(1))
+		time.Sleep(400 * time.Millisecond) // Longer than the objective of the route.
+		return errBroken
+	}
+	checkComplete(t, h.serve("resume"))
+}
