peer: panics are contained by core/contain, also in reading

What could be seen: a panic while the bytes of another instance were read (the handshake, a call's header) would have ended the process, and again after each restart as long as that instance calls. None is known. A panic of a handler was contained, by a recover of its own that counted nothing.

Cause: three goroutines that read what other instances send ran without a boundary.

Fix: they and the handlers run inside contain.Boundary. The counter Peer.ContainedPanics has their number.

Ruled out: containing panics inside yamux, whose goroutines are its own.

Evidence: TestPanicInReadingEndsOnlyItsStream ended the test process without the boundary of the reading goroutine, and passes now, 20 times with -race with the test of handlers.

--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -74,6 +74,8 @@
 	bytesOut    metrics.Counter
 	bytesIn     metrics.Counter
 	dials       metrics.Counter
+
+	containedPanics metrics.Counter
 }
 
 // Option configures Links.
@@ -99,6 +101,8 @@
 		bytesOut:    metrics.GetOrRegisterCounter("Peer.BytesOut", r),
 		bytesIn:     metrics.GetOrRegisterCounter("Peer.BytesIn", r),
 		dials:       metrics.GetOrRegisterCounter("Peer.Dials", r),
+
+		containedPanics: metrics.GetOrRegisterCounter("Peer.ContainedPanics", r),
 	}
 }
 
@@ -153,7 +157,7 @@
 		l.wg.Add(1)
 		go func() {
 			defer l.wg.Done()
-			l.serveConn(conn)
+			_ = l.contain("connection", func() { l.serveConn(conn) }) // A panic is logged and closes the connection.
 		}()
 	}
 }
--- a/io/peer/panic_test.go
+++ b/io/peer/panic_test.go
@@ -1,9 +1,15 @@
 package peer
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"net"
+	"strings"
 	"testing"
 
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/fault"
@@ -24,3 +30,33 @@
 	}
 	checkEcho(t, a, address)
 }
+
+// panickingConn is a connection on which each read panics.
+type panickingConn struct{ net.Conn }
+
+func (panickingConn) Read([]byte) (int, error) { panic("odd bytes") }
+
+// TestPanicInReadingEndsOnlyItsStream guards against bytes of another instance that end the
+// process in one of the goroutines that read them, where no handler's recover reaches.
+func TestPanicInReadingEndsOnlyItsStream(t *testing.T) {
+	var logged bytes.Buffer
+	registry := metrics.NewRegistry()
+	l := New("a-1", "d1", log.NewLogfmtLogger(log.NewSyncWriter(&logged)), WithMetrics(registry))
+	t.Cleanup(func() { _ = l.Close() })
+	for name, serve := range map[string]func(net.Conn){
+		"stream":     func(c net.Conn) { l.serveStream(c, "b-1") },
+		"connection": l.serveConn,
+	} {
+		near, far := net.Pipe()
+		served := make(chan struct{})
+		l.wg.Go(func() {
+			defer close(served)
+			_ = l.contain(name, func() { serve(panickingConn{near}) })
+		})
+		_, _ = io.Copy(io.Discard, far) // Ends when the connection is closed.
+		<-served
+	}
+	if n := metrics.GetOrRegisterCounter("Peer.ContainedPanics", registry).Count(); n != 2 || strings.Count(logged.String(), "panic contained") != 2 {
+		t.Errorf("%d panics counted, want 2; log: %s", n, logged.String())
+	}
+}
--- a/io/peer/serve.go
+++ b/io/peer/serve.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -12,6 +10,7 @@
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/contain"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -37,6 +36,12 @@
 	return l.handlers[method]
 }
 
+// contain runs a step of the work on what other instances send. A panic ends only the step:
+// otherwise an instance would end each one that it calls.
+func (l *Links) contain(step string, f func()) error {
+	return contain.Boundary{Log: l.log, Panics: l.metrics.containedPanics}.Run(step, f)
+}
+
 // serveSession accepts streams and serves their calls until the session ends.
 func (l *Links) serveSession(session *yamux.Session, from ident.InstanceID) {
 	for {
@@ -47,7 +52,7 @@
 		l.wg.Add(1)
 		go func() {
 			defer l.wg.Done()
-			l.serveStream(stream, from)
+			_ = l.contain("stream", func() { l.serveStream(stream, from) }) // A panic is logged and closes the stream.
 		}()
 	}
 }
@@ -64,7 +69,7 @@
 		defer l.wg.Done()
 		// The end of the stream cancels the running handler.
 		defer cancel()
-		readCalls(ctx, stream, calls)
+		_ = l.contain("stream", func() { readCalls(ctx, stream, calls) }) // A panic is logged and closes the stream.
 	}()
 	for {
 		select {
@@ -111,18 +116,20 @@
 }
 
 // runHandler runs the handler of a call and returns its reply. A panic of the handler ends
-// only the call: otherwise the calling instance would end each instance that it calls.
+// only the call.
 func (l *Links) runHandler(ctx context.Context, from ident.InstanceID, header *CallHeader) (reply *Reply) {
 	h := l.handlerFor(header.GetMethod())
 	if h == nil {
 		return failureReply(fault.New(fault.NotFound, "unknown method %s", header.GetMethod()))
 	}
-	defer func() {
-		if cause := recover(); cause != nil {
-			_ = level.Error(l.log).Log("msg", event.PanicContained, "step", header.GetMethod(), "err", fmt.Sprintf("%.200v", cause), "stack", string(debug.Stack()))
-			reply = failureReply(fault.New(fault.Internal, "the handler of %s panicked", header.GetMethod()))
-		}
-	}()
+	if err := l.contain(header.GetMethod(), func() { reply = callHandler(ctx, h, from, header) }); err != nil {
+		return failureReply(err)
+	}
+	return reply
+}
+
+// callHandler calls the handler of a call and encodes its reply.
+func callHandler(ctx context.Context, h link.Handler, from ident.InstanceID, header *CallHeader) *Reply {
 	resp, err := h(ctx, from, header.GetPayload())
 	if err != nil {
 		return failureReply(err)
