--- a/core/budget/messages.go
+++ b/core/budget/messages.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -29,6 +32,9 @@
 	}
 }
 
+// maxIntervalRate bounds the rate of a received interval, so that sums of tokens are finite.
+const maxIntervalRate = 1e12
+
 // decodeAges decodes and validates the protobuf form of an interval.
 func decodeAges(m *AgedInterval) (IntervalAges, error) {
 	a := IntervalAges{
@@ -37,7 +43,7 @@
 		Rate:   ident.TokensPerSecond(m.GetTokensPerSecond()),
 	}
 	ordered := 0 <= a.Newest && a.Newest <= a.Oldest && a.Oldest <= maxIntervalLength
-	if !ordered || !(a.Rate > 0) {
+	if !ordered || !(a.Rate > 0 && a.Rate <= maxIntervalRate) {
 		return IntervalAges{}, fault.New(fault.BadRequest, "malformed token interval: ages %v to %v, rate %v", a.Oldest, a.Newest, a.Rate)
 	}
 	return a, nil
@@ -54,16 +60,18 @@
 	return s
 }
 
-// decodeStock decodes received tokens. sentAt is the receiver's time before
-// it sent the request, so before the tokens can have been sent.
-func decodeStock(s *Stock, sentAt Instant) ([]Interval, error) {
+// decodeStock decodes the tokens received from an instance, without those that are out of range.
+// sentAt is the receiver's time before it sent the request, so before the tokens can have been
+// sent.
+func (b *Budget) decodeStock(from ident.InstanceID, s *Stock, sentAt Instant) []Interval {
 	list := make([]Interval, 0, len(s.GetIntervals()))
 	for _, m := range s.GetIntervals() {
 		a, err := decodeAges(m)
 		if err != nil {
-			return nil, err
+			_ = level.Warn(b.log).Log("msg", event.PeerRecordIgnored, "from", string(from), "record", "tokens", "err", err)
+			continue
 		}
 		list = append(list, a.interval(sentAt))
 	}
-	return list, nil
+	return list
 }
--- a/core/engineapi/state.go
+++ b/core/engineapi/state.go
@@ -1,6 +1,12 @@
 package engineapi
 
-import "monsoonfork/core/ident"
+import (
+	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+)
+
+// maxLoadCount bounds each count of a load report, so that sums of counts don't overflow.
+const maxLoadCount = 1_000_000_000
 
 // HeldRequest is an entry of an engine's list of the requests that it holds.
 type HeldRequest struct {
@@ -19,6 +25,16 @@
 	ReportedUnixMS int64        `json:"reported_unix_ms"`
 }
 
+// Check returns an error of kind AnswerBroken if a count is out of range.
+func (l Load) Check() error {
+	for _, n := range []int{l.Running, l.Waiting, int(l.PiecesUsed)} {
+		if n < 0 || n > maxLoadCount {
+			return fault.New(fault.AnswerBroken, "the engine reported a load of %d, want 0 to %d", n, maxLoadCount)
+		}
+	}
+	return nil
+}
+
 // CacheEvent is a change of an engine's prefix cache.
 type CacheEvent struct {
 	Seq         int64    `json:"seq"`
--- a/io/engine/listing.go
+++ b/io/engine/listing.go
@@ -21,8 +21,10 @@
 // Load returns an engine's newest load report.
 func (c *Client) Load(ctx context.Context, to ident.Address) (engineapi.Load, error) {
 	var load engineapi.Load
-	err := c.doShortCall(ctx, to, http.MethodGet, "/load", nil, &load, c.shortCallLimits())
-	return load, err
+	if err := c.doShortCall(ctx, to, http.MethodGet, "/load", nil, &load, c.shortCallLimits()); err != nil {
+		return engineapi.Load{}, err
+	}
+	return load, load.Check()
 }
 
 // CacheEvents returns the cache events with a sequence number above after.
