--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -42,32 +42,38 @@
 	errNoFurtherRun    = errors.New("the request may not be sent to another engine")
 	errNoRetryBudget   = errors.New("the retry budget is used up")
 	errNoReservation   = errors.New("no other decode engine granted a reservation")
+	errOthersFirst     = errors.New("other requests ask for reservations first")
 	errStreamContinued = errors.New("the engine has continued")
 )
 
-// stallMonitor detects that a resumable stream stalls, and then looks for another engine.
-// The call is cancelled only when another engine has granted a reservation; until then
-// its engine may continue.
+// stallMonitor detects that a resumable stream stalls, or that a repeatable request fails with
+// an answer that does not end, and then looks for another engine. The call is cancelled only
+// when another engine has granted a reservation; until then its engine may continue.
 type stallMonitor struct {
 	stream     *stream
 	cancelCall context.CancelCauseFunc
-	timeout    time.Duration // Longest time between two pieces of data.
+	timeout    time.Duration // Longest time between two pieces of data; 0 if silence is no stall.
 	stop       context.CancelFunc
 	running    sync.WaitGroup
+	earlier    chan struct{} // Holds an element after stallsAt has moved to an earlier time.
 
 	mu          sync.Mutex
 	stallsAt    time.Time          // The stream has stalled if no data arrives before.
+	failed      bool               // The engine has failed: data does not move stallsAt any more.
 	replacement *decodeReservation // Set when the call is cancelled.
 }
 
-// monitorStalls starts the monitor of a call whose context is ctx. Streams that can't be
-// resumed are not monitored.
+// monitorStalls starts the monitor of a call whose context is ctx. Requests that can't be
+// sent to another engine are not monitored, and silence is a stall only of streams.
 func (s *stream) monitorStalls(ctx context.Context, cancelCall context.CancelCauseFunc) *stallMonitor {
-	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
-	m := &stallMonitor{stream: s, cancelCall: cancelCall, timeout: s.stallTimeout()}
-	m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout) + s.localPrefillTime())
+	m := &stallMonitor{stream: s, cancelCall: cancelCall, stallsAt: s.deadline, earlier: make(chan struct{}, 1)}
+	if s.route.Kind == catalog.Stream {
+		objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
+		m.timeout = s.stallTimeout()
+		m.stallsAt = s.router.now().Add(max(m.timeout, objective+minStallTimeout) + s.localPrefillTime())
+	}
 	ctx, m.stop = context.WithCancel(ctx)
-	if s.route.Kind == catalog.Stream && s.repeatable() && s.route.MaxEngines > 1 {
+	if s.repeatable() && s.route.MaxEngines > 1 {
 		m.running.Go(func() {
 			_ = s.boundary().Run("stall monitor", func() { m.run(ctx) }) // A panic is logged; the call goes on unmonitored.
 		})
@@ -83,7 +89,12 @@
 	monitor := s.monitorStalls(ctx, cancel)
 	defer func() { s.replacement = monitor.close() }()
 	return s.router.Calls.Send(ctx, call, Sink{
-		OnHead: sink.OnHead,
+		OnHead: func(h Head) error {
+			if s.isRetryableFailure(h) {
+				monitor.recordFailedAnswer()
+			}
+			return sink.OnHead(h)
+		},
 		OnData: func(data []byte) error {
 			if err := monitor.recordData(); err != nil {
 				return err
@@ -127,10 +138,43 @@
 	if m.replacement != nil {
 		return errStreamStalled
 	}
-	m.stallsAt = m.stream.router.now().Add(m.timeout)
+	if m.timeout > 0 && !m.failed {
+		m.moveStall(m.stream.router.now().Add(m.timeout))
+	}
 	return nil
 }
 
+// recordFailedAnswer records that the engine has failed: the rest of its answer may take
+// failedAnswerTime.
+func (m *stallMonitor) recordFailedAnswer() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failed = true
+	m.moveStall(m.stream.router.now().Add(failedAnswerTime))
+}
+
+// moveStall sets the time at which the stream stalls. The caller must hold mu.
+func (m *stallMonitor) moveStall(at time.Time) {
+	if at.Before(m.stallsAt) {
+		select {
+		case m.earlier <- struct{}{}:
+		default:
+		}
+	}
+	m.stallsAt = at
+}
+
+// waitForStall waits for d, or until stallsAt moves to an earlier time or ctx ends.
+func (m *stallMonitor) waitForStall(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-m.earlier:
+	case <-ctx.Done():
+	}
+}
+
 // stallTime returns the time at which the stream stalls unless data arrives before.
 func (m *stallMonitor) stallTime() time.Time {
 	m.mu.Lock()
@@ -145,8 +189,7 @@
 	for ctx.Err() == nil {
 		stallsAt := m.stallTime()
 		if wait := stallsAt.Sub(m.stream.router.now()); wait > 0 {
-			// Data may move stallsAt to an earlier time, but not before now plus the timeout.
-			sleep.For(ctx, min(wait, m.timeout))
+			m.waitForStall(ctx, wait)
 			continue
 		}
 		err := m.replace(ctx, stallsAt)
@@ -181,9 +224,9 @@
 			s.router.returnExtraCall(s.service.Name)
 		}
 	}()
-	reserved, ok := s.tryReserve(ctx)
-	if !ok {
-		return errNoReservation
+	reserved, err := m.reserve(ctx, stalledAt)
+	if err != nil {
+		return err
 	}
 	if replaced = m.cancelIfStalled(stalledAt, reserved); !replaced {
 		s.endReservation(&reserved)
@@ -192,6 +235,23 @@
 	return nil
 }
 
+// reserve asks other engines for a reservation once, if it is the turn of the stream.
+func (m *stallMonitor) reserve(ctx context.Context, stalledAt time.Time) (decodeReservation, error) {
+	s := m.stream
+	w := &waiter{cost: s.reservationCost(), reserveBy: stalledAt.Add(maxResumeWait)}
+	queue := s.router.reserveQueues.enqueue(s.service.Name, w)
+	defer queue.remove(w)
+	if !queue.mayReserve(w, s.router.now()) {
+		return decodeReservation{}, errOthersFirst
+	}
+	reserved, ok := s.tryReserve(ctx)
+	if !ok {
+		queue.recordRefusal(s.router.now())
+		return decodeReservation{}, errNoReservation
+	}
+	return reserved, nil
+}
+
 // cancelIfStalled cancels the call, unless data has arrived after the given stall.
 func (m *stallMonitor) cancelIfStalled(stalledAt time.Time, replacement decodeReservation) bool {
 	m.mu.Lock()
@@ -215,8 +275,8 @@
 	s.replacement = nil
 }
 
-// useReplacement returns the reservation with which a stalled stream is resumed, and
-// counts the extra call. It returns false if there is none.
+// useReplacement returns the reservation with which a stalled stream is resumed, and takes
+// over its part of the retry budget. It returns false if there is none.
 func (s *stream) useReplacement() (decodeReservation, bool) {
 	if s.replacement == nil {
 		return decodeReservation{}, false
@@ -224,16 +284,44 @@
 	reserved := *s.replacement
 	s.replacement = nil
 	s.stalledAt = s.lastEngine
-	s.router.useExtraCall(s.service.Name)
+	s.holdsExtraCall = true
 	return reserved, true
 }
 
 // returnToStalled permits another attempt after a replacement that has not run, also at the
-// engine whose call was cancelled for it. The attempt is charged to the retry budget even if
-// that is used up: the engine would have gone on without this program's decision.
+// engine whose call was cancelled for it. Its call is made even if the retry budget is used
+// up: the engine would have gone on without this program's decision.
 func (s *stream) returnToStalled() bool {
 	delete(s.tried, s.stalledAt)
 	s.stalledAt = ""
-	s.router.chargeExtraCall(s.service.Name)
+	if !s.holdsExtraCall {
+		s.router.holdExtraCallAnyway(s.service.Name)
+		s.holdsExtraCall = true
+	}
 	return true
 }
+
+// holdExtraCall keeps a part of the retry budget for the call of the next attempt, unless an
+// attempt that has sent nothing has left one. It returns false if the budget is used up.
+func (s *stream) holdExtraCall() bool {
+	if !s.holdsExtraCall {
+		s.holdsExtraCall = s.router.holdExtraCall(s.service.Name)
+	}
+	return s.holdsExtraCall
+}
+
+// useExtraCall counts the call that is about to be sent, if it is an extra call.
+func (s *stream) useExtraCall() {
+	if s.holdsExtraCall {
+		s.holdsExtraCall = false
+		s.router.useExtraCall(s.service.Name)
+	}
+}
+
+// returnExtraCall returns the part of the retry budget of a call that was not sent.
+func (s *stream) returnExtraCall() {
+	if s.holdsExtraCall {
+		s.holdsExtraCall = false
+		s.router.returnExtraCall(s.service.Name)
+	}
+}
