--- a/cmd/monsoonfork/imports_test.go
+++ b/cmd/monsoonfork/imports_test.go
@@ -10,16 +10,9 @@
 	"testing"
 )
 
-// coreImportsIO lists the packages of core/ that are exempt from the rule not to
-// import io/. No package may be added.
-var coreImportsIO = map[string]bool{
-	"core/request": true,
-}
-
 // TestImportsFollowLayers checks that decisions stay independent of protocols: no
-// package of core/ imports platform/ or, unless it is in coreImportsIO, io/, and only
-// cmd/ and platform/ itself import platform/. Packages of lab/ may also import
-// platform/standin.
+// package of core/ imports platform/ or io/, and only cmd/ and platform/ itself import
+// platform/. Packages of lab/ may also import platform/standin.
 func TestImportsFollowLayers(t *testing.T) {
 	for _, dir := range []string{"core", "io", "lab", "platform"} {
 		err := filepath.WalkDir(root+dir, func(path string, d fs.DirEntry, err error) error {
@@ -52,7 +45,7 @@
 		if strings.HasPrefix(name, "monsoonfork/platform") && !insidePlatform && !standInForLab {
 			t.Errorf("%s imports %s", path, name)
 		}
-		if strings.HasPrefix(dir, "core/") && strings.HasPrefix(name, "monsoonfork/io/") && !coreImportsIO[dir] {
+		if strings.HasPrefix(dir, "core/") && strings.HasPrefix(name, "monsoonfork/io/") {
 			t.Errorf("%s imports %s", path, name)
 		}
 	}
--- a/core/engineapi/engineapi.go
+++ b/core/engineapi/engineapi.go
@@ -1,6 +1,6 @@
-// Package engineapi holds the queries and orders of model engines that roles use, and
-// their messages. Package io/engine carries them over HTTP; docs/PROTOCOLS.md specifies
-// the protocol.
+// Package engineapi holds the completions, queries and orders of model engines as roles use
+// them, and their messages. Package io/engine carries them over HTTP; docs/PROTOCOLS.md
+// specifies the protocol.
 package engineapi
 
 import (
--- a/io/engine/prompt.go
+++ b/core/engineapi/prompt.go
@@ -1,4 +1,4 @@
-package engine
+package engineapi
 
 import (
 	"bytes"
--- a/core/request/atmostonce.go
+++ b/core/request/atmostonce.go
@@ -6,9 +6,9 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/claims"
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
-	"monsoonfork/io/httpcall"
 )
 
 // maxBufferedAnswer is the largest answer body, in bytes, of a call that is sent at
@@ -17,14 +17,14 @@
 
 // bufferedAnswer holds an answer in memory until it is complete.
 type bufferedAnswer struct {
-	head httpcall.Head
+	head endpoint.Head
 	body []byte
 }
 
 // sink returns a sink that stores an answer in h.
-func (h *bufferedAnswer) sink() httpcall.Sink {
-	return httpcall.Sink{
-		OnHead: func(head httpcall.Head) error { h.head = head; return nil },
+func (h *bufferedAnswer) sink() endpoint.Sink {
+	return endpoint.Sink{
+		OnHead: func(head endpoint.Head) error { h.head = head; return nil },
 		OnBody: func(fragment []byte) error {
 			if len(h.body)+len(fragment) > maxBufferedAnswer {
 				return fault.New(fault.AnswerBroken, "the answer is larger than %d bytes", maxBufferedAnswer)
@@ -36,7 +36,7 @@
 }
 
 // writeTo writes the answer to a sink.
-func (h *bufferedAnswer) writeTo(sink httpcall.Sink) error {
+func (h *bufferedAnswer) writeTo(sink endpoint.Sink) error {
 	if err := sink.OnHead(h.head); err != nil {
 		return err
 	}
@@ -50,7 +50,7 @@
 // byte may have been sent, it never sends the call again. The call continues if the
 // caller disconnects, so that its outcome is recorded for a repeated call with the
 // same Idempotency-Key.
-func (s *Session) forwardAtMostOnce(call ServiceCall, sink httpcall.Sink) error {
+func (s *Session) forwardAtMostOnce(call ServiceCall, sink endpoint.Sink) error {
 	ticket, err := s.claim(call)
 	if err != nil {
 		return err
@@ -106,8 +106,8 @@
 }
 
 // replayAnswer writes the recorded answer of an earlier run of the call to the sink.
-func replayAnswer(a *claims.Answer, sink httpcall.Sink) error {
-	h := &bufferedAnswer{head: httpcall.Head{Status: a.Status, Header: map[string][]string{}}, body: a.Body}
+func replayAnswer(a *claims.Answer, sink endpoint.Sink) error {
+	h := &bufferedAnswer{head: endpoint.Head{Status: a.Status, Header: map[string][]string{}}, body: a.Body}
 	if a.ContentType != "" {
 		h.head.Header.Set("Content-Type", a.ContentType)
 	}
--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -6,12 +6,12 @@
 
 	"github.com/go-kit/log"
 
+	"monsoonfork/core/endpoint"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/placement"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
-	"monsoonfork/io/httpcall"
 )
 
 const (
@@ -123,14 +123,14 @@
 }
 
 // prefill runs the prompt, and the tokens delivered so far, on the prefill engine.
-func (a *attempt) prefill() (engine.PrefillResult, error) {
-	prefilled, err := a.session.pipeline.Prefill(a.session.ctx, a.placed.Prefill.Address, engine.PrefillCall{
+func (a *attempt) prefill() (engineapi.PrefillResult, error) {
+	prefilled, err := a.session.pipeline.Prefill(a.session.ctx, a.placed.Prefill.Address, engineapi.PrefillCall{
 		Attempt:      a.placed.ID,
 		Model:        a.Model,
 		Prompt:       a.Prompt,
 		ContinueFrom: a.delivered,
 		Priority:     a.session.Route.Priority,
-		Limits:       httpcall.Limits{ResponseDeadline: a.stageDeadline(a.estimatedPrefillTime())},
+		Limits:       endpoint.Limits{ResponseDeadline: a.stageDeadline(a.estimatedPrefillTime())},
 	})
 	a.prefillSent = a.markIfSent(err)
 	if err == nil {
@@ -141,9 +141,9 @@
 
 // decode generates the remaining tokens on the decode engine and delivers them to
 // the caller.
-func (a *attempt) decode(prefilled engine.PrefillResult) (engine.Finish, error) {
+func (a *attempt) decode(prefilled engineapi.PrefillResult) (engineapi.Finish, error) {
 	next := a.startIndex
-	finish, err := a.session.pipeline.Decode(a.session.ctx, a.placed.Decode.Address, engine.DecodeCall{
+	finish, err := a.session.pipeline.Decode(a.session.ctx, a.placed.Decode.Address, engineapi.DecodeCall{
 		Attempt:      a.placed.ID,
 		Model:        a.Model,
 		Prompt:       a.Prompt,
@@ -151,12 +151,12 @@
 		ContinueFrom: a.delivered[:a.startIndex:a.startIndex],
 		Priority:     a.session.Route.Priority,
 		Transfer:     prefilled.Transfer,
-		Limits: httpcall.Limits{
+		Limits: endpoint.Limits{
 			FirstByteDeadline: a.stageDeadline(a.estimatedTransferTime()),
 			ReadTimeout:       a.readTimeout(),
 			ResponseDeadline:  a.session.Deadline,
 		},
-	}, func(d engine.Delta) error {
+	}, func(d engineapi.Delta) error {
 		index := next
 		next += len(d.IDs)
 		return a.deliver(index, d)
--- a/core/request/completion.go
+++ b/core/request/completion.go
@@ -6,19 +6,19 @@
 
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
 	"monsoonfork/core/placement"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
 )
 
 // CompletionRequest is a request to a model service.
 type CompletionRequest struct {
 	Model     ident.ModelID
-	Prompt    engine.Prompt
+	Prompt    engineapi.Prompt
 	MaxTokens ident.Tokens
 }
 
@@ -35,7 +35,7 @@
 	session             *Session
 	model               *text.Model
 	maxPromptTokens     ident.Tokens // Upper bound on the tokens of the prompt.
-	onDelta             func(engine.Delta) error
+	onDelta             func(engineapi.Delta) error
 	delivered           []int                                   // Token ids delivered to the caller.
 	avoidedEngines      []ident.EndpointID                      // Engines that failed in earlier attempts; placement excludes them.
 	countedPromptTokens ident.Tokens                            // Prompt tokens as counted by a prefill engine; 0 until one reported them.
@@ -45,7 +45,7 @@
 // Complete runs a completion and calls onDelta once for each delta of the answer,
 // in order. If it returns no error, the answer is complete. An error from onDelta
 // ends the request.
-func (s *Session) Complete(c CompletionRequest, onDelta func(engine.Delta) error) (CompletionResult, error) {
+func (s *Session) Complete(c CompletionRequest, onDelta func(engineapi.Delta) error) (CompletionResult, error) {
 	run := &completion{CompletionRequest: c, session: s, onDelta: onDelta}
 	if err := run.validate(); err != nil {
 		return CompletionResult{}, s.requestError(err)
@@ -206,7 +206,7 @@
 
 // deliver passes a delta to the caller. index is the position of its first token
 // in the whole answer.
-func (r *completion) deliver(index int, d engine.Delta) error {
+func (r *completion) deliver(index int, d engineapi.Delta) error {
 	if !invariant.Check(r.session.log, "TokensConsecutive", index == len(r.delivered), "index", index, "delivered", len(r.delivered)) {
 		return fault.New(fault.Internal, "received token index %d after %d delivered tokens", index, len(r.delivered))
 	}
--- a/core/request/completionlimit_test.go
+++ b/core/request/completionlimit_test.go
@@ -5,10 +5,10 @@
 	"math"
 	"testing"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/placement"
-	"monsoonfork/io/engine"
 )
 
 // TestLargestMaxTokensIsTooLarge guards against a max_tokens whose sum with the prompt's
@@ -27,7 +27,7 @@
 	}
 	for _, maxTokens := range []ident.Tokens{1001, math.MaxInt64 - 1, math.MaxInt64} {
 		s := openSession(t, p, "/m")
-		_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engine.TextPrompt("a b c"), MaxTokens: maxTokens}, func(engine.Delta) error { return nil })
+		_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engineapi.TextPrompt("a b c"), MaxTokens: maxTokens}, func(engineapi.Delta) error { return nil })
 		s.Close(err)
 		if !fault.Is(err, fault.RequestTooLarge) {
 			t.Errorf("max_tokens %d: %v, want RequestTooLarge", maxTokens, err)
--- a/core/request/forward.go
+++ b/core/request/forward.go
@@ -7,11 +7,10 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/claims"
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/text"
-	"monsoonfork/io/httpcall"
-	"monsoonfork/io/service"
 )
 
 // ServiceCall is a request to a plain service. Its header does not contain the
@@ -27,7 +26,7 @@
 // Forward sends a call to an endpoint of the plain service and writes the answer
 // to the sink. If it returns an error after the sink received the head, the answer
 // is incomplete. A call on a route that is not idempotent is sent at most once.
-func (s *Session) Forward(call ServiceCall, sink httpcall.Sink) error {
+func (s *Session) Forward(call ServiceCall, sink endpoint.Sink) error {
 	s.pipeline.retryBudget.deposit()
 	cost := s.Route.CostTokens
 	settle, err := s.admit(cost)
@@ -51,10 +50,10 @@
 
 // forwardIdempotent tries endpoints until one answers, and streams the answer to
 // the sink.
-func (s *Session) forwardIdempotent(call ServiceCall, sink httpcall.Sink) error {
+func (s *Session) forwardIdempotent(call ServiceCall, sink endpoint.Sink) error {
 	headSent := false
-	streaming := httpcall.Sink{
-		OnHead: func(h httpcall.Head) error { headSent = true; return sink.OnHead(h) },
+	streaming := endpoint.Sink{
+		OnHead: func(h endpoint.Head) error { headSent = true; return sink.OnHead(h) },
 		OnBody: sink.OnBody,
 	}
 	return s.tryEndpoints(s.ctx, call, streaming, func(err *fault.Error) bool {
@@ -65,7 +64,7 @@
 // tryEndpoints calls one endpoint after another, at most maxAttempts of them. If no
 // byte of the call reached an endpoint, it always tries the next one; after any
 // other failure it does so only if mayRetry returns true.
-func (s *Session) tryEndpoints(ctx context.Context, call ServiceCall, sink httpcall.Sink, mayRetry func(*fault.Error) bool) error {
+func (s *Session) tryEndpoints(ctx context.Context, call ServiceCall, sink endpoint.Sink, mayRetry func(*fault.Error) bool) error {
 	candidates := s.pipeline.endpoints.candidates(s.Service, s.pipeline.domain, s.pipeline.now())
 	if len(candidates) > maxAttempts {
 		candidates = candidates[:maxAttempts]
@@ -100,8 +99,8 @@
 
 // callEndpoint sends the call to one endpoint, and marks the request as sent if a
 // byte may have reached the endpoint.
-func (s *Session) callEndpoint(ctx context.Context, e text.Endpoint, call ServiceCall, sink httpcall.Sink) error {
-	err := s.pipeline.Send(ctx, e.Address, service.Call{
+func (s *Session) callEndpoint(ctx context.Context, e text.Endpoint, call ServiceCall, sink endpoint.Sink) error {
+	err := s.pipeline.Send(ctx, e.Address, endpoint.ServiceCall{
 		Method:    call.Method,
 		Target:    call.Target,
 		Header:    call.Header,
--- a/core/request/pipeline.go
+++ b/core/request/pipeline.go
@@ -13,12 +13,11 @@
 
 	"monsoonfork/core/claims"
 	"monsoonfork/core/config"
+	"monsoonfork/core/endpoint"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/placement"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
-	"monsoonfork/io/httpcall"
-	"monsoonfork/io/service"
 )
 
 // Identity identifies the key of a request and the organisation that owns it.
@@ -71,11 +70,11 @@
 	Claim func(ctx context.Context, c claims.Call) (*ClaimTicket, error)
 	// Prefill, Decode and Abort call engines. held reports whether the engine had
 	// the attempt.
-	Prefill func(ctx context.Context, to ident.Address, p engine.PrefillCall) (engine.PrefillResult, error)
-	Decode  func(ctx context.Context, to ident.Address, d engine.DecodeCall, onDelta func(engine.Delta) error) (engine.Finish, error)
+	Prefill func(ctx context.Context, to ident.Address, p engineapi.PrefillCall) (engineapi.PrefillResult, error)
+	Decode  func(ctx context.Context, to ident.Address, d engineapi.DecodeCall, onDelta func(engineapi.Delta) error) (engineapi.Finish, error)
 	Abort   func(ctx context.Context, to ident.Address, attempt string) (held bool, err error)
 	// Send calls an endpoint of a plain service.
-	Send func(ctx context.Context, to ident.Address, call service.Call, sink httpcall.Sink) error
+	Send func(ctx context.Context, to ident.Address, call endpoint.ServiceCall, sink endpoint.Sink) error
 
 	log         log.Logger
 	now         func() time.Time
--- a/core/request/request_test.go
+++ b/core/request/request_test.go
@@ -12,14 +12,13 @@
 
 	"monsoonfork/core/claims"
 	"monsoonfork/core/config"
+	"monsoonfork/core/endpoint"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/invariant"
 	"monsoonfork/core/placement"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
-	"monsoonfork/io/httpcall"
-	"monsoonfork/io/service"
 )
 
 // testConfig returns a configuration with one model service and one plain service.
@@ -56,8 +55,8 @@
 	p.Place = func(_ context.Context, r placement.Request) (*PlacedAttempt, error) {
 		return &PlacedAttempt{ID: string(r.LeaseID()), Prefill: text.Engine{Name: "p"}, Decode: text.Engine{Name: "d"}, PrefillDone: func() {}, Close: func(placement.Outcome) {}}, nil
 	}
-	p.Prefill = func(context.Context, ident.Address, engine.PrefillCall) (engine.PrefillResult, error) {
-		return engine.PrefillResult{PromptTokens: 3}, nil
+	p.Prefill = func(context.Context, ident.Address, engineapi.PrefillCall) (engineapi.PrefillResult, error) {
+		return engineapi.PrefillResult{PromptTokens: 3}, nil
 	}
 	p.Abort = func(context.Context, ident.Address, string) (bool, error) { return true, nil }
 	p.Claim = func(context.Context, claims.Call) (*ClaimTicket, error) {
@@ -96,7 +95,7 @@
 		p := newSucceedingPipeline()
 		defer p.Close()
 		attempts := 0
-		p.Decode = func(_ context.Context, _ ident.Address, d engine.DecodeCall, onDelta func(engine.Delta) error) (engine.Finish, error) {
+		p.Decode = func(_ context.Context, _ ident.Address, d engineapi.DecodeCall, onDelta func(engineapi.Delta) error) (engineapi.Finish, error) {
 			rest := expectedTokens(length)[len(d.ContinueFrom):]
 			delivered := len(rest)
 			cutOff := attempts < len(failAfter)
@@ -105,19 +104,19 @@
 			}
 			attempts++
 			for i := 0; i < delivered; i += batchSize {
-				if err := onDelta(engine.Delta{IDs: rest[i:min(i+batchSize, delivered)]}); err != nil {
-					return engine.Finish{}, err
+				if err := onDelta(engineapi.Delta{IDs: rest[i:min(i+batchSize, delivered)]}); err != nil {
+					return engineapi.Finish{}, err
 				}
 			}
 			if cutOff {
-				return engine.Finish{}, fault.New(fault.AnswerBroken, "stream ended early")
+				return engineapi.Finish{}, fault.New(fault.AnswerBroken, "stream ended early")
 			}
-			return engine.Finish{Reason: "length", Tokens: ident.Tokens(len(rest))}, nil
+			return engineapi.Finish{Reason: "length", Tokens: ident.Tokens(len(rest))}, nil
 		}
 		s := openSession(t, p, "/m")
 		var got []int
-		finished, err := s.Complete(CompletionRequest{Model: "m", Prompt: engine.TextPrompt("a b c"), MaxTokens: length},
-			func(d engine.Delta) error { got = append(got, d.IDs...); return nil })
+		finished, err := s.Complete(CompletionRequest{Model: "m", Prompt: engineapi.TextPrompt("a b c"), MaxTokens: length},
+			func(d engineapi.Delta) error { got = append(got, d.IDs...); return nil })
 		s.Close(err)
 		for i, id := range got {
 			if id != expectedTokens(length)[i] {
@@ -140,7 +139,7 @@
 		p := newSucceedingPipeline()
 		defer p.Close()
 		calls, reached := 0, 0
-		p.Send = func(context.Context, ident.Address, service.Call, httpcall.Sink) error {
+		p.Send = func(context.Context, ident.Address, endpoint.ServiceCall, endpoint.Sink) error {
 			reaches := arrivals[calls%len(arrivals)]
 			calls++
 			if !reaches {
@@ -150,7 +149,7 @@
 			return fault.New(fault.EndpointFailed, "no answer")
 		}
 		s := openSession(t, p, path)
-		err := s.Forward(ServiceCall{Method: "POST", Target: path, IdempotencyKey: "i"}, httpcall.Sink{OnHead: func(httpcall.Head) error { return nil }})
+		err := s.Forward(ServiceCall{Method: "POST", Target: path, IdempotencyKey: "i"}, endpoint.Sink{OnHead: func(endpoint.Head) error { return nil }})
 		s.Close(err)
 		saysNotRun := fault.From(err).Ran == fault.NotRun
 		if path == "/book" && reached > 1 {
@@ -199,15 +198,15 @@
 		}}, nil
 	}
 	s := openSession(t, p, "/m")
-	p.Decode = func(ctx context.Context, _ ident.Address, d engine.DecodeCall, _ func(engine.Delta) error) (engine.Finish, error) {
+	p.Decode = func(ctx context.Context, _ ident.Address, d engineapi.DecodeCall, _ func(engineapi.Delta) error) (engineapi.Finish, error) {
 		if held := p.ServesAttempts([]string{d.Attempt, "other"}); !held[0] || held[1] {
 			t.Errorf("served attempts %v while the attempt runs, want [true false]", held)
 		}
 		s.Cancel(fault.New(fault.CallerGone, "caller disconnected"))
 		<-ctx.Done()
-		return engine.Finish{}, fault.From(context.Cause(ctx))
+		return engineapi.Finish{}, fault.From(context.Cause(ctx))
 	}
-	_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engine.TextPrompt("a"), MaxTokens: 5}, func(engine.Delta) error { return nil })
+	_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engineapi.TextPrompt("a"), MaxTokens: 5}, func(engineapi.Delta) error { return nil })
 	s.Close(err)
 	if f := fault.From(err); f.Kind != fault.CallerGone || f.Ran != fault.MayHaveRun {
 		t.Errorf("error kind %v, ran %v; want CallerGone and MayHaveRun", f.Kind, f.Ran)
@@ -265,17 +264,17 @@
 				charged = cost
 				return func(u ident.Tokens) { used = u }, nil
 			}
-			p.Prefill = func(context.Context, ident.Address, engine.PrefillCall) (engine.PrefillResult, error) {
-				return engine.PrefillResult{PromptTokens: 3}, tc.prefillErr
+			p.Prefill = func(context.Context, ident.Address, engineapi.PrefillCall) (engineapi.PrefillResult, error) {
+				return engineapi.PrefillResult{PromptTokens: 3}, tc.prefillErr
 			}
 			if tc.placeErr != nil {
 				p.Place = func(context.Context, placement.Request) (*PlacedAttempt, error) { return nil, tc.placeErr }
 			}
-			p.Decode = func(_ context.Context, _ ident.Address, _ engine.DecodeCall, onDelta func(engine.Delta) error) (engine.Finish, error) {
-				return engine.Finish{Reason: "stop"}, onDelta(engine.Delta{IDs: expectedTokens(4)})
+			p.Decode = func(_ context.Context, _ ident.Address, _ engineapi.DecodeCall, onDelta func(engineapi.Delta) error) (engineapi.Finish, error) {
+				return engineapi.Finish{Reason: "stop"}, onDelta(engineapi.Delta{IDs: expectedTokens(4)})
 			}
 			s := openSession(t, p, "/m")
-			_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engine.TextPrompt("a b c"), MaxTokens: 10}, func(engine.Delta) error { return nil })
+			_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engineapi.TextPrompt("a b c"), MaxTokens: 10}, func(engineapi.Delta) error { return nil })
 			s.Close(err)
 			if charged != 15 || used != tc.wantUsed {
 				t.Errorf("charged %d and settled %d tokens, want 15 and %d (error %v)", charged, used, tc.wantUsed, err)
@@ -300,7 +299,7 @@
 		return nil, fault.From(context.Cause(ctx))
 	}
 	s := openSession(t, p, "/m")
-	_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engine.TextPrompt("a"), MaxTokens: 1}, nil)
+	_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engineapi.TextPrompt("a"), MaxTokens: 1}, nil)
 	s.Close(err)
 	if f := fault.From(err); f.Kind != fault.KeyWithdrawn || f.Ran != fault.NotRun {
 		t.Errorf("error kind %v, ran %v; want KeyWithdrawn and NotRun", f.Kind, f.Ran)
@@ -321,7 +320,7 @@
 		<-ctx.Done()
 		return nil, fault.From(ctx.Err())
 	}
-	_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engine.TextPrompt("a"), MaxTokens: 1}, nil)
+	_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engineapi.TextPrompt("a"), MaxTokens: 1}, nil)
 	s.Close(err)
 	if f := fault.From(err); f.Kind != fault.KeyWithdrawn || f.Ran != fault.NotRun {
 		t.Errorf("error kind %v, ran %v; want KeyWithdrawn and NotRun", f.Kind, f.Ran)
--- a/core/request/silence_test.go
+++ b/core/request/silence_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/engine"
 )
 
 // TestLastAttemptOutlastsSilence has the engines of all attempts but the last fail, and those of
@@ -19,34 +19,34 @@
 	p := newSucceedingPipeline()
 	defer p.Close()
 	attempts := 0
-	p.Prefill = func(_ context.Context, _ ident.Address, c engine.PrefillCall) (engine.PrefillResult, error) {
+	p.Prefill = func(_ context.Context, _ ident.Address, c engineapi.PrefillCall) (engineapi.PrefillResult, error) {
 		attempts++
 		if attempts < maxAttempts {
-			return engine.PrefillResult{}, fault.New(fault.EndpointFailed, "cut")
+			return engineapi.PrefillResult{}, fault.New(fault.EndpointFailed, "cut")
 		}
 		time.Sleep(pause)
 		if time.Now().After(c.Limits.ResponseDeadline) {
-			return engine.PrefillResult{}, fault.New(fault.EndpointTimeout, "no answer to the prefill")
+			return engineapi.PrefillResult{}, fault.New(fault.EndpointTimeout, "no answer to the prefill")
 		}
-		return engine.PrefillResult{PromptTokens: 3}, nil
+		return engineapi.PrefillResult{PromptTokens: 3}, nil
 	}
-	p.Decode = func(_ context.Context, _ ident.Address, d engine.DecodeCall, onDelta func(engine.Delta) error) (engine.Finish, error) {
+	p.Decode = func(_ context.Context, _ ident.Address, d engineapi.DecodeCall, onDelta func(engineapi.Delta) error) (engineapi.Finish, error) {
 		time.Sleep(pause)
 		if first := d.Limits.FirstByteDeadline; !first.IsZero() && time.Now().After(first) {
-			return engine.Finish{}, fault.New(fault.EndpointTimeout, "no first token")
+			return engineapi.Finish{}, fault.New(fault.EndpointTimeout, "no first token")
 		}
-		if err := onDelta(engine.Delta{IDs: []int{100}}); err != nil {
-			return engine.Finish{}, err
+		if err := onDelta(engineapi.Delta{IDs: []int{100}}); err != nil {
+			return engineapi.Finish{}, err
 		}
 		if d.Limits.ReadTimeout > 0 && d.Limits.ReadTimeout < pause {
-			return engine.Finish{}, fault.New(fault.EndpointTimeout, "no token in time")
+			return engineapi.Finish{}, fault.New(fault.EndpointTimeout, "no token in time")
 		}
-		err := onDelta(engine.Delta{IDs: []int{101}})
-		return engine.Finish{Reason: "length", Tokens: 2}, err
+		err := onDelta(engineapi.Delta{IDs: []int{101}})
+		return engineapi.Finish{Reason: "length", Tokens: 2}, err
 	}
 	s := openSession(t, p, "/m")
 	got := 0
-	_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engine.TextPrompt("a b c"), MaxTokens: 2}, func(d engine.Delta) error { got += len(d.IDs); return nil })
+	_, err := s.Complete(CompletionRequest{Model: "m", Prompt: engineapi.TextPrompt("a b c"), MaxTokens: 2}, func(d engineapi.Delta) error { got += len(d.IDs); return nil })
 	s.Close(err)
 	if err != nil || got != 2 {
 		t.Errorf("%d tokens, %v; want 2 tokens", got, err)
--- a/io/caller/completion.go
+++ b/io/caller/completion.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"strings"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/request"
-	"monsoonfork/io/engine"
 )
 
 // defaultMaxTokens applies to a request without max_tokens.
@@ -21,11 +21,11 @@
 
 // completionRequest is the body of POST /v1/completions. Other fields are ignored.
 type completionRequest struct {
-	Model     ident.ModelID  `json:"model"`
-	Prompt    *engine.Prompt `json:"prompt"`
-	MaxTokens *ident.Tokens  `json:"max_tokens"`
-	Stream    bool           `json:"stream"`
-	N         *int           `json:"n"`
+	Model     ident.ModelID     `json:"model"`
+	Prompt    *engineapi.Prompt `json:"prompt"`
+	MaxTokens *ident.Tokens     `json:"max_tokens"`
+	Stream    bool              `json:"stream"`
+	N         *int              `json:"n"`
 }
 
 // chatRequest is the body of POST /v1/chat/completions.
@@ -115,7 +115,7 @@
 	if limit == nil {
 		limit = c.MaxTokens
 	}
-	call, err := newCompletionCall(c.Model, engine.TextPrompt(chatPrompt(c.Messages)), limit, c.N, c.Stream)
+	call, err := newCompletionCall(c.Model, engineapi.TextPrompt(chatPrompt(c.Messages)), limit, c.N, c.Stream)
 	call.chat = true
 	return call, err
 }
@@ -136,7 +136,7 @@
 }
 
 // newCompletionCall validates the fields that both APIs have in common.
-func newCompletionCall(model ident.ModelID, prompt engine.Prompt, limit *ident.Tokens, n *int, stream bool) (completionCall, error) {
+func newCompletionCall(model ident.ModelID, prompt engineapi.Prompt, limit *ident.Tokens, n *int, stream bool) (completionCall, error) {
 	if model == "" {
 		return completionCall{}, fault.New(fault.BadRequest, "model is missing")
 	}
--- a/io/caller/completionfuzz_test.go
+++ b/io/caller/completionfuzz_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
-	"monsoonfork/io/engine"
 )
 
 // fuzzCompletions are bodies of completion requests.
@@ -35,7 +35,7 @@
 	if err != nil {
 		t.Fatalf("prompt of %.200q: %v", body, err)
 	}
-	var received engine.Prompt
+	var received engineapi.Prompt
 	if err := json.Unmarshal(sent, &received); err != nil {
 		t.Fatalf("prompt %.200q: %v", sent, err)
 	}
--- a/io/caller/plain.go
+++ b/io/caller/plain.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/request"
 	"monsoonfork/io/httpcall"
@@ -34,7 +35,7 @@
 		Header:         c.forwardHeaders(x.req),
 		Body:           body,
 		IdempotencyKey: key,
-	}, httpcall.Sink{OnHead: res.onHead, OnBody: res.onBody})
+	}, endpoint.Sink{OnHead: res.onHead, OnBody: res.onBody})
 	if err != nil {
 		return err
 	}
@@ -60,12 +61,12 @@
 // maxBufferedBytes.
 type plainResponse struct {
 	*exchange
-	head     httpcall.Head
+	head     endpoint.Head
 	buffered []byte
 }
 
 // onHead records the status and headers of the endpoint's response.
-func (a *plainResponse) onHead(h httpcall.Head) error {
+func (a *plainResponse) onHead(h endpoint.Head) error {
 	a.head = h
 	return a.checkCaller()
 }
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/request"
-	"monsoonfork/io/engine"
 	"monsoonfork/io/httpcall"
 )
 
@@ -67,7 +67,7 @@
 // writeComplete collects the generated text and sends it as one JSON response.
 func (a *modelResponse) writeComplete() error {
 	var text strings.Builder
-	result, err := a.session.Complete(a.call.CompletionRequest, func(d engine.Delta) error {
+	result, err := a.session.Complete(a.call.CompletionRequest, func(d engineapi.Delta) error {
 		text.WriteString(d.Text)
 		return a.checkCaller()
 	})
@@ -94,7 +94,7 @@
 // stream has begun, it sends an error event as the last one, without [DONE].
 func (a *modelResponse) writeStream() error {
 	first := true
-	result, err := a.session.Complete(a.call.CompletionRequest, func(d engine.Delta) error {
+	result, err := a.session.Complete(a.call.CompletionRequest, func(d engineapi.Delta) error {
 		if err := a.checkCaller(); err != nil {
 			return err
 		}
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -75,7 +76,7 @@
 
 // newCompletionCall returns the HTTP call for the prefill or decode phase of a
 // completion.
-func (c *Client) newCompletionCall(to ident.Address, attempt string, limits httpcall.Limits, body any) (httpcall.Call, error) {
+func (c *Client) newCompletionCall(to ident.Address, attempt string, limits endpoint.Limits, body any) (httpcall.Call, error) {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return httpcall.Call{}, fault.Wrap(err, fault.Internal, "cannot encode the completion request").WithRan(fault.NotRun)
@@ -95,13 +96,13 @@
 }
 
 // shortCallLimits returns the time limits of a short call that starts now.
-func (c *Client) shortCallLimits() httpcall.Limits {
+func (c *Client) shortCallLimits() endpoint.Limits {
 	now := c.now()
-	return httpcall.Limits{ConnectDeadline: now.Add(connectTimeout), ResponseDeadline: now.Add(shortCallTimeout)}
+	return endpoint.Limits{ConnectDeadline: now.Add(connectTimeout), ResponseDeadline: now.Add(shortCallTimeout)}
 }
 
 // doShortCall makes a call with a small response and decodes it into response.
-func (c *Client) doShortCall(ctx context.Context, to ident.Address, method, target string, body, response any, limits httpcall.Limits) error {
+func (c *Client) doShortCall(ctx context.Context, to ident.Address, method, target string, body, response any, limits endpoint.Limits) error {
 	call, err := c.newShortCall(to, method, target, body, limits)
 	if err != nil {
 		return err
@@ -112,7 +113,7 @@
 // newShortCall returns an HTTP call with an optional small JSON body. It has no
 // id, because it is not an attempt and engines may refuse a second call with the
 // same id.
-func (c *Client) newShortCall(to ident.Address, method, target string, body any, limits httpcall.Limits) (httpcall.Call, error) {
+func (c *Client) newShortCall(to ident.Address, method, target string, body any, limits endpoint.Limits) (httpcall.Call, error) {
 	var encoded []byte
 	if body != nil {
 		var err error
@@ -147,8 +148,8 @@
 func (c *Client) doBuffered(ctx context.Context, call httpcall.Call) ([]byte, error) {
 	var body bodyBuffer
 	var status int
-	err := c.http.Do(ctx, call, httpcall.Sink{
-		OnHead: func(h httpcall.Head) error { status = h.Status; return nil },
+	err := c.http.Do(ctx, call, endpoint.Sink{
+		OnHead: func(h endpoint.Head) error { status = h.Status; return nil },
 		OnBody: body.add,
 	})
 	if err != nil {
--- a/io/engine/decode.go
+++ b/io/engine/decode.go
@@ -4,46 +4,21 @@
 	"context"
 	"encoding/json"
 
+	"monsoonfork/core/endpoint"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/core/text"
-	"monsoonfork/io/httpcall"
 )
 
-// DecodeCall describes the decode phase of one attempt.
-type DecodeCall struct {
-	Attempt      string
-	Model        ident.ModelID
-	Prompt       Prompt
-	MaxTokens    ident.Tokens // Bounds the new tokens, without those in ContinueFrom.
-	ContinueFrom []int        // Tokens that earlier attempts have already delivered.
-	Priority     text.Priority
-	Transfer     json.RawMessage // Transfer parameters returned by the prefill.
-	Limits       httpcall.Limits
-}
-
-// Delta is one increment of a streamed response: tokens and their text.
-type Delta struct {
-	IDs  []int
-	Text string
-}
-
-// Finish describes the end of a complete response.
-type Finish struct {
-	Reason       string // "stop" or "length".
-	Tokens       ident.Tokens
-	PromptTokens ident.Tokens // 0 if the engine did not report it.
-}
-
 // decodeBody is the request body of a decode call.
 type decodeBody struct {
-	Model        ident.ModelID   `json:"model"`
-	Prompt       Prompt          `json:"prompt"`
-	MaxTokens    ident.Tokens    `json:"max_tokens"`
-	Stream       bool            `json:"stream"`
-	Priority     int             `json:"priority"`
-	ContinueFrom []int           `json:"continue_from,omitempty"`
-	Transfer     json.RawMessage `json:"kv_transfer_params"`
+	Model        ident.ModelID    `json:"model"`
+	Prompt       engineapi.Prompt `json:"prompt"`
+	MaxTokens    ident.Tokens     `json:"max_tokens"`
+	Stream       bool             `json:"stream"`
+	Priority     int              `json:"priority"`
+	ContinueFrom []int            `json:"continue_from,omitempty"`
+	Transfer     json.RawMessage  `json:"kv_transfer_params"`
 }
 
 // decodeEvent is one server-sent event of a decode stream.
@@ -63,7 +38,7 @@
 // Decode runs the decode phase and calls onDelta for each event that has tokens
 // or text. It returns without an error only if the engine sent a finish reason
 // and its token count, if sent, equals the number of tokens received.
-func (c *Client) Decode(ctx context.Context, to ident.Address, d DecodeCall, onDelta func(Delta) error) (Finish, error) {
+func (c *Client) Decode(ctx context.Context, to ident.Address, d engineapi.DecodeCall, onDelta func(engineapi.Delta) error) (engineapi.Finish, error) {
 	body := decodeBody{
 		Model:        d.Model,
 		Prompt:       d.Prompt,
@@ -75,16 +50,16 @@
 	}
 	call, err := c.newCompletionCall(to, d.Attempt, d.Limits, body)
 	if err != nil {
-		return Finish{}, err
+		return engineapi.Finish{}, err
 	}
 	stream := &decodeStream{client: c, call: d, onDelta: onDelta}
-	err = c.http.Do(ctx, call, httpcall.Sink{OnHead: stream.onHead, OnBody: stream.onChunk})
+	err = c.http.Do(ctx, call, endpoint.Sink{OnHead: stream.onHead, OnBody: stream.onChunk})
 	if stream.finished && stream.finishErr == nil {
 		// The response is complete, so later errors on the connection are ignored.
 		return stream.finish, nil
 	}
 	if err != nil {
-		return Finish{}, err
+		return engineapi.Finish{}, err
 	}
 	return stream.missingFinishError()
 }
@@ -92,19 +67,19 @@
 // decodeStream is the state of one streamed response.
 type decodeStream struct {
 	client  *Client
-	call    DecodeCall
-	onDelta func(Delta) error
+	call    engineapi.DecodeCall
+	onDelta func(engineapi.Delta) error
 
 	status    int
 	errorBody bodyBuffer
 	events    eventReader
-	finish    Finish
+	finish    engineapi.Finish
 	finished  bool  // A finish reason was received.
 	finishErr error // The event with the finish reason had a wrong token count.
 }
 
 // onHead stores the response status.
-func (s *decodeStream) onHead(h httpcall.Head) error {
+func (s *decodeStream) onHead(h endpoint.Head) error {
 	s.status = h.Status
 	return nil
 }
@@ -148,7 +123,7 @@
 		return fault.New(fault.AnswerBroken, "the engine sent more than %d tokens", s.call.MaxTokens)
 	}
 	if len(choice.TokenIDs) > 0 || choice.Text != "" {
-		if err := s.onDelta(Delta{IDs: choice.TokenIDs, Text: choice.Text}); err != nil {
+		if err := s.onDelta(engineapi.Delta{IDs: choice.TokenIDs, Text: choice.Text}); err != nil {
 			return err
 		}
 	}
@@ -172,9 +147,9 @@
 
 // missingFinishError returns the error for a response that ended without a finish
 // reason.
-func (s *decodeStream) missingFinishError() (Finish, error) {
+func (s *decodeStream) missingFinishError() (engineapi.Finish, error) {
 	if !statusOK(s.status) {
-		return Finish{}, statusError(s.status, s.errorBody.data)
+		return engineapi.Finish{}, statusError(s.status, s.errorBody.data)
 	}
-	return Finish{}, fault.New(fault.AnswerBroken, "the engine ended its stream without a finish reason")
+	return engineapi.Finish{}, fault.New(fault.AnswerBroken, "the engine ended its stream without a finish reason")
 }
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -44,19 +45,19 @@
 
 // runAttempt runs the prefill and decode phases of one attempt and returns the
 // tokens received.
-func (p enginePair) runAttempt(t *testing.T, attempt, prompt string, maxTokens ident.Tokens, continueFrom []int) ([]int, Finish, error) {
+func (p enginePair) runAttempt(t *testing.T, attempt, prompt string, maxTokens ident.Tokens, continueFrom []int) ([]int, engineapi.Finish, error) {
 	t.Helper()
-	limits := httpcall.Limits{ResponseDeadline: time.Now().Add(20 * time.Second), ReadTimeout: time.Second}
+	limits := endpoint.Limits{ResponseDeadline: time.Now().Add(20 * time.Second), ReadTimeout: time.Second}
 	prefilled, err := p.client.Prefill(t.Context(), ident.Address(p.prefill.Address()),
-		PrefillCall{Attempt: attempt, Model: "summary", Prompt: TextPrompt(prompt), Limits: limits})
+		engineapi.PrefillCall{Attempt: attempt, Model: "summary", Prompt: engineapi.TextPrompt(prompt), Limits: limits})
 	if err != nil {
-		return nil, Finish{}, err
+		return nil, engineapi.Finish{}, err
 	}
 	var ids []int
-	finish, err := p.client.Decode(t.Context(), ident.Address(p.decode.Address()), DecodeCall{
-		Attempt: attempt, Model: "summary", Prompt: TextPrompt(prompt), MaxTokens: maxTokens,
+	finish, err := p.client.Decode(t.Context(), ident.Address(p.decode.Address()), engineapi.DecodeCall{
+		Attempt: attempt, Model: "summary", Prompt: engineapi.TextPrompt(prompt), MaxTokens: maxTokens,
 		ContinueFrom: continueFrom, Transfer: prefilled.Transfer, Limits: limits,
-	}, func(d Delta) error { ids = append(ids, d.IDs...); return nil })
+	}, func(d engineapi.Delta) error { ids = append(ids, d.IDs...); return nil })
 	return ids, finish, err
 }
 
@@ -179,19 +180,19 @@
 	for raw, want := range map[string]bool{
 		`"a b"`: true, `[1,2]`: true, `""`: false, `" "`: false, `[]`: false, `[-1]`: false, `{}`: false, `null`: false, `3`: false, `[1.5]`: false,
 	} {
-		var p Prompt
+		var p engineapi.Prompt
 		err := json.Unmarshal([]byte(raw), &p)
 		if (err == nil) != want {
 			t.Errorf("decoding prompt %s: got error %v", raw, err)
 		}
 	}
-	if n := TextPrompt("abcde").TokenUpperBound(2); n != 3 {
+	if n := engineapi.TextPrompt("abcde").TokenUpperBound(2); n != 3 {
 		t.Errorf("upper bound for a text prompt = %d, want 3", n)
 	}
-	if n := TokenPrompt([]int{1, 2}).TokenUpperBound(4); n != 2 {
+	if n := engineapi.TokenPrompt([]int{1, 2}).TokenUpperBound(4); n != 2 {
 		t.Errorf("upper bound for token ids = %d, want 2", n)
 	}
-	if n := len(TextPrompt(strings.Repeat("w ", 600)).PrefixHashes()); n != 2 {
+	if n := len(engineapi.TextPrompt(strings.Repeat("w ", 600)).PrefixHashes()); n != 2 {
 		t.Errorf("number of prefix hashes = %d, want 2", n)
 	}
 }
--- a/io/engine/fuzz_test.go
+++ b/io/engine/fuzz_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/endpoint"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/io/httpcall"
@@ -26,7 +28,7 @@
 // streamResult is what a decode stream yields.
 type streamResult struct {
 	deltas   string
-	finish   Finish
+	finish   engineapi.Finish
 	finished bool
 	failed   bool
 }
@@ -34,11 +36,11 @@
 // readStream reads the body of an answer in parts of partBytes.
 func readStream(client *Client, body string, partBytes int) streamResult {
 	var r streamResult
-	s := &decodeStream{client: client, call: DecodeCall{Attempt: "a", MaxTokens: 8}, onDelta: func(d Delta) error {
+	s := &decodeStream{client: client, call: engineapi.DecodeCall{Attempt: "a", MaxTokens: 8}, onDelta: func(d engineapi.Delta) error {
 		r.deltas += fmt.Sprint(d)
 		return nil
 	}}
-	_ = s.onHead(httpcall.Head{Status: http.StatusOK})
+	_ = s.onHead(endpoint.Head{Status: http.StatusOK})
 	for len(body) > 0 && !r.failed {
 		part := body[:min(partBytes, len(body))]
 		body = body[len(part):]
@@ -72,13 +74,13 @@
 }
 
 // prefillWith makes a prefill call of attempt a to an engine that answers with body.
-func prefillWith(client *Client, body string) (PrefillResult, error) {
+func prefillWith(client *Client, body string) (engineapi.PrefillResult, error) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 		_, _ = fmt.Fprint(w, body)
 	}))
 	defer server.Close()
-	call := PrefillCall{Attempt: "a", Limits: httpcall.Limits{ResponseDeadline: time.Now().Add(5 * time.Second)}}
+	call := engineapi.PrefillCall{Attempt: "a", Limits: endpoint.Limits{ResponseDeadline: time.Now().Add(5 * time.Second)}}
 	return client.Prefill(context.Background(), ident.Address(strings.TrimPrefix(server.URL, "http://")), call)
 }
 
--- a/io/engine/order.go
+++ b/io/engine/order.go
@@ -4,10 +4,10 @@
 	"context"
 	"net/http"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/httpcall"
 )
 
 // Order sends an order once, without retries, and returns when the engine confirms
@@ -19,7 +19,7 @@
 		ID   string `json:"order_id"`
 		Done bool   `json:"done"`
 	}
-	limits := httpcall.Limits{ConnectDeadline: s.SendBy, SendDeadline: s.SendBy, DeliveryTimeout: s.DeliveryTimeout, ResponseDeadline: s.ConfirmBy}
+	limits := endpoint.Limits{ConnectDeadline: s.SendBy, SendDeadline: s.SendBy, DeliveryTimeout: s.DeliveryTimeout, ResponseDeadline: s.ConfirmBy}
 	call, err := c.newShortCall(to, http.MethodPost, "/orders", o, limits)
 	if err != nil {
 		return err
--- a/io/engine/prefill.go
+++ b/io/engine/prefill.go
@@ -5,36 +5,18 @@
 	"encoding/json"
 	"net/http"
 
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/core/text"
-	"monsoonfork/io/httpcall"
 )
 
-// PrefillCall describes the prefill phase of one attempt.
-type PrefillCall struct {
-	Attempt      string // Unique for each attempt.
-	Model        ident.ModelID
-	Prompt       Prompt
-	ContinueFrom []int // Tokens that earlier attempts have already delivered.
-	Priority     text.Priority
-	Limits       httpcall.Limits
-}
-
-// PrefillResult is the result of a prefill. The engine keeps the KV cache of the prompt
-// only for a short time.
-type PrefillResult struct {
-	PromptTokens ident.Tokens
-	Transfer     json.RawMessage // kv_transfer_params, passed unchanged to the decode engine.
-}
-
 // prefillBody is the request body of a prefill call.
 type prefillBody struct {
-	Model        ident.ModelID `json:"model"`
-	Prompt       Prompt        `json:"prompt"`
-	MaxTokens    int           `json:"max_tokens"`
-	Priority     int           `json:"priority"`
-	ContinueFrom []int         `json:"continue_from,omitempty"`
+	Model        ident.ModelID    `json:"model"`
+	Prompt       engineapi.Prompt `json:"prompt"`
+	MaxTokens    int              `json:"max_tokens"`
+	Priority     int              `json:"priority"`
+	ContinueFrom []int            `json:"continue_from,omitempty"`
 	Transfer     struct {
 		RemoteDecode bool `json:"do_remote_decode"`
 	} `json:"kv_transfer_params"`
@@ -51,32 +33,32 @@
 
 // Prefill runs the prefill phase and returns the parameters for the transfer of the
 // KV cache to a decode engine.
-func (c *Client) Prefill(ctx context.Context, to ident.Address, p PrefillCall) (PrefillResult, error) {
+func (c *Client) Prefill(ctx context.Context, to ident.Address, p engineapi.PrefillCall) (engineapi.PrefillResult, error) {
 	body := prefillBody{Model: p.Model, Prompt: p.Prompt, MaxTokens: 1, Priority: int(p.Priority), ContinueFrom: p.ContinueFrom}
 	body.Transfer.RemoteDecode = true
 	call, err := c.newCompletionCall(to, p.Attempt, p.Limits, body)
 	if err != nil {
-		return PrefillResult{}, err
+		return engineapi.PrefillResult{}, err
 	}
 	responseBody, err := c.doBuffered(ctx, call)
 	if err != nil {
-		return PrefillResult{}, err
+		return engineapi.PrefillResult{}, err
 	}
 	var response prefillResponse
 	if err := json.Unmarshal(responseBody, &response); err != nil {
-		return PrefillResult{}, fault.Wrap(err, fault.AnswerBroken, "the prefill engine's response is malformed")
+		return engineapi.PrefillResult{}, fault.Wrap(err, fault.AnswerBroken, "the prefill engine's response is malformed")
 	}
 	if response.ID != p.Attempt {
 		c.http.CountMismatchedID()
-		return PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine's response belongs to another request")
+		return engineapi.PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine's response belongs to another request")
 	}
 	if response.Usage.PromptTokens < 0 {
-		return PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine reported %d tokens", response.Usage.PromptTokens)
+		return engineapi.PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine reported %d tokens", response.Usage.PromptTokens)
 	}
 	if len(response.Transfer) == 0 {
-		return PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine's response has no transfer parameters")
+		return engineapi.PrefillResult{}, fault.New(fault.AnswerBroken, "the prefill engine's response has no transfer parameters")
 	}
-	return PrefillResult{PromptTokens: response.Usage.PromptTokens, Transfer: response.Transfer}, nil
+	return engineapi.PrefillResult{PromptTokens: response.Usage.PromptTokens, Transfer: response.Transfer}, nil
 }
 
 // statusOK reports whether a response with this status carries a result.
--- a/io/engine/unbounded_test.go
+++ b/io/engine/unbounded_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/endpoint"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/io/httpcall"
@@ -37,8 +39,8 @@
 			t.Errorf("status %d, short call: %v, want AnswerBroken and MayHaveRun", status, err)
 		}
 		if status != http.StatusOK {
-			limits := httpcall.Limits{ResponseDeadline: time.Now().Add(5 * time.Second)}
-			_, err := client.Decode(t.Context(), address, DecodeCall{Attempt: "a", Limits: limits}, func(Delta) error { return nil })
+			limits := endpoint.Limits{ResponseDeadline: time.Now().Add(5 * time.Second)}
+			_, err := client.Decode(t.Context(), address, engineapi.DecodeCall{Attempt: "a", Limits: limits}, func(engineapi.Delta) error { return nil })
 			if !fault.Is(err, fault.AnswerBroken) || fault.From(err).Ran != fault.MayHaveRun {
 				t.Errorf("decode: %v, want AnswerBroken and MayHaveRun", err)
 			}
--- a/io/httpcall/bench_test.go
+++ b/io/httpcall/bench_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/ident"
 )
 
@@ -64,7 +65,7 @@
 		var a recorder
 		started := time.Now()
 		deadline := started.Add(10 * time.Second)
-		call := Call{Address: ident.Address(addr), Method: "POST", Target: "/", Body: body, ID: "r", Limits: Limits{ConnectDeadline: deadline, ResponseDeadline: deadline}}
+		call := Call{Address: ident.Address(addr), Method: "POST", Target: "/", Body: body, ID: "r", Limits: endpoint.Limits{ConnectDeadline: deadline, ResponseDeadline: deadline}}
 		if err := c.Do(context.Background(), call, a.sink()); err != nil {
 			b.Fatal(err)
 		}
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -13,6 +13,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -29,7 +30,7 @@
 	Header  http.Header // Without hop-by-hop headers.
 	Body    []byte
 	ID      string // Sent as X-Request-Id; a response with a different id is rejected.
-	Limits  Limits
+	Limits  endpoint.Limits
 
 	// BeforeSend is called right before the request is written. If it returns an
 	// error, nothing is sent and the call fails with that error. May be nil.
@@ -40,25 +41,11 @@
 	PooledSince time.Time
 }
 
-// Head is the status and headers of a response.
-type Head struct {
-	Status int
-	Header http.Header
-	Length int64 // Length of the body; -1 if unknown. Only Pool sets it.
-}
-
-// Sink receives a response as it arrives: OnHead once, then OnBody for each fragment of
-// the body. An error from either function ends the call with that error.
-type Sink struct {
-	OnHead func(Head) error
-	OnBody func([]byte) error // May be nil. It may keep the slice.
-}
-
 // Do makes the call and returns when the complete response was passed to the sink.
 // Every error is a *fault.Error. Its Ran is NotRun only if no byte was written to a
 // connection. If ctx is cancelled with a *fault.Error as its cause, the error has the
 // kind of that cause.
-func (c *Client) Do(ctx context.Context, call Call, sink Sink) error {
+func (c *Client) Do(ctx context.Context, call Call, sink endpoint.Sink) error {
 	if !c.begin() {
 		return fault.New(fault.ShuttingDown, "the HTTP client is closed")
 	}
@@ -72,7 +59,7 @@
 }
 
 // do connects, writes the request and receives the response.
-func (c *Client) do(ctx context.Context, call Call, sink Sink) error {
+func (c *Client) do(ctx context.Context, call Call, sink endpoint.Sink) error {
 	message, err := encode(call)
 	if err != nil {
 		return err
@@ -180,7 +167,7 @@
 
 // awaitPoller waits until the poller has handled the events that it has already fetched, which
 // may be those of a closed connection with the descriptor of nbc.
-func (c *Client) awaitPoller(ctx context.Context, nbc *nbio.Conn, l Limits) error {
+func (c *Client) awaitPoller(ctx context.Context, nbc *nbio.Conn, l endpoint.Limits) error {
 	ctx, cancel := withDeadline(ctx, earliest(l.ConnectDeadline, l.ResponseDeadline), fault.New(fault.Internal, "the poller did not take the connection over in time"))
 	defer cancel()
 	ctx, cancel = withDeadline(ctx, l.SendDeadline, sendDeadlineError())
--- a/io/httpcall/call_test.go
+++ b/io/httpcall/call_test.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -70,22 +71,22 @@
 
 // recorder records a response.
 type recorder struct {
-	head      Head
+	head      endpoint.Head
 	fragments []string
 }
 
 // sink returns a Sink that records into a.
-func (a *recorder) sink() Sink {
-	return Sink{
-		OnHead: func(h Head) error { a.head = h; return nil },
+func (a *recorder) sink() endpoint.Sink {
+	return endpoint.Sink{
+		OnHead: func(h endpoint.Head) error { a.head = h; return nil },
 		OnBody: func(b []byte) error { a.fragments = append(a.fragments, string(b)); return nil },
 	}
 }
 
 // limitsWithin returns limits that all expire after d.
-func limitsWithin(d time.Duration) Limits {
+func limitsWithin(d time.Duration) endpoint.Limits {
 	deadline := time.Now().Add(d)
-	return Limits{ConnectDeadline: deadline, FirstByteDeadline: deadline, ResponseDeadline: deadline}
+	return endpoint.Limits{ConnectDeadline: deadline, FirstByteDeadline: deadline, ResponseDeadline: deadline}
 }
 
 func TestBodyIsDeliveredAsItArrives(t *testing.T) {
@@ -127,21 +128,25 @@
 	}()
 	const head = "HTTP/1.1 200 OK\r\n"
 	// Limits are absolute times, so each case creates its own when it starts.
-	ampleLimits := func() Limits { return limitsWithin(5 * time.Second) }
+	ampleLimits := func() endpoint.Limits { return limitsWithin(5 * time.Second) }
 	tests := []struct {
 		name   string
 		addr   ident.Address
-		limits func() Limits
+		limits func() endpoint.Limits
 		kind   fault.Kind
 		ran    fault.Ran
 	}{
 		{"refused", refused, ampleLimits, fault.EndpointFailed, fault.NotRun},
-		{"connect deadline passed", refused, func() Limits { return Limits{ConnectDeadline: time.Now().Add(-time.Second)} }, fault.EndpointTimeout, fault.NotRun},
-		{"send deadline passed", closed, func() Limits { return Limits{SendDeadline: time.Now().Add(-time.Second)} }, fault.DeadlineExceeded, fault.NotRun},
+		{"connect deadline passed", refused, func() endpoint.Limits { return endpoint.Limits{ConnectDeadline: time.Now().Add(-time.Second)} }, fault.EndpointTimeout, fault.NotRun},
+		{"send deadline passed", closed, func() endpoint.Limits { return endpoint.Limits{SendDeadline: time.Now().Add(-time.Second)} }, fault.DeadlineExceeded, fault.NotRun},
 		{"closed without response", closed, ampleLimits, fault.EndpointFailed, fault.MayHaveRun},
-		{"no response", serveConnections(t, respondWith("")), func() Limits { return Limits{FirstByteDeadline: time.Now().Add(100 * time.Millisecond)} }, fault.EndpointTimeout, fault.MayHaveRun},
-		{"stalled body", serveConnections(t, respondWith(head+"Content-Length: 5\r\n\r\nab")), func() Limits { return Limits{ReadTimeout: 100 * time.Millisecond} }, fault.EndpointTimeout, fault.MayHaveRun},
-		{"response deadline passed", serveConnections(t, respondWith(head+"Content-Length: 5\r\n\r\nab")), func() Limits { return Limits{ResponseDeadline: time.Now().Add(100 * time.Millisecond)} }, fault.EndpointTimeout, fault.MayHaveRun},
+		{"no response", serveConnections(t, respondWith("")), func() endpoint.Limits {
+			return endpoint.Limits{FirstByteDeadline: time.Now().Add(100 * time.Millisecond)}
+		}, fault.EndpointTimeout, fault.MayHaveRun},
+		{"stalled body", serveConnections(t, respondWith(head+"Content-Length: 5\r\n\r\nab")), func() endpoint.Limits { return endpoint.Limits{ReadTimeout: 100 * time.Millisecond} }, fault.EndpointTimeout, fault.MayHaveRun},
+		{"response deadline passed", serveConnections(t, respondWith(head+"Content-Length: 5\r\n\r\nab")), func() endpoint.Limits {
+			return endpoint.Limits{ResponseDeadline: time.Now().Add(100 * time.Millisecond)}
+		}, fault.EndpointTimeout, fault.MayHaveRun},
 		{"closed within chunked body", serveConnections(t, func(conn net.Conn, _ *http.Request) {
 			_, _ = io.WriteString(conn, head+"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
 		}), ampleLimits, fault.AnswerBroken, fault.MayHaveRun},
@@ -367,7 +372,7 @@
 			Target:     "/",
 			BeforeSend: func() error { time.Sleep(10 * time.Millisecond); return nil },
 		}
-		err := c.Do(t.Context(), call, Sink{})
+		err := c.Do(t.Context(), call, endpoint.Sink{})
 		if fault.KindOf(err) != fault.EndpointFailed {
 			t.Errorf("got %v, want EndpointFailed", err)
 		}
--- a/io/httpcall/client.go
+++ b/io/httpcall/client.go
@@ -5,7 +5,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rcrowley/go-metrics"
@@ -118,18 +117,3 @@
 	c.counters.calls.Inc(1)
 	return true
 }
-
-// Limits are the time limits for the stages of a call. A zero value means no limit.
-type Limits struct {
-	ConnectDeadline   time.Time     // Deadline to establish the connection.
-	SendDeadline      time.Time     // Deadline to send the request; checked right before the write.
-	FirstByteDeadline time.Time     // Deadline for the first byte of the response.
-	ReadTimeout       time.Duration // Maximum time between two reads of the response.
-
-	// DeliveryTimeout is how long sent bytes of the request may stay unacknowledged.
-	// After it the kernel drops them and the connection, even while this process is
-	// paused. When the call ends, bytes that were not delivered are dropped too. Only
-	// Client uses it.
-	DeliveryTimeout  time.Duration
-	ResponseDeadline time.Time // Deadline for the complete response.
-}
--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -8,6 +8,7 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 )
 
@@ -20,7 +21,7 @@
 	changed  chan struct{} // Holds an element after a change.
 
 	mu            sync.Mutex
-	head          Head
+	head          endpoint.Head
 	headBytes     int  // Bytes read until the read in which the headers are complete.
 	headComplete  bool // The headers are complete.
 	chunked       bool
@@ -39,7 +40,7 @@
 		call:           call,
 		maxBytes:       maxBytes,
 		changed:        make(chan struct{}, 1),
-		head:           Head{Header: http.Header{}},
+		head:           endpoint.Head{Header: http.Header{}},
 	}
 }
 
@@ -138,7 +139,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if isInterim(x.head.Status) {
-		x.head = Head{Header: http.Header{}}
+		x.head = endpoint.Head{Header: http.Header{}}
 		return
 	}
 	if x.err == nil {
@@ -184,7 +185,7 @@
 
 // responseUpdate is the part of a response that takeReceived returns.
 type responseUpdate struct {
-	head       *Head // Set once, when the headers are complete.
+	head       *endpoint.Head // Set once, when the headers are complete.
 	fragments  [][]byte
 	complete   bool
 	err        *fault.Error
@@ -199,7 +200,7 @@
 	update := responseUpdate{fragments: x.fragments, complete: x.complete, err: x.err, lastReadAt: x.lastReadAt}
 	x.fragments, x.bufferedBytes = nil, 0
 	if x.headComplete && !headDelivered {
-		update.head = &Head{Status: x.head.Status, Header: x.head.Header}
+		update.head = &endpoint.Head{Status: x.head.Status, Header: x.head.Header}
 	}
 	return update
 }
--- a/io/httpcall/fuzz_test.go
+++ b/io/httpcall/fuzz_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -167,8 +168,8 @@
 // callAddress makes a call and returns the body.
 func callAddress(d doer, address ident.Address, id string, deadline time.Time) (string, error) {
 	var body strings.Builder
-	err := d.Do(context.Background(), Call{Address: address, Method: http.MethodGet, Target: "/", ID: id, Limits: Limits{ResponseDeadline: deadline}}, Sink{
-		OnHead: func(Head) error { return nil },
+	err := d.Do(context.Background(), Call{Address: address, Method: http.MethodGet, Target: "/", ID: id, Limits: endpoint.Limits{ResponseDeadline: deadline}}, endpoint.Sink{
+		OnHead: func(endpoint.Head) error { return nil },
 		OnBody: func(b []byte) error { body.Write(b); return nil },
 	})
 	return body.String(), err
--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -75,7 +76,7 @@
 // Do makes the call like Client.Do, but on an idle connection if there is one whose last
 // call ended at or after call.PooledSince, and that has not carried a call with the same
 // id.
-func (p *Pool) Do(ctx context.Context, call Call, sink Sink) error {
+func (p *Pool) Do(ctx context.Context, call Call, sink endpoint.Sink) error {
 	p.counters.calls.Inc(1)
 	err := p.do(ctx, call, sink)
 	if err != nil {
@@ -85,7 +86,7 @@
 }
 
 // do makes the call and keeps its connection if it can be reused.
-func (p *Pool) do(ctx context.Context, call Call, sink Sink) error {
+func (p *Pool) do(ctx context.Context, call Call, sink endpoint.Sink) error {
 	message, err := encode(call)
 	if err != nil {
 		return err
--- a/io/httpcall/pool_test.go
+++ b/io/httpcall/pool_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -74,13 +75,13 @@
 // the call and may be nil.
 func poolCall(t *testing.T, p *Pool, e *testEndpoint, id string, modify func(*Call)) (string, error) {
 	t.Helper()
-	call := Call{Address: e.address, Method: http.MethodGet, Target: "/", ID: id, Limits: Limits{ResponseDeadline: time.Now().Add(2 * time.Second)}}
+	call := Call{Address: e.address, Method: http.MethodGet, Target: "/", ID: id, Limits: endpoint.Limits{ResponseDeadline: time.Now().Add(2 * time.Second)}}
 	if modify != nil {
 		modify(&call)
 	}
 	var body strings.Builder
-	err := p.Do(context.Background(), call, Sink{
-		OnHead: func(Head) error { return nil },
+	err := p.Do(context.Background(), call, endpoint.Sink{
+		OnHead: func(endpoint.Head) error { return nil },
 		OnBody: func(b []byte) error { body.Write(b); return nil },
 	})
 	return body.String(), err
@@ -229,7 +230,7 @@
 	})
 	ctx, cancel := context.WithCancelCause(context.Background())
 	time.AfterFunc(30*time.Millisecond, func() { cancel(fault.New(fault.CallerGone, "caller disconnected")) })
-	err := newTestPool(t).Do(ctx, Call{Address: e.address, Method: http.MethodGet, Target: "/"}, Sink{OnHead: func(Head) error { return nil }})
+	err := newTestPool(t).Do(ctx, Call{Address: e.address, Method: http.MethodGet, Target: "/"}, endpoint.Sink{OnHead: func(endpoint.Head) error { return nil }})
 	if !fault.Is(err, fault.CallerGone) || fault.From(err).Ran != fault.MayHaveRun {
 		t.Errorf("got %v, want CallerGone and MayHaveRun", err)
 	}
--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 )
 
@@ -29,8 +30,8 @@
 	ctx  context.Context
 	call Call
 	conn *poolConn
-	sink Sink
-	head Head
+	sink endpoint.Sink
+	head endpoint.Head
 
 	isFirst   bool       // Nothing was sent on the connection before.
 	writeDone chan error // Result of a concurrent write; nil if the request was written first.
@@ -91,7 +92,7 @@
 		return false, err
 	}
 	defer func() { _ = res.Body.Close() }()
-	x.head = Head{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength}
+	x.head = endpoint.Head{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength}
 	if !x.isOwnResponse(res.Header) {
 		x.pool.counters.mismatched.Inc(1)
 		return false, fault.New(fault.AnswerBroken, "the response has the id of another request, or none")
--- a/io/httpcall/receive.go
+++ b/io/httpcall/receive.go
@@ -5,12 +5,13 @@
 	"io"
 	"time"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 )
 
 // receive passes the response to the sink until it is complete or a time limit is
 // exceeded.
-func (c *Client) receive(ctx context.Context, call Call, x *exchange, sink Sink) error {
+func (c *Client) receive(ctx context.Context, call Call, x *exchange, sink endpoint.Sink) error {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	headDelivered := false
@@ -45,7 +46,7 @@
 }
 
 // deliver passes fragments of the body to the sink.
-func deliver(fragments [][]byte, sink Sink) error {
+func deliver(fragments [][]byte, sink endpoint.Sink) error {
 	if sink.OnBody == nil {
 		return nil
 	}
@@ -58,7 +59,7 @@
 }
 
 // checkRequestID rejects a response with the id of another request.
-func (c *Client) checkRequestID(call Call, head Head) error {
+func (c *Client) checkRequestID(call Call, head endpoint.Head) error {
 	id := head.Header.Get(RequestIDHeader)
 	if id == "" || call.ID == "" || id == call.ID {
 		return nil
@@ -69,7 +70,7 @@
 
 // nextDeadline returns the next deadline of the call, and the error message for
 // exceeding it.
-func nextDeadline(l Limits, lastReadAt time.Time) (time.Time, string) {
+func nextDeadline(l endpoint.Limits, lastReadAt time.Time) (time.Time, string) {
 	deadline, message := l.ResponseDeadline, "the response was not complete in time"
 	stageDeadline, stageMessage := l.FirstByteDeadline, "no byte of a response arrived in time"
 	if !lastReadAt.IsZero() {
--- a/io/httpcall/staleevent_test.go
+++ b/io/httpcall/staleevent_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/lesismal/nbio"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -175,13 +176,13 @@
 	for _, test := range []struct {
 		name   string
 		ctx    context.Context
-		limits Limits
+		limits endpoint.Limits
 		kind   fault.Kind
 	}{
-		{"connect deadline", t.Context(), Limits{ConnectDeadline: soon}, fault.Internal},
-		{"response deadline", t.Context(), Limits{ResponseDeadline: soon}, fault.Internal},
-		{"send deadline", t.Context(), Limits{SendDeadline: soon, ResponseDeadline: soon.Add(time.Minute)}, fault.DeadlineExceeded},
-		{"cancelled", cancelled, Limits{}, fault.CallerGone},
+		{"connect deadline", t.Context(), endpoint.Limits{ConnectDeadline: soon}, fault.Internal},
+		{"response deadline", t.Context(), endpoint.Limits{ResponseDeadline: soon}, fault.Internal},
+		{"send deadline", t.Context(), endpoint.Limits{SendDeadline: soon, ResponseDeadline: soon.Add(time.Minute)}, fault.DeadlineExceeded},
+		{"cancelled", cancelled, endpoint.Limits{}, fault.CallerGone},
 	} {
 		if err := fault.From(client.awaitPoller(test.ctx, c.nbc, test.limits)); err.Kind != test.kind || err.Ran != fault.NotRun {
 			t.Errorf("%s: %v with kind %v, %v; want kind %v, NotRun", test.name, err, err.Kind, err.Ran, test.kind)
--- a/io/httpcall/unbounded_test.go
+++ b/io/httpcall/unbounded_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 )
 
@@ -41,7 +42,7 @@
 
 // doer is a Client or a Pool.
 type doer interface {
-	Do(ctx context.Context, call Call, sink Sink) error
+	Do(ctx context.Context, call Call, sink endpoint.Sink) error
 }
 
 // checkEndlessHeads calls endpoints whose response head does not end. The call has to fail
--- a/io/service/service.go
+++ b/io/service/service.go
@@ -4,9 +4,9 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/ident"
 	"monsoonfork/io/httpcall"
 )
@@ -14,18 +14,6 @@
 // connectTimeout bounds the time to connect to an endpoint.
 const connectTimeout = time.Second
 
-// Call is a call to a plain service. Header must contain neither the caller's API
-// key nor hop-by-hop headers.
-type Call struct {
-	Method    string
-	Target    string // Path and query.
-	Header    http.Header
-	Body      []byte
-	RequestID ident.RequestID
-	Deadline  time.Time // Deadline for the complete response.
-	SendBy    time.Time // Latest time of the send; zero for no limit.
-}
-
 // Client calls plain services.
 type Client struct {
 	http *httpcall.Client
@@ -38,7 +26,7 @@
 // Do makes the call once, on a new connection, and streams the response to sink. It
 // does not retry. The field Ran of an error says whether the endpoint may have
 // received the call.
-func (c *Client) Do(ctx context.Context, to ident.Address, call Call, sink httpcall.Sink) error {
+func (c *Client) Do(ctx context.Context, to ident.Address, call endpoint.ServiceCall, sink endpoint.Sink) error {
 	return c.http.Do(ctx, httpcall.Call{
 		Address: to,
 		Method:  call.Method,
@@ -46,7 +34,7 @@
 		Header:  call.Header,
 		Body:    call.Body,
 		ID:      string(call.RequestID),
-		Limits: httpcall.Limits{
+		Limits: endpoint.Limits{
 			ConnectDeadline:  c.now().Add(connectTimeout),
 			SendDeadline:     call.SendBy,
 			ResponseDeadline: call.Deadline,
--- a/lab/bench/request.go
+++ b/lab/bench/request.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
+	"monsoonfork/core/endpoint"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/placement"
 	"monsoonfork/core/text"
-	"monsoonfork/io/engine"
-	"monsoonfork/io/httpcall"
 )
 
 // maxAttempts is the maximum number of attempts of one request, the first included.
@@ -26,7 +26,7 @@
 type clientRequest struct {
 	instance         *instance
 	arrival          Arrival
-	prompt           engine.Prompt
+	prompt           engineapi.Prompt
 	dueAt            time.Time // Scheduled arrival time.
 	placementRequest placement.Request
 	sample           Sample
@@ -38,7 +38,7 @@
 // its sample. Latencies count from dueAt, so that they include a late send.
 func serveRequest(ctx context.Context, inst *instance, a Arrival, dueAt time.Time) Sample {
 	c := &clientRequest{
-		instance: inst, arrival: a, prompt: engine.TokenPrompt(a.PromptTokens), dueAt: dueAt,
+		instance: inst, arrival: a, prompt: engineapi.TokenPrompt(a.PromptTokens), dueAt: dueAt,
 		sample: Sample{Arrival: a, Admitted: true},
 	}
 	c.placementRequest = placement.Request{
@@ -111,20 +111,20 @@
 
 // runPhases runs the prefill phase and the decode phase of a placed attempt.
 func (c *clientRequest) runPhases(ctx context.Context, lease *placement.Lease) (placement.Result, error) {
-	prefilled, err := c.instance.engineClient.Prefill(ctx, lease.Prefill.Address, engine.PrefillCall{
+	prefilled, err := c.instance.engineClient.Prefill(ctx, lease.Prefill.Address, engineapi.PrefillCall{
 		Attempt: string(lease.ID), Model: modelName, Prompt: c.prompt, ContinueFrom: c.delivered,
-		Limits: httpcall.Limits{ResponseDeadline: time.Now().Add(prefillTimeout)},
+		Limits: endpoint.Limits{ResponseDeadline: time.Now().Add(prefillTimeout)},
 	})
 	if err != nil {
 		return placement.PrefillFailed, err
 	}
 	lease.PrefillDone()
 	deliveredBefore := len(c.delivered)
-	_, err = c.instance.engineClient.Decode(ctx, lease.Decode.Address, engine.DecodeCall{
+	_, err = c.instance.engineClient.Decode(ctx, lease.Decode.Address, engineapi.DecodeCall{
 		Attempt: string(lease.ID), Model: modelName, Prompt: c.prompt,
 		MaxTokens:    c.arrival.MaxTokens - ident.Tokens(deliveredBefore),
 		ContinueFrom: append([]int(nil), c.delivered...), Transfer: prefilled.Transfer,
-		Limits: httpcall.Limits{
+		Limits: endpoint.Limits{
 			FirstByteDeadline: time.Now().Add(stallTimeout), ReadTimeout: stallTimeout, ResponseDeadline: c.placementRequest.Deadline,
 		},
 	}, c.recordDelta)
@@ -138,7 +138,7 @@
 }
 
 // recordDelta records the tokens of one message of the token stream.
-func (c *clientRequest) recordDelta(d engine.Delta) error {
+func (c *clientRequest) recordDelta(d engineapi.Delta) error {
 	for _, id := range d.IDs {
 		c.recordToken(id)
 	}
