core/placement: load reports count after a step of the engine's clock

Callers could see (own text): after one report with a time in the future, or after an engine's clock was set back, its reports were ignored until that time, so that work of others on the engine was not counted and too many requests were placed there.

Cause: a report counted only if its time was later than that of the last one.

Ruled out: reports out of order, as an engine is asked again only after its last answer.

Evidence: TestLoadReportsCountAfterClockStep failed before (placed on an engine that reports all slots as used) and passes now; go test -race -short ./core/placement passes.

Why it works: only a report with the same time as the last one is taken for a repetition.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -122,9 +122,10 @@
 }
 
 // observe adds a load report, with the dispatcher's own reservations at the time
-// it is received. A report that is not newer than the last one is ignored.
+// it is received. The last report again is ignored. An older time is that of a newer
+// report, as reports are read one after another: the engine's clock was set back.
 func (f *foreignWork) observe(l Load, ownSlots int, ownPieces ident.Pieces) {
-	if !l.Reported.After(f.reported) {
+	if l.Reported.Equal(f.reported) {
 		return
 	}
 	f.reported = l.Reported
--- a/core/placement/invalidnumbers_test.go
+++ b/core/placement/invalidnumbers_test.go
@@ -75,3 +75,17 @@
 		}
 	}
 }
+
+// TestLoadReportsCountAfterClockStep guards against a load report with a time in the future, or
+// an engine whose clock is set back, after which its reports are ignored until that time.
+func TestLoadReportsCountAfterClockStep(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ReportLoad("d0", Load{Reported: f.clock.Add(time.Hour)})
+	for range foreignReportCount {
+		f.clock = f.clock.Add(time.Second)
+		f.ReportLoad("d0", Load{Running: 2, Reported: f.clock})
+	}
+	if g := granted(f.Submit(f.request("a"), "i1")); g != nil {
+		t.Errorf("placed %+v on an engine that reports all its slots as used", g)
+	}
+}
