--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -166,13 +166,13 @@
 	return len(intervals) > 0
 }
 
-// maxTokensLeft bounds the tokens that a lender may report to have left.
-const maxTokensLeft = 1e18
+// maxLoanTokens bounds the tokens that a request for a loan, or its reply, may name.
+const maxLoanTokens = 1e18
 
 // tokensLeft returns the tokens that a lender has left: none if it reports an invalid number.
 func (h *accountOwner) tokensLeft(lender ident.InstanceID, reply *SpareReply) float64 {
 	left := reply.GetLeft()
-	if left >= 0 && left <= maxTokensLeft { // NaN is not in the range.
+	if left >= 0 && left <= maxLoanTokens { // NaN is not in the range.
 		return left
 	}
 	err := fault.New(fault.BadRequest, "%v tokens are left", left)
--- a/core/budget/serve.go
+++ b/core/budget/serve.go
@@ -57,7 +57,7 @@
 	if !ok {
 		return nil, fault.New(fault.NotFound, "organisation %s has no rate in the configuration of this instance", org)
 	}
-	if inRange := req.GetTokens() >= 0 && req.GetTokens() <= maxTokensLeft; !inRange { // Also if it is not a number.
+	if inRange := req.GetTokens() >= 0 && req.GetTokens() <= maxLoanTokens; !inRange { // Also if it is not a number.
 		return nil, fault.New(fault.BadRequest, "%v tokens are requested", req.GetTokens())
 	}
 	given, left := b.accounts.lend(ctx, org, limit, req.GetTokens())
