core/claims: a claim that has expired when it is made is refused

Operators could see: a claim from an instance whose clock is behind by more than the retention (an hour by default) was written to the store again and again until the claim's timeout, up to once in 40 ms, each time with new segments, and filled the log.

Cause: the owner writes a claim and reads it back; one that has expired doesn't exist then, so that it was written again.

Ruled out: the owner's time in place of the claim's, as the holder ends the claim with its own.

Evidence: found by FuzzAppend (61 s, 11,943 executions: 76 bytes took 2 s; the input is kept). TestExpiredClaimIsNotWritten failed before (75 and 86 segments in 200 ms without the wait between writes) and passes now with -race -count=20.

Why it works: such a claim is refused before it is written. Its holder then appends it itself, by its own clock, as after any failure of the owner.

--- a/core/claims/index.go
+++ b/core/claims/index.go
@@ -69,6 +69,8 @@
 		return decision{needsWrite: running}
 	}
 	switch {
+	case !exists && expired(e.createdAt()):
+		return decision{err: fault.New(fault.BadRequest, "the claim was made at %v and has expired", e.createdAt().UTC())}
 	case !exists:
 		return decision{needsWrite: true}
 	case r.claim == e.Claim:
