membership: parts of a domain that join at the same time discover each other

What could be seen: two instances of a failure domain that were started at the same moment could stay unknown to each other for good; each was the owner of all keys of the domain, and other domains knew the one or the other.

Cause: heartbeats to another domain go to one member of it and carry no members of the sender's domain; a digest has members of the own domain only. If c and x of one domain send to a and b of another one before a has told b of that domain, a learns its members from c and b from x; both have a member of it, so that neither asks the other, and first peers that are known are not read again.

Fix: each instance fetches the view of a random live member of another domain, each second in its first 10 s and then every 5 s. That joins the parts whatever members they use.

Ruled out: load alone (25 exchanges would have had to fail in a row); asking the first peers again, which would load these with the whole fleet.

--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -20,6 +21,9 @@
 		if f := s.registeredAddresses.Load(); f != nil {
 			s.fetchUnknownViews((*f)())
 		}
+		if round < joinRounds || round%viewReadEvery == 0 {
+			s.fetchRandomView()
+		}
 		if round%listReadEvery == 0 && s.isListReader() {
 			s.fetchUnknownViews(s.readInstanceList(s.listedAddresses))
 		}
@@ -31,6 +35,27 @@
 	}
 }
 
+// fetchRandomView fetches the view of a random live member of another domain. Heartbeats go
+// to one member of each other domain and carry no members of others, so that without it two
+// parts of this domain that joined at the same time, through different members, would not
+// discover each other.
+func (s *Service) fetchRandomView() {
+	v := s.Table.View()
+	var others []Member
+	for _, m := range v.Members() {
+		if m.Domain != v.Self.Domain && m.State == Live {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, discoveryInterval)
+	defer cancel()
+	// Another member is asked in a later round if this one does not answer.
+	_ = s.fetchView(ctx, others[rand.N(len(others))].PeerAddress)
+}
+
 // isListReader reports whether this daemon reads the instance list. Only listReaders
 // members of each domain do, so that the number of calls does not grow with the fleet.
 func (s *Service) isListReader() bool {
--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -43,10 +43,17 @@
 		HeartbeatMS: testHeartbeat.Milliseconds(),
 		FirstPeers:  firstPeers,
 	}, log.NewNopLogger())
-	links := peer.New(n.ID, domain, log.NewNopLogger())
 	if address == "" {
 		address = "127.0.0.1:0"
 	}
+	return startNode(t, n, address)
+}
+
+// startNode starts the service of a node that listens at address.
+func startNode(t *testing.T, n *kernel.Node, address ident.Address) *testService {
+	t.Helper()
+	domain := n.Settings.Domain
+	links := peer.New(n.ID, domain, log.NewNopLogger())
 	bound, err := links.Listen(address)
 	if err != nil {
 		t.Fatal(err)
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -33,6 +33,8 @@
 	remoteSilentAfterMissed = 3                      // Heartbeats to other domains without a confirmation after which their members are silent.
 	refusedRecheckDelay     = 300 * time.Millisecond // Delay of the second call after a refused connection.
 	discoveryInterval       = time.Second            // Interval of discovery, and timeout of its calls.
+	joinRounds              = 10                     // Rounds of discovery after the start that all read a view of another domain.
+	viewReadEvery           = 5                      // Rounds of discovery for each view of another domain, after joinRounds.
 	listReadEvery           = 5                      // Rounds of discovery for each read of the instance list.
 	listReaders             = 2                      // Members of each domain that read the instance list.
 	settleIntervals         = 4                      // Heartbeat intervals until gossip about a member agrees with its own heartbeats.
