caller: connections beyond the descriptor limit are rejected, without a loop that never pauses

What callers could see: with all descriptors in use, a new connection was closed without a response, or waited in the backlog until descriptors were free. The process used most of a core meanwhile.

Cause: nbhttp calls Accept again at once after a failure. It also closes an accepted connection without a response if no descriptor is free to duplicate that of the connection. Neither is visible to the server: its hook for errors gets the former only, and not the connection.

Fix: acceptor, the listener of the engine, duplicates the descriptor itself, keeps 16 descriptors in reserve, and pauses 20 ms after a failure when the reserve is used up. A connection for which the reserve can't be filled again is rejected: its first request gets a 503 with Retry-After, "not run" and Connection: close, within 250 ms; one without a request is closed. New log line "rejecting new connections", once an episode, and counter Caller.RejectedConnections. Error responses to requests that were not read now have Retry-After where their kind has it.

Evidence: tests run the server in a process with 128 descriptors.

Not covered: callers' connections still may take the descriptors that calls to engines need.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -101,6 +101,7 @@
 	PanicContained       // panic contained
 	PollerSlow           // poller did not respond in time
 	HandlerPanicked      // panic in a request handler
+	RejectingConnections // rejecting new connections
 
 	eventCount // Number of events; keep last.
 )
--- a/io/caller/errorresponse.go
+++ b/io/caller/errorresponse.go
@@ -115,7 +115,10 @@
 func rawErrorResponse(f *fault.Error) []byte {
 	status := statusWithReason(fault.ResponseFor(f.Kind).Status)
 	body := encodeError(f, "")
-	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%s: %s\r\nConnection: close\r\n\r\n",
+	head := fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n%s: %s\r\nConnection: close\r\n",
 		status, http.StatusText(status), len(body), RanHeader, ranValues[f.Ran])
-	return append([]byte(head), body...)
+	if after := retryAfter(f, time.Now()); after != "" {
+		head += "Retry-After: " + after + "\r\n"
+	}
+	return append([]byte(head+"\r\n"), body...)
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -76,7 +76,8 @@
 	rejected     metrics.Counter // Requests rejected before they were read completely.
 	responseTime metrics.Timer
 
-	containedPanics metrics.Counter // Panics in reading a connection.
+	containedPanics     metrics.Counter // Panics in reading a connection.
+	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
 }
 
 // Option configures a Server.
@@ -103,7 +104,8 @@
 		rejected:     metrics.GetOrRegisterCounter("Caller.RefusedUnread", r),
 		responseTime: metrics.GetOrRegisterTimer("Caller.Answers", r),
 
-		containedPanics: metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
+		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
+		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
 	}
 }
 
@@ -128,6 +130,7 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:               "Caller",
 		Addrs:              []string{string(address)},
+		Listen:             s.listen,
 		NPoller:            pollers,
 		ReadLimit:          maxParserBytes,
 		MaxWriteBufferSize: s.limits.current.MaxUnreadBytes,
@@ -153,6 +156,15 @@
 	return ident.Address(s.engine.AddrConfigs[0].Addr), nil
 }
 
+// listen opens the listener of the engine.
+func (s *Server) listen(network, address string) (net.Listener, error) {
+	l, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	return newAcceptor(l, s.log, s.metrics.rejectedConnections), nil
+}
+
 // onOpen registers a new connection. nbio calls it before the poller may get events for
 // the connection, and it returns only when the poller holds no event for an earlier
 // connection with the same descriptor.
