httpcall: a call whose answer is not accepted ends at once

What callers saw: an engine's answer that was not accepted (a success without a seal, a status that leaves open whether the request ran, events where none may come, more bytes than the limit) held the request until the engine had sent the rest of it, or until the deadline of the request. No other engine was tried meanwhile, and an answer without an end was read on past the limit meant for it. A panic in handling an answer had the same effect.

Cause: the call closed the body of the response before its connection, and the standard library reads a body to its end in Close. Only the end of the request's context closed the connection first.

Fix: unless the answer is complete, the connection is closed before the body is.

Ruled out: not closing the body; it holds nothing, but linters and readers expect it.

Evidence: TestSinkErrorEndsCallAtOnce (10.0 s, the deadline, for the head and for the body) and TestPanicInSinkClosesTheConnection (did not end within the 40 s that were left) failed on the code before and pass now, 20 times with -race.

--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -90,7 +90,13 @@
 	if err != nil {
 		return false, err
 	}
-	defer func() { _ = res.Body.Close() }()
+	complete := false
+	defer func() {
+		if !complete {
+			_ = x.conn.Close() // Closing the body would otherwise read on to its end.
+		}
+		_ = res.Body.Close()
+	}()
 	x.head = Head{Status: res.StatusCode, Header: res.Header, Length: res.ContentLength}
 	if !x.isOwnResponse(res.Header) {
 		x.pool.counters.mismatched.Inc(1)
@@ -102,6 +108,7 @@
 	if err := x.readBody(res.Body); err != nil {
 		return false, err
 	}
+	complete = true
 	x.updateExpiry(res.Header)
 	return !res.Close && x.conn.br.Buffered() == 0 && x.writeErr == nil, nil
 }
