httpcall: a panic in writing a large request ends only the call

Cause: no recover of the call reaches that goroutine.

Fix: the panic is handed to the call, which panics with it in its own goroutine, where the boundary of the request logs and counts it with the stack of the write. The connection is closed, so that the call does not wait for a response.

Ruled out: logging it in the pool, which has no log, and would count it apart from the request.

--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"monsoonfork/core/contain"
 	"monsoonfork/core/fault"
 )
 
@@ -32,11 +33,17 @@
 	sink Sink
 	head Head
 
-	isFirst   bool       // Nothing was sent on the connection before.
-	writeDone chan error // Result of a concurrent write; nil if the request was written first.
+	isFirst   bool             // Nothing was sent on the connection before.
+	writeDone chan writeResult // Result of a concurrent write; nil if the request was written first.
 	writeErr  error
 }
 
+// writeResult is the result of a concurrent write.
+type writeResult struct {
+	err   error
+	panic *contain.Panic // The write has panicked.
+}
+
 // run sends the request and receives the response. It reports whether the connection
 // can be reused.
 func (x *poolExchange) run(message []byte) (bool, error) {
@@ -58,8 +65,11 @@
 	}
 	if x.writeDone != nil {
 		select {
-		case werr := <-x.writeDone:
-			reusable = reusable && werr == nil
+		case res := <-x.writeDone:
+			if res.panic != nil {
+				panic(res.panic)
+			}
+			reusable = reusable && res.err == nil
 		default:
 			// The endpoint responded before it read the complete request.
 			reusable = false
@@ -77,11 +87,8 @@
 		if err := x.conn.setUserTimeout(largeUserTimeout); err != nil {
 			return false, err
 		}
-		x.writeDone = make(chan error, 1)
-		go func() {
-			_, err := x.conn.Write(message)
-			x.writeDone <- err
-		}()
+		x.writeDone = make(chan writeResult, 1)
+		go x.writeConcurrently(message)
 	} else if _, err := x.conn.Write(message); err != nil {
 		// The endpoint may have responded before it closed the connection.
 		x.writeErr = err
@@ -113,6 +120,17 @@
 	return !res.Close && x.conn.br.Buffered() == 0 && x.writeErr == nil, nil
 }
 
+// writeConcurrently writes the request while the response is read. If it panics, it closes the
+// connection, so that the call ends; the call then panics for it.
+func (x *poolExchange) writeConcurrently(message []byte) {
+	var res writeResult
+	res.panic = contain.Call(func() { _, res.err = x.conn.Write(message) })
+	x.writeDone <- res
+	if res.panic != nil {
+		_ = x.conn.Close()
+	}
+}
+
 // isOwnResponse reports whether a response belongs to the call: it has the call's id. A
 // response without an id may do so only if no other call was sent on the connection.
 func (x *poolExchange) isOwnResponse(h http.Header) bool {
--- a/io/httpcall/sinkerror_test.go
+++ b/io/httpcall/sinkerror_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +60,34 @@
 		}
 	})
 }
+
+// panickingWriter is a connection on which each write panics.
+type panickingWriter struct{ *net.TCPConn }
+
+func (panickingWriter) Write([]byte) (int, error) { panic("odd write") }
+
+// TestPanicInConcurrentWriteEndsOnlyTheCall guards against a panic that ends the process in
+// the goroutine that writes a large request, where no caller's recover reaches it.
+func TestPanicInConcurrentWriteEndsOnlyTheCall(t *testing.T) {
+	e := newEndpoint(t, func(net.Conn, *http.Request, int) bool { return false })
+	conn, err := net.Dial("tcp", string(e.address))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		t.Fatalf("connection of type %T", conn)
+	}
+	const limit = 10 * time.Second
+	x := &poolExchange{pool: newTestPool(t), ctx: t.Context(), conn: newPoolConn(panickingWriter{tcp})}
+	x.call.Limits.ResponseDeadline = time.Now().Add(limit)
+	message := []byte(strings.Repeat("x", maxSyncWriteBytes+1))
+	started := time.Now()
+	p := contain.Call(func() { _, _ = x.run(message) })
+	if p == nil || p.Cause != "odd write" || !strings.Contains(p.Stack, "panickingWriter") {
+		t.Errorf("panic %+v, want that of the write", p)
+	}
+	if took := time.Since(started); took > limit/2 {
+		t.Errorf("the call ended after %v, want at once", took)
+	}
+}
