--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -105,15 +105,7 @@
 	if closed {
 		return
 	}
-	c.mu.Lock()
-	var timeout *fault.Error
-	if c.isTimedOut(now) {
-		timeout = fault.New(fault.RequestTimeout, "the request was not complete in time")
-		c.rejection = timeout
-	}
-	idle := c.isIdle(now)
-	c.closing = c.closing || idle
-	c.mu.Unlock()
+	timeout, idle := c.checkDeadlines(now)
 	if idle {
 		_ = c.nbc.Close()
 	}
@@ -122,6 +114,20 @@
 	}
 }
 
+// checkDeadlines returns the rejection of a request that was not complete in time, or nil, and
+// reports whether the connection is idle. It records either.
+func (c *conn) checkDeadlines(now time.Time) (timeout *fault.Error, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isTimedOut(now) {
+		timeout = fault.New(fault.RequestTimeout, "the request was not complete in time")
+		c.rejection = timeout
+	}
+	idle = c.isIdle(now)
+	c.closing = c.closing || idle
+	return timeout, idle
+}
+
 // isTimedOut reports whether the request being read was not complete in time. The caller
 // must hold c.mu.
 func (c *conn) isTimedOut(now time.Time) bool {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/contain"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -177,8 +178,7 @@
 	}
 }
 
-// sweep checks all connections periodically until Close: for disconnected callers, slow
-// requests, idle connections and delivered last responses.
+// sweep checks all connections periodically until Close.
 func (s *Server) sweep() {
 	defer close(s.sweepDone)
 	ticker := time.NewTicker(sweepInterval)
@@ -188,15 +188,24 @@
 		case <-s.stopSweep:
 			return
 		case now := <-ticker.C:
-			drain := s.closeIdleOnDrain && s.draining.Load()
-			s.conns.each(func(c *conn) {
-				c.enforceTimeouts(now)
-				c.closeWriteIfDelivered(now, drain)
-			})
+			s.sweepOnce(now)
 		}
 	}
 }
 
+// sweepOnce checks all connections: for disconnected callers, slow requests, idle connections
+// and delivered last responses. A panic ends only the check of its connection.
+func (s *Server) sweepOnce(now time.Time) {
+	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
+	drain := s.closeIdleOnDrain && s.draining.Load()
+	s.conns.each(func(c *conn) {
+		_ = boundary.Run("sweep", func() { // A panic is logged; the next sweep checks the connection again.
+			c.enforceTimeouts(now)
+			c.closeWriteIfDelivered(now, drain)
+		})
+	})
+}
+
 // Drain waits until all open requests are finished and their responses delivered.
 // Requests that arrive meanwhile are served, and their connections then closed.
 func (s *Server) Drain(ctx context.Context) error {
