stagecontrol: orders that are no longer pending are forgotten

What could be seen: the owner of the stages kept an entry for each engine that it had ever ordered to change its stage. Engines come back under new ids, so that the memory grew for as long as the process ran. And if Run was called again, all of them were forgotten, so that an engine could get a second order while it may still carry out the first.

Cause: entries were only replaced, and the map was made by Run.

Fix: each new order removes those whose time has passed; the map outlasts Run.

Ruled out: removing an entry when its engine leaves the list, since it may be listed again while the order is pending.

--- a/core/stagecontrol/controller.go
+++ b/core/stagecontrol/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -49,7 +50,7 @@
 	Log             log.Logger
 
 	dueSince    boottime.Instant                  // Time since which a change has been due; 0 if none is.
-	pending     map[ident.EndpointID]pendingOrder // Last order of each engine.
+	pending     map[ident.EndpointID]pendingOrder // Last order of each engine that has had one lately; kept if Run is called again.
 	pausedUntil boottime.Instant                  // No lease is requested until then.
 }
 
@@ -87,7 +88,6 @@
 // Run checks the split at each checkInterval, and changes it if this instance is the owner,
 // until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	c.pending = make(map[ident.EndpointID]pendingOrder)
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
@@ -176,13 +176,23 @@
 			if !ok || c.inCooldown(change.Engine.ID) {
 				break
 			}
-			c.pending[change.Engine.ID] = pendingOrder{change.To, c.BootTime().Add(c.cooldown())}
+			c.setPending(change.Engine.ID, pendingOrder{change.To, c.BootTime().Add(c.cooldown())})
 			changes = append(changes, change)
 		}
 	}
 	return changes
 }
 
+// setPending records an order, and forgets those that are no longer pending.
+func (c *Controller) setPending(id ident.EndpointID, o pendingOrder) {
+	now := c.BootTime()
+	maps.DeleteFunc(c.pending, func(_ ident.EndpointID, o pendingOrder) bool { return !now.Before(o.until) })
+	if c.pending == nil {
+		c.pending = make(map[ident.EndpointID]pendingOrder)
+	}
+	c.pending[id] = o
+}
+
 // cooldown returns how long an engine gets no other order after one.
 func (c *Controller) cooldown() time.Duration { return max(orderCooldown, orderWindow+c.ChangeTime()) }
 
