platform: a panic in a loop ends only its round

What could be seen: a panic in one of the loops of the routing role (following the store, replication, registration, stage control, rate shares, idle connections) would have ended the process. None is known.

Cause: the loops ran without a boundary; applying what they received had one.

Fix: contain.Boundary.Loop runs a loop, logs and counts a panic, and runs it again after 0.5 s. What the loops keep outlasts that: the registrar's lease, the replicator's place, the orders that are pending. The exchanges of core/reporting run in goroutines of their own; a panic in one is handed to the round.

Ruled out: a boundary inside each loop around its round, since there would be five of them, and the next loop would lack it.

--- a/core/contain/contain.go
+++ b/core/contain/contain.go
@@ -2,8 +2,10 @@
 package contain
 
 import (
+	"context"
 	"fmt"
 	"runtime/debug"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -11,6 +13,7 @@
 
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
+	"monsoonfork/core/sleep"
 )
 
 // Panic describes a panic.
@@ -52,3 +55,14 @@
 	_ = level.Error(b.Log).Log("msg", event.PanicContained, "step", step, "err", p.Cause, "stack", p.Stack)
 	return fault.New(fault.Internal, "internal error")
 }
+
+// loopPause is the pause after a panic in a loop.
+const loopPause = 500 * time.Millisecond
+
+// Loop calls run, which works until ctx ends. A panic in it ends only the current round: it is
+// logged and counted, and run is called again after a pause.
+func (b Boundary) Loop(ctx context.Context, step string, run func(context.Context)) {
+	for b.Run(step, func() { run(ctx) }) != nil && ctx.Err() == nil {
+		sleep.For(ctx, loopPause)
+	}
+}
--- a/core/contain/contain_test.go
+++ b/core/contain/contain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"strings"
 	"testing"
 
@@ -29,3 +30,28 @@
 		}
 	}
 }
+
+// TestLoopGoesOnAfterPanic guards against a panic that ends the process or a loop, and against
+// a loop that is run again after it has ended by itself or its context has.
+func TestLoopGoesOnAfterPanic(t *testing.T) {
+	b := Boundary{Log: log.NewNopLogger(), Panics: metrics.NewCounter()}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	runs := 0
+	b.Loop(ctx, "returns", func(context.Context) {
+		if runs++; runs == 1 {
+			panic("odd entry")
+		}
+	})
+	if runs != 2 || b.Panics.Count() != 1 {
+		t.Errorf("%d runs, %d panics; want 2 and 1", runs, b.Panics.Count())
+	}
+	b.Loop(ctx, "ends", func(context.Context) {
+		runs++
+		cancel()
+		panic("odd end")
+	})
+	if runs != 3 {
+		t.Errorf("%d runs, want 3: none after the end of the context", runs)
+	}
+}
--- a/core/reporting/reporting.go
+++ b/core/reporting/reporting.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/contain"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -68,21 +70,33 @@
 	return owner.ID, r.Report(callCtx, owner.ID)
 }
 
-// exchangeAll calls Exchange for the collectors of all other domains, in parallel.
+// exchangeAll calls Exchange for the collectors of all other domains, in parallel. It panics
+// if one of the calls has, after all of them have ended.
 func (r *Reporter) exchangeAll(ctx context.Context, v *membership.View) {
 	ctx, cancel := context.WithTimeout(ctx, r.CallTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
+	var panicked atomic.Pointer[contain.Panic]
 	for _, domain := range v.Domains() {
 		other, ok := v.Owner(domain, r.CollectorKey)
 		if !ok || domain == v.Self.Domain {
 			continue
 		}
 		wg.Go(func() {
-			if err := r.Exchange(ctx, domain, other.ID); err != nil {
-				_ = level.Debug(r.Log).Log("msg", event.ExchangeFailed, "collects", r.CollectorKey, "domain", domain, "err", err)
+			if p := contain.Call(func() { r.exchange(ctx, domain, other.ID) }); p != nil {
+				panicked.Store(p)
 			}
 		})
 	}
 	wg.Wait()
+	if p := panicked.Load(); p != nil {
+		panic(p)
+	}
+}
+
+// exchange calls Exchange for the collector of one domain.
+func (r *Reporter) exchange(ctx context.Context, domain ident.DomainID, collector ident.InstanceID) {
+	if err := r.Exchange(ctx, domain, collector); err != nil {
+		_ = level.Debug(r.Log).Log("msg", event.ExchangeFailed, "collects", r.CollectorKey, "domain", domain, "err", err)
+	}
 }
