share: a single request elsewhere is no demand

Callers whose organisation was inside its rate and burst got 429 with a small probability if another instance had admitted a request of about the same size in the last half second, although the bucket held the tokens of both.

Cause: demand is a sum over 0.5 s, divided by 0.5 s. One request counts as a demand of twice its cost a second. If that is above rate + level / 0.9 s, the next request is refused at random, although the first one is deducted from the level already and nothing shows that others follow. The demand is now taken less one request of the cost that is asked for.

TestSingleRequestElsewhereIsNoDemand failed before: refused with 16000 tokens of 30000. The tests that bound what is admitted (contention_test.go, restart_test.go, fleet_test.go) are unchanged and pass.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -57,7 +57,7 @@
 		perSecond := max(b.rate*b.fraction, 1)
 		return false, now.Add(time.Duration((need - b.level) / perSecond * float64(time.Second)))
 	}
-	if draw >= b.admissibleProportion() {
+	if draw >= b.admissibleProportion(cost) {
 		return false, now.Add(propagationTime)
 	}
 	if draw >= need/min(float64(cost), b.burst) {
@@ -73,9 +73,13 @@
 // can be admitted; what this instance admits is deducted at once. The level is spread
 // over twice the time that the others need to know of an admission, since a level that
 // is spent sooner swings between both signs.
-func (b *bucket) admissibleProportion() float64 {
+//
+// A single request of that cost at the others is no demand yet: it is deducted from the
+// level, and nothing shows that another one follows.
+func (b *bucket) admissibleProportion(cost ident.Tokens) float64 {
 	available := b.rate*b.fraction + max(b.level, 0)/(2*propagationTime.Seconds())
-	return available / max(b.othersDemand, 1)
+	demand := b.othersDemand - float64(cost)/demandWindow.Seconds()
+	return available / max(demand, 1)
 }
 
 // refund returns the tokens of a request that was admitted at a time. Tokens that a
--- a/core/share/bucket_test.go
+++ b/core/share/bucket_test.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -88,3 +89,17 @@
 		t.Errorf("admitted %d in 8 s, want close to %d: a quarter of rate and burst", admitted, want)
 	}
 }
+
+// TestSingleRequestElsewhereIsNoDemand guards against the refusal of a request, though the bucket
+// holds its tokens, because another instance has just admitted one that was as large.
+func TestSingleRequestElsewhereIsNoDemand(t *testing.T) {
+	const cost = 14_000
+	now := time.Now()
+	b := &bucket{refilledAt: now, level: 30_000}
+	b.setLimit(10_000, 30_000, 1, now)
+	b.chargeOthers(cost, now)
+	b.othersDemand = cost / demandWindow.Seconds()
+	if ok, _ := b.tryCharge(cost, now, math.Nextafter(1, 0)); !ok {
+		t.Errorf("refused with %v tokens of %v", b.level, b.burst)
+	}
+}
