share: a number of members that can't be is ignored

Other instances could see: after an exchange with 2^63-1 members of another domain, members were told a share of -2.3e18. They refused it, and each used only what an instance may alone until the next exchange, so that organisations inside their rate were refused. A negative number had the same effect on the sum.

Cause: the number was added to that of the own domain as it was decoded.

Fix: an exchange with less than 0 or more than a million members is logged and skipped.

--- a/core/share/calls.go
+++ b/core/share/calls.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 
+	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
@@ -21,6 +23,10 @@
 // domain's collector.
 const collectorKey = "share"
 
+// maxDomainMembers bounds the live members that a collector may report, so that the sum over
+// domains is a number of members.
+const maxDomainMembers = 1_000_000
+
 // Run sends a report at each reportInterval until ctx ends.
 func (s *Shares) Run(ctx context.Context) { s.newReporter().Run(ctx) }
 
@@ -64,8 +70,13 @@
 	return &Exchange{Domain: string(v.Self.Domain), Admitted: admitted, Members: int64(members)}
 }
 
-// recordExchange stores the totals that the collector of another domain sent.
+// recordExchange stores the totals that the collector of another domain sent, unless its
+// number of members is out of range.
 func (s *Shares) recordExchange(from ident.InstanceID, e *Exchange) {
+	if n := e.GetMembers(); n < 0 || n > maxDomainMembers {
+		_ = level.Warn(s.log).Log("msg", event.PeerRecordIgnored, "from", string(from), "record", "exchange", "err", fault.New(fault.BadRequest, "%d members of domain %.80q are not 0 to %d", n, e.GetDomain(), maxDomainMembers))
+		return
+	}
 	s.totals.record(from, ident.DomainID(e.GetDomain()), int(e.GetMembers()), e.GetAdmitted())
 }
 
