httpcall: idle connections to an engine stay within max-connections

What callers could see: a call to a sound engine that is reset, "may have run", because the instances together have more connections open to it than it accepts.

Cause: max-connections of the configuration was decoded and used by nothing. The calls in progress are bounded by the engine's slots, but each instance kept up to 64 idle connections to each engine: seven instances 448 for 360 or 100.

Fix: the pool counts its connections to an address, and closes the idle ones used least recently beyond Call.MaxConnections, before it opens another and when a call ends.

The entry leaves the list of TestDecodedFieldsAreUsed.

Ruled out: refusing calls beyond the share, which would refuse what the engine could serve; a limit on callers' connections, which max-connections does not mean.

--- a/cmd/monsoonfork/decodedfields_test.go
+++ b/cmd/monsoonfork/decodedfields_test.go
@@ -44,7 +44,6 @@
 // shownFields are fields that nothing acts on, each with the reason why they are decoded.
 var shownFields = map[string]string{
 	"core/budget/audit.Record.Wall":             "for people who read the admission log",
-	"core/catalog.Service.MaxConnections":       "open (issue 18, row 4): connections to an engine are bounded by its slots, not by this",
 	"core/orders.fencingRecord.Holder":          "for operators who read the store",
 	"core/presence.Registration.Instance":       "for operators who read the store",
 	"core/stagecontrol.Notice.Holder":           "for operators who read the store",
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -38,6 +38,11 @@
 	// PooledSince excludes pooled connections whose last call ended before it. Only
 	// Pool uses it.
 	PooledSince time.Time
+
+	// MaxConnections is how many connections to the address the pool may have open, used and
+	// idle ones. It closes idle ones beyond that, but ends and refuses no call. Zero means no
+	// limit. Only Pool uses it.
+	MaxConnections int
 }
 
 // Head is the status and headers of a response.
--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -34,6 +34,7 @@
 
 	mu     sync.Mutex
 	idle   map[ident.Address][]*poolConn // The most recently used last.
+	inUse  map[ident.Address]int         // Calls that have a connection, or open one.
 	closed bool
 }
 
@@ -50,6 +51,7 @@
 	return &Pool{
 		maxBytes: defaultMaxResponseBytes,
 		idle:     make(map[ident.Address][]*poolConn),
+		inUse:    make(map[ident.Address]int),
 		counters: poolMetrics{
 			calls:      metrics.GetOrRegisterCounter("HTTPPool.Calls", r),
 			failed:     metrics.GetOrRegisterCounter("HTTPPool.Failed", r),
@@ -90,6 +92,9 @@
 	if err != nil {
 		return err
 	}
+	p.beginUse(call.Address)
+	var reusableConn *poolConn
+	defer func() { p.release(call, reusableConn) }()
 	c, err := p.acquire(ctx, call)
 	if err != nil {
 		return err
@@ -97,7 +102,7 @@
 	x := &poolExchange{pool: p, ctx: ctx, call: call, conn: c, sink: sink}
 	reusable, err := x.run(message)
 	if reusable {
-		p.release(call.Address, c)
+		reusableConn = c
 	} else {
 		_ = c.Close()
 	}
@@ -107,6 +112,22 @@
 	return err
 }
 
+// beginUse records that a call uses a connection to an address.
+func (p *Pool) beginUse(a ident.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inUse[a]++
+}
+
+// closeExcess closes the idle connections to an address that were used least recently, as long
+// as more connections are open than limit, unless it is zero. The caller must hold p.mu.
+func (p *Pool) closeExcess(a ident.Address, limit int) {
+	for limit > 0 && len(p.idle[a]) > 0 && len(p.idle[a])+p.inUse[a] > limit {
+		_ = p.idle[a][0].Close()
+		p.idle[a] = slices.Delete(p.idle[a], 0, 1)
+	}
+}
+
 // closeIdle closes the idle connections to an address. After a timeout on one connection
 // the others are likely dead too, while new connections may work.
 func (p *Pool) closeIdle(a ident.Address) {
@@ -126,6 +147,7 @@
 	for {
 		c := p.popIdle(call)
 		if c == nil {
+			p.makeRoom(call)
 			return p.dial(ctx, call)
 		}
 		if c.idleSince.Before(call.PooledSince) || !time.Now().Before(c.expires) || !isIdle(c.Conn) {
@@ -136,6 +158,13 @@
 	}
 }
 
+// makeRoom closes idle connections if a new one for a call would exceed its limit.
+func (p *Pool) makeRoom(call Call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeExcess(call.Address, call.MaxConnections)
+}
+
 // popIdle removes and returns the most recently used idle connection for a call, or nil.
 func (p *Pool) popIdle(call Call) *poolConn {
 	p.mu.Lock()
@@ -152,16 +181,28 @@
 	return nil
 }
 
-// release keeps a connection for later calls. It closes the connection if the pool is
-// closed or holds maxIdleConns idle connections to the address already, or if the kernel
-// does not accept its timeout, which means that the connection has failed.
-func (p *Pool) release(a ident.Address, c *poolConn) {
+// release records that a call has ended. It keeps its connection, unless that is nil, for later
+// calls, and closes idle connections beyond the call's limit.
+func (p *Pool) release(call Call, c *poolConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.inUse[call.Address]--; p.inUse[call.Address] == 0 {
+		delete(p.inUse, call.Address)
+	}
+	if c != nil {
+		p.keep(call.Address, c)
+	}
+	p.closeExcess(call.Address, call.MaxConnections)
+}
+
+// keep keeps a connection for later calls. It closes the connection if the pool is closed or
+// holds maxIdleConns idle connections to the address already, or if the kernel does not accept
+// its timeout, which means that the connection has failed. The caller must hold p.mu.
+func (p *Pool) keep(a ident.Address, c *poolConn) {
 	c.idleSince = time.Now()
 	if c.expires.IsZero() || c.expires.After(c.idleSince.Add(maxIdleTime)) {
 		c.expires = c.idleSince.Add(maxIdleTime)
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.closed || len(p.idle[a]) >= maxIdleConns || c.setUserTimeout(poolUserTimeout) != nil {
 		_ = c.Close()
 		return
