--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -39,6 +39,11 @@
 	// PooledSince excludes pooled connections whose last call ended before it. Only
 	// Pool uses it.
 	PooledSince time.Time
+
+	// MaxConnections is how many connections to the address the pool may have open, used and
+	// idle ones. It closes idle ones beyond that, but ends and refuses no call. Zero means no
+	// limit. Only Pool uses it.
+	MaxConnections int
 }
 
 // Do makes the call and returns when the complete response was passed to the sink.
