engines: old removals are forgotten

What could be seen: the table kept the removal and the last change of each engine that it had ever listed. Engines come back under new ids, so that the memory of an instance grew for as long as it ran, and Since went through all of them.

Cause: nothing was deleted from the two maps.

Fix: the last change is deleted with its engine, and the removal when the engine returns. Of the removals at most 16,000 are kept, more than twice the engines of the largest fleet; beyond that the older half is forgotten.

Ruled out: an age limit. The table has no clock, and an instance that was cut off for long may send old entries at any time; the removals of some months of restarts stay.

--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -1,6 +1,7 @@
 package engines
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -23,11 +24,11 @@
 
 	mu             sync.Mutex
 	engines        map[ident.EndpointID]*Engine
-	removed        map[ident.EndpointID]removal
-	revision       int64                      // Highest revision of the list that was applied.
-	complete       bool                       // A complete list was applied.
-	sequence       int64                      // Number of changes applied to this table.
-	changeSequence map[ident.EndpointID]int64 // Sequence number of the last change of each engine.
+	removed        map[ident.EndpointID]removal // The newest removals of engines that have not returned.
+	revision       int64                        // Highest revision of the list that was applied.
+	complete       bool                         // A complete list was applied.
+	sequence       int64                        // Number of changes applied to this table.
+	changeSequence map[ident.EndpointID]int64   // Sequence number of the last change of each listed engine.
 	partitionSums  Checksums
 	engineSums     map[ident.EndpointID]uint32 // Checksum of each engine.
 	changeSignal   chan struct{}               // Closed at the next change.
@@ -199,7 +200,7 @@
 			return false
 		}
 		t.sequence++
-		t.removed[id] = removal{c.Entry.ListRevision, t.sequence}
+		t.recordRemoval(id, c.Entry.ListRevision)
 		t.setChecksum(id, 0)
 		old.markRemoved()
 		delete(t.engines, id)
@@ -220,10 +221,33 @@
 	if old != nil {
 		old.markRemoved()
 	}
+	delete(t.removed, id) // The new entry has a higher revision.
 	t.engines[id] = &Engine{Entry: c.Entry, state: c.Entry.State, stage: c.Entry.Stage, revision: c.Entry.ListRevision}
 	return true
 }
 
+// maxRemovals is the largest number of removals that a table keeps. It is more than twice the
+// number of engines of the largest fleet, so that the removal of all of them reaches the other
+// instances.
+const maxRemovals = 16_000
+
+// recordRemoval records the removal of an engine. If there are too many, the older half is
+// forgotten. The caller must hold mu.
+func (t *Table) recordRemoval(id ident.EndpointID, revision int64) {
+	t.removed[id] = removal{revision, t.sequence}
+	delete(t.changeSequence, id)
+	if len(t.removed) <= maxRemovals {
+		return
+	}
+	sequences := make([]int64, 0, len(t.removed))
+	for _, r := range t.removed {
+		sequences = append(sequences, r.sequence)
+	}
+	slices.Sort(sequences)
+	oldest := sequences[len(sequences)/2]
+	maps.DeleteFunc(t.removed, func(_ ident.EndpointID, r removal) bool { return r.sequence < oldest })
+}
+
 // publishView rebuilds the view that ServiceEngines and All read. The caller must hold mu.
 func (t *Table) publishView() {
 	v := &view{byService: make(map[ident.ServiceID][]*Engine)}
