orders: an engine that is moved waits for the orders of its old domain

What could be seen: an engine that ignores fencing numbers and is moved to another domain got an order from the controller there while one of the old domain was still running, and more from both of them until the old one had the new text.

Cause: each domain has a lease and fencing numbers of its own. The wait for the orders of earlier controllers counts from the grant of the new domain, which may be hours old.

Which member sends the orders: the controller of the domain that its own text names. Two do from the moment at which the new one has the text to that at which the old one has it. Nobody does after that for as long as the new wait lasts.

Fix: every instance compares each new text with the one before, also without the lease.

Ruled out: one lease for all domains, since a domain that is cut off has to go on.

--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -49,6 +49,7 @@
 	leaving        bool           // A planned stop has begun.
 	fencing        ident.Epoch    // Fencing number under which the records were made.
 	revision       ident.Revision // Newest revision of the configuration text that was seen.
+	text           *text.Text     // Newest configuration text that was seen, also without the lease.
 	engines        map[ident.EndpointID]*engineRecord
 	versionChanges map[pool]versionChange
 	activeLoads    int   // Orders in progress that read from the weight store.
--- a/core/orders/reconcile.go
+++ b/core/orders/reconcile.go
@@ -14,9 +14,13 @@
 
 // reconcileDue starts a comparison of each engine that is due.
 func (c *Controller) reconcileDue() {
-	g, ok := c.leases.currentGrant()
 	s := c.Snapshot()
-	if !ok || s == nil {
+	if s == nil {
+		return
+	}
+	c.noteMoves(s)
+	g, ok := c.leases.currentGrant()
+	if !ok {
 		return
 	}
 	for _, e := range c.claimDue(g, s) {
