forward: the margin of a reservation follows from the service's average estimate

Cause: a reservation was the prompt and 1.5 times the caller's estimate of the answer. Suspected, not shown: a stream that is admitted again has no more memory than before and is preempted again.

Now the margin is half of the average estimate of the service, for short and long estimates alike.

TestShortEstimatesHaveTheUsualMargin failed before (margin of 25 tokens for an estimate of 50, want 400 to 500).

--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -35,6 +35,7 @@
 	prefill  func(n int, c Call) (string, error)
 	reserve  func(e engines.Entry) (string, error)
 	reserved []time.Duration // Validity of each reservation that was asked for.
+	sizes    []ident.Tokens  // Size of each reservation that was asked for.
 }
 
 // newHarness returns a harness with two plain, two decode and two prefill engines.
@@ -155,9 +156,10 @@
 			defer h.mu.Unlock()
 			h.released = append(h.released, id)
 		},
-		Reserve: func(_ context.Context, e engines.Entry, _ ident.Tokens, until, _ time.Time) (string, error) {
+		Reserve: func(_ context.Context, e engines.Entry, size ident.Tokens, until, _ time.Time) (string, error) {
 			h.mu.Lock()
 			h.reserved = append(h.reserved, time.Until(until))
+			h.sizes = append(h.sizes, size)
 			h.mu.Unlock()
 			return h.reserve(e)
 		},
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -67,6 +67,7 @@
 // too long.
 func (s *stream) reserve(ctx context.Context) (decodeReservation, error) {
 	r := s.router
+	r.outputEstimates.record(s.service.Name, s.EstimatedOutput)
 	started := r.now()
 	defer func() { r.counters.reserveWait.UpdateSince(started) }()
 	w := &waiter{cost: float64(s.reservationSize()) * float64(s.reservedOutput()), reserveBy: s.reserveBy()}
@@ -240,14 +241,10 @@
 func (j *job) reservationSize() ident.Tokens { return j.PromptTokens + j.reservedOutput() }
 
 // reservedOutput returns the part of the reservation for the answer: its estimated length
-// with a margin, and at most the maximum.
+// with the margin of the service, and at most the maximum.
 func (j *job) reservedOutput() ident.Tokens {
 	if j.EstimatedOutput == 0 {
 		return j.MaxOutputTokens
 	}
-	return min(j.MaxOutputTokens, ident.Tokens(estimateFactor*float64(j.EstimatedOutput)))
+	return min(j.MaxOutputTokens, j.EstimatedOutput+j.router.outputEstimates.margin(j.service.Name))
 }
-
-// estimateFactor is the margin for answers that are longer than their callers expect. A
-// stream that outgrows its reservation is preempted, and its prompt is prefilled again.
-const estimateFactor = 1.5
--- a/core/forward/reserve_test.go
+++ b/core/forward/reserve_test.go
@@ -1,8 +1,11 @@
 package forward
 
 import (
+	"context"
 	"testing"
 	"time"
+
+	"monsoonfork/core/ident"
 )
 
 // TestReservationsAreWithinTheLongest guards against reservations that are longer than the
@@ -21,3 +24,36 @@
 		}
 	}
 }
+
+// TestShortEstimatesHaveTheUsualMargin guards against a margin in proportion to the
+// request's own estimate: with short estimates most streams outgrew their reservations, were
+// preempted, and their prompts were prefilled again.
+func TestShortEstimatesHaveTheUsualMargin(t *testing.T) {
+	const prompt, longest, usual = 5000, 2000, 1000
+	h := newHarness(t)
+	h.send = func(_ int, _ Call, sink Sink) error { return sendAnswer(sink, 200, "id: 1\ndata: a\n\n") }
+	reserved := func(estimate ident.Tokens) ident.Tokens {
+		got := h.serveRequest(context.Background(), "stream", func(q *Request) {
+			q.PromptTokens, q.MaxOutputTokens, q.EstimatedOutput = prompt, longest, estimate
+		})
+		if got.err != nil {
+			t.Fatal(got.err)
+		}
+		return h.sizes[len(h.sizes)-1] - prompt
+	}
+	for range 3 {
+		if got := reserved(usual); got != usual+usual/2 {
+			t.Errorf("estimate %d: %d tokens reserved for the answer, want %d", usual, got, usual+usual/2)
+		}
+	}
+	for _, estimate := range []ident.Tokens{50, 300} {
+		if margin := reserved(estimate) - estimate; margin < usual*2/5 || margin > usual/2 {
+			t.Errorf("estimate %d: margin of %d tokens, want 400 to 500", estimate, margin)
+		}
+	}
+	for _, estimate := range []ident.Tokens{1800, longest, 3 * longest, 0} {
+		if got := reserved(estimate); got != longest {
+			t.Errorf("estimate %d: %d tokens reserved for the answer, want the longest, %d", estimate, got, longest)
+		}
+	}
+}
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -127,6 +127,7 @@
 	retrySettings   RetryBudgetSettings
 	refusalLog      *refusalLog
 	streamDurations streamDurations
+	outputEstimates outputEstimates
 	processEnd      atomic.Pointer[time.Time] // Planned end of the process; nil while no stop is planned.
 	stopping        atomic.Bool
 }
