forward: a decode engine's server error counts as its failure also if it is forwarded

Cause: a stream that may be retried ends its attempt with an error, which is recorded.

TestEngineThatFailsOnceOnlyStreamsIsAvoided failed before in 12 of 12 runs (3 and 6 of the next 12 streams went to the failing engine in the two whose output was read), and passes now (20 runs, and 20 with the race detector).

Now such an answer is recorded as that of a stream that may be retried: a failed call, and nothing for transfers and durations.

--- a/core/forward/failedanswer_test.go
+++ b/core/forward/failedanswer_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"monsoonfork/core/engines"
+	"monsoonfork/core/ident"
 )
 
 // TestEngineFailureIsForwardedWithoutRetry guards against an engine's own error answer that is
@@ -65,3 +66,36 @@
 		t.Errorf("answered after %v, want about %v", took, failedAnswerTime)
 	}
 }
+
+// TestEngineThatFailsOnceOnlyStreamsIsAvoided guards against a decode engine whose server
+// errors count as successes if the stream must not run twice: its memory stays free, so that
+// it got more and more streams, and all of them failed.
+func TestEngineThatFailsOnceOnlyStreamsIsAvoided(t *testing.T) {
+	const streams = 12
+	h := newHarness(t)
+	var failing ident.EndpointID
+	h.send = func(n int, c Call, sink Sink) error {
+		if n == 1 {
+			failing = c.Engine.ID
+		}
+		if c.Engine.ID == failing {
+			return sendAnswer(sink, 500, "own error")
+		}
+		return sendAnswer(sink, 200, eventText(1))
+	}
+	if got := h.serve("stream"); got.err != nil || got.status != 500 {
+		t.Fatalf("error %v, status %d; want the engine's own answer", got.err, got.status)
+	}
+	if d := h.router.streamDurations.estimate("model", 1_000_000); d != 0 {
+		t.Errorf("a stream that failed counts in the average duration: %v for 1,000,000 tokens", d)
+	}
+	failed := 0
+	for range streams {
+		if got := h.serve("stream"); got.status == 500 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of the %d next streams went to the engine that had failed, although another one was free", failed, streams)
+	}
+}
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"time"
 
@@ -153,12 +154,7 @@
 	err := s.send(ctx, e, call)
 	reserved.sent = true
 	if err == nil {
-		now := s.router.now()
-		e.RecordSuccess(now)
-		if p.source.Handle != "" {
-			e.RecordFetch(true, now)
-		}
-		s.router.streamDurations.record(s.service.Name, s.expectedOutput(), now.Sub(s.Received))
+		s.recordDecodeAnswer(e, p)
 		return nil
 	}
 	f := fault.From(err)
@@ -172,6 +168,27 @@
 	return err
 }
 
+// recordDecodeAnswer records a complete answer in the statistics of its engine and of its
+// service. A server error is a failure of the engine also if it is forwarded to the caller.
+func (s *stream) recordDecodeAnswer(e *engines.Engine, p prefilledPrompt) {
+	if s.status >= http.StatusInternalServerError {
+		s.recordDecodeOutcome(e, p, serverError(s.status))
+		return
+	}
+	now := s.router.now()
+	e.RecordSuccess(now)
+	if p.source.Handle != "" {
+		e.RecordFetch(true, now)
+	}
+	s.router.streamDurations.record(s.service.Name, s.expectedOutput(), now.Sub(s.Received))
+}
+
+// serverError returns the error of an attempt that an engine has answered with a server
+// error.
+func serverError(status int) *fault.Error {
+	return fault.New(fault.EndpointFailed, "the engine failed with status %d", status)
+}
+
 // recordDecodeOutcome records a failed stream in the statistics of its engine. An engine
 // that has granted a reservation and still refuses the stream could not fetch the prompt.
 func (s *stream) recordDecodeOutcome(e *engines.Engine, p prefilledPrompt, f *fault.Error) {
@@ -251,7 +268,7 @@
 // keepFailedAnswer keeps an error answer for the case that no retry can be made, if it is
 // complete (err is nil), and returns the error of the attempt.
 func (s *stream) keepFailedAnswer(answer callResult, err error) error {
-	failed := fault.New(fault.EndpointFailed, "the engine failed with status %d", answer.head.Status)
+	failed := serverError(answer.head.Status)
 	if err != nil {
 		return fault.Wrap(err, failed.Kind, "%s", failed.Message)
 	}
