--- a/core/budget/borrow.go
+++ b/core/budget/borrow.go
@@ -6,6 +6,10 @@
 	"sort"
 	"sync"
 
+	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/event"
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
 
@@ -143,15 +147,12 @@
 	sentAt := h.b.clock.Now()
 	reply := &SpareReply{}
 	owner, ok := h.b.view().Owner(q.domain, string(org))
-	var intervals []Interval
 	var err error
 	if ok {
 		req := &SpareRequest{Organisation: string(org), Tokens: q.tokens}
 		err = h.b.call(context.WithoutCancel(ctx), tokenRequestTimeout, owner.ID, methodSpare, req, reply)
 	}
-	if err == nil {
-		intervals, err = decodeStock(reply.GetStock(), sentAt.ExpiryTime)
-	}
+	intervals := h.b.decodeStock(owner.ID, reply.GetStock(), sentAt.ExpiryTime) // Not used after an error.
 	now := h.b.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -160,7 +161,21 @@
 		return true
 	}
 	a.pool.Add(intervals...)
-	a.borrowing.recordReply(q.domain, sentAt.ExpiryTime, reply.GetLeft(), len(intervals) > 0)
+	a.borrowing.recordReply(q.domain, sentAt.ExpiryTime, h.tokensLeft(owner.ID, reply), len(intervals) > 0)
 	h.b.metrics.borrowed.Inc(int64(totalTokens(intervals)))
 	return len(intervals) > 0
 }
+
+// maxLoanTokens bounds the tokens that a request for a loan, or its reply, may name.
+const maxLoanTokens = 1e18
+
+// tokensLeft returns the tokens that a lender has left: none if it reports an invalid number.
+func (h *accountOwner) tokensLeft(lender ident.InstanceID, reply *SpareReply) float64 {
+	left := reply.GetLeft()
+	if left >= 0 && left <= maxLoanTokens { // NaN is not in the range.
+		return left
+	}
+	err := fault.New(fault.BadRequest, "%v tokens are left", left)
+	_ = level.Warn(h.b.log).Log("msg", event.PeerRecordIgnored, "from", string(lender), "record", "tokens left", "err", err)
+	return 0
+}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -81,6 +81,7 @@
 	FollowingChanged        // following of the store changed
 	RegistrationFailed      // registration failed
 	MemberStateChanged      // member state changed
+	PeerRecordIgnored       // invalid record of an instance ignored
 	InstanceListUnavailable // instance list unavailable
 	HandshakeFailed         // handshake failed
 	ReplyNotSent            // reply not sent
@@ -101,6 +102,7 @@
 	PanicContained       // panic contained
 	PollerSlow           // poller did not respond in time
 	HandlerPanicked      // panic in a request handler
+	RejectingConnections // rejecting new connections
 
 	eventCount // Number of events; keep last.
 )
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -32,7 +32,7 @@
 	RefusalsSuppressed:      {SubsystemRequests, "Number of refusals of one kind, organisation and route in the past window that were not logged one by one.", []string{"kind", "organisation", "route", "count", "window_ms"}},
 	EngineFailed:            {SubsystemRequests, "A call to an engine of a plain service failed.", []string{"request", "route", "config", "organisation", "prompt", "output", "engine", "kind", "ran", "err"}},
 	PrefillFailed:           {SubsystemRequests, "An engine did not prefill the prompt; another one or the decode engine does it instead.", []string{"request", "route", "config", "organisation", "prompt", "output", "engine", "estimate_ms", "ran", "err"}},
-	StreamStalled:           {SubsystemRequests, "A resumable stream is without data for longer than usual. If replaced is true, its call is cancelled, and it is resumed at another engine; otherwise err is the reason why its engine may continue.", []string{"request", "route", "config", "organisation", "prompt", "output", "engine", "replaced", "err"}},
+	StreamStalled:           {SubsystemRequests, "A resumable stream is without data for longer than usual, or an engine's error answer does not end. If replaced is true, the call is cancelled, and the request goes to another engine; otherwise err is the reason why its engine may continue.", []string{"request", "route", "config", "organisation", "prompt", "output", "engine", "replaced", "err"}},
 	RetryingAtAnotherEngine: {SubsystemRequests, "An attempt at a decode engine failed and is retried.", []string{"request", "route", "config", "organisation", "prompt", "output", "try", "begun", "event", "err"}},
 	ReleaseFailed:           {SubsystemRequests, "The call that releases a reservation or a prefilled prompt failed; the engine frees it after a timeout.", []string{"engine", "err"}},
 	RequestDone:             {SubsystemCompletions, "The answer was delivered completely.", []string{"request", "took"}},
@@ -90,6 +90,7 @@
 	FollowingChanged:        {SubsystemDependencies, "This instance has started or stopped watching the store on behalf of its failure domain.", []string{"follows", "why"}},
 	RegistrationFailed:      {SubsystemDependencies, "The registration of the failure domain's instances failed.", []string{"err"}},
 	MemberStateChanged:      {SubsystemDependencies, "The state of an instance changed: it is live, leaving, silent or gone.", []string{"member", "state", "member_domain"}},
+	PeerRecordIgnored:       {SubsystemDependencies, "A record that another instance has sent is out of range and is skipped; the other records are used. record says what it describes.", []string{"from", "record", "err"}},
 	InstanceListUnavailable: {SubsystemDependencies, "The instance list does not answer.", []string{"err"}},
 	HandshakeFailed:         {SubsystemDependencies, "The handshake that opens a link to a peer failed.", []string{"err"}},
 	ReplyNotSent:            {SubsystemDependencies, "The reply to a peer's call could not be sent.", []string{"method", "to", "err"}},
@@ -109,4 +110,5 @@
 	PanicContained:          {SubsystemProcess, "Work on data from the store, another instance, a caller or an engine panicked, which is a defect of the program. Only the step ends, and the process goes on. A step that belongs to a request has its id.", []string{"step", "request", "err", "stack"}},
 	PollerSlow:              {SubsystemProcess, "A poller of the connections with callers did not respond in time when a connection was accepted. The connection is used all the same.", []string{"err"}},
 	HandlerPanicked:         {SubsystemProcess, "The handler of a request panicked, which is a defect of the program. The caller was sent an internal error, or its connection was closed if the answer had begun; other requests continue.", []string{"request", "err", "stack"}},
+	RejectingConnections:    {SubsystemProcess, "No descriptor is free for a new connection of a caller. Requests on new connections are refused as not run until descriptors are free again. Logged again if none was refused for 10 s in between.", []string{"err"}},
 }
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -17,8 +17,8 @@
 const (
 	// maxStreamAttempts limits the attempts of one request at decode engines.
 	maxStreamAttempts = 4
-	// failedAnswerTime limits how long the rest of an engine's error answer is awaited before
-	// the request goes to another engine.
+	// failedAnswerTime is how long the rest of an engine's error answer may take before another
+	// engine is looked for.
 	failedAnswerTime = 100 * time.Millisecond
 )
 
@@ -32,10 +32,11 @@
 	possibleRuns  int         // Number of engines that may have run the request.
 	failedAnswer  *callResult // The last complete error answer of an engine after which a retry was tried; otherwise nil.
 
-	prefilled    bool               // A prefill engine has prefilled the prompt in this or an earlier attempt.
-	replacement  *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
-	stalledAt    ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
-	localPrefill *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
+	prefilled      bool               // A prefill engine has prefilled the prompt in this or an earlier attempt.
+	replacement    *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
+	stalledAt      ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
+	holdsExtraCall bool               // A part of the retry budget is kept for the next call to a decode engine.
+	localPrefill   *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
 }
 
 // serveModel serves the request by the engines of a model service, with retries. If an engine
@@ -44,6 +45,7 @@
 	s := &stream{job: j}
 	s.splitter.lastID = j.LastEventID
 	defer s.discardReplacement()
+	defer s.returnExtraCall()
 	err := s.serve(ctx)
 	if err == nil || s.failedAnswer == nil || s.headSent || fault.Is(err, fault.CallerGone) {
 		return err
@@ -91,8 +93,8 @@
 	return f
 }
 
-// mayRetry reports whether the request may be sent to another engine after an error. A
-// permitted retry is taken out of the retry budget.
+// mayRetry reports whether the request may be sent to another engine after an error. A part
+// of the retry budget is kept for a permitted retry until it is sent.
 func (s *stream) mayRetry(err error) bool {
 	f := fault.From(err)
 	if f.Kind == fault.Overloaded || f.Kind == fault.CallerGone {
@@ -107,7 +109,7 @@
 	if s.headSent && !s.isEventStream {
 		return false
 	}
-	return s.callCount == 0 || s.router.takeExtraCall(s.service.Name)
+	return s.callCount == 0 || s.holdExtraCall()
 }
 
 // attempt makes one attempt: it reserves memory at a decode engine, has the prompt
@@ -151,8 +153,9 @@
 		s.localPrefill = s.beginLocalPrefill(e)
 		defer s.endLocalPrefill()
 	}
+	s.useExtraCall()
 	err := s.send(ctx, e, call)
-	reserved.sent = true
+	reserved.sent = err == nil || fault.From(err).Ran != fault.NotRun
 	if err == nil {
 		s.recordDecodeAnswer(e, p)
 		return nil
@@ -207,20 +210,15 @@
 }
 
 // send makes the call and forwards the answer: a stream of events as it arrives, any
-// other answer when it is complete. A resumable stream that stalls is cancelled as soon
-// as it can be resumed at another engine.
+// other answer when it is complete. A resumable stream that stalls, and an error answer that
+// does not end, are cancelled as soon as another engine has granted a reservation.
 func (s *stream) send(ctx context.Context, e *engines.Engine, call Call) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	s.heardAt = s.router.now()
 	buffered := callResult{}
 	err := s.sendMonitored(ctx, call, Sink{
 		OnHead: func(h Head) error {
 			s.recordData(e)
 			buffered.head = h
-			if s.isRetryableFailure(h) {
-				time.AfterFunc(failedAnswerTime, cancel)
-			}
 			s.isEventStream = strings.HasPrefix(h.Header.Get("Content-Type"), "text/event-stream") && h.Status < 300
 			return s.checkHead(h)
 		},
@@ -233,17 +231,18 @@
 			return s.sendEvents(buffered.head, s.splitter.feed(data))
 		},
 	})
-	if err != nil && s.replacement != nil {
-		return fault.Wrap(errStreamStalled, fault.EndpointTimeout, "the call was replaced").WithRan(fault.From(err).Ran)
+	replaced := err != nil && s.replacement != nil
+	if !replaced {
+		s.discardReplacement()
 	}
-	s.discardReplacement()
-	if s.isRetryableFailure(buffered.head) {
+	switch {
+	case s.isRetryableFailure(buffered.head):
 		return s.keepFailedAnswer(buffered, err)
-	}
-	if err != nil {
+	case replaced:
+		return fault.Wrap(errStreamStalled, fault.EndpointTimeout, "the call was replaced").WithRan(fault.From(err).Ran)
+	case err != nil:
 		return err
-	}
-	if !s.isEventStream {
+	case !s.isEventStream:
 		return s.sendAnswer(buffered)
 	}
 	if !s.headSent && len(s.splitter.partial) == 0 {
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -52,10 +52,10 @@
 	engine *engines.Engine
 	id     string // Assigned by the engine.
 	end    func() // Removes the stream from the engine's load.
-	sent   bool   // The stream was sent to the engine, which releases the reservation itself.
+	sent   bool   // The engine may have run the stream, and then releases the reservation itself.
 }
 
-// endReservation ends the use of a reservation, and releases it if no stream was sent for it.
+// endReservation ends the use of a reservation, and releases it if no stream has run with it.
 func (j *job) endReservation(r *decodeReservation) {
 	defer r.end()
 	if !r.sent {
@@ -70,7 +70,7 @@
 	r.outputEstimates.record(s.service.Name, s.EstimatedOutput)
 	started := r.now()
 	defer func() { r.counters.reserveWait.UpdateSince(started) }()
-	w := &waiter{cost: float64(s.reservationSize()) * float64(s.reservedOutput()), reserveBy: s.reserveBy()}
+	w := &waiter{cost: s.reservationCost(), reserveBy: s.reserveBy()}
 	queue := r.reserveQueues.enqueue(s.service.Name, w)
 	defer queue.remove(w)
 	waitUntil := s.waitDeadline()
@@ -97,9 +97,17 @@
 	}
 }
 
+// reservationCost returns the cost of the stream's reservation for the order of waiters.
+func (j *job) reservationCost() float64 {
+	return float64(j.reservationSize()) * float64(j.reservedOutput())
+}
+
 // reserveBy returns the time until which a reservation is early enough for a first event
-// within the route's time objective.
+// within the route's time objective. An answer that has begun has no such objective left.
 func (s *stream) reserveBy() time.Time {
+	if s.headSent {
+		return s.waitDeadline()
+	}
 	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
 	need := time.Duration(prefillTimeMargin*float64(s.prefillTime(s.PromptTokens, 1))) + firstEventTime
 	return s.Received.Add(objective - need)
--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/instancelist"
 )
 
 // discoveryLoop discovers instances that are not in the table: at the first peers of the
@@ -21,8 +21,11 @@
 		if f := s.registeredAddresses.Load(); f != nil {
 			s.fetchUnknownViews((*f)())
 		}
+		if round < joinRounds || round%viewReadEvery == 0 {
+			s.fetchRandomView()
+		}
 		if round%listReadEvery == 0 && s.isListReader() {
-			s.fetchUnknownViews(s.listedAddresses(s.listInstances))
+			s.fetchUnknownViews(s.readInstanceList(s.listedAddresses))
 		}
 		select {
 		case <-s.ctx.Done():
@@ -32,10 +35,31 @@
 	}
 }
 
+// fetchRandomView fetches the view of a random live member of another domain. Heartbeats go
+// to one member of each other domain and carry no members of others, so that without it two
+// parts of this domain that joined at the same time, through different members, would not
+// discover each other.
+func (s *Service) fetchRandomView() {
+	v := s.Table.View()
+	var others []Member
+	for _, m := range v.Members() {
+		if m.Domain != v.Self.Domain && m.State == Live {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, discoveryInterval)
+	defer cancel()
+	// Another member is asked in a later round if this one does not answer.
+	_ = s.fetchView(ctx, others[rand.N(len(others))].PeerAddress)
+}
+
 // isListReader reports whether this daemon reads the instance list. Only listReaders
 // members of each domain do, so that the number of calls does not grow with the fleet.
 func (s *Service) isListReader() bool {
-	if s.listInstances == nil {
+	if s.listedAddresses == nil {
 		return false
 	}
 	v := s.Table.View()
@@ -48,18 +72,12 @@
 	return false
 }
 
-// listedAddresses returns the peer addresses of the live instances in the list.
-func (s *Service) listedAddresses(listed func(context.Context) ([]instancelist.Instance, error)) []ident.Address {
-	instances, err := listed(s.ctx)
+// readInstanceList returns the peer addresses of the live instances in the list.
+func (s *Service) readInstanceList(listed InstanceList) []ident.Address {
+	addresses, err := listed(s.ctx)
 	if err != nil {
 		_ = level.Debug(s.log).Log("msg", event.InstanceListUnavailable, "err", err)
 	}
-	var addresses []ident.Address
-	for _, i := range instances {
-		if i.State == instancelist.Live {
-			addresses = append(addresses, i.PeerAddress)
-		}
-	}
 	return addresses
 }
 
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -2,22 +2,21 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/kernel"
 	"monsoonfork/core/link"
 	"monsoonfork/core/settings"
-	"monsoonfork/io/instancelist"
-	"monsoonfork/io/peer"
 )
 
 // Names of the remote methods.
@@ -34,6 +33,8 @@
 	remoteSilentAfterMissed = 3                      // Heartbeats to other domains without a confirmation after which their members are silent.
 	refusedRecheckDelay     = 300 * time.Millisecond // Delay of the second call after a refused connection.
 	discoveryInterval       = time.Second            // Interval of discovery, and timeout of its calls.
+	joinRounds              = 10                     // Rounds of discovery after the start that all read a view of another domain.
+	viewReadEvery           = 5                      // Rounds of discovery for each view of another domain, after joinRounds.
 	listReadEvery           = 5                      // Rounds of discovery for each read of the instance list.
 	listReaders             = 2                      // Members of each domain that read the instance list.
 	settleIntervals         = 4                      // Heartbeat intervals until gossip about a member agrees with its own heartbeats.
@@ -43,18 +44,22 @@
 // RevisionHook is called when a member reports its configuration revision.
 type RevisionHook func(from ident.InstanceID, revision ident.Revision)
 
+// InstanceList returns the peer addresses of the instances that the platform lists as live.
+// With an error, it returns those that it could read.
+type InstanceList func(context.Context) ([]ident.Address, error)
+
 // Service keeps the table of members up to date, by heartbeats and discovery.
 type Service struct {
 	Table *Table
 
 	log                 log.Logger
-	links               *peer.Links
+	links               *link.Links
 	holder              *config.Holder
 	now                 func() time.Time
 	interval            time.Duration
 	firstPeers          atomic.Pointer[[]ident.Address]
-	registeredAddresses atomic.Pointer[func() []ident.Address]                 // Further addresses for discovery, see AddDiscoverySource.
-	listInstances       func(context.Context) ([]instancelist.Instance, error) // Reads the instance list; nil if there is none.
+	registeredAddresses atomic.Pointer[func() []ident.Address] // Further addresses for discovery, see AddDiscoverySource.
+	listedAddresses     InstanceList                           // Nil if there is no instance list.
 
 	hookMu sync.Mutex
 	hooks  []RevisionHook
@@ -76,15 +81,19 @@
 		Name:        "Membership",
 		Summary:     "maintains the list of live instances of the domain and of some in other domains",
 		Deployments: settings.Deployments{settings.OwnText, settings.Platform},
+		DependsOn:   []string{"Links", "InstanceList"},
 		Start:       start,
 	})
 }
 
-// start starts the role. It also creates and provides the links to other instances, and the
-// holder of the configuration, whose revision heartbeats carry.
+// start starts the role. It also creates and provides the holder of the configuration, whose
+// revision heartbeats carry.
 func start(_ context.Context, n *kernel.Node) (*kernel.Callbacks, error) {
-	links, err := listenLinks(n)
-	if err != nil {
+	var (
+		links  *link.Links
+		listed InstanceList
+	)
+	if err := n.Require(&links, &listed); err != nil {
 		return nil, err
 	}
 	holder := config.NewHolder()
@@ -96,8 +105,7 @@
 		Started:         n.Started,
 	}
 	s := newService(NewTable(self, n.Log, n.Now), links, holder, n)
-	kernel.Provide(n, links)
-	kernel.Provide(n, links.RoleLinks())
+	s.listedAddresses = listed
 	kernel.Provide(n, holder)
 	kernel.Provide(n, s.Table)
 	kernel.Provide(n, s)
@@ -110,31 +118,9 @@
 	}, nil
 }
 
-// listenLinks creates the links of a node and listens for other instances.
-func listenLinks(n *kernel.Node) (*peer.Links, error) {
-	opts := []peer.Option{peer.WithMetrics(n.Metrics)}
-	if n.Settings.TLS.Enabled() {
-		cfg, err := peer.LoadTLS(n.Settings.TLS)
-		if err != nil {
-			return nil, err
-		}
-		opts = append(opts, peer.WithTLS(cfg))
-	}
-	if host, _, err := net.SplitHostPort(string(n.Settings.PeerListener())); err == nil {
-		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
-			opts = append(opts, peer.WithLocalIP(ip))
-		}
-	}
-	links := peer.New(n.ID, n.Settings.Domain, n.Log, opts...)
-	if _, err := links.Listen(n.Settings.PeerListener()); err != nil {
-		return nil, err
-	}
-	return links, nil
-}
-
 // newService returns a service and registers its remote methods. Its loops are started by
 // run.
-func newService(t *Table, links *peer.Links, holder *config.Holder, n *kernel.Node) *Service {
+func newService(t *Table, links *link.Links, holder *config.Holder, n *kernel.Node) *Service {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{
 		Table:    t,
@@ -148,14 +134,9 @@
 	}
 	t.settleTime = settleIntervals * s.interval
 	s.firstPeers.Store(&n.Settings.FirstPeers)
-	if n.Settings.InstanceListAddress != "" {
-		s.listInstances = instancelist.New(n.Settings.InstanceListAddress).Instances
-	}
-	links.AddressOf = t.AddressOf
-	links.Unreachable = s.handleCallFailure
-	linkCalls := links.RoleLinks()
-	link.Handle(linkCalls, methodHeartbeat, s.serveHeartbeat)
-	link.Handle(linkCalls, methodView, s.serveView)
+	links.UseMembers(t.AddressOf, s.handleCallFailure)
+	link.Handle(links, methodHeartbeat, s.serveHeartbeat)
+	link.Handle(links, methodView, s.serveView)
 	return s
 }
 
@@ -180,14 +161,14 @@
 	s.wg.Go(f)
 }
 
-// Close stops the loops, waits for all goroutines and closes the links.
+// Close stops the loops and waits for all goroutines.
 func (s *Service) Close() error {
 	s.spawnMu.Lock()
 	s.closed = true
 	s.spawnMu.Unlock()
 	s.cancel()
 	s.wg.Wait()
-	return s.links.Close()
+	return nil
 }
 
 // OnRevision registers a hook that is called whenever a member reports its revision.
@@ -206,13 +187,13 @@
 }
 
 // applyHeartbeat updates the table from a received heartbeat and calls the revision hooks.
-// It reports whether the sender's view should be fetched, as Merge does.
-func (s *Service) applyHeartbeat(heartbeat *Heartbeat) (needsView bool) {
-	r := heartbeat.GetSelf()
-	if r.GetInstance() == "" || r.GetDomain() == "" {
-		return false
+// It returns the sender, and whether its view should be fetched, as Merge does.
+func (s *Service) applyHeartbeat(from ident.InstanceID, heartbeat *Heartbeat) (sender Member, needsView bool) {
+	m, err := memberFromRecord(heartbeat.GetSelf())
+	if err != nil {
+		_ = level.Warn(s.log).Log("msg", event.PeerRecordIgnored, "from", string(from), "record", "heartbeat", "err", err)
+		return Member{}, false
 	}
-	m := memberFromRecord(r)
 	m.Counter = heartbeat.GetCounter()
 	m.Revision = ident.Revision(heartbeat.GetRevision())
 	s.Table.RecordHeartbeat(m)
@@ -222,13 +203,13 @@
 	for _, hook := range hooks {
 		hook(m.ID, m.Revision)
 	}
-	return heartbeat.GetDigest() != nil && s.Table.Merge(heartbeat.GetDigest())
+	return m, heartbeat.GetDigest() != nil && s.Table.Merge(heartbeat.GetDigest())
 }
 
 // serveHeartbeat answers a heartbeat of another member.
-func (s *Service) serveHeartbeat(_ context.Context, _ ident.InstanceID, req *Heartbeat) (proto.Message, error) {
-	if s.applyHeartbeat(req) {
-		s.fetchViewInBackground(memberFromRecord(req.GetSelf()), req)
+func (s *Service) serveHeartbeat(_ context.Context, from ident.InstanceID, req *Heartbeat) (proto.Message, error) {
+	if m, needsView := s.applyHeartbeat(from, req); needsView {
+		s.fetchViewInBackground(m, req)
 	}
 	local := req.GetSelf().GetDomain() == string(s.Table.Self().Domain)
 	return &HeartbeatReply{Heartbeat: s.newHeartbeat(local)}, nil
@@ -269,19 +250,7 @@
 	if err != nil {
 		return err
 	}
-	var reported []Member
-	for _, r := range reply.GetMembers() {
-		m := memberFromRecord(r)
-		s.Table.AddUnconfirmed(m)
-		if m.Domain == remote.Domain {
-			reported = append(reported, m)
-		}
-	}
-	// A member is authoritative for its own domain: the members that it reports as live
-	// there are live here too, so that all daemons compute the same owners of keys.
-	if remote.Domain != s.Table.Self().Domain {
-		s.Table.ReplaceDomain(remote.Domain, reported)
-	}
+	s.Table.mergeView(remote, reply)
 	return nil
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -15,6 +15,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/contain"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
@@ -41,6 +42,9 @@
 	// maxParserBytes is what the parser of nbhttp buffers of a request at most. limiter
 	// enforces the limits in force, which are smaller.
 	maxParserBytes = 1 << 30
+	// barrierTimeout limits how long a new connection waits for its poller, as a poller that
+	// has stopped reads nothing.
+	barrierTimeout = time.Second
 	// pollers is the number of poller goroutines.
 	pollers = 2
 )
@@ -73,7 +77,8 @@
 	rejected     metrics.Counter // Requests rejected before they were read completely.
 	responseTime metrics.Timer
 
-	containedPanics metrics.Counter // Panics in reading a connection.
+	containedPanics     metrics.Counter // Panics in reading a connection.
+	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
 }
 
 // Option configures a Server.
@@ -100,7 +105,8 @@
 		rejected:     metrics.GetOrRegisterCounter("Caller.RefusedUnread", r),
 		responseTime: metrics.GetOrRegisterTimer("Caller.Answers", r),
 
-		containedPanics: metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
+		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
+		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
 	}
 }
 
@@ -125,6 +131,7 @@
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:               "Caller",
 		Addrs:              []string{string(address)},
+		Listen:             s.listen,
 		NPoller:            pollers,
 		ReadLimit:          maxParserBytes,
 		MaxWriteBufferSize: s.limits.current.MaxUnreadBytes,
@@ -150,6 +157,15 @@
 	return ident.Address(s.engine.AddrConfigs[0].Addr), nil
 }
 
+// listen opens the listener of the engine.
+func (s *Server) listen(network, address string) (net.Listener, error) {
+	l, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	return newAcceptor(l, s.log, s.metrics.rejectedConnections), nil
+}
+
 // onOpen registers a new connection. nbio calls it before the poller may get events for
 // the connection, and it returns only when the poller holds no event for an earlier
 // connection with the same descriptor.
@@ -159,7 +175,9 @@
 		return
 	}
 	if barrier := s.barrier.Load(); barrier != nil && !s.closing.Load() {
-		if err := barrier.Await(nbc.Hash()); err != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), barrierTimeout)
+		defer cancel()
+		if err := barrier.Await(ctx, nbc.Hash()); err != nil {
 			_ = level.Warn(s.log).Log("msg", event.PollerSlow, "err", err)
 		}
 	}
@@ -177,8 +195,7 @@
 	}
 }
 
-// sweep checks all connections periodically until Close: for disconnected callers, slow
-// requests, idle connections and delivered last responses.
+// sweep checks all connections periodically until Close.
 func (s *Server) sweep() {
 	defer close(s.sweepDone)
 	ticker := time.NewTicker(sweepInterval)
@@ -188,15 +205,24 @@
 		case <-s.stopSweep:
 			return
 		case now := <-ticker.C:
-			drain := s.closeIdleOnDrain && s.draining.Load()
-			s.conns.each(func(c *conn) {
-				c.enforceTimeouts(now)
-				c.closeWriteIfDelivered(now, drain)
-			})
+			s.sweepOnce(now)
 		}
 	}
 }
 
+// sweepOnce checks all connections: for disconnected callers, slow requests, idle connections
+// and delivered last responses. A panic ends only the check of its connection.
+func (s *Server) sweepOnce(now time.Time) {
+	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
+	drain := s.closeIdleOnDrain && s.draining.Load()
+	s.conns.each(func(c *conn) {
+		_ = boundary.Run("sweep", func() { // A panic is logged; the next sweep checks the connection again.
+			c.enforceTimeouts(now)
+			c.closeWriteIfDelivered(now, drain)
+		})
+	})
+}
+
 // Drain waits until all open requests are finished and their responses delivered.
 // Requests that arrive meanwhile are served, and their connections then closed.
 func (s *Server) Drain(ctx context.Context) error {
--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/endpoint"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/io/httpcall"
@@ -43,19 +45,19 @@
 
 // runAttempt runs the prefill and decode phases of one attempt and returns the
 // tokens received.
-func (p enginePair) runAttempt(t *testing.T, attempt, prompt string, maxTokens ident.Tokens, continueFrom []int) ([]int, Finish, error) {
+func (p enginePair) runAttempt(t *testing.T, attempt, prompt string, maxTokens ident.Tokens, continueFrom []int) ([]int, engineapi.Finish, error) {
 	t.Helper()
-	limits := httpcall.Limits{ResponseDeadline: time.Now().Add(20 * time.Second), ReadTimeout: time.Second}
+	limits := endpoint.Limits{ResponseDeadline: time.Now().Add(20 * time.Second), ReadTimeout: time.Second}
 	prefilled, err := p.client.Prefill(t.Context(), ident.Address(p.prefill.Address()),
-		PrefillCall{Attempt: attempt, Model: "summary", Prompt: TextPrompt(prompt), Limits: limits})
+		engineapi.PrefillCall{Attempt: attempt, Model: "summary", Prompt: engineapi.TextPrompt(prompt), Limits: limits})
 	if err != nil {
-		return nil, Finish{}, err
+		return nil, engineapi.Finish{}, err
 	}
 	var ids []int
-	finish, err := p.client.Decode(t.Context(), ident.Address(p.decode.Address()), DecodeCall{
-		Attempt: attempt, Model: "summary", Prompt: TextPrompt(prompt), MaxTokens: maxTokens,
+	finish, err := p.client.Decode(t.Context(), ident.Address(p.decode.Address()), engineapi.DecodeCall{
+		Attempt: attempt, Model: "summary", Prompt: engineapi.TextPrompt(prompt), MaxTokens: maxTokens,
 		ContinueFrom: continueFrom, Transfer: prefilled.Transfer, Limits: limits,
-	}, func(d Delta) error { ids = append(ids, d.IDs...); return nil })
+	}, func(d engineapi.Delta) error { ids = append(ids, d.IDs...); return nil })
 	return ids, finish, err
 }
 
@@ -145,7 +147,7 @@
 	if load, err := p.client.Load(t.Context(), address); err != nil || load.Slots == 0 {
 		t.Errorf("Load: got %+v, error %v; want slots", load, err)
 	}
-	if _, err := p.client.KVEvents(t.Context(), address, 0); err != nil {
+	if _, err := p.client.CacheEvents(t.Context(), address, 0); err != nil {
 		t.Error(err)
 	}
 	if state, err := p.client.State(t.Context(), address); err != nil || state.Role != "prefill" {
@@ -159,16 +161,16 @@
 	p := newEnginePair(t)
 	address := ident.Address(p.decode.Address())
 	deadline := time.Now().Add(10 * time.Second)
-	order := Order{ID: "o1", Fencing: 5, Kind: LoadModel, Model: "drafts", Version: "v1"}
-	if err := p.client.Order(t.Context(), address, order, OrderLimits{SendBy: deadline, ConfirmBy: deadline}); err != nil {
+	order := engineapi.Order{ID: "o1", Fencing: 5, Kind: engineapi.LoadModel, Model: "drafts", Version: "v1"}
+	if err := p.client.Order(t.Context(), address, order, engineapi.OrderLimits{SendBy: deadline, ConfirmBy: deadline}); err != nil {
 		t.Fatal(err)
 	}
 	order.ID, order.Fencing = "o2", 4
-	if err := p.client.Order(t.Context(), address, order, OrderLimits{SendBy: deadline, ConfirmBy: deadline}); !fault.Is(err, fault.NotHolder) {
+	if err := p.client.Order(t.Context(), address, order, engineapi.OrderLimits{SendBy: deadline, ConfirmBy: deadline}); !fault.Is(err, fault.NotHolder) {
 		t.Errorf("order with an outdated fencing number: got %v, want NotHolder", err)
 	}
 	order.ID, order.Fencing = "o3", 6
-	err := p.client.Order(t.Context(), address, order, OrderLimits{SendBy: time.Now().Add(-time.Second), ConfirmBy: deadline})
+	err := p.client.Order(t.Context(), address, order, engineapi.OrderLimits{SendBy: time.Now().Add(-time.Second), ConfirmBy: deadline})
 	if err == nil || fault.From(err).Ran != fault.NotRun {
 		t.Errorf("order after SendBy: got %v, want an error with NotRun", err)
 	}
@@ -178,19 +180,19 @@
 	for raw, want := range map[string]bool{
 		`"a b"`: true, `[1,2]`: true, `""`: false, `" "`: false, `[]`: false, `[-1]`: false, `{}`: false, `null`: false, `3`: false, `[1.5]`: false,
 	} {
-		var p Prompt
+		var p engineapi.Prompt
 		err := json.Unmarshal([]byte(raw), &p)
 		if (err == nil) != want {
 			t.Errorf("decoding prompt %s: got error %v", raw, err)
 		}
 	}
-	if n := TextPrompt("abcde").TokenUpperBound(2); n != 3 {
+	if n := engineapi.TextPrompt("abcde").TokenUpperBound(2); n != 3 {
 		t.Errorf("upper bound for a text prompt = %d, want 3", n)
 	}
-	if n := TokenPrompt([]int{1, 2}).TokenUpperBound(4); n != 2 {
+	if n := engineapi.TokenPrompt([]int{1, 2}).TokenUpperBound(4); n != 2 {
 		t.Errorf("upper bound for token ids = %d, want 2", n)
 	}
-	if n := len(TextPrompt(strings.Repeat("w ", 600)).PrefixHashes()); n != 2 {
+	if n := len(engineapi.TextPrompt(strings.Repeat("w ", 600)).PrefixHashes()); n != 2 {
 		t.Errorf("number of prefix hashes = %d, want 2", n)
 	}
 }
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -13,6 +13,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
@@ -29,7 +30,7 @@
 	Header  http.Header // Without hop-by-hop headers.
 	Body    []byte
 	ID      string // Sent as X-Request-Id; a response with a different id is rejected.
-	Limits  Limits
+	Limits  endpoint.Limits
 
 	// BeforeSend is called right before the request is written. If it returns an
 	// error, nothing is sent and the call fails with that error. May be nil.
@@ -40,25 +41,11 @@
 	PooledSince time.Time
 }
 
-// Head is the status and headers of a response.
-type Head struct {
-	Status int
-	Header http.Header
-	Length int64 // Length of the body; -1 if unknown. Only Pool sets it.
-}
-
-// Sink receives a response as it arrives: OnHead once, then OnBody for each fragment of
-// the body. An error from either function ends the call with that error.
-type Sink struct {
-	OnHead func(Head) error
-	OnBody func([]byte) error // May be nil. It may keep the slice.
-}
-
 // Do makes the call and returns when the complete response was passed to the sink.
 // Every error is a *fault.Error. Its Ran is NotRun only if no byte was written to a
 // connection. If ctx is cancelled with a *fault.Error as its cause, the error has the
 // kind of that cause.
-func (c *Client) Do(ctx context.Context, call Call, sink Sink) error {
+func (c *Client) Do(ctx context.Context, call Call, sink endpoint.Sink) error {
 	if !c.begin() {
 		return fault.New(fault.ShuttingDown, "the HTTP client is closed")
 	}
@@ -72,7 +59,7 @@
 }
 
 // do connects, writes the request and receives the response.
-func (c *Client) do(ctx context.Context, call Call, sink Sink) error {
+func (c *Client) do(ctx context.Context, call Call, sink endpoint.Sink) error {
 	message, err := encode(call)
 	if err != nil {
 		return err
@@ -86,7 +73,7 @@
 		return err
 	}
 	x := newExchange(call, c.maxBytes)
-	nbc, err := c.attachToPoller(conn, x)
+	nbc, err := c.attachToPoller(ctx, conn, x)
 	if err != nil {
 		return err
 	}
@@ -95,7 +82,7 @@
 		return cancellationError(ctx, fault.NotRun)
 	}
 	if deadline := call.Limits.SendDeadline; !deadline.IsZero() && !time.Now().Before(deadline) {
-		return fault.New(fault.DeadlineExceeded, "the deadline to send the request has passed").WithRan(fault.NotRun)
+		return sendDeadlineError()
 	}
 	if call.BeforeSend != nil {
 		if err := call.BeforeSend(); err != nil {
@@ -145,8 +132,10 @@
 // response.
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 2}
 
-// attachToPoller registers the connection with the poller, with x as its processor.
-func (c *Client) attachToPoller(conn net.Conn, x *exchange) (*nbio.Conn, error) {
+// attachToPoller registers the connection with the poller, with x as its processor. Before
+// that it waits until the poller holds no event for an earlier connection with the same
+// descriptor.
+func (c *Client) attachToPoller(ctx context.Context, conn net.Conn, x *exchange) (*nbio.Conn, error) {
 	nbc, err := nbio.NBConn(conn)
 	if err != nil {
 		_ = conn.Close()
@@ -166,12 +155,43 @@
 		c.engine.DataHandler(conn, data)
 	})
 	nbc.Unlock()
+	if err := c.awaitPoller(ctx, nbc, x.call.Limits); err != nil {
+		_ = nbc.Close()
+		return nil, err
+	}
 	if _, err := c.engine.AddConn(nbc); err != nil {
 		return nil, fault.Wrap(err, fault.Internal, "cannot register the connection with the poller").WithRan(fault.NotRun)
 	}
 	return nbc, nil
 }
 
+// awaitPoller waits until the poller has handled the events that it has already fetched, which
+// may be those of a closed connection with the descriptor of nbc.
+func (c *Client) awaitPoller(ctx context.Context, nbc *nbio.Conn, l endpoint.Limits) error {
+	ctx, cancel := withDeadline(ctx, earliest(l.ConnectDeadline, l.ResponseDeadline), fault.New(fault.Internal, "the poller did not take the connection over in time"))
+	defer cancel()
+	ctx, cancel = withDeadline(ctx, l.SendDeadline, sendDeadlineError())
+	defer cancel()
+	err := c.barrier.Await(ctx, nbc.Hash())
+	if err != nil && ctx.Err() != nil {
+		return cancellationError(ctx, fault.NotRun)
+	}
+	return err
+}
+
+// withDeadline is context.WithDeadlineCause, or without effect if the deadline is zero.
+func withDeadline(ctx context.Context, deadline time.Time, cause error) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return ctx, func() {}
+	}
+	return context.WithDeadlineCause(ctx, deadline, cause)
+}
+
+// sendDeadlineError returns the error of a call that is not sent before its SendDeadline.
+func sendDeadlineError() *fault.Error {
+	return fault.New(fault.DeadlineExceeded, "the deadline to send the request has passed").WithRan(fault.NotRun)
+}
+
 // encode returns the call as an HTTP/1.1 request message.
 func encode(call Call) ([]byte, error) {
 	if !isValidTarget(call.Target) {
