--- a/core/orders/moved_test.go
+++ b/core/orders/moved_test.go
@@ -8,9 +8,9 @@
 	"github.com/go-kit/log"
 
 	"monsoonfork/core/config"
+	"monsoonfork/core/engineapi"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
-	"monsoonfork/io/engine"
 )
 
 // movedText returns revision n of a configuration text whose engine is in the given domain.
@@ -37,11 +37,13 @@
 	for _, domain := range []ident.DomainID{"d", "d2"} {
 		c := newController(domain, "a", newFakeStore(now).leaseStore(DefaultTuning().LeaseTTL), log.NewNopLogger(), WithNow(now.time))
 		c.IsOwner = func() bool { return true }
-		c.Requests = func(context.Context, ident.Address) ([]engine.HeldRequest, error) { return nil, nil }
-		c.State = func(context.Context, ident.Address) (engine.State, error) { return engine.State{Role: "decode"}, nil }
+		c.Requests = func(context.Context, ident.Address) ([]engineapi.HeldRequest, error) { return nil, nil }
+		c.State = func(context.Context, ident.Address) (engineapi.State, error) {
+			return engineapi.State{Role: "decode"}, nil
+		}
 		before := movedText(1, "d", checksFencing)
 		c.Snapshot = func() *config.Snapshot { return before }
-		c.Send = func(_ context.Context, _ ident.Address, _ engine.Order, l engine.OrderLimits) error {
+		c.Send = func(_ context.Context, _ ident.Address, _ engineapi.Order, l engineapi.OrderLimits) error {
 			if err := l.BeforeSend(); err != nil {
 				return err
 			}
--- a/io/httpcall/poollimit_test.go
+++ b/io/httpcall/poollimit_test.go
@@ -10,14 +10,15 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"monsoonfork/core/endpoint"
 	"monsoonfork/core/ident"
 )
 
 // limitedCall makes a call with a limit of connections. The endpoint's answer is its own.
 func limitedCall(p *Pool, address ident.Address, limit int, onHead func()) error {
 	deadline := time.Now().Add(10 * time.Second)
-	call := Call{Address: address, Method: http.MethodGet, Target: "/", Limits: Limits{ResponseDeadline: deadline}, MaxConnections: limit}
-	return p.Do(context.Background(), call, Sink{OnHead: func(Head) error { onHead(); return nil }})
+	call := Call{Address: address, Method: http.MethodGet, Target: "/", Limits: endpoint.Limits{ResponseDeadline: deadline}, MaxConnections: limit}
+	return p.Do(context.Background(), call, endpoint.Sink{OnHead: func(endpoint.Head) error { onHead(); return nil }})
 }
 
 // makeConcurrentCalls makes calls that all hold a connection at the same time.
@@ -82,9 +83,9 @@
 		c.recordCall(Call{ID: "again"}, time.Now())
 	}
 	deadline := time.Now().Add(10 * time.Second)
-	call := Call{Address: address, Method: http.MethodGet, Target: "/", ID: "again", Limits: Limits{ResponseDeadline: deadline}, MaxConnections: limit}
+	call := Call{Address: address, Method: http.MethodGet, Target: "/", ID: "again", Limits: endpoint.Limits{ResponseDeadline: deadline}, MaxConnections: limit}
 	open := 0
-	err := p.Do(context.Background(), call, Sink{OnHead: func(Head) error { open = 1 + countIdle(p, address); return nil }})
+	err := p.Do(context.Background(), call, endpoint.Sink{OnHead: func(endpoint.Head) error { open = 1 + countIdle(p, address); return nil }})
 	if err != nil || open != limit {
 		t.Errorf("%d connections open during the call, %v; want %d", open, err, limit)
 	}
