caller: Close stops accepting before it stops the pollers

Cause: nbio closes the registered connections once and then stops its pollers. A connection that nbhttp was registering at that moment came after the first and was never read. nbhttp also drops an accepted connection without closing it if the stop has begun, and its stop waits for a connection that is counted after the closes.

Fix: before it stops reading, Close closes the listener and waits until Accept is called again, which shows that the last connection is registered. Accept then blocks until the engine closes the listener, as nbhttp would otherwise call it without a pause. All registered connections are closed by the engine, and those in the backlog are reset by the kernel.

--- a/io/caller/acceptor.go
+++ b/io/caller/acceptor.go
@@ -23,6 +23,9 @@
 	reservedDescriptors = 16
 	// acceptPause is the pause after a failure to accept a connection.
 	acceptPause = 20 * time.Millisecond
+	// registerTimeout limits the wait for the registration of the last connection, which may
+	// wait for its poller.
+	registerTimeout = 2 * barrierTimeout
 	// rejectTime limits how long a rejected connection may use a descriptor.
 	rejectTime = 250 * time.Millisecond
 	// rejectingGap is how long no connection must have been rejected before the next one is
@@ -38,8 +41,10 @@
 	net.Listener
 	log      log.Logger
 	rejected metrics.Counter
-	closed   chan struct{}
+	closed   chan struct{} // Closed by Close.
 	close    func()
+	idle     chan struct{} // Closed when Accept is called or waits after the listener was closed.
+	setIdle  func()
 
 	// Accessed only by Accept.
 	reserve      []*os.File
@@ -48,8 +53,9 @@
 
 // newAcceptor returns an acceptor for a listener.
 func newAcceptor(l net.Listener, logger log.Logger, rejected metrics.Counter) *acceptor {
-	a := &acceptor{Listener: l, log: logger, rejected: rejected, closed: make(chan struct{})}
+	a := &acceptor{Listener: l, log: logger, rejected: rejected, closed: make(chan struct{}), idle: make(chan struct{})}
 	a.close = sync.OnceFunc(func() { close(a.closed) })
+	a.setIdle = sync.OnceFunc(func() { close(a.idle) })
 	_ = a.fillReserve() // Accept tries again.
 	return a
 }
@@ -60,6 +66,8 @@
 		c, err := a.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			a.freeReserve(reservedDescriptors)
+			a.setIdle()
+			<-a.closed
 			return nil, err
 		}
 		if err != nil {
@@ -83,6 +91,18 @@
 	}
 }
 
+// stop closes the listener, so that connections are refused, and waits until the last one that
+// was accepted is registered. The engine, which calls Accept again at once if it fails, waits in
+// Accept until Close. An engine that stops while a connection is being registered would neither
+// serve nor close it.
+func (a *acceptor) stop() {
+	_ = a.Listener.Close()
+	select {
+	case <-a.idle:
+	case <-time.After(registerTimeout):
+	}
+}
+
 // Close closes the listener and ends Accept.
 func (a *acceptor) Close() error {
 	a.close()
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -58,6 +58,7 @@
 	closeIdleOnDrain bool // A drain closes connections without a request.
 
 	engine       *nbhttp.Engine
+	acceptor     *acceptor
 	conns        connTable
 	openRequests atomic.Int64 // Requests whose handler has not returned.
 	draining     atomic.Bool
@@ -162,7 +163,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return newAcceptor(l, s.log, s.metrics.rejectedConnections), nil
+	s.acceptor = newAcceptor(l, s.log, s.metrics.rejectedConnections)
+	return s.acceptor, nil
 }
 
 // onOpen registers a new connection. nbio calls it before the poller may get events for
@@ -237,12 +239,13 @@
 var errClosing = fault.New(fault.ShuttingDown, "the process is shutting down")
 
 // Close refuses new requests, cancels all others, waits up to closeTimeout for their handlers,
-// which record the outcomes, and closes all connections. A request that arrives after the
-// wait is not read; its connection is reset.
+// which record the outcomes, and closes all connections. A connection or request that arrives
+// after the wait is not accepted or read; its connection is reset.
 func (s *Server) Close() error {
 	s.closing.Store(true)
 	s.conns.each(func(c *conn) { c.cancelWith(errClosing) })
 	s.awaitRequests()
+	s.acceptor.stop()
 	s.conns.each((*conn).stopReading)
 	s.awaitRequestsUntil(time.Now().Add(lastRefusalTime))
 	s.engine.Stop()
