httpcall: a call whose poller is late is tried again elsewhere

What callers could see: 'internal_error: the poller did not take the connection over in time', refused as not run, where another engine or a second attempt would have served the request.

Cause of the refusal: the error had the kind Internal, which is not tried again. It is EndpointTimeout now, as for a connection that is not accepted by the same deadline.

--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -173,7 +173,7 @@
 // awaitPoller waits until the poller has handled the events that it has already fetched, which
 // may be those of a closed connection with the descriptor of nbc.
 func (c *Client) awaitPoller(ctx context.Context, nbc *nbio.Conn, l endpoint.Limits) error {
-	ctx, cancel := withDeadline(ctx, earliest(l.ConnectDeadline, l.ResponseDeadline), fault.New(fault.Internal, "the poller did not take the connection over in time"))
+	ctx, cancel := withDeadline(ctx, earliest(l.ConnectDeadline, l.ResponseDeadline), fault.New(fault.EndpointTimeout, "the poller did not take the connection over in time"))
 	defer cancel()
 	ctx, cancel = withDeadline(ctx, l.SendDeadline, sendDeadlineError())
 	defer cancel()
