request: a panic in an attempt or a call holds nothing

What could be seen: after a panic in the work on an engine's answer, the engines' places, the attempt (which no reaper aborted then) and the tokens of the request were held until the instance ended, and the engines went on with the request. A panic in a call that is sent at most once ended the process, and one in another call of a plain service gave its tokens back although it may have run.

Cause: what an attempt and a call hold was given back after them, not by defer; the call that is sent at most once runs in a goroutine without a boundary.

Fix: defers; a call counts as sent until its error says that it was not; a claim whose call panics is left in place, since its outcome is unknown. The counter Request.ContainedPanics has the panics of that goroutine.

Ruled out: releasing the claim, since a repeated call could then run twice.

Evidence: TestPanicInAttemptHoldsNothing (nothing closed, settled or aborted) failed and TestPanicInCallIsNotCountedAsNotRun ended the test process on the code before; both pass now, 20 times with -race.

--- a/core/request/atmostonce.go
+++ b/core/request/atmostonce.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"monsoonfork/core/claims"
+	"monsoonfork/core/contain"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/io/httpcall"
@@ -67,7 +68,11 @@
 	s.pipeline.wg.Add(1)
 	go func() {
 		defer s.pipeline.wg.Done()
-		result <- s.sendAtMostOnce(call, ticket, answer)
+		var err error
+		if panicked := s.boundary().Run("call", func() { err = s.sendAtMostOnce(call, ticket, answer) }); panicked != nil {
+			err = panicked
+		}
+		result <- err
 	}()
 	select {
 	case err = <-result:
@@ -82,13 +87,26 @@
 	return answer.writeTo(sink)
 }
 
+// boundary returns the boundary for panics in work on the request that its handler does not
+// wait for.
+func (s *Session) boundary() contain.Boundary {
+	return contain.Boundary{Log: s.log, Panics: s.pipeline.counters.containedPanics}
+}
+
 // sendAtMostOnce sends the call and records its outcome in the ticket. It is bound
 // by the request's deadline but not by the cancellation of the request.
 func (s *Session) sendAtMostOnce(call ServiceCall, ticket *ClaimTicket, answer *bufferedAnswer) error {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(s.ctx), s.Deadline)
 	defer cancel()
 	neverRetry := func(*fault.Error) bool { return false }
+	ended := false
+	defer func() {
+		if !ended { // A panic: the outcome is unknown.
+			ticket.Abandon()
+		}
+	}()
 	err := s.tryEndpoints(ctx, call, answer.sink(), neverRetry)
+	ended = true
 	switch {
 	case err == nil:
 		ticket.Complete(claims.Answer{
--- a/core/request/attempt.go
+++ b/core/request/attempt.go
@@ -50,14 +50,22 @@
 	}
 	table := &r.session.pipeline.attempts
 	table.add(placed.ID)
+	result := placement.Cancelled // Also if runPhases panics.
+	complete := false
+	defer func() {
+		if !complete {
+			a.abort()
+		}
+		if a.prefillSent || a.decodeSent {
+			a.session.markSent() // Also if the call has panicked.
+		}
+		// After this the reaper of any instance may abort what the engines still
+		// hold for the attempt.
+		table.remove(placed.ID)
+		placed.Close(placement.Outcome{Result: result, OutputTokens: ident.Tokens(len(r.delivered) - a.startIndex)})
+	}()
 	finished, result, err := a.runPhases()
-	if err != nil {
-		a.abort()
-	}
-	// After this the reaper of any instance may abort what the engines still
-	// hold for the attempt.
-	table.remove(placed.ID)
-	placed.Close(placement.Outcome{Result: result, OutputTokens: ident.Tokens(len(r.delivered) - a.startIndex)})
+	complete = err == nil
 	return finished, err
 }
 
@@ -124,6 +132,7 @@
 
 // prefill runs the prompt, and the tokens delivered so far, on the prefill engine.
 func (a *attempt) prefill() (engine.PrefillResult, error) {
+	a.prefillSent = true // Until the call has returned, it may have been sent.
 	prefilled, err := a.session.pipeline.Prefill(a.session.ctx, a.placed.Prefill.Address, engine.PrefillCall{
 		Attempt:      a.placed.ID,
 		Model:        a.Model,
@@ -142,6 +151,7 @@
 // decode generates the remaining tokens on the decode engine and delivers them to
 // the caller.
 func (a *attempt) decode(prefilled engine.PrefillResult) (engine.Finish, error) {
+	a.decodeSent = true // Until the call has returned, it may have been sent.
 	next := a.startIndex
 	finish, err := a.session.pipeline.Decode(a.session.ctx, a.placed.Decode.Address, engine.DecodeCall{
 		Attempt:      a.placed.ID,
--- a/core/request/completion.go
+++ b/core/request/completion.go
@@ -55,8 +55,8 @@
 	if err != nil {
 		return CompletionResult{}, s.requestError(err)
 	}
+	defer func() { settle(run.chargedTokens()) }()
 	finished, err := run.runAttempts()
-	settle(run.chargedTokens())
 	if err != nil {
 		return CompletionResult{}, s.requestError(err)
 	}
--- a/core/request/forward.go
+++ b/core/request/forward.go
@@ -34,15 +34,17 @@
 	if err != nil {
 		return s.requestError(err)
 	}
+	defer func() {
+		if !s.sent.Load() {
+			cost = 0
+		}
+		settle(cost)
+	}()
 	if s.Route.Idempotent {
 		err = s.forwardIdempotent(call, sink)
 	} else {
 		err = s.forwardAtMostOnce(call, sink)
 	}
-	if !s.sent.Load() {
-		cost = 0
-	}
-	settle(cost)
 	if err != nil {
 		return s.requestError(err)
 	}
@@ -101,6 +103,12 @@
 // callEndpoint sends the call to one endpoint, and marks the request as sent if a
 // byte may have reached the endpoint.
 func (s *Session) callEndpoint(ctx context.Context, e text.Endpoint, call ServiceCall, sink httpcall.Sink) error {
+	notRun := false
+	defer func() {
+		if !notRun { // Also if the call panics.
+			s.markSent()
+		}
+	}()
 	err := s.pipeline.Send(ctx, e.Address, service.Call{
 		Method:    call.Method,
 		Target:    call.Target,
@@ -110,9 +118,7 @@
 		Deadline:  s.Deadline,
 		SendBy:    s.Deadline,
 	}, sink)
-	if err == nil || fault.From(err).Ran != fault.NotRun {
-		s.markSent()
-	}
+	notRun = err != nil && fault.From(err).Ran == fault.NotRun
 	return err
 }
 
--- a/core/request/pipeline.go
+++ b/core/request/pipeline.go
@@ -101,6 +101,8 @@
 	prefillTokens metrics.Counter // Tokens that prefill engines computed.
 	wastedTokens  metrics.Counter // Of those, tokens whose result was never decoded.
 	firstToken    metrics.Timer   // Time from the arrival of a request to its first token.
+
+	containedPanics metrics.Counter // Panics that ended only a call.
 }
 
 // Option configures a new Pipeline.
@@ -144,6 +146,8 @@
 		prefillTokens: metrics.GetOrRegisterCounter("Request.PrefillTokens", r),
 		wastedTokens:  metrics.GetOrRegisterCounter("Request.WastedPrefillTokens", r),
 		firstToken:    metrics.GetOrRegisterTimer("Request.FirstToken", r),
+
+		containedPanics: metrics.GetOrRegisterCounter("Request.ContainedPanics", r),
 	}
 }
 
