share: small requests are admitted first above the rate

Callers of an organisation above its rate got 429 for small requests as often as for large ones.

Cause: since each request is refused with the same probability, whatever its size. One bucket for all instances has the tokens of a small request soon after it had too few for a large one, and so refuses few small ones.

Fix: an instance divides the admissible proportion of the tokens that it is asked for among its last 32 requests by max-min fairness. The admitted tokens are the same on average whatever the mixture is, so that the rate holds as before; requests up to the fair limit are admitted.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -18,6 +18,8 @@
 
 	admitted int64 // Tokens admitted by this instance since it started, less refunds.
 	asked    int64 // Tokens of all requests at this instance since it started.
+
+	costs costHistory
 }
 
 // refill adds the tokens accrued since the last call. It uses the monotonic clock,
@@ -43,8 +45,8 @@
 // tryCharge deducts cost from the bucket, or returns when to retry. draw is a random
 // number in [0, 1).
 //
-// Of a demand above what is available, each instance admits the same proportion at
-// random, as all have nearly the same level and each could admit all of it.
+// Of a demand above what is available, each instance admits the same proportion of the
+// tokens at random, as all have nearly the same level and each could admit all of it.
 //
 // A request larger than the bucket needs a full bucket, and is admitted in the proportion
 // that the bucket has to it, so that instances that are alone add no more than their
@@ -52,12 +54,13 @@
 func (b *bucket) tryCharge(cost ident.Tokens, now time.Time, draw float64) (ok bool, retryAt time.Time) {
 	b.refill(now)
 	b.asked += int64(cost)
+	b.costs.add(cost)
 	need := min(float64(cost), b.burst*b.fraction)
 	if b.level < need {
 		perSecond := max(b.rate*b.fraction, 1)
 		return false, now.Add(time.Duration((need - b.level) / perSecond * float64(time.Second)))
 	}
-	if draw >= b.admissibleProportion(cost) {
+	if draw >= b.admissionProbability(cost) {
 		return false, now.Add(propagationTime)
 	}
 	if draw >= need/min(float64(cost), b.burst) {
@@ -69,6 +72,16 @@
 	return true, time.Time{}
 }
 
+// admissionProbability returns the probability with which a request is admitted: 1 up to the
+// fair limit, and for a larger one so much that it gets the limit on average.
+func (b *bucket) admissionProbability(cost ident.Tokens) float64 {
+	proportion := b.admissibleProportion(cost)
+	if proportion >= 1 {
+		return 1
+	}
+	return b.costs.fairLimit(proportion) / max(float64(cost), 1)
+}
+
 // admissibleProportion returns the proportion of the demand at the other instances that
 // can be admitted; what this instance admits is deducted at once. The level is spread
 // over twice the time that the others need to know of an admission, since a level that
--- a/core/share/contention_test.go
+++ b/core/share/contention_test.go
@@ -45,8 +45,11 @@
 }
 
 // newLoad returns a load on a new fleet of four domains with 15 members each.
-func newLoad(seed uint64) *load {
-	l := &load{fleet: newFleet(4, 15), random: rand.New(rand.NewPCG(seed, 0))}
+func newLoad(seed uint64) *load { return newLoadOn(newFleet(4, 15), seed) }
+
+// newLoadOn returns a load on a new fleet.
+func newLoadOn(f *fleet, seed uint64) *load {
+	l := &load{fleet: f, random: rand.New(rand.NewPCG(seed, 0))}
 	for id, s := range l.fleet.shares {
 		s.random = l.random.Float64
 		l.ids = append(l.ids, id)
@@ -57,10 +60,12 @@
 	return l
 }
 
+// loadStep is the time between two steps of a load.
+const loadStep = 5 * time.Millisecond
+
 // run plays the traffic for a time. A refused request returns once.
 func (l *load) run(d traffic, length time.Duration) {
-	const step = 5 * time.Millisecond
-	rounds := int(reportInterval / step)
+	const step = loadStep
 	order := l.random.Perm(len(l.ids))
 	for i := range int(length / step) {
 		l.fleet.now = l.fleet.now.Add(step)
@@ -68,11 +73,17 @@
 		for l.random.Float64() < d.perSecond*step.Seconds()/(1+d.perSecond*step.Seconds()) {
 			l.send(d, l.ids[order[l.random.IntN(d.instances)]], ident.Tokens(float64(d.cost)*(0.5+l.random.Float64())), true)
 		}
-		for n, id := range l.ids {
-			if (n+i)%rounds == 0 {
-				// Calls of isolated instances fail.
-				_, _ = l.fleet.shares[id].newReporter().RunOnce(context.Background())
-			}
+		l.report(i)
+	}
+}
+
+// report has the instances report whose turn it is in a step.
+func (l *load) report(step int) {
+	rounds := int(reportInterval / loadStep)
+	for n, id := range l.ids {
+		if (n+step)%rounds == 0 {
+			// Calls of isolated instances fail.
+			_, _ = l.fleet.shares[id].newReporter().RunOnce(context.Background())
 		}
 	}
 }
