--- a/core/share/fuzz_test.go
+++ b/core/share/fuzz_test.go
@@ -68,7 +68,7 @@
 	all := fuzzUsages()
 	return map[int][]proto.Message{
 		0: {&Report{Admitted: all}, &Report{Admitted: all[5:6]}, &Report{}},
-		1: {&Exchange{Domain: "b", Admitted: all, Members: 2}, &Exchange{Domain: "a", Members: -1}, &Exchange{Domain: "b", Members: 1 << 40}, &Exchange{Members: math.MinInt64, Admitted: all[4:5]}},
+		1: {&Exchange{Domain: "b", Admitted: all, Members: 2}, &Exchange{Domain: "a", Members: -1}, &Exchange{Domain: "b", Members: 1 << 40}, &Exchange{Domain: "b", Members: math.MaxInt64}, &Exchange{Members: math.MinInt64, Admitted: all[4:5]}},
 		2: {
 			&ReportReply{Part: 1, Others: all}, &ReportReply{Part: 0.5, Others: all[5:6]}, &ReportReply{Part: 1, Others: all[6:7]}, &ReportReply{Part: math.NaN()},
 			&ReportReply{Part: -1}, &ReportReply{Part: math.Inf(1), Others: all}, &ReportReply{Part: 5e-324, Others: all}, &ReportReply{Part: 1, Others: all[3:4]},
