forward: a replacement that has run ends the return to the replaced engine

What callers could see: nothing at once. An engine group could get calls beyond the retry budget: a stream whose engine E1 was silent and was replaced by E2, which then broke off, and which E3 refused as not run, was sent once more, to E1, although the budget was used up.

Cause: a stream may go back to the engine that it was taken from, also beyond the budget, if the replacement has certainly not run. The note of that engine stayed after the replacement had run, so that a later attempt without a run was taken for the replacement.

Fix: the note is dropped when a call to a decode engine may have run. A new replacement sets it again.

Ruled out: dropping it when the replacement's call is sent, since that call may be refused as not run, for which the return is meant (TestStalledStreamSurvivesRefusedReplacement, TestStalledStreamSurvivesUnreachableReplacement).

--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -34,7 +34,7 @@
 
 	prefilled      bool               // A prefill engine has prefilled the prompt in this or an earlier attempt.
 	replacement    *decodeReservation // The reservation with which a stalled stream is resumed; otherwise nil.
-	stalledAt      ident.EndpointID   // The engine whose call was cancelled for the replacement in use; otherwise empty.
+	stalledAt      ident.EndpointID   // The engine whose call was cancelled for a replacement that has not run; otherwise empty.
 	holdsExtraCall bool               // A part of the retry budget is kept for the next call to a decode engine.
 	localPrefill   *localPrefill      // The prefill by the decode engine, while it lasts; otherwise nil.
 }
@@ -164,6 +164,8 @@
 	if f.Ran == fault.NotRun {
 		s.possibleRuns--
 		s.freePrompt(p)
+	} else {
+		s.stalledAt = "" // The replacement may have run.
 	}
 	if ctx.Err() == nil {
 		s.recordDecodeOutcome(e, p, f)
