orders: an engine that is moved in two steps waits for its old domain too

What could be seen: an engine that does not check fencing numbers could carry out orders of two domains at the same time, if one configuration text removed it from its domain and the next one listed it in another. The controller of the old domain may use the text before both for up to 4 s.

Cause: the delay for moved engines compared a text only with the one before it, in which the engine was in no domain.

Fix: for each engine that a text lists in another domain, the controller keeps until when an order sent under that text may run, and drops the entry after that. The time follows from the order timeout of the old text, under which the order was sent.

The checks of the older test are a function now, unchanged, and its new text has revision 3 in place of 2.

Not covered: an instance that has just started has no older text, so that it delays nothing.

--- a/core/orders/moved.go
+++ b/core/orders/moved.go
@@ -1,11 +1,11 @@
 package orders
 
 import (
+	"maps"
 	"time"
 
 	"monsoonfork/core/config"
 	"monsoonfork/core/ident"
-	"monsoonfork/core/text"
 )
 
 // oldTextTime is how long the controller of another domain may still use a configuration text
@@ -13,8 +13,9 @@
 const oldTextTime = 4 * time.Second
 
 // noteMoves delays the orders to engines that a new configuration text moves to this domain
-// from another one: the controller there may send orders until it has the text too. An engine
-// that checks fencing numbers refuses them once it has an order of a higher number.
+// from another one, also if a text between them did not list them: the controller there may send
+// orders until it has the text too. An engine that checks fencing numbers refuses them once it
+// has an order of a higher number.
 func (c *Controller) noteMoves(s *config.Snapshot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -27,25 +28,19 @@
 		return
 	}
 	now := c.now()
-	elsewhere := otherDomainEngines(previous, c.domain)
+	maps.DeleteFunc(c.elsewhere, func(_ ident.EndpointID, until time.Time) bool { return until.Before(now) })
+	for _, e := range previous.Engines {
+		if e.Domain != c.domain {
+			c.elsewhere[e.Name] = latestOrderEnd(now.Add(oldTextTime), c.tuning, e)
+		}
+	}
 	for _, e := range c.domainEngines(s.Text) {
-		if !elsewhere[e.Name] || e.ChecksFencing {
+		until, moved := c.elsewhere[e.Name]
+		if !moved || e.ChecksFencing {
 			continue
 		}
-		rec := c.recordOf(e, now)
-		if until := latestOrderEnd(now.Add(oldTextTime), c.tuning, e); rec.notBefore.Before(until) {
+		if rec := c.recordOf(e, now); rec.notBefore.Before(until) {
 			rec.notBefore = until
 		}
 	}
 }
-
-// otherDomainEngines returns the engines that a text lists for other domains.
-func otherDomainEngines(t *text.Text, domain ident.DomainID) map[ident.EndpointID]bool {
-	names := make(map[ident.EndpointID]bool)
-	for _, e := range t.Engines {
-		if e.Domain != domain {
-			names[e.Name] = true
-		}
-	}
-	return names
-}
--- a/core/orders/moved_test.go
+++ b/core/orders/moved_test.go
@@ -27,9 +27,9 @@
 }
 
 // runMove lets the controllers of two domains work while an engine moves from the first to
-// the second, whose controller has the new text earlier by lead. It returns the orders, whose
-// outcomes are unknown.
-func runMove(t *testing.T, checksFencing bool, lead time.Duration) []orderTime {
+// the second, whose controller has the new text earlier by lead, and the texts between the old
+// and the new one before that. It returns the orders, whose outcomes are unknown.
+func runMove(t *testing.T, checksFencing bool, lead time.Duration, between ...*config.Snapshot) []orderTime {
 	t.Helper()
 	now := newClock()
 	var sent []orderTime
@@ -62,8 +62,12 @@
 		}
 	}
 	run(10 * time.Second)
+	for _, s := range between {
+		controllers[1].Snapshot = func() *config.Snapshot { return s }
+		run(200 * time.Millisecond)
+	}
 	for _, c := range []*Controller{controllers[1], controllers[0]} {
-		after := movedText(2, "d2", checksFencing)
+		after := movedText(3, "d2", checksFencing)
 		c.Snapshot = func() *config.Snapshot { return after }
 		run(lead)
 	}
@@ -76,20 +80,52 @@
 // says nothing of the orders that the old one has sent, or sends until it has the new text.
 func TestMovedEngineGetsOrdersOfOneDomain(t *testing.T) {
 	for _, lead := range []time.Duration{100 * time.Millisecond, time.Second, 3500 * time.Millisecond} {
-		sent := runMove(t, false, lead)
-		e := movedText(1, "d", false).Text.Engines[0]
-		for i := range sent {
-			if i == 0 || sent[i].from == sent[i-1].from {
-				continue
-			}
-			if end := latestOrderEnd(sent[i-1].at, DefaultTuning(), e); sent[i].at.Before(end) {
-				t.Errorf("lead %v: domain %s sent an order %v before the last one of %s had ended", lead, sent[i].from, end.Sub(sent[i].at), sent[i-1].from)
-			}
+		checkMove(t, lead, runMove(t, false, lead))
+	}
+}
+
+// TestEngineMovedInTwoStepsGetsOrdersOfOneDomain guards against two orders that overlap at an
+// engine which one text removes from its domain and the next one lists in another domain.
+func TestEngineMovedInTwoStepsGetsOrdersOfOneDomain(t *testing.T) {
+	unlisted := &config.Snapshot{Revision: 2, Text: newTestText()}
+	for _, lead := range []time.Duration{100 * time.Millisecond, time.Second, 3500 * time.Millisecond} {
+		checkMove(t, lead, runMove(t, false, lead, unlisted))
+	}
+}
+
+// TestEngineListedAgainWaitsForOrdersOfItsOldDomain guards against an order to an engine that was
+// in no domain for longer than its old one may use the old text, but not for as long as an order
+// that was sent last may take.
+func TestEngineListedAgainWaitsForOrdersOfItsOldDomain(t *testing.T) {
+	now := newClock()
+	c := newController("d2", "a", newFakeStore(now).leaseStore(DefaultTuning().LeaseTTL), log.NewNopLogger(), WithNow(now.time))
+	before := movedText(1, "d", false)
+	c.noteMoves(before)
+	end := latestOrderEnd(now.time().Add(oldTextTime), c.tuning, before.Text.Engines[0])
+	c.noteMoves(&config.Snapshot{Revision: 2, Text: newTestText()})
+	now.advance(oldTextTime + 100*time.Millisecond)
+	c.noteMoves(movedText(3, "d2", false))
+	if rec := c.engines["e"]; rec == nil || rec.notBefore.Before(end) {
+		t.Errorf("record %+v, want no order before %v", rec, end)
+	}
+}
+
+// checkMove checks that the orders of runMove do not overlap, and that the last one is of the
+// second domain.
+func checkMove(t *testing.T, lead time.Duration, sent []orderTime) {
+	t.Helper()
+	e := movedText(1, "d", false).Text.Engines[0]
+	for i := range sent {
+		if i == 0 || sent[i].from == sent[i-1].from {
+			continue
 		}
-		if last := sent[len(sent)-1]; last.from != "d2" {
-			t.Errorf("lead %v: the last order is of domain %s, want d2", lead, last.from)
+		if end := latestOrderEnd(sent[i-1].at, DefaultTuning(), e); sent[i].at.Before(end) {
+			t.Errorf("lead %v: domain %s sent an order %v before the last one of %s had ended", lead, sent[i].from, end.Sub(sent[i].at), sent[i-1].from)
 		}
 	}
+	if last := sent[len(sent)-1]; last.from != "d2" {
+		t.Errorf("lead %v: the last order is of domain %s, want d2", lead, last.from)
+	}
 }
 
 // TestMovedEngineThatChecksFencingGetsOrdersAtOnce guards against an engine without orders
--- a/core/orders/orders.go
+++ b/core/orders/orders.go
@@ -46,10 +46,11 @@
 	wg     sync.WaitGroup
 
 	mu             sync.Mutex
-	leaving        bool           // A planned stop has begun.
-	fencing        ident.Epoch    // Fencing number under which the records were made.
-	revision       ident.Revision // Newest revision of the configuration text that was seen.
-	text           *text.Text     // Newest configuration text that was seen, also without the lease.
+	leaving        bool                           // A planned stop has begun.
+	fencing        ident.Epoch                    // Fencing number under which the records were made.
+	revision       ident.Revision                 // Newest revision of the configuration text that was seen.
+	text           *text.Text                     // Newest configuration text that was seen, also without the lease.
+	elsewhere      map[ident.EndpointID]time.Time // When the last order of another domain's controller has ended, for engines that a text listed there.
 	engines        map[ident.EndpointID]*engineRecord
 	versionChanges map[pool]versionChange
 	activeLoads    int   // Orders in progress that read from the weight store.
@@ -130,6 +131,7 @@
 		ctx:            ctx,
 		cancel:         cancel,
 		engines:        make(map[ident.EndpointID]*engineRecord),
+		elsewhere:      make(map[ident.EndpointID]time.Time),
 		versionChanges: make(map[pool]versionChange),
 	}
 	for _, opt := range opts {
