orders: the end of an order does not shorten the delay of a moved engine

What could be seen: an engine that does not check fencing numbers could carry out orders of two domains at the same time, if it was moved to another domain and back while an order of this domain was in progress. The controller of the other domain may use the text before for up to 4 s.

Cause: the end of an order set the time before which no other is sent, also to none, and so replaced the later time that the move had set meanwhile.

Fix: the end of an order only moves that time later. An order is reserved only after the time has passed, so that without a move nothing else than the order's own end remains.

Ruled out: a field of its own for moves, since both times mean the same to their readers.

Found by reading.

--- a/core/orders/limits.go
+++ b/core/orders/limits.go
@@ -64,8 +64,10 @@
 	if d.readsWeights() {
 		c.activeLoads--
 	}
-	rec := c.engines[e.Name]
-	rec.notBefore = endsBy
+	// A move may have set a later time while the order was in progress.
+	if rec := c.engines[e.Name]; rec.notBefore.Before(endsBy) {
+		rec.notBefore = endsBy
+	}
 	if d.kind != engineapi.SetVersion {
 		return
 	}
--- a/core/orders/moved_test.go
+++ b/core/orders/moved_test.go
@@ -110,6 +110,28 @@
 	}
 }
 
+// TestEndedOrderKeepsDelayOfMovedEngine guards against the loss of the delay of an engine that is
+// moved to another domain and back while an order of this domain is in progress.
+func TestEndedOrderKeepsDelayOfMovedEngine(t *testing.T) {
+	now := newClock()
+	c := newController("d2", "a", newFakeStore(now).leaseStore(DefaultTuning().LeaseTTL), log.NewNopLogger(), WithNow(now.time))
+	listed := movedText(1, "d2", false)
+	e := listed.Text.Engines[0]
+	c.noteMoves(listed)
+	c.recordOf(e, now.time())
+	order := difference{kind: engineapi.LoadModel, model: "m", version: "v2"}
+	if reason := c.reserve(e, order); reason != "" {
+		t.Fatalf("the order has to wait: %s", reason)
+	}
+	c.noteMoves(movedText(2, "d", false))
+	c.noteMoves(movedText(3, "d2", false))
+	want := c.engines["e"].notBefore
+	c.unreserve(e, order, time.Time{})
+	if got := c.engines["e"].notBefore; got.Before(want) || want.IsZero() {
+		t.Errorf("the next order may be sent at %v, want %v", got, want)
+	}
+}
+
 // checkMove checks that the orders of runMove do not overlap, and that the last one is of the
 // second domain.
 func checkMove(t *testing.T, lead time.Duration, sent []orderTime) {
