forward: an impossible estimate does not change the margin of other requests

What callers could see: after one request whose length hint was far above its own maximum of output tokens (up to 1e9 is accepted), the following requests of the service, of all organisations, reserved their maximum at the decode engines, and were refused or waited while memory that they did not need was reserved.

Cause: the margin of a reservation is half of the average estimate of the service, and each estimate counted in the average as the caller gave it. One of a million, with a weight of 5%, is a margin of 25,000 tokens. With an estimate near the largest number the sum overflowed too; no caller can give one.

Fix: an estimate counts with at most the maximum of its request and the memory of an engine. The part of a reservation for the answer follows from the same bounded length as the check for planned stops.

Ruled out: refusing such requests, since a hint above the maximum is harmless to its own request; the maximum of the request alone, which the caller gives as well.

--- a/core/forward/outputestimates.go
+++ b/core/forward/outputestimates.go
@@ -25,7 +25,18 @@
 	average map[ident.ServiceID]float64 // Tokens.
 }
 
-// record adds the estimate of a request; 0 means that it has none.
+// possibleEstimate returns the caller's estimate of the answer's length, and at most what the
+// request permits and the memory of an engine holds; 0 if the caller gave none. It is what counts
+// in the average, which callers that give no possible estimate would change for all others.
+func (j *job) possibleEstimate() ident.Tokens {
+	estimate := min(j.EstimatedOutput, j.MaxOutputTokens)
+	if capacity := j.service.Model.KVCacheTokens; capacity > 0 {
+		estimate = min(estimate, capacity)
+	}
+	return estimate
+}
+
+// record adds the possible estimate of a request; 0 means that it has none.
 func (o *outputEstimates) record(s ident.ServiceID, estimate ident.Tokens) {
 	if estimate <= 0 {
 		return
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -67,7 +67,7 @@
 // too long.
 func (s *stream) reserve(ctx context.Context) (decodeReservation, error) {
 	r := s.router
-	r.outputEstimates.record(s.service.Name, s.EstimatedOutput)
+	r.outputEstimates.record(s.service.Name, s.possibleEstimate())
 	started := r.now()
 	defer func() { r.counters.reserveWait.UpdateSince(started) }()
 	w := &waiter{cost: s.reservationCost(), reserveBy: s.reserveBy()}
@@ -248,11 +248,8 @@
 // reservationSize returns the memory, in tokens, to be reserved at a decode engine.
 func (j *job) reservationSize() ident.Tokens { return j.PromptTokens + j.reservedOutput() }
 
-// reservedOutput returns the part of the reservation for the answer: its estimated length
+// reservedOutput returns the part of the reservation for the answer: its expected length
 // with the margin of the service, and at most the maximum.
 func (j *job) reservedOutput() ident.Tokens {
-	if j.EstimatedOutput == 0 {
-		return j.MaxOutputTokens
-	}
-	return min(j.MaxOutputTokens, j.EstimatedOutput+j.router.outputEstimates.margin(j.service.Name))
+	return min(j.MaxOutputTokens, j.expectedOutput()+j.router.outputEstimates.margin(j.service.Name))
 }
