membership: views of other domains are read every 30 s, round robin

Cost: the view that each instance reads to find parts of its own domain was read every 5 s.

The members of other domains are asked in turn from a random first one, so that a part is found after as many rounds as there are members, and not by chance.

--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -22,7 +21,7 @@
 			s.fetchUnknownViews((*f)())
 		}
 		if round < joinRounds || round%viewReadEvery == 0 {
-			s.fetchRandomView()
+			s.fetchNextView()
 		}
 		if round%listReadEvery == 0 && s.isListReader() {
 			s.fetchUnknownViews(s.readInstanceList(s.listedAddresses))
@@ -35,11 +34,11 @@
 	}
 }
 
-// fetchRandomView fetches the view of a random live member of another domain. Heartbeats go
+// fetchNextView fetches the view of a live member of another domain, round robin. Heartbeats go
 // to one member of each other domain and carry no members of others, so that without it two
 // parts of this domain that joined at the same time, through different members, would not
 // discover each other.
-func (s *Service) fetchRandomView() {
+func (s *Service) fetchNextView() {
 	v := s.Table.View()
 	var others []Member
 	for _, m := range v.Members() {
@@ -53,7 +52,8 @@
 	ctx, cancel := context.WithTimeout(s.ctx, discoveryInterval)
 	defer cancel()
 	// Another member is asked in a later round if this one does not answer.
-	_ = s.fetchView(ctx, others[rand.N(len(others))].PeerAddress)
+	s.viewCursor++
+	_ = s.fetchView(ctx, others[s.viewCursor%len(others)].PeerAddress)
 }
 
 // isListReader reports whether this daemon reads the instance list. Only listReaders
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,8 +34,9 @@
 	remoteSilentAfterMissed = 3                      // Heartbeats to other domains without a confirmation after which their members are silent.
 	refusedRecheckDelay     = 300 * time.Millisecond // Delay of the second call after a refused connection.
 	discoveryInterval       = time.Second            // Interval of discovery, and timeout of its calls.
-	joinRounds              = 10                     // Rounds of discovery after the start that all read a view of another domain.
-	viewReadEvery           = 5                      // Rounds of discovery for each view of another domain, after joinRounds.
+	joinRounds              = 5                      // Rounds of discovery after the start that all read a view of another domain.
+	viewReadEvery           = 30                     // Rounds of discovery for each view of another domain, after joinRounds.
+	maxFirstView            = 1 << 16                // Upper bound of the random first position among the members of other domains.
 	listReadEvery           = 5                      // Rounds of discovery for each read of the instance list.
 	listReaders             = 2                      // Members of each domain that read the instance list.
 	settleIntervals         = 4                      // Heartbeat intervals until gossip about a member agrees with its own heartbeats.
@@ -67,6 +69,7 @@
 	heartbeatCount atomic.Int64
 	lastRun        time.Time // When the heartbeat loop last ran, to detect a pause; used by that loop only.
 	targetCursor   int       // Round-robin position among the local targets; used by the heartbeat loop only.
+	viewCursor     int       // Round-robin position among the members of other domains; used by the discovery loop only.
 	confirming     sync.Map  // Set of instance ids for which confirmGone is running.
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -131,6 +134,8 @@
 		interval: time.Duration(n.Settings.HeartbeatMS) * time.Millisecond,
 		ctx:      ctx,
 		cancel:   cancel,
+		// Instances that start together ask different members first.
+		viewCursor: rand.IntN(maxFirstView),
 	}
 	t.settleTime = settleIntervals * s.interval
 	s.firstPeers.Store(&n.Settings.FirstPeers)
