--- a/core/event/event.go
+++ b/core/event/event.go
@@ -20,6 +20,7 @@
 	StreamStalled                        // stream stalled
 	RetryingAtAnotherEngine              // retrying at another engine
 	ReleaseFailed                        // release failed, will expire
+	EngineCrashed                        // engine crashed under a request
 
 	RequestDone         // request done
 	RequestFailed       // request failed
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -34,6 +34,7 @@
 	send     func(n int, c Call, sink Sink) error // n is the number of the call, from 1.
 	prefill  func(n int, c Call) (string, error)
 	reserve  func(e engines.Entry) (string, error)
+	isDown   func(e engines.Entry) bool
 	reserved []time.Duration // Validity of each reservation that was asked for.
 	sizes    []ident.Tokens  // Size of each reservation that was asked for.
 }
@@ -74,6 +75,7 @@
 	h.router.Calls = h.calls()
 	h.prefill = func(int, Call) (string, error) { return "handle", nil }
 	h.reserve = func(engines.Entry) (string, error) { return "reservation", nil }
+	h.isDown = func(engines.Entry) bool { return false }
 	return h
 }
 
@@ -156,6 +158,7 @@
 			defer h.mu.Unlock()
 			h.released = append(h.released, id)
 		},
+		IsDown: func(_ context.Context, e engines.Entry, _ time.Time) bool { return h.isDown(e) },
 		Reserve: func(_ context.Context, e engines.Entry, size ident.Tokens, until, _ time.Time) (string, error) {
 			h.mu.Lock()
 			h.reserved = append(h.reserved, time.Until(until))
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -26,7 +26,8 @@
 type stream struct {
 	*job
 	splitter      eventSplitter
-	isEventStream bool        // The answer is a stream of server-sent events.
+	isEventStream bool // The answer is a stream of server-sent events.
+	progress      answerProgress
 	heardAt       time.Time   // When the last data of the current call arrived; when it was sent if none did.
 	attempts      int         // Number of attempts, with the current one.
 	possibleRuns  int         // Number of engines that may have run the request.
@@ -168,6 +169,7 @@
 		s.stalledAt = "" // The replacement may have run.
 	}
 	if ctx.Err() == nil {
+		s.checkCrash(ctx, e, f)
 		s.recordDecodeOutcome(e, p, f)
 	}
 	return err
@@ -215,7 +217,7 @@
 // other answer when it is complete. A resumable stream that stalls, and an error answer that
 // does not end, are cancelled as soon as another engine has granted a reservation.
 func (s *stream) send(ctx context.Context, e *engines.Engine, call Call) error {
-	s.heardAt = s.router.now()
+	s.heardAt, s.progress = s.router.now(), answerProgress{}
 	buffered := callResult{}
 	err := s.sendMonitored(ctx, call, Sink{
 		OnHead: func(h Head) error {
@@ -226,6 +228,7 @@
 		},
 		OnData: func(data []byte) error {
 			s.recordData(e)
+			s.progress.recordData(s.heardAt)
 			if !s.isEventStream {
 				buffered.body = append(buffered.body, data...)
 				return nil
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -38,6 +38,9 @@
 	MaxOutputTokens ident.Tokens // Maximum length of the answer.
 	EstimatedOutput ident.Tokens // Length of the answer that the caller expects; 0 if not given.
 	LastEventID     string       // Id of the last event that the caller has received; empty if none.
+
+	Model ident.ModelID  // Model that is to answer; empty if not given.
+	Parts []ident.PartID // Parts of the prompt in order, nil if not given. The last one is the request's own, the others may be shared with other requests.
 }
 
 // ResponseWriter writes the response to the caller.
@@ -94,6 +97,9 @@
 	Reserve func(ctx context.Context, e engines.Entry, size ident.Tokens, until, connectBy time.Time) (id string, err error)
 	// ReleaseReservation releases a reservation, in the background.
 	ReleaseReservation func(e engines.Entry, reservation string)
+	// IsDown reports whether no process accepts connections at the address of an engine. It is
+	// false if that is not known by the deadline.
+	IsDown func(ctx context.Context, e engines.Entry, deadline time.Time) bool
 }
 
 // Admission is the answer to a request for tokens of an organisation's rate.
--- a/core/ident/ident.go
+++ b/core/ident/ident.go
@@ -38,6 +38,10 @@
 // Address is a network address: host and port, such as "127.0.0.1:8080".
 type Address string
 
+// PartID identifies a part of a prompt, such as a shared system prompt. Requests whose prompts
+// have the same part name it by the same id.
+type PartID string
+
 // Tokens is a number of model tokens.
 type Tokens int64
 
