--- a/core/forward/crash.go
+++ b/core/forward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -9,11 +10,12 @@
 	"monsoonfork/core/engines"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
 )
 
 // beginningTime is how long after its first data an answer counts as beginning. A prompt that
 // crashes its engine does so while the answer begins.
-const beginningTime = 200 * time.Millisecond
+const beginningTime = 50 * time.Millisecond
 
 // answerProgress is how far the answer of the current call to a decode engine has come.
 type answerProgress struct {
@@ -40,6 +42,15 @@
 	return now.Sub(p.firstDataAt).Milliseconds()
 }
 
+// joinParts returns the ids of parts for a log line.
+func joinParts(parts []ident.PartID) string {
+	texts := make([]string, len(parts))
+	for i, p := range parts {
+		texts[i] = string(p)
+	}
+	return strings.Join(texts, ",")
+}
+
 // checkCrash examines whether an engine has crashed under the request: it has broken off the
 // answer, which was beginning, and its address refuses connections since. An engine that leaves
 // may end at any time.
@@ -52,6 +63,6 @@
 	if !s.router.Calls.IsDown(ctx, e.Entry, now.Add(connectTimeout)) {
 		return false
 	}
-	_ = level.Warn(s.log).Log("msg", event.EngineCrashed, "engine", e.ID, "data_ms", s.progress.dataMS(now), "model", s.Model, "parts", s.Parts, "err", f)
+	_ = level.Warn(s.log).Log("msg", event.EngineCrashed, "engine", e.ID, "data_ms", s.progress.dataMS(now), "model", s.Model, "parts", joinParts(s.Parts), "err", f)
 	return true
 }
