quarantine: parts of prompts that crash engines are held back, by all instances

Cause: a request is sent on whatever happened to earlier ones; nothing connected the crashes. Class: shared fate without memory, known as query of death.

A crash under an answer that was beginning incriminates the shared parts of its prompt, an answer clears them; the part that separates is held at all instances, and the request itself is not sent again unless all its parts are known to be sound.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -44,6 +44,10 @@
 	EngineAnnouncedLeaving // engine announced that it leaves
 	EnginePaused           // engine paused
 	EnginePauseIgnored     // invalid pause of an engine ignored
+	PartHeld               // part of prompts held back from engines
+	PartTried              // part of prompts tried again
+	PartReleased           // part of prompts released
+	CrashesNotStored       // crashes not written to the store
 	StageOrdered           // stage ordered
 	NoticeIgnored          // invalid stage notice ignored
 	OrderLeaseAcquired     // order lease acquired
--- a/core/fault/fault_string.go
+++ b/core/fault/fault_string.go
@@ -19,31 +19,32 @@
 	_ = x[KeyWithdrawn-8]
 	_ = x[RateExceeded-9]
 	_ = x[Overloaded-10]
-	_ = x[NoEndpoint-11]
-	_ = x[EndpointFailed-12]
-	_ = x[EndpointTimeout-13]
-	_ = x[EndpointRefused-14]
-	_ = x[AnswerBroken-15]
-	_ = x[CallInProgress-16]
-	_ = x[CallMismatch-17]
-	_ = x[OutcomeUnknown-18]
-	_ = x[AnswerNotKept-19]
-	_ = x[StoreUnavailable-20]
-	_ = x[RevisionConflict-21]
-	_ = x[BadText-22]
-	_ = x[BadSettings-23]
-	_ = x[PeerUnavailable-24]
-	_ = x[NotHolder-25]
-	_ = x[ShuttingDown-26]
-	_ = x[CallerGone-27]
-	_ = x[DeadlineExceeded-28]
-	_ = x[NotFound-29]
-	_ = x[kindCount-30]
+	_ = x[PromptHeld-11]
+	_ = x[NoEndpoint-12]
+	_ = x[EndpointFailed-13]
+	_ = x[EndpointTimeout-14]
+	_ = x[EndpointRefused-15]
+	_ = x[AnswerBroken-16]
+	_ = x[CallInProgress-17]
+	_ = x[CallMismatch-18]
+	_ = x[OutcomeUnknown-19]
+	_ = x[AnswerNotKept-20]
+	_ = x[StoreUnavailable-21]
+	_ = x[RevisionConflict-22]
+	_ = x[BadText-23]
+	_ = x[BadSettings-24]
+	_ = x[PeerUnavailable-25]
+	_ = x[NotHolder-26]
+	_ = x[ShuttingDown-27]
+	_ = x[CallerGone-28]
+	_ = x[DeadlineExceeded-29]
+	_ = x[NotFound-30]
+	_ = x[kindCount-31]
 }
 
-const _Kind_name = "InternalBadRequestRequestTooLargeRequestTimeoutUnknownRouteUnknownModelUnauthenticatedForbiddenKeyWithdrawnRateExceededOverloadedNoEndpointEndpointFailedEndpointTimeoutEndpointRefusedAnswerBrokenCallInProgressCallMismatchOutcomeUnknownAnswerNotKeptStoreUnavailableRevisionConflictBadTextBadSettingsPeerUnavailableNotHolderShuttingDownCallerGoneDeadlineExceededNotFoundkindCount"
+const _Kind_name = "InternalBadRequestRequestTooLargeRequestTimeoutUnknownRouteUnknownModelUnauthenticatedForbiddenKeyWithdrawnRateExceededOverloadedPromptHeldNoEndpointEndpointFailedEndpointTimeoutEndpointRefusedAnswerBrokenCallInProgressCallMismatchOutcomeUnknownAnswerNotKeptStoreUnavailableRevisionConflictBadTextBadSettingsPeerUnavailableNotHolderShuttingDownCallerGoneDeadlineExceededNotFoundkindCount"
 
-var _Kind_index = [...]uint16{0, 8, 18, 33, 47, 59, 71, 86, 95, 107, 119, 129, 139, 153, 168, 183, 195, 209, 221, 235, 248, 264, 280, 287, 298, 313, 322, 334, 344, 360, 368, 377}
+var _Kind_index = [...]uint16{0, 8, 18, 33, 47, 59, 71, 86, 95, 107, 119, 129, 139, 149, 163, 178, 193, 205, 219, 231, 245, 258, 274, 290, 297, 308, 323, 332, 344, 354, 370, 378, 387}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/core/fault/kind.go
+++ b/core/fault/kind.go
@@ -21,6 +21,7 @@
 	KeyWithdrawn                 // The API key was withdrawn while the request ran.
 	RateExceeded                 // The organisation has exceeded its rate and burst.
 	Overloaded                   // Refused before it ran: capacity does not allow an answer within the targets.
+	PromptHeld                   // A part of the prompt has crashed engines, and is kept from them for a time.
 	NoEndpoint                   // No endpoint is available.
 	EndpointFailed               // The endpoint failed after the request may have reached it.
 	EndpointTimeout              // The endpoint did not answer in time.
--- a/core/fault/table.go
+++ b/core/fault/table.go
@@ -15,6 +15,7 @@
 	KeyWithdrawn:     {http.StatusUnauthorized, "key_withdrawn", MayHaveRun, false},
 	RateExceeded:     {http.StatusTooManyRequests, "rate_limit_exceeded", NotRun, true},
 	Overloaded:       {http.StatusServiceUnavailable, "overloaded", NotRun, true},
+	PromptHeld:       {http.StatusServiceUnavailable, "prompt_held", NotRun, true},
 	NoEndpoint:       {http.StatusServiceUnavailable, "no_endpoint", NotRun, true},
 	EndpointFailed:   {http.StatusBadGateway, "endpoint_failed", MayHaveRun, false},
 	EndpointTimeout:  {http.StatusGatewayTimeout, "endpoint_timeout", MayHaveRun, false},
--- a/core/forward/harness_test.go
+++ b/core/forward/harness_test.go
@@ -18,6 +18,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/quarantine"
 )
 
 // harness is a router with fake engines, whose calls the test implements.
@@ -73,6 +74,7 @@
 		return Admission{Granted: true, Refund: func() { h.refunds++ }}
 	}
 	h.router.Calls = h.calls()
+	h.router.Quarantine = quarantine.New("self", log.NewNopLogger(), metrics.NewRegistry(), time.Now)
 	h.prefill = func(int, Call) (string, error) { return "handle", nil }
 	h.reserve = func(engines.Entry) (string, error) { return "reservation", nil }
 	h.isDown = func(engines.Entry) bool { return false }
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -28,6 +28,9 @@
 	splitter      eventSplitter
 	isEventStream bool // The answer is a stream of server-sent events.
 	progress      answerProgress
+	clearedAt     time.Time   // When an answer last showed that the prompt does not crash engines.
+	suspect       bool        // An engine has crashed under the request, and its prompt may be the cause.
+	trial         bool        // The request tries whether a part of its prompt still crashes engines.
 	heardAt       time.Time   // When the last data of the current call arrived; when it was sent if none did.
 	attempts      int         // Number of attempts, with the current one.
 	possibleRuns  int         // Number of engines that may have run the request.
@@ -47,7 +50,10 @@
 	s.splitter.lastID = j.LastEventID
 	defer s.discardReplacement()
 	defer s.returnExtraCall()
-	err := s.serve(ctx)
+	err := s.checkQuarantine(ctx)
+	if err == nil {
+		err = s.serve(ctx)
+	}
 	if err == nil || s.failedAnswer == nil || s.headSent || fault.Is(err, fault.CallerGone) {
 		return err
 	}
@@ -98,7 +104,7 @@
 // of the retry budget is kept for a permitted retry until it is sent.
 func (s *stream) mayRetry(err error) bool {
 	f := fault.From(err)
-	if f.Kind == fault.Overloaded || f.Kind == fault.CallerGone {
+	if f.Kind == fault.Overloaded || f.Kind == fault.CallerGone || f.Kind == fault.PromptHeld || !s.mayTryAgain() {
 		return false
 	}
 	if f.Ran == fault.NotRun && s.stalledAt != "" {
@@ -126,6 +132,9 @@
 	}
 	defer s.endReservation(&reserved)
 	s.logStage("room", reserved.engine, started)
+	if err := s.checkQuarantine(ctx); err != nil {
+		return err
+	}
 	prompt, err := s.prefill(ctx, reserved.engine)
 	if err != nil {
 		return err
@@ -141,6 +150,10 @@
 		s.freePrompt(p)
 		return fault.New(fault.EndpointRefused, "engine %s leaves or has asked for no calls", e.ID)
 	}
+	if err := s.checkQuarantine(ctx); err != nil {
+		s.freePrompt(p)
+		return err
+	}
 	call := s.newCall(e)
 	call.Reservation = reserved.id
 	call.Source = p.source
@@ -169,7 +182,7 @@
 		s.stalledAt = "" // The replacement may have run.
 	}
 	if ctx.Err() == nil {
-		s.checkCrash(ctx, e, f)
+		s.recordCrash(ctx, e, f)
 		s.recordDecodeOutcome(e, p, f)
 	}
 	return err
@@ -184,6 +197,9 @@
 	}
 	now := s.router.now()
 	e.RecordSuccess(now)
+	if s.status < http.StatusMultipleChoices {
+		s.recordSoundAnswer(now)
+	}
 	if p.source.Handle != "" {
 		e.RecordFetch(true, now)
 	}
@@ -228,7 +244,7 @@
 		},
 		OnData: func(data []byte) error {
 			s.recordData(e)
-			s.progress.recordData(s.heardAt)
+			s.recordProgress(s.heardAt)
 			if !s.isEventStream {
 				buffered.body = append(buffered.body, data...)
 				return nil
--- a/core/forward/prefill.go
+++ b/core/forward/prefill.go
@@ -180,6 +180,8 @@
 		if timedOut && e.RecordNoAnswer(started, now) {
 			return "", err
 		}
+		s.progress = answerProgress{}
+		s.recordCrash(ctx, e, fault.From(err))
 		s.recordEngineOutcome(e, callResult{heardAt: started, err: err})
 		e.RecordQueueDelay(took, now)
 		return "", err
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -18,6 +18,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/quarantine"
 )
 
 // Request is a request from a caller.
@@ -122,6 +123,7 @@
 	Admit         func(o *catalog.Organisation, cost ident.Tokens) Admission // Takes tokens of an organisation's rate.
 	Calls         EngineCalls
 	LiveInstances func() int // Number of instances that share the retry budget.
+	Quarantine    *quarantine.Quarantine
 
 	domain          ident.DomainID
 	log             log.Logger
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -43,6 +43,7 @@
 	errNoRetryBudget   = errors.New("the retry budget is used up")
 	errNoReservation   = errors.New("no other decode engine granted a reservation")
 	errOthersFirst     = errors.New("other requests ask for reservations first")
+	errPromptHeld      = errors.New("a part of the prompt is held back from engines")
 	errStreamContinued = errors.New("the engine has continued")
 )
 
@@ -212,9 +213,12 @@
 // what it took from the retry budget.
 func (m *stallMonitor) replace(ctx context.Context, stalledAt time.Time) error {
 	s := m.stream
-	if s.attempts >= maxStreamAttempts || s.possibleRuns >= s.route.MaxEngines {
+	if s.attempts >= maxStreamAttempts || s.possibleRuns >= s.route.MaxEngines || !s.mayTryAgain() {
 		return errNoFurtherRun
 	}
+	if s.router.Quarantine.IsHeld(s.prompt()) {
+		return errPromptHeld
+	}
 	if !s.router.holdExtraCall(s.service.Name) {
 		return errNoRetryBudget
 	}
--- /dev/null
+++ b/core/quarantine/exchange.go
@@ -0,0 +1,266 @@
+package quarantine
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"monsoonfork/core/event"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membership"
+)
+
+// Names of the methods that instances call on each other.
+const (
+	MethodExchange = "Quarantine.Exchange"
+	MethodTrial    = "Quarantine.Trial"
+)
+
+const (
+	// compareInterval is the time between two comparisons with a randomly chosen member, which
+	// repair what was lost on the way.
+	compareInterval = time.Second
+	// callTimeout bounds a call to another instance.
+	callTimeout = 400 * time.Millisecond
+	// firstCompareInterval takes the place of compareInterval until a member has answered.
+	firstCompareInterval = 100 * time.Millisecond
+)
+
+// Run sends new evidence to other instances and compares evidence with them until ctx ends.
+func (q *Quarantine) Run(ctx context.Context) {
+	timer := time.NewTimer(firstCompareInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-q.outbox.added:
+			q.sendPending(ctx)
+		case <-timer.C:
+			interval := compareInterval
+			if !q.compareWithAny(ctx) {
+				interval = firstCompareInterval
+			}
+			timer.Reset(interval)
+		}
+	}
+}
+
+// sendPending sends the evidence in the outbox. While a domain can't be reached, the crashes that
+// this instance has seen are written to the store.
+func (q *Quarantine) sendPending(ctx context.Context) {
+	if b := q.outbox.take(toDomain); !b.isEmpty() && q.peers.View != nil {
+		v := q.peers.View()
+		q.send(ctx, v.Live(v.Self.Domain), b, false)
+	}
+	b := q.outbox.take(toAll)
+	if b.isEmpty() || q.peers.View == nil {
+		return
+	}
+	v := q.peers.View()
+	var wg sync.WaitGroup
+	wg.Go(func() { q.send(ctx, v.Live(v.Self.Domain), b, false) })
+	unreached := len(knownDomains(v)) > len(v.Domains())
+	var mu sync.Mutex
+	for _, domain := range v.Domains() {
+		if domain == v.Self.Domain {
+			continue
+		}
+		members := v.Live(domain)
+		wg.Go(func() {
+			if q.send(ctx, []membership.Member{members[rand.IntN(len(members))]}, b, true) == 0 {
+				mu.Lock()
+				defer mu.Unlock()
+				unreached = true
+			}
+		})
+	}
+	wg.Wait()
+	if unreached && len(b.crashes) > 0 {
+		q.writeStore(ctx)
+	}
+}
+
+// knownDomains returns the domains of all members that have not ended.
+func knownDomains(v *membership.View) map[ident.DomainID]bool {
+	domains := make(map[ident.DomainID]bool)
+	for _, m := range v.Members() {
+		if m.State != membership.Gone {
+			domains[m.Domain] = true
+		}
+	}
+	return domains
+}
+
+// send sends evidence to members in parallel, and returns how many have received it.
+func (q *Quarantine) send(ctx context.Context, members []membership.Member, b batch, relay bool) int {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	received := 0
+	for _, m := range members {
+		if m.ID == q.self {
+			continue
+		}
+		wg.Go(func() {
+			if q.exchange(ctx, m.ID, b, relay, 0) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				received++
+			}
+		})
+	}
+	wg.Wait()
+	return received
+}
+
+// exchange sends evidence to another instance and applies its reply. A digest other than 0 asks
+// for all evidence of an instance that has another one.
+func (q *Quarantine) exchange(ctx context.Context, to ident.InstanceID, b batch, relay bool, digest uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request := q.encode(b)
+	request.Relay, request.Digest = relay, digest
+	reply := &Exchange{}
+	if err := q.peers.Call(ctx, to, MethodExchange, request, reply); err != nil {
+		return err
+	}
+	q.apply(to, reply, toDomain, false)
+	if digest != 0 && reply.GetDigest() != q.digest() {
+		// The other instance lacks something.
+		return q.exchange(ctx, to, q.all(), false, 0)
+	}
+	return nil
+}
+
+// ServeExchange applies the evidence of another instance. The reply has what is known here of
+// the same parts, and all evidence if the digests differ.
+func (q *Quarantine) ServeExchange(_ context.Context, from ident.InstanceID, r *Exchange) (proto.Message, error) {
+	q.apply(from, r, toDomain, r.GetRelay())
+	reply := &Exchange{}
+	if r.GetDigest() != 0 && r.GetDigest() != q.digest() {
+		reply = q.encode(q.all())
+	} else if len(r.GetCrashes()) > 0 {
+		reply = q.encode(q.clearedOf(r.GetCrashes()))
+	}
+	reply.Digest = q.digest()
+	return reply, nil
+}
+
+// apply applies evidence of another instance. What is new is sent on if relay is set.
+func (q *Quarantine) apply(from ident.InstanceID, m *Exchange, to recipients, relay bool) {
+	now := q.now()
+	if len(m.GetCrashes()) > maxRecords || len(m.GetCleared()) > maxRecords*maxRecordParts {
+		q.logIgnored(from, "exchange", nil)
+		return
+	}
+	if !relay {
+		to = toNobody
+	}
+	// Parts that are cleared come first, so that no crash counts against them.
+	for _, r := range m.GetCleared() {
+		c, err := r.toClearedPart(now)
+		if err != nil {
+			q.logIgnored(from, "cleared part", err)
+			continue
+		}
+		if e := q.scope(c.Scope); e != nil {
+			q.release(c.Scope, e.clear([]ident.PartID{c.Part}, c.At, now), "a prompt with it was answered at another instance", to)
+		}
+	}
+	for _, r := range m.GetCrashes() {
+		c, err := r.toCrash(now)
+		if err != nil {
+			q.logIgnored(from, "crash", err)
+			continue
+		}
+		q.addCrash(c, to)
+	}
+}
+
+// logIgnored logs a record of another instance that is not used.
+func (q *Quarantine) logIgnored(from ident.InstanceID, record string, err error) {
+	_ = level.Warn(q.log).Log("msg", event.PeerRecordIgnored, "from", string(from), "record", record, "err", err)
+}
+
+// encode encodes evidence.
+func (q *Quarantine) encode(b batch) *Exchange {
+	now := q.now()
+	m := &Exchange{}
+	for _, c := range b.crashes {
+		m.Crashes = append(m.Crashes, crashMessage(c, now))
+	}
+	for _, c := range b.cleared {
+		m.Cleared = append(m.Cleared, clearedMessage(c, now))
+	}
+	return m
+}
+
+// all returns all crashes, and the parts of them that were cleared.
+func (q *Quarantine) all() batch {
+	return q.matching(func(Crash) bool { return true })
+}
+
+// matching returns the crashes that match, and the parts of them that were cleared.
+func (q *Quarantine) matching(match func(Crash) bool) batch {
+	now := q.now()
+	var b batch
+	for scope, e := range q.allEvidence() {
+		s := e.snapshot(now, match)
+		b.crashes = append(b.crashes, s.crashes...)
+		for part, at := range s.cleared {
+			b.cleared = append(b.cleared, clearedPart{scope, part, at})
+		}
+	}
+	b.crashes = b.crashes[max(0, len(b.crashes)-maxRecords):]
+	return b
+}
+
+// clearedOf returns the parts of the given crashes that were cleared here.
+func (q *Quarantine) clearedOf(records []*CrashRecord) batch {
+	now := q.now()
+	known := make(map[crashID]bool)
+	for _, r := range records {
+		if c, err := r.toCrash(now); err == nil { // Invalid records were logged when they were applied.
+			known[c.id()] = true
+		}
+	}
+	b := q.matching(func(c Crash) bool { return known[c.id()] })
+	b.crashes = nil
+	return b
+}
+
+// digest returns a hash of the crashes and of which of their parts were cleared since; never 0.
+func (q *Quarantine) digest() uint64 {
+	sum := uint64(1)
+	for scope, e := range q.allEvidence() {
+		s := e.snapshot(q.now(), func(Crash) bool { return true })
+		for _, c := range s.crashes {
+			sum += hashCrash(scope, c, s.cleared)
+		}
+	}
+	return max(sum, 1)
+}
+
+// hashCrash returns a hash of a crash and of its parts that were cleared since.
+func hashCrash(scope Scope, c Crash, cleared map[ident.PartID]time.Time) uint64 {
+	h := fnv.New64a()
+	write := func(text string) {
+		_, _ = h.Write([]byte(text))
+		_, _ = h.Write([]byte{0})
+	}
+	for _, text := range []string{string(scope.Service), string(scope.Model), string(c.Run.Engine), string(c.Reporter)} {
+		write(text)
+	}
+	for _, p := range c.Parts {
+		if at, ok := cleared[p]; ok && at.After(c.At) {
+			continue
+		}
+		write(string(p))
+	}
+	return h.Sum64()
+}
