--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -86,22 +86,38 @@
 	return &evidence{self: self, crashes: make(map[crashID]Crash)}
 }
 
-// addCrash adds a crash and reports whether it was not known.
-func (e *evidence) addCrash(c Crash, now time.Time) bool {
+// addCrashes adds crashes, and returns those that were not known and the parts that are held
+// because of them.
+func (e *evidence) addCrashes(list []Crash, now time.Time) (added []Crash, held []Hold) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	id := c.id()
-	if _, known := e.crashes[id]; known || now.Sub(c.At) >= crashLife {
-		return false
+	for _, c := range list {
+		id := c.id()
+		if _, known := e.crashes[id]; known || now.Sub(c.At) >= crashLife {
+			continue
+		}
+		e.crashes[id] = c
+		if c.Reporter != e.self {
+			e.dropOldest(maxReporterCrashes, func(other Crash) bool { return other.Reporter == c.Reporter })
+		}
+		added = append(added, c)
 	}
-	e.crashes[id] = c
-	if c.Reporter != e.self {
-		e.dropOldest(maxReporterCrashes, func(other Crash) bool { return other.Reporter == c.Reporter })
+	if len(added) == 0 {
+		return nil, nil
 	}
 	e.dropOldest(maxCrashes, func(Crash) bool { return true })
+	added = slices.DeleteFunc(added, func(c Crash) bool {
+		_, kept := e.crashes[c.id()]
+		return !kept
+	})
+	before := e.holds
 	e.judge(now)
-	_, kept := e.crashes[id]
-	return kept
+	for part, h := range e.holds {
+		if _, known := before[part]; !known {
+			held = append(held, h)
+		}
+	}
+	return added, held
 }
 
 // dropOldest drops the oldest crashes that match until at most limit of them are left. The
@@ -122,15 +138,15 @@
 	}
 }
 
-// clear records that prompts with the parts were answered at a time, and returns the parts that
-// are no longer held because of it.
-func (e *evidence) clear(parts []ident.PartID, at, now time.Time) (released []ident.PartID) {
+// clear records when prompts with some parts were answered, and returns the parts that are no
+// longer held because of it.
+func (e *evidence) clear(answered map[ident.PartID]time.Time, now time.Time) (released []ident.PartID) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for _, p := range parts {
+	for p, at := range answered {
 		e.cleared.record(p, at)
 	}
-	if !e.mentions(parts) {
+	if !e.mentions(answered) {
 		return nil
 	}
 	before := e.holds
@@ -140,13 +156,28 @@
 			released = append(released, part)
 		}
 	}
+	slices.Sort(released)
 	return released
 }
 
+// companions returns the parts of all crashes that have the given part, itself included.
+func (e *evidence) companions(part ident.PartID) []ident.PartID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := []ident.PartID{part}
+	for _, c := range e.crashes {
+		if slices.Contains(c.Parts, part) {
+			list = append(list, c.Parts...)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // mentions reports whether a crash has one of the parts. The caller must hold mu.
-func (e *evidence) mentions(parts []ident.PartID) bool {
+func (e *evidence) mentions(parts map[ident.PartID]time.Time) bool {
 	for _, c := range e.crashes {
-		if slices.ContainsFunc(c.Parts, func(p ident.PartID) bool { return slices.Contains(parts, p) }) {
+		if slices.ContainsFunc(c.Parts, func(p ident.PartID) bool { _, ok := parts[p]; return ok }) {
 			return true
 		}
 	}
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -71,9 +71,8 @@
 		if domain == v.Self.Domain {
 			continue
 		}
-		members := v.Live(domain)
 		wg.Go(func() {
-			if q.send(ctx, []membership.Member{members[rand.IntN(len(members))]}, b, true) == 0 {
+			if !q.sendToOneOf(ctx, v.Live(domain), b) {
 				mu.Lock()
 				defer mu.Unlock()
 				unreached = true
@@ -97,6 +96,23 @@
 	return domains
 }
 
+// maxRelays is how many members of another domain are tried, one after the other, to relay
+// evidence there.
+const maxRelays = 2
+
+// sendToOneOf sends evidence to one of the members of another domain, which sends it on, and
+// reports whether one has received it.
+func (q *Quarantine) sendToOneOf(ctx context.Context, members []membership.Member, b batch) bool {
+	first := rand.IntN(len(members))
+	for i := range min(maxRelays, len(members)) {
+		m := members[(first+i)%len(members)]
+		if q.send(ctx, []membership.Member{m}, b, true) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // send sends evidence to members in parallel, and returns how many have received it.
 func (q *Quarantine) send(ctx context.Context, members []membership.Member, b batch, relay bool) int {
 	var wg sync.WaitGroup
@@ -162,24 +178,42 @@
 		to = toNobody
 	}
 	// Parts that are cleared come first, so that no crash counts against them.
+	for scope, list := range q.decodeCleared(from, m, now) {
+		if e := q.scope(scope); e != nil {
+			q.clear(e, list, "a prompt with it was answered at another instance", to)
+		}
+	}
+	for scope, list := range q.decodeCrashes(from, m, now) {
+		q.addCrashes(scope, list, to)
+	}
+}
+
+// decodeCleared returns the cleared parts of a message by scope, without invalid ones.
+func (q *Quarantine) decodeCleared(from ident.InstanceID, m *Exchange, now time.Time) map[Scope][]clearedPart {
+	byScope := make(map[Scope][]clearedPart)
 	for _, r := range m.GetCleared() {
 		c, err := r.toClearedPart(now)
 		if err != nil {
 			q.logIgnored(from, "cleared part", err)
 			continue
 		}
-		if e := q.scope(c.Scope); e != nil {
-			q.release(c.Scope, e.clear([]ident.PartID{c.Part}, c.At, now), "a prompt with it was answered at another instance", to)
-		}
+		byScope[c.Scope] = append(byScope[c.Scope], c)
 	}
+	return byScope
+}
+
+// decodeCrashes returns the crashes of a message by scope, without invalid ones.
+func (q *Quarantine) decodeCrashes(from ident.InstanceID, m *Exchange, now time.Time) map[Scope][]Crash {
+	byScope := make(map[Scope][]Crash)
 	for _, r := range m.GetCrashes() {
 		c, err := r.toCrash(now)
 		if err != nil {
 			q.logIgnored(from, "crash", err)
 			continue
 		}
-		q.addCrash(c, to)
+		byScope[c.Scope] = append(byScope[c.Scope], c)
 	}
+	return byScope
 }
 
 // logIgnored logs a record of another instance that is not used.
--- a/core/quarantine/judge_test.go
+++ b/core/quarantine/judge_test.go
@@ -35,11 +35,17 @@
 // crash records that an engine crashed under a prompt with the given shared parts.
 func (h *history) crash(reporter ident.InstanceID, parts ...ident.PartID) {
 	h.runs++
-	h.evidence.addCrash(Crash{Run: Run{Engine: ident.EndpointID(fmt.Sprint(h.runs))}, Reporter: reporter, Parts: parts, At: h.now}, h.now)
+	h.evidence.addCrashes([]Crash{{Run: Run{Engine: ident.EndpointID(fmt.Sprint(h.runs))}, Reporter: reporter, Parts: parts, At: h.now}}, h.now)
 }
 
 // answer records that prompts with the given parts were answered.
-func (h *history) answer(parts ...ident.PartID) { h.evidence.clear(parts, h.now, h.now) }
+func (h *history) answer(parts ...ident.PartID) {
+	answered := make(map[ident.PartID]time.Time)
+	for _, p := range parts {
+		answered[p] = h.now
+	}
+	h.evidence.clear(answered, h.now)
+}
 
 // isHeld reports whether a prompt with the given shared parts is held.
 func (h *history) isHeld(parts ...ident.PartID) bool {
--- a/core/quarantine/outbox.go
+++ b/core/quarantine/outbox.go
@@ -50,7 +50,7 @@
 
 // add adds evidence.
 func (o *outbox) add(to recipients, b batch) {
-	if to == toNobody {
+	if to == toNobody || b.isEmpty() {
 		return
 	}
 	o.mu.Lock()
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -150,8 +150,7 @@
 		return
 	}
 	if e := q.scope(p.Scope); e != nil {
-		now := q.now()
-		q.release(p.Scope, e.clear(parts, now, now), "a prompt with it was answered", toAll)
+		q.clear(e, clearedNow(p.Scope, parts, q.now()), "a prompt with it was answered", toAll)
 	}
 }
 
@@ -164,22 +163,18 @@
 	if len(parts) == 0 || e == nil {
 		return false
 	}
-	now := q.now()
-	q.addCrash(Crash{Scope: p.Scope, Run: run, Reporter: q.self, Parts: slices.Clone(parts), At: now}, toAll)
+	q.addCrashes(p.Scope, []Crash{{Scope: p.Scope, Run: run, Reporter: q.self, Parts: slices.Clone(parts), At: q.now()}}, toAll)
 	return e.suspects(parts)
 }
 
-// Free releases a part at all instances, as if a prompt with it had been answered. It reports
-// whether the part was held here.
+// Free releases a part at all instances, as if the prompts that crashed with it had been answered.
+// It reports whether the part was held here.
 func (q *Quarantine) Free(scope Scope, part ident.PartID) bool {
 	e := q.existing(scope)
 	if e == nil {
 		return false
 	}
-	now := q.now()
-	released := e.clear([]ident.PartID{part}, now, now)
-	q.release(scope, released, "an operator has released it", toAll)
-	return slices.Contains(released, part)
+	return slices.Contains(q.clear(e, clearedNow(scope, e.companions(part), q.now()), "an operator has released it", toAll), part)
 }
 
 // Holds returns all parts that are held, sorted by service, model and part.
@@ -195,42 +190,51 @@
 	return list
 }
 
-// addCrash adds a crash, and sends it to others if it is new.
-func (q *Quarantine) addCrash(c Crash, to recipients) {
-	e := q.scope(c.Scope)
+// addCrashes adds crashes of one scope, and sends those that are new to others.
+func (q *Quarantine) addCrashes(scope Scope, list []Crash, to recipients) {
+	e := q.scope(scope)
 	if e == nil {
 		return
 	}
 	now := q.now()
-	before := e.allHolds(now)
-	if !e.addCrash(c, now) {
-		return
+	added, held := e.addCrashes(list, now)
+	q.outbox.add(to, batch{crashes: added})
+	for _, h := range held {
+		_ = level.Warn(q.log).Log("msg", event.PartHeld, "service", h.Service, "model", h.Model, "prompt_part", h.Part,
+			"crashes", h.Crashes, "reporters", h.Reporters, "first_ms", now.Sub(h.FirstAt).Milliseconds(), "until_ms", h.Until.Sub(now).Milliseconds())
 	}
-	q.outbox.add(to, batch{crashes: []Crash{c}})
-	for _, h := range e.allHolds(now) {
-		if !slices.ContainsFunc(before, func(b Hold) bool { return b.Part == h.Part }) {
-			_ = level.Warn(q.log).Log("msg", event.PartHeld, "service", h.Service, "model", h.Model, "prompt_part", h.Part,
-				"crashes", h.Crashes, "reporters", h.Reporters, "first_ms", now.Sub(h.FirstAt).Milliseconds(), "until_ms", h.Until.Sub(now).Milliseconds())
-		}
+	if len(held) > 0 {
+		q.updateGauge()
 	}
-	q.updateGauge()
 }
 
-// release logs the parts that are no longer held, and sends to others that they were cleared.
-func (q *Quarantine) release(scope Scope, parts []ident.PartID, why string, to recipients) {
-	if len(parts) == 0 {
-		return
+// clear records that prompts with some parts of one scope were answered, and returns the parts
+// that are no longer held. In that case it sends to others what was cleared.
+func (q *Quarantine) clear(e *evidence, list []clearedPart, why string, to recipients) []ident.PartID {
+	answered := make(map[ident.PartID]time.Time, len(list))
+	for _, c := range list {
+		answered[c.Part] = c.At
 	}
-	q.metrics.released.Inc(int64(len(parts)))
-	for _, p := range parts {
-		_ = level.Info(q.log).Log("msg", event.PartReleased, "service", scope.Service, "model", scope.Model, "prompt_part", p, "why", why)
+	released := e.clear(answered, q.now())
+	if len(released) == 0 {
+		return nil
 	}
-	now, cleared := q.now(), batch{}
-	for _, p := range parts {
-		cleared.cleared = append(cleared.cleared, clearedPart{scope, p, now})
+	q.metrics.released.Inc(int64(len(released)))
+	for _, p := range released {
+		_ = level.Info(q.log).Log("msg", event.PartReleased, "service", list[0].Service, "model", list[0].Model, "prompt_part", p, "why", why)
 	}
-	q.outbox.add(to, cleared)
+	q.outbox.add(to, batch{cleared: list})
 	q.updateGauge()
+	return released
+}
+
+// clearedNow returns parts of a scope as cleared at the given time.
+func clearedNow(scope Scope, parts []ident.PartID, now time.Time) []clearedPart {
+	list := make([]clearedPart, len(parts))
+	for i, p := range parts {
+		list[i] = clearedPart{scope, p, now}
+	}
+	return list
 }
 
 // updateGauge updates the number of parts that are held.
