quarantine: crashes for which a part is held are kept in the store

Each instance now writes the crashes that it has reported while a part is held for them, two calls each, and removes them when the part is released. TestHoldOutlivesAllInstances.

--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -251,6 +251,16 @@
 	})
 }
 
+// clearedSince reports whether all parts of a crash were in answered prompts after it.
+func (e *evidence) clearedSince(c Crash) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !slices.ContainsFunc(c.Parts, func(p ident.PartID) bool {
+		at, ok := e.cleared.last(p)
+		return !ok || !at.After(c.At)
+	})
+}
+
 // snapshot is a copy of the evidence about a scope.
 type snapshot struct {
 	crashes []Crash
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -39,7 +40,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-q.outbox.added:
+		case <-q.outbox.changed:
 			q.sendPending(ctx)
 		case <-timer.C:
 			interval := compareInterval
@@ -51,38 +52,39 @@
 	}
 }
 
-// sendPending sends the evidence in the outbox. While a domain can't be reached, the crashes that
-// this instance has seen are written to the store.
+// sendPending sends the evidence in the outbox, and writes what other instances need to the store.
 func (q *Quarantine) sendPending(ctx context.Context) {
-	if b := q.outbox.take(toDomain); !b.isEmpty() && q.peers.View != nil {
+	if q.peers.View != nil {
 		v := q.peers.View()
-		q.send(ctx, v.Live(v.Self.Domain), b, false)
-	}
-	b := q.outbox.take(toAll)
-	if b.isEmpty() || q.peers.View == nil {
-		return
+		if b := q.outbox.take(toDomain); !b.isEmpty() {
+			q.send(ctx, v.Live(v.Self.Domain), b, false)
+		}
+		if b := q.outbox.take(toAll); !b.isEmpty() {
+			q.stored.unreached = !q.sendToAll(ctx, v, b)
+		}
 	}
-	v := q.peers.View()
+	q.updateStore(ctx)
+}
+
+// sendToAll sends evidence to the members of the own domain, and to one member of each other
+// domain, which sends it on there. It reports whether all domains were reached.
+func (q *Quarantine) sendToAll(ctx context.Context, v *membership.View, b batch) bool {
 	var wg sync.WaitGroup
 	wg.Go(func() { q.send(ctx, v.Live(v.Self.Domain), b, false) })
-	unreached := len(knownDomains(v)) > len(v.Domains())
-	var mu sync.Mutex
+	var unreached atomic.Bool
+	unreached.Store(len(knownDomains(v)) > len(v.Domains()))
 	for _, domain := range v.Domains() {
 		if domain == v.Self.Domain {
 			continue
 		}
 		wg.Go(func() {
 			if !q.sendToOneOf(ctx, v.Live(domain), b) {
-				mu.Lock()
-				defer mu.Unlock()
-				unreached = true
+				unreached.Store(true)
 			}
 		})
 	}
 	wg.Wait()
-	if unreached && len(b.crashes) > 0 {
-		q.writeStore(ctx)
-	}
+	return !unreached.Load()
 }
 
 // knownDomains returns the domains of all members that have not ended.
@@ -114,24 +116,21 @@
 }
 
 // send sends evidence to members in parallel, and returns how many have received it.
-func (q *Quarantine) send(ctx context.Context, members []membership.Member, b batch, relay bool) int {
+func (q *Quarantine) send(ctx context.Context, members []membership.Member, b batch, relay bool) int64 {
 	var wg sync.WaitGroup
-	var mu sync.Mutex
-	received := 0
+	var received atomic.Int64
 	for _, m := range members {
 		if m.ID == q.self {
 			continue
 		}
 		wg.Go(func() {
 			if q.exchange(ctx, m.ID, b, relay, 0) == nil {
-				mu.Lock()
-				defer mu.Unlock()
-				received++
+				received.Add(1)
 			}
 		})
 	}
 	wg.Wait()
-	return received
+	return received.Load()
 }
 
 // exchange sends evidence to another instance and applies its reply. A digest other than 0 asks
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -280,6 +280,43 @@
 	}
 }
 
+// TestHoldOutlivesAllInstances guards against a part crashing engines again since all instances were
+// restarted at the same time.
+func TestHoldOutlivesAllInstances(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2, 2)
+	all := f.all()
+	f.crashAt(all[0], "e1")
+	f.crashAt(all[3], "e2")
+	waitFor(t, "stored", all[:1], spreadTime, func(*Quarantine) bool { return f.storedCrashes() == 2 })
+	q := New("new", log.NewNopLogger(), metrics.NewRegistry(), f.now)
+	for id, value := range f.stored {
+		if err := q.ApplyStored(id, value); err != nil {
+			t.Error(err)
+		}
+	}
+	if !holdsDeadly(q) {
+		t.Error("an instance that knows only the store does not hold the part")
+	}
+	all[1].RecordAnswer(deadlyPrompt)
+	waitFor(t, "removed", all[:1], spreadTime, func(*Quarantine) bool { return f.storedCrashes() == 0 })
+}
+
+// storedCrashes returns the number of crashes in the store.
+func (f *fleet) storedCrashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, value := range f.stored {
+		m := &Exchange{}
+		if err := proto.Unmarshal(value, m); err != nil {
+			f.t.Error(err)
+		}
+		n += len(m.GetCrashes())
+	}
+	return n
+}
+
 // TestOneTrialOfAllInstances guards against each instance trying a part when its hold ends.
 func TestOneTrialOfAllInstances(t *testing.T) {
 	t.Parallel()
--- a/core/quarantine/outbox.go
+++ b/core/quarantine/outbox.go
@@ -35,14 +35,14 @@
 
 // outbox collects evidence that is to be sent.
 type outbox struct {
-	added chan struct{} // Holds an element after evidence was added.
+	changed chan struct{} // Holds an element after the evidence has changed.
 
 	mu      sync.Mutex
 	pending [recipientsCount]batch
 }
 
 // newOutbox returns an empty outbox.
-func newOutbox() outbox { return outbox{added: make(chan struct{}, 1)} }
+func newOutbox() outbox { return outbox{changed: make(chan struct{}, 1)} }
 
 // maxPending bounds the crashes, and the cleared parts, that wait to be sent. What is dropped
 // reaches the others by the periodic comparison.
@@ -60,8 +60,13 @@
 	p.crashes = p.crashes[max(0, len(p.crashes)-maxPending):]
 	p.cleared = p.cleared[max(0, len(p.cleared)-maxPending):]
 	o.mu.Unlock()
+	o.wake()
+}
+
+// wake makes Run send what is pending and update the store.
+func (o *outbox) wake() {
 	select {
-	case o.added <- struct{}{}:
+	case o.changed <- struct{}{}:
 	default:
 	}
 }
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -37,6 +37,7 @@
 	scopes map[Scope]*evidence
 
 	outbox  outbox
+	stored  storeState
 	sync    syncState
 	permits permits
 }
@@ -68,8 +69,8 @@
 	return func(q *Quarantine) { q.peers = peers{View: view, Call: call} }
 }
 
-// WithStore makes the quarantine write its evidence to the platform's store while it can't reach
-// all failure domains.
+// WithStore makes the quarantine write crashes to the platform's store that instances need which
+// start later or can't be reached.
 func WithStore(f StoreFunc) Option {
 	return func(q *Quarantine) { q.store = f }
 }
@@ -205,6 +206,7 @@
 	}
 	if len(held) > 0 {
 		q.updateGauge()
+		q.outbox.wake()
 	}
 }
 
@@ -224,6 +226,7 @@
 		_ = level.Info(q.log).Log("msg", event.PartReleased, "service", list[0].Service, "model", list[0].Model, "prompt_part", p, "why", why)
 	}
 	q.outbox.add(to, batch{cleared: list})
+	q.outbox.wake()
 	q.updateGauge()
 	return released
 }
--- a/core/quarantine/store.go
+++ b/core/quarantine/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -14,25 +15,51 @@
 )
 
 const (
-	// storeLife is how long crashes stay in the store, so that instances which can't be reached
-	// for now learn of them.
-	storeLife = time.Minute
+	// storeLife is how long crashes stay in the store after they were written: the longest time
+	// to live that a lease may have.
+	storeLife = 10 * time.Minute
 	// storeAttempts is how often a write to the store is tried.
 	storeAttempts = 3
 	// storeRetryDelay is the pause before it is tried again.
 	storeRetryDelay = 300 * time.Millisecond
 )
 
-// writeStore writes the crashes that this instance has reported to the store.
-func (q *Quarantine) writeStore(ctx context.Context) {
+// storeState is what this instance has written to the store. It is used by Run only.
+type storeState struct {
+	unreached bool      // A domain could not be reached when evidence was last sent.
+	written   []crashID // Sorted as crashes are.
+}
+
+// updateStore writes the crashes to the store that this instance has reported and that others
+// need: those for which a part is held, so that the hold outlives a restart of all instances,
+// and all that are not cleared while a domain can't be reached. It writes only changes.
+func (q *Quarantine) updateStore(ctx context.Context) {
 	if q.store == nil {
 		return
 	}
 	own := q.matching(func(c Crash) bool { return c.Reporter == q.self })
-	err := q.tryStore(ctx, q.encode(own))
-	if err != nil {
-		_ = level.Info(q.log).Log("msg", event.CrashesNotStored, "crashes", len(own.crashes), "err", err)
+	needed := batch{crashes: slices.DeleteFunc(own.crashes, func(c Crash) bool { return !q.isNeeded(c) })}
+	ids := make([]crashID, len(needed.crashes))
+	for i, c := range needed.crashes {
+		ids[i] = c.id()
+	}
+	if slices.Equal(ids, q.stored.written) {
+		return
+	}
+	if err := q.tryStore(ctx, q.encode(needed)); err != nil {
+		_ = level.Info(q.log).Log("msg", event.CrashesNotStored, "crashes", len(ids), "err", err)
+		return
+	}
+	q.stored.written = ids
+}
+
+// isNeeded reports whether other instances need a crash from the store.
+func (q *Quarantine) isNeeded(c Crash) bool {
+	e := q.existing(c.Scope)
+	if _, held := e.held(c.Parts, q.now()); held {
+		return true
 	}
+	return q.stored.unreached && !e.clearedSince(c)
 }
 
 // tryStore writes a message to the store, several times if that fails.
