--- a/cmd/monsoonfork/verb/table.go
+++ b/cmd/monsoonfork/verb/table.go
@@ -25,6 +25,7 @@
 		{"text", "Print the configuration text in force.", &showText{}},
 		{"status", "Show the revision in force at each instance.", &status{}},
 		{"dump", "Print the internal state of one instance as JSON.", &dump{}},
+		{"held", "Show or release parts of prompts that are held back from engines.", &held{}},
 		{"profile", "Record a CPU profile of one instance.", &profile{}},
 		{"key", "Create callers' keys.", &key{}},
 		{"help", "Show the usage of verbs, and the reference of types, roles and events.", &help{}},
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -77,7 +77,7 @@
 // process. It also serves MetricsAddress if that is set.
 func startProcess(_ context.Context, n *kernel.Node) (*kernel.Callbacks, error) {
 	s := &server{node: n, log: log.With(n.Log, "part", "Process")}
-	if err := s.serve(n.Settings.OperatorAddress, s.processRoutes()); err != nil {
+	if err := s.serve(n.Settings.OperatorAddress, s.platformRoutes()); err != nil {
 		return nil, err
 	}
 	if n.Settings.MetricsAddress == "" {
@@ -128,6 +128,14 @@
 	mux.HandleFunc("GET /metrics.txt", s.metricsText)
 	mux.HandleFunc("GET /dump", s.dump)
 	mux.HandleFunc("GET /profile", s.profile)
+	mux.HandleFunc("GET /held", s.held)
+	return mux
+}
+
+// platformRoutes returns the calls for operators of an instance on the platform.
+func (s *server) platformRoutes() *http.ServeMux {
+	mux := s.processRoutes()
+	mux.HandleFunc("POST /held/free", s.freePart)
 	return mux
 }
 
