engines: a run that has ended is found behind a relay too

A crash was taken for one only if the address refused connections. Behind a relay of the operator's, which accepts and then closes, or after a quick restart, the next request with the same part went to the next engine.

--- a/core/forward/crash.go
+++ b/core/forward/crash.go
@@ -61,7 +61,7 @@
 }
 
 // recordCrash examines whether an engine has crashed under the request: it has broken off the
-// answer, which was beginning, and its address refuses connections since. An engine that leaves
+// answer, which was beginning, and its run has ended. An engine that leaves
 // may end at any time.
 func (s *stream) recordCrash(ctx context.Context, e *engines.Engine, f *fault.Error) {
 	now := s.router.now()
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -98,8 +98,8 @@
 	Reserve func(ctx context.Context, e engines.Entry, size ident.Tokens, until, connectBy time.Time) (id string, err error)
 	// ReleaseReservation releases a reservation, in the background.
 	ReleaseReservation func(e engines.Entry, reservation string)
-	// IsDown reports whether no process accepts connections at the address of an engine. It is
-	// false if that is not known by the deadline.
+	// IsDown reports whether the run of an engine has ended. It is false if that is not known by
+	// the deadline.
 	IsDown func(ctx context.Context, e engines.Entry, deadline time.Time) bool
 }
 
--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -6,9 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sys/unix"
 
 	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
@@ -235,18 +233,6 @@
 	}
 }
 
-// IsRefused reports whether the host of an address refuses connections to it, which shows that
-// no process listens there. It is false if there is no answer by the deadline.
-func (p *Pool) IsRefused(ctx context.Context, a ident.Address, deadline time.Time) bool {
-	p.counters.dials.Inc(1)
-	conn, err := dialEndpoint(ctx, Call{Address: a, Limits: endpoint.Limits{ConnectDeadline: deadline}})
-	if err == nil {
-		_ = conn.Close()
-		return false
-	}
-	return errors.Is(err, unix.ECONNREFUSED)
-}
-
 // dial opens a new connection.
 func (p *Pool) dial(ctx context.Context, call Call) (*poolConn, error) {
 	p.counters.dials.Inc(1)
