platformsoak: prompts with a part that crashes engines

In nine seconds of each run 30 of 100 streams have a part under which the stand-in engines crash. DeadlyPromptsAreHeld wants at most three of them sent on later than 3 s after the fifth crash, by instances that reach the store.

--- a/lab/platformsoak/finding.go
+++ b/lab/platformsoak/finding.go
@@ -29,6 +29,7 @@
 	MemoryIsBounded                        // No instance uses more than maxResidentBytes.
 	HeldRequestsAreAnswered                // A whole request on a connection that was held open is answered or refused.
 	MembersAgree                           // After the faults each instance counts all others as live, and no process that has ended.
+	DeadlyPromptsAreHeld                   // Prompts with a part that has crashed engines are kept from them.
 	EnginesAreFree                         // After the run no engine holds requests or memory.
 )
 
--- a/lab/platformsoak/load.go
+++ b/lab/platformsoak/load.go
@@ -46,6 +46,7 @@
 		}
 		a := r.drawRequest(random, n)
 		r.drawDisconnect(random, a)
+		r.drawParts(a, n)
 		c := callers[i.name][random.IntN(callersPerInstance)]
 		open.Go(func() { r.sendRequest(c, i, a) })
 	}
--- a/lab/platformsoak/soak.go
+++ b/lab/platformsoak/soak.go
@@ -58,6 +58,7 @@
 	plannedStops map[string]time.Time   // Times of planned stops, by process.
 	interrupted  map[string][]time.Time // When a fault killed, paused or resumed a process, by its name.
 	findings     []Finding
+	deadly       deadlyPart
 }
 
 // faultSpan is the time during which a component had a fault.
@@ -88,6 +89,7 @@
 		requests: make(map[string]*request), targetsInUse: make(map[string]bool), faultSpans: make(map[string][]faultSpan),
 		plannedStops: make(map[string]time.Time), interrupted: make(map[string][]time.Time),
 	}
+	r.drawDeadlyPart()
 	r.runUnderFaults(ctx)
 	time.Sleep(settleTime)
 	r.check()
@@ -106,6 +108,7 @@
 	work.Go(func() { r.holdConnections(ctx) })
 	r.sendRequests(ctx)
 	work.Wait()
+	r.deadly.restarts.Wait()
 }
 
 // watchProcesses reports instances that exit without a fault on them, and those that use
@@ -229,6 +232,7 @@
 	sentAt         time.Time
 	disconnectedAt time.Time // When the caller disconnected early; zero if it did not.
 	endedAt        time.Time
+	deadly         bool // Its prompt has the part that crashes engines.
 	held           bool // Sent in two parts on a connection that is held open.
 	answer         standin.Answer
 }
