forward: a stream that ends inside an event has been broken off

Callers saw a stream that ended in the middle of an event as complete, with a part of the event: an answer without a length or chunks ends with its connection, and what was left of it was sent on as if it were whole. It is resumed now, or aborted. Blank lines and comments at the end are no part of an event, and lines may end with CRLF.

The client of the own deployment passes the head on when only the last line feed is missing, and fails then.

--- a/core/forward/eventsplitter.go
+++ b/core/forward/eventsplitter.go
@@ -5,8 +5,23 @@
 	"strings"
 )
 
-// eventSeparator is the blank line that ends an event of a stream.
-var eventSeparator = []byte("\n\n")
+// eventSeparators are the blank lines that end an event of a stream, with the end of the line
+// before.
+var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
+
+// maxSeparatorBytes is the length of the longest of eventSeparators.
+const maxSeparatorBytes = 3
+
+// LastEventEnd returns the index after the last event that ends in data, or -1.
+func LastEventEnd(data []byte) int {
+	last := -1
+	for _, separator := range eventSeparators {
+		if i := bytes.LastIndex(data, separator); i >= 0 {
+			last = max(last, i+len(separator))
+		}
+	}
+	return last
+}
 
 // eventSplitter splits a stream of server-sent events into complete events. An engine may
 // fail in the middle of an event; a partial event must not reach the caller, as the stream
@@ -18,13 +33,13 @@
 
 // feed adds data of the stream and returns the events that are now complete.
 func (s *eventSplitter) feed(data []byte) []byte {
-	searched := max(0, len(s.partial)-len(eventSeparator)+1) // No separator begins before it.
+	searched := max(0, len(s.partial)-maxSeparatorBytes+1) // No separator begins before it.
 	s.partial = append(s.partial, data...)
-	end := bytes.LastIndex(s.partial[searched:], eventSeparator)
+	end := LastEventEnd(s.partial[searched:])
 	if end < 0 {
 		return nil
 	}
-	end += searched + len(eventSeparator)
+	end += searched
 	complete := s.partial[:end:end]
 	s.partial = append([]byte(nil), s.partial[end:]...)
 	if id, ok := lastEventID(complete); ok {
@@ -43,3 +58,15 @@
 	}
 	return "", false
 }
+
+// isInsideEvent reports whether the stream would end inside an event if no more data came. Blank
+// lines and comments are no part of an event.
+func (s *eventSplitter) isInsideEvent() bool {
+	for line := range bytes.Lines(s.partial) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -266,6 +266,9 @@
 	case !s.isEventStream:
 		return s.sendAnswer(buffered)
 	}
+	if s.splitter.isInsideEvent() {
+		return fault.New(fault.AnswerBroken, "the stream ended inside an event")
+	}
 	if !s.headSent && len(s.splitter.partial) == 0 {
 		buffered.head.Length = 0
 		s.sendHead(buffered.head)
