httpcall: a connection whose write has just ended is kept

A call with a large body writes it in a goroutine. If the response ended before that goroutine had reported the end of its write, the connection was closed: one more dial. The call waits up to 25 ms for the report if the connection could be kept otherwise. An endpoint that answers before it has read the whole body delays the end of the call by 25 ms now.

--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -65,16 +65,7 @@
 		reusable = false
 	}
 	if x.writeDone != nil {
-		select {
-		case res := <-x.writeDone:
-			if res.panic != nil {
-				panic(res.panic)
-			}
-			reusable = reusable && res.err == nil
-		default:
-			// The endpoint responded before it read the complete request.
-			reusable = false
-		}
+		reusable = x.awaitWrite(reusable)
 	}
 	if err != nil && x.ctx.Err() != nil {
 		return false, cancellationError(x.ctx, fault.MayHaveRun)
@@ -82,6 +73,30 @@
 	return reusable && err == nil, err
 }
 
+// writeReportTime is how long a call waits after its response for the end of the concurrent write,
+// which is reported by another goroutine.
+const writeReportTime = 25 * time.Millisecond
+
+// awaitWrite reports whether the connection can be reused after a concurrent write. It can't if
+// the write has not ended: the endpoint responded before it read the complete request.
+func (x *poolExchange) awaitWrite(reusable bool) bool {
+	wait := time.Duration(0)
+	if reusable {
+		wait = writeReportTime
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case res := <-x.writeDone:
+		if res.panic != nil {
+			panic(res.panic)
+		}
+		return reusable && res.err == nil
+	case <-timer.C:
+		return false
+	}
+}
+
 // exchange writes the request and reads the response.
 func (x *poolExchange) exchange(message []byte) (bool, error) {
 	if len(message) > maxSyncWriteBytes {
