--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -80,23 +80,32 @@
 // awaitWrite reports whether the connection can be reused after a concurrent write. It can't if
 // the write has not ended: the endpoint responded before it read the complete request.
 func (x *poolExchange) awaitWrite(reusable bool) bool {
-	wait := time.Duration(0)
-	if reusable {
-		wait = writeReportTime
+	select {
+	case res := <-x.writeDone:
+		return res.succeeded() && reusable
+	default:
+	}
+	if !reusable {
+		return false
 	}
-	timer := time.NewTimer(wait)
+	timer := time.NewTimer(writeReportTime)
 	defer timer.Stop()
 	select {
 	case res := <-x.writeDone:
-		if res.panic != nil {
-			panic(res.panic)
-		}
-		return reusable && res.err == nil
+		return res.succeeded()
 	case <-timer.C:
 		return false
 	}
 }
 
+// succeeded reports whether the write has succeeded. It panics if the write has.
+func (r writeResult) succeeded() bool {
+	if r.panic != nil {
+		panic(r.panic)
+	}
+	return r.err == nil
+}
+
 // exchange writes the request and reads the response.
 func (x *poolExchange) exchange(message []byte) (bool, error) {
 	if len(message) > maxSyncWriteBytes {
