peer: a call whose stream times out first is a timeout

Changes of the configuration came up to 2.5 s late over sessions that deliver nothing any more. Cause: the deadline of a call is set on its stream too, which often reaches it a moment before the context. Such a call counted as unreachable, not as timed out, and no ping followed; a trace of TestSilentSessionIsReplacedInTime shows three such calls of 0.7 s in a row before the first ping, which then took 2 s. Ruled out as the cause: the order of the pulls, as the test has none. Both are mended: the stream's timeout is a timeout, and the ping may take 0.5 s.

--- a/io/peer/call.go
+++ b/io/peer/call.go
@@ -137,7 +137,7 @@
 }
 
 // pingSession pings the remote end of a session after a call timed out and closes the
-// session if the ping fails. A connection can stop delivering data for good while new
+// session if there is no answer within pingTimeout. A connection can stop delivering data for good while new
 // connections to the same address work. At most one ping runs for each address.
 func (l *Links) pingSession(d *dialedSession, session *yamux.Session) {
 	if !d.pinging.CompareAndSwap(false, true) {
@@ -147,6 +147,8 @@
 	go func() {
 		defer l.wg.Done()
 		defer d.pinging.Store(false)
+		closing := time.AfterFunc(pingTimeout, func() { _ = session.Close() })
+		defer closing.Stop()
 		if _, err := session.Ping(); err != nil {
 			_ = session.Close()
 		}
@@ -154,11 +156,14 @@
 }
 
 // callError returns the error of a failed call: that of ctx if it has ended, else one
-// of kind PeerUnavailable.
+// of kind PeerUnavailable. The stream may reach the deadline of ctx a moment earlier.
 func callError(ctx context.Context, err error, method string) error {
 	if ctx.Err() != nil {
 		return fault.From(ctx.Err())
 	}
+	if errors.Is(err, yamux.ErrTimeout) {
+		return fault.Wrap(err, fault.DeadlineExceeded, "call of %s timed out", method)
+	}
 	return fault.Wrap(err, fault.PeerUnavailable, "call of %s failed", method)
 }
 
--- a/io/peer/links.go
+++ b/io/peer/links.go
@@ -34,6 +34,7 @@
 	acceptBacklog      = 256
 	streamBufferBytes  = 512
 	defaultCallTimeout = 2 * time.Second
+	pingTimeout        = 500 * time.Millisecond // After a call has timed out, which takes most of the time within which changes must arrive.
 )
 
 // Links holds the sessions of one daemon and the handlers of the methods that it
