quarantine: comparisons and sends don't wait for each other, and trials have no other suspect

A comparison with members that can't be reached took up to 1.2 s, in which no crash was sent on; it has its own loop now. Goroutines that handle replies contain panics.

--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -122,8 +122,8 @@
 	Engines       func(ident.ServiceID) []*engines.Engine                    // The engines of a service.
 	Admit         func(o *catalog.Organisation, cost ident.Tokens) Admission // Takes tokens of an organisation's rate.
 	Calls         EngineCalls
-	LiveInstances func() int // Number of instances that share the retry budget.
-	Quarantine    *quarantine.Quarantine
+	LiveInstances func() int             // Number of instances that share the retry budget.
+	Quarantine    *quarantine.Quarantine // Parts of prompts that are held back from engines.
 
 	domain          ident.DomainID
 	log             log.Logger
--- a/core/quarantine/compare.go
+++ b/core/quarantine/compare.go
@@ -9,8 +9,33 @@
 
 	"monsoonfork/core/boottime"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/sleep"
 )
 
+const (
+	// compareInterval is the time between two comparisons with a randomly chosen member, which
+	// repair what was lost on the way.
+	compareInterval = time.Second
+	// firstCompareInterval takes its place after the start. It doubles up to compareInterval while
+	// no member answers.
+	firstCompareInterval = 100 * time.Millisecond
+)
+
+// RunComparisons compares the evidence with that of other members until ctx ends.
+func (q *Quarantine) RunComparisons(ctx context.Context) {
+	interval := firstCompareInterval
+	for {
+		sleep.For(ctx, interval)
+		if ctx.Err() != nil {
+			return
+		}
+		interval = min(2*interval, compareInterval)
+		if q.compareWithAny(ctx) {
+			interval = compareInterval
+		}
+	}
+}
+
 // syncState says when this instance last compared its evidence with another one.
 type syncState struct {
 	mu         sync.Mutex
@@ -47,7 +72,10 @@
 	if done == nil {
 		done = make(chan struct{})
 		q.sync.running = done
-		go q.refreshNow(done)
+		go func() {
+			defer q.endRefresh(done)
+			_ = q.boundary.Run("quarantine", q.refreshNow) // A panic is logged.
+		}()
 	}
 	q.sync.mu.Unlock()
 	timer := time.NewTimer(refreshTimeout)
@@ -59,14 +87,18 @@
 	}
 }
 
-// refreshNow compares with another instance and closes done. If none answers, this instance is on
-// its own for a while.
-func (q *Quarantine) refreshNow(done chan struct{}) {
+// refreshNow compares with another instance. If none answers, this instance is on its own for a
+// while.
+func (q *Quarantine) refreshNow() {
 	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 	defer cancel()
 	if !q.compareWithAny(ctx) {
 		q.markCompared()
 	}
+}
+
+// endRefresh ends the comparison for which requests wait.
+func (q *Quarantine) endRefresh(done chan struct{}) {
 	q.sync.mu.Lock()
 	defer q.sync.mu.Unlock()
 	q.sync.running = nil
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -22,32 +22,17 @@
 	MethodTrial    = "Quarantine.Trial"
 )
 
-const (
-	// compareInterval is the time between two comparisons with a randomly chosen member, which
-	// repair what was lost on the way.
-	compareInterval = time.Second
-	// callTimeout bounds a call to another instance.
-	callTimeout = 400 * time.Millisecond
-	// firstCompareInterval takes the place of compareInterval until a member has answered.
-	firstCompareInterval = 100 * time.Millisecond
-)
+// callTimeout bounds a call to another instance.
+const callTimeout = 400 * time.Millisecond
 
-// Run sends new evidence to other instances and compares evidence with them until ctx ends.
+// Run sends new evidence to other instances until ctx ends.
 func (q *Quarantine) Run(ctx context.Context) {
-	timer := time.NewTimer(firstCompareInterval)
-	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-q.outbox.changed:
 			q.sendPending(ctx)
-		case <-timer.C:
-			interval := compareInterval
-			if !q.compareWithAny(ctx) {
-				interval = firstCompareInterval
-			}
-			timer.Reset(interval)
 		}
 	}
 }
@@ -70,14 +55,14 @@
 // domain, which sends it on there. It reports whether all domains were reached.
 func (q *Quarantine) sendToAll(ctx context.Context, v *membership.View, b batch) bool {
 	var wg sync.WaitGroup
-	wg.Go(func() { q.send(ctx, v.Live(v.Self.Domain), b, false) })
+	q.goContained(&wg, func() { q.send(ctx, v.Live(v.Self.Domain), b, false) })
 	var unreached atomic.Bool
 	unreached.Store(len(knownDomains(v)) > len(v.Domains()))
 	for _, domain := range v.Domains() {
 		if domain == v.Self.Domain {
 			continue
 		}
-		wg.Go(func() {
+		q.goContained(&wg, func() {
 			if !q.sendToOneOf(ctx, v.Live(domain), b) {
 				unreached.Store(true)
 			}
@@ -87,6 +72,11 @@
 	return !unreached.Load()
 }
 
+// goContained calls f in a goroutine of the group. A panic in it is logged and ends only f.
+func (q *Quarantine) goContained(wg *sync.WaitGroup, f func()) {
+	wg.Go(func() { _ = q.boundary.Run("quarantine", f) })
+}
+
 // knownDomains returns the domains of all members that have not ended.
 func knownDomains(v *membership.View) map[ident.DomainID]bool {
 	domains := make(map[ident.DomainID]bool)
@@ -123,7 +113,7 @@
 		if m.ID == q.self {
 			continue
 		}
-		wg.Go(func() {
+		q.goContained(&wg, func() {
 			if q.exchange(ctx, m.ID, b, relay, 0) == nil {
 				received.Add(1)
 			}
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -66,12 +66,10 @@
 	table := f.table(self)
 	q := New(self.ID, log.NewNopLogger(), metrics.NewRegistry(), f.now, WithPeers(table.View, f.caller(self)), WithStore(f.store(self)))
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		q.Run(ctx)
-	}()
-	f.t.Cleanup(func() { cancel(); <-done })
+	var loops sync.WaitGroup
+	loops.Go(func() { q.Run(ctx) })
+	loops.Go(func() { q.RunComparisons(ctx) })
+	f.t.Cleanup(func() { cancel(); loops.Wait() })
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.instances[self.ID] = q
@@ -325,6 +323,9 @@
 	f.crashAt(all[0], "e1")
 	f.crashAt(all[1], "e2")
 	waitFor(t, "held", all, spreadTime, holdsDeadly)
+	for _, q := range all {
+		q.RecordAnswer(soundPrompt)
+	}
 	f.mu.Lock()
 	f.elapsed = minHold + time.Second
 	f.mu.Unlock()
--- a/core/quarantine/judge.go
+++ b/core/quarantine/judge.go
@@ -183,3 +183,11 @@
 	}
 	return min(hold, maxHold)
 }
+
+// isTrialFor reports whether a prompt with the given parts may try a part whose hold has ended. Its
+// other parts should be known to be harmless, as a crash would be blamed on the wrong part
+// otherwise. If no such prompt comes for another minHold, any other may.
+func (e *evidence) isTrialFor(h Hold, parts []ident.PartID, now time.Time) bool {
+	others := slices.DeleteFunc(slices.Clone(parts), func(p ident.PartID) bool { return p == h.Part })
+	return e.allCleared(others) || !now.Before(h.Until.Add(minHold))
+}
--- a/core/quarantine/judge_test.go
+++ b/core/quarantine/judge_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// TestTrialHasNoOtherSuspect guards against a sound part that is held by mistake being tried with a
+// prompt that has a harmful part too: its crash would extend the hold of the sound one.
+func TestTrialHasNoOtherSuspect(t *testing.T) {
+	h := newHistory()
+	h.crash("a", first)
+	h.crash("b", first, deadly)
+	hold, held := h.evidence.held([]ident.PartID{first}, h.now)
+	if !held {
+		t.Fatal("the part is not held")
+	}
+	h.now = hold.Until
+	if h.evidence.isTrialFor(hold, []ident.PartID{first, deadly}, h.now) {
+		t.Error("a prompt with another part that was in no answer may try the part")
+	}
+	if !h.evidence.isTrialFor(hold, []ident.PartID{first}, h.now) {
+		t.Error("a prompt without other parts may not try the part")
+	}
+	if !h.evidence.isTrialFor(hold, []ident.PartID{first, deadly}, h.now.Add(minHold)) {
+		t.Error("the part is held for good, since it only comes with others")
+	}
+}
+
 // TestTwoPartsAreHeld guards against a second harmful part being taken for explained by the first.
 func TestTwoPartsAreHeld(t *testing.T) {
 	h := newHistory()
@@ -174,7 +196,17 @@
 // is held by mistake must be tried again within the time of a hold, which releases it.
 func TestRandomCrashHistories(t *testing.T) {
 	const maxDeadlyCrashes = 5
-	properties := gopter.NewProperties(gopter.DefaultTestParameters())
+	// With the first seed a crash by chance and one under the deadly part hold a sound part that was
+	// in no answer yet.
+	for _, seed := range []int64{1796494964074111632, time.Now().UnixNano()} {
+		checkHistories(t, gopter.DefaultTestParametersWithSeed(seed), maxDeadlyCrashes)
+	}
+}
+
+// checkHistories plays random histories with the given parameters.
+func checkHistories(t *testing.T, parameters *gopter.TestParameters, maxDeadlyCrashes int) {
+	t.Helper()
+	properties := gopter.NewProperties(parameters)
 	properties.Property("few crashes, and no sound part stays held", prop.ForAll(
 		func(seed int64, deadlyShare, randomCrashShare float64, groups, instances int) string {
 			if randomCrashShare < 0.02 {
@@ -202,6 +234,7 @@
 		if group == 0 && r.Float64() < deadlyShare {
 			if hold, held := h.evidence.held([]ident.PartID{part, deadly}, h.now); !held || !h.now.Before(hold.Until) {
 				deadlyCrashes++
+				lastSent[part] = h.now
 				h.crash(reporter, part, deadly)
 			}
 			continue
@@ -210,6 +243,7 @@
 			if randomCrashShare == 0 {
 				return fmt.Sprintf("sound part %s is held without a crash under it", part)
 			}
+			// Sent prompts with the part include those under which an engine crashed.
 			if refused := h.now.Sub(lastSent[part]); refused > holdTime(hold.Crashes) {
 				return fmt.Sprintf("sound part %s is refused for %v after %d crashes", part, refused, hold.Crashes)
 			}
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonfork/core/boottime"
+	"monsoonfork/core/contain"
 	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -32,6 +33,7 @@
 	peers    peers
 	store    StoreFunc // Nil if there is no store.
 	metrics  quarantineMetrics
+	boundary contain.Boundary // Contains panics in work on what other instances send.
 
 	mu     sync.Mutex
 	scopes map[Scope]*evidence
@@ -93,6 +95,7 @@
 			held: metrics.GetOrRegisterGauge("Quarantine.Held", r),
 		},
 	}
+	q.boundary = contain.Boundary{Log: q.log, Panics: counter("ContainedPanics")}
 	for _, opt := range opts {
 		opt(q)
 	}
@@ -123,7 +126,7 @@
 		return Decision{}
 	}
 	if !now.Before(h.Until) {
-		if q.takeTrial(ctx, h) {
+		if e.isTrialFor(h, parts, now) && q.takeTrial(ctx, h) {
 			q.metrics.trials.Inc(1)
 			_ = level.Info(q.log).Log("msg", event.PartTried, "service", h.Service, "model", h.Model, "prompt_part", h.Part, "crashes", h.Crashes)
 			return Decision{Trial: true, Hold: h}
