--- a/core/forward/brokenstream_test.go
+++ b/core/forward/brokenstream_test.go
@@ -25,7 +25,7 @@
 		"success, no events":  func(s Sink) error { return sendHeadAndData(s, 200, "application/json", "{}") },
 		"empty success":       func(s Sink) error { return s.OnHead(Head{Status: 204, Header: http.Header{}}) },
 		"redirect":            func(s Sink) error { return sendHeadAndData(s, 302, "text/event-stream", eventText(3)) },
-		"head without events": func(s Sink) error { return errBroken },
+		"head without events": func(Sink) error { return errBroken },
 	} {
 		h := newStallHarness(t, 2)
 		h.send = func(n int, _ Call, sink Sink) error {
