quarantine: limits hold for all reporters and for scopes, clearer names

Two instances that kept different crashes of one reporter (16 of others, all of their own) would have exchanged all evidence each second. An instance that reports nonsense could have filled all scopes. TestRestartedInstanceLearnsOfAnswers: a trial in which cleared parts of an unknown scope were dropped showed that the order matters; it is kept. From reading the diff: the field of comparisons, one function that joins parts, the recipients of what is applied.

--- a/core/forward/crash.go
+++ b/core/forward/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -10,7 +9,6 @@
 	"monsoonfork/core/engines"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
-	"monsoonfork/core/ident"
 	"monsoonfork/core/quarantine"
 )
 
@@ -51,18 +49,9 @@
 	return now.Sub(p.firstDataAt).Milliseconds()
 }
 
-// joinParts returns the ids of parts for a log line.
-func joinParts(parts []ident.PartID) string {
-	texts := make([]string, len(parts))
-	for i, p := range parts {
-		texts[i] = string(p)
-	}
-	return strings.Join(texts, ",")
-}
-
-// recordCrash examines whether an engine has crashed under the request: it has broken off the
-// answer, which was beginning, and its run has ended. An engine that leaves
-// may end at any time.
+// recordCrash records that an engine has crashed under the request, if it has: it has broken off
+// the answer, which was beginning, and its run has ended. An engine that leaves may end at any
+// time.
 func (s *stream) recordCrash(ctx context.Context, e *engines.Engine, f *fault.Error) {
 	now := s.router.now()
 	broken := f.Kind == fault.AnswerBroken || f.Kind == fault.EndpointFailed
@@ -74,7 +63,7 @@
 	}
 	s.suspect = s.router.Quarantine.RecordCrash(s.prompt(), quarantine.Run{Engine: e.ID, Started: e.Started})
 	_ = level.Warn(s.log).Log("msg", event.EngineCrashed, "engine", e.ID, "data_ms", s.progress.dataMS(now), "model", s.Model,
-		"parts", joinParts(s.Parts), "suspect", s.suspect, "err", f)
+		"parts", quarantine.JoinParts(s.Parts), "suspect", s.suspect, "err", f)
 }
 
 // prompt returns the prompt of the request as the quarantine knows it.
--- a/core/quarantine/compare.go
+++ b/core/quarantine/compare.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// syncState says when this instance last compared its evidence with another one.
-type syncState struct {
+// comparison says when this instance last compared its evidence with another one.
+type comparison struct {
 	mu         sync.Mutex
 	freshUntil boottime.Instant // The evidence may be out of date from then on; zero if it was never compared.
 	running    chan struct{}    // Closed when the comparison in progress has ended; nil if there is none.
@@ -53,9 +53,9 @@
 
 // isFresh reports whether the evidence was compared lately.
 func (q *Quarantine) isFresh() bool {
-	q.sync.mu.Lock()
-	defer q.sync.mu.Unlock()
-	return q.bootTime().Before(q.sync.freshUntil)
+	q.comparison.mu.Lock()
+	defer q.comparison.mu.Unlock()
+	return q.bootTime().Before(q.comparison.freshUntil)
 }
 
 // refresh waits for a comparison with another instance if the evidence may be out of date and
@@ -67,17 +67,17 @@
 	if e := q.existing(p.Scope); e != nil && e.allCleared(p.shared()) {
 		return
 	}
-	q.sync.mu.Lock()
-	done := q.sync.running
+	q.comparison.mu.Lock()
+	done := q.comparison.running
 	if done == nil {
 		done = make(chan struct{})
-		q.sync.running = done
+		q.comparison.running = done
 		go func() {
 			defer q.endRefresh(done)
 			_ = q.boundary.Run("quarantine", q.refreshNow) // A panic is logged.
 		}()
 	}
-	q.sync.mu.Unlock()
+	q.comparison.mu.Unlock()
 	timer := time.NewTimer(refreshTimeout)
 	defer timer.Stop()
 	select {
@@ -99,17 +99,17 @@
 
 // endRefresh ends the comparison for which requests wait.
 func (q *Quarantine) endRefresh(done chan struct{}) {
-	q.sync.mu.Lock()
-	defer q.sync.mu.Unlock()
-	q.sync.running = nil
+	q.comparison.mu.Lock()
+	defer q.comparison.mu.Unlock()
+	q.comparison.running = nil
 	close(done)
 }
 
 // markCompared records that the evidence is as new as it can be.
 func (q *Quarantine) markCompared() {
-	q.sync.mu.Lock()
-	defer q.sync.mu.Unlock()
-	q.sync.freshUntil = q.bootTime().Add(maxAge)
+	q.comparison.mu.Lock()
+	defer q.comparison.mu.Unlock()
+	q.comparison.freshUntil = q.bootTime().Add(maxAge)
 }
 
 // maxCompareMembers is how many members are tried in one comparison.
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -15,9 +15,9 @@
 	crashLife = 20 * time.Minute
 	// maxCrashes is the number of crashes that are kept for one scope.
 	maxCrashes = 256
-	// maxReporterCrashes is how many of them may come from one other instance, so that one that
-	// reports nonsense leaves room for the others.
-	maxReporterCrashes = 16
+	// maxReporterCrashes is how many of them may come from one instance, so that one that reports
+	// nonsense leaves room for the others.
+	maxReporterCrashes = 32
 )
 
 // Scope is a set of engines for which parts are judged. A part that crashes the engines of one
@@ -62,11 +62,16 @@
 
 // id returns the id of the crash.
 func (c Crash) id() crashID {
-	texts := make([]string, len(c.Parts))
-	for i, p := range c.Parts {
+	return crashID{c.Run, c.Reporter, JoinParts(c.Parts)}
+}
+
+// JoinParts returns the ids of parts, separated by commas.
+func JoinParts(parts []ident.PartID) string {
+	texts := make([]string, len(parts))
+	for i, p := range parts {
 		texts[i] = string(p)
 	}
-	return crashID{c.Run, c.Reporter, strings.Join(texts, ",")}
+	return strings.Join(texts, ",")
 }
 
 // evidence holds what is known about the parts of one scope. Crashes incriminate the parts of
@@ -97,9 +102,7 @@
 			continue
 		}
 		e.crashes[id] = c
-		if c.Reporter != e.self {
-			e.dropOldest(maxReporterCrashes, func(other Crash) bool { return other.Reporter == c.Reporter })
-		}
+		e.dropOldest(maxReporterCrashes, func(other Crash) bool { return other.Reporter == c.Reporter })
 		added = append(added, c)
 	}
 	if len(added) == 0 {
--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"monsoonfork/core/event"
+	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 )
@@ -134,7 +135,7 @@
 	if err := q.peers.Call(ctx, to, MethodExchange, request, reply); err != nil {
 		return err
 	}
-	q.apply(to, reply, toDomain, false)
+	q.apply(to, reply, toNobody)
 	if digest != 0 && reply.GetDigest() != q.digest() {
 		// The other instance lacks something.
 		return q.exchange(ctx, to, q.all(), false, 0)
@@ -145,7 +146,11 @@
 // ServeExchange applies the evidence of another instance. The reply has what is known here of
 // the same parts, and all evidence if the digests differ.
 func (q *Quarantine) ServeExchange(_ context.Context, from ident.InstanceID, r *Exchange) (proto.Message, error) {
-	q.apply(from, r, toDomain, r.GetRelay())
+	to := toNobody
+	if r.GetRelay() {
+		to = toDomain
+	}
+	q.apply(from, r, to)
 	reply := &Exchange{}
 	if r.GetDigest() != 0 && r.GetDigest() != q.digest() {
 		reply = q.encode(q.all())
@@ -156,24 +161,27 @@
 	return reply, nil
 }
 
-// apply applies evidence of another instance. What is new is sent on if relay is set.
-func (q *Quarantine) apply(from ident.InstanceID, m *Exchange, to recipients, relay bool) {
+// apply applies evidence of another instance, and sends what is new to the given recipients.
+func (q *Quarantine) apply(from ident.InstanceID, m *Exchange, to recipients) {
 	now := q.now()
 	if len(m.GetCrashes()) > maxRecords || len(m.GetCleared()) > maxRecords*maxRecordParts {
-		q.logIgnored(from, "exchange", nil)
+		q.logIgnored(from, "exchange", fault.New(fault.BadRequest, "%d crashes and %d cleared parts are too many", len(m.GetCrashes()), len(m.GetCleared())))
 		return
 	}
-	if !relay {
-		to = toNobody
+	crashes := q.decodeCrashes(from, m, now)
+	for scope := range crashes {
+		q.scope(scope, maxRemoteScopes)
 	}
 	// Parts that are cleared come first, so that no crash counts against them.
 	for scope, list := range q.decodeCleared(from, m, now) {
-		if e := q.scope(scope); e != nil {
+		if e := q.existing(scope); e != nil {
 			q.clear(e, list, "a prompt with it was answered at another instance", to)
 		}
 	}
-	for scope, list := range q.decodeCrashes(from, m, now) {
-		q.addCrashes(scope, list, to)
+	for scope, list := range crashes {
+		if e := q.existing(scope); e != nil {
+			q.addCrashes(e, list, to)
+		}
 	}
 }
 
--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -257,6 +257,26 @@
 	}
 }
 
+// TestRestartedInstanceLearnsOfAnswers guards against an instance that has just started holding a
+// sound part under which engines crashed by chance: it must learn that prompts with it were answered
+// since, together with the crashes.
+func TestRestartedInstanceLearnsOfAnswers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1, 2)
+	q := f.all()[0]
+	for _, engine := range []string{"e1", "e2", "e3"} {
+		q.RecordCrash(soundPrompt, Run{Engine: ident.EndpointID(engine)})
+	}
+	q.RecordAnswer(soundPrompt)
+	restarted := f.start(f.members[1])
+	if d := restarted.Check(context.Background(), soundPrompt); d.Held {
+		t.Error("a sound part is held after the start")
+	}
+	if len(restarted.all().crashes) == 0 {
+		t.Error("the instance has not learned of the crashes")
+	}
+}
+
 // TestSuspendedInstanceAsksFirst guards against an instance that was suspended sending a prompt
 // that the others hold back since.
 func TestSuspendedInstanceAsksFirst(t *testing.T) {
--- a/core/quarantine/quarantine.go
+++ b/core/quarantine/quarantine.go
@@ -21,8 +21,12 @@
 	"monsoonfork/core/membership"
 )
 
-// maxScopes is the number of scopes for which evidence is kept. Callers name the models.
-const maxScopes = 256
+const (
+	// maxScopes is the number of scopes for which evidence is kept.
+	maxScopes = 256
+	// maxRemoteScopes is the number of scopes up to which what other instances report adds one.
+	maxRemoteScopes = maxScopes / 2
+)
 
 // Quarantine holds the evidence of one instance. It is safe for concurrent use.
 type Quarantine struct {
@@ -38,10 +42,10 @@
 	mu     sync.Mutex
 	scopes map[Scope]*evidence
 
-	outbox  outbox
-	stored  storeState
-	sync    syncState
-	permits permits
+	outbox     outbox
+	stored     storeState
+	comparison comparison
+	permits    permits
 }
 
 // peers are the connections to other instances. View is nil if there are none.
@@ -153,7 +157,7 @@
 	if len(parts) == 0 {
 		return
 	}
-	if e := q.scope(p.Scope); e != nil {
+	if e := q.scope(p.Scope, maxScopes); e != nil {
 		q.clear(e, clearedNow(p.Scope, parts, q.now()), "a prompt with it was answered", toAll)
 	}
 }
@@ -163,11 +167,11 @@
 func (q *Quarantine) RecordCrash(p Prompt, run Run) (suspect bool) {
 	q.metrics.crashes.Inc(1)
 	parts := p.shared()
-	e := q.scope(p.Scope)
+	e := q.scope(p.Scope, maxScopes)
 	if len(parts) == 0 || e == nil {
 		return false
 	}
-	q.addCrashes(p.Scope, []Crash{{Scope: p.Scope, Run: run, Reporter: q.self, Parts: slices.Clone(parts), At: q.now()}}, toAll)
+	q.addCrashes(e, []Crash{{Scope: p.Scope, Run: run, Reporter: q.self, Parts: slices.Clone(parts), At: q.now()}}, toAll)
 	return e.suspects(parts)
 }
 
@@ -195,11 +199,7 @@
 }
 
 // addCrashes adds crashes of one scope, and sends those that are new to others.
-func (q *Quarantine) addCrashes(scope Scope, list []Crash, to recipients) {
-	e := q.scope(scope)
-	if e == nil {
-		return
-	}
+func (q *Quarantine) addCrashes(e *evidence, list []Crash, to recipients) {
 	now := q.now()
 	added, held := e.addCrashes(list, now)
 	q.outbox.add(to, batch{crashes: added})
@@ -253,13 +253,13 @@
 	return q.scopes[s]
 }
 
-// scope returns the evidence about a scope, which may be new. It is nil if there are too many
-// scopes: callers choose the names of models.
-func (q *Quarantine) scope(s Scope) *evidence {
+// scope returns the evidence about a scope, which may be new. It is nil if the scope is unknown and
+// there are as many as the limit.
+func (q *Quarantine) scope(s Scope, limit int) *evidence {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	e := q.scopes[s]
-	if e == nil && len(q.scopes) < maxScopes {
+	if e == nil && len(q.scopes) < limit {
 		e = newEvidence(q.self)
 		q.scopes[s] = e
 	}
--- a/core/quarantine/store.go
+++ b/core/quarantine/store.go
@@ -85,7 +85,7 @@
 		return fault.Wrap(err, fault.BadText, "cannot decode the crashes that %.200q has written", from)
 	}
 	if from != q.self {
-		q.apply(from, m, toDomain, true)
+		q.apply(from, m, toDomain)
 	}
 	return nil
 }
