--- a/core/quarantine/fleet_test.go
+++ b/core/quarantine/fleet_test.go
@@ -262,13 +262,16 @@
 // since, together with the crashes.
 func TestRestartedInstanceLearnsOfAnswers(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 1, 2)
-	q := f.all()[0]
-	for _, engine := range []string{"e1", "e2", "e3"} {
-		q.RecordCrash(soundPrompt, Run{Engine: ident.EndpointID(engine)})
+	f := newFleet(t, 1, 3)
+	all := f.all()
+	for i, engine := range []string{"e1", "e2"} {
+		all[i].RecordCrash(soundPrompt, Run{Engine: ident.EndpointID(engine)})
+	}
+	waitFor(t, "known", all, spreadTime, func(q *Quarantine) bool { return len(q.all().crashes) == 2 })
+	for _, q := range all {
+		q.RecordAnswer(soundPrompt)
 	}
-	q.RecordAnswer(soundPrompt)
-	restarted := f.start(f.members[1])
+	restarted := f.start(f.members[2])
 	if d := restarted.Check(context.Background(), soundPrompt); d.Held {
 		t.Error("a sound part is held after the start")
 	}
