--- a/lab/platformsoak/deadly.go
+++ b/lab/platformsoak/deadly.go
@@ -89,6 +89,17 @@
 	return true
 }
 
+// replicaNamed returns the replica with a name, or nil.
+func (w *testbed) replicaNamed(name string) *replica {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	i := slices.IndexFunc(w.replicas, func(p *replica) bool { return p.name == name })
+	if i < 0 {
+		return nil
+	}
+	return w.replicas[i]
+}
+
 // checkDeadly reports prompts with the part that reached engines after several crashes, sent by
 // instances without a fault that could learn of the crashes.
 func (r *run) checkDeadly(requests map[string]*request, arrivals []standin.Arrival) {
--- a/lab/platformsoak/testbed.go
+++ b/lab/platformsoak/testbed.go
@@ -185,17 +185,6 @@
 	return ""
 }
 
-// replicaNamed returns the replica with a name, or nil.
-func (w *testbed) replicaNamed(name string) *replica {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	i := slices.IndexFunc(w.replicas, func(p *replica) bool { return p.name == name })
-	if i < 0 {
-		return nil
-	}
-	return w.replicas[i]
-}
-
 // newRelay returns a relay that is closed with the testbed.
 func (w *testbed) newRelay(target string, options ...relay.Option) (*relay.Relay, error) {
 	r, err := relay.New(target, options...)
