httpcall: what follows an answer doesn't change it

In production such a concurrent use of a map ends the process; the Client makes the orders to engines. Also without a race the second response replaced the status and the header of the first one, or made the call fail, if both came in one read: the outcome of an order was that of another answer.

Ruled out: the Pool, which reads one response and closes the connection (its test passed before).

--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -13,7 +13,8 @@
 )
 
 // exchange buffers the response of a call. The poller fills it through the methods of
-// nbhttp.Processor; Do removes fragments of the body from it.
+// nbhttp.Processor; Do removes fragments of the body from it. The parser goes on behind the
+// end of the response: what follows it is another response, which belongs to no call.
 type exchange struct {
 	*nbhttp.EmptyProcessor
 	call     Call
@@ -79,6 +80,9 @@
 func (x *exchange) OnStatus(_ *nbhttp.Parser, code int, _ string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.headComplete {
+		return
+	}
 	x.head.Status = code
 }
 
@@ -86,18 +90,21 @@
 func (x *exchange) OnHeader(_ *nbhttp.Parser, key, value string) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.headComplete { // Do reads the head without the lock from here on.
+		return
+	}
 	x.head.Header.Add(key, value)
 	if key == "Transfer-Encoding" && strings.EqualFold(strings.TrimSpace(value), "chunked") {
 		x.chunked = true
 	}
 }
 
-// OnContentLength implements nbhttp.Processor. The parser calls it once, at the
-// end of the headers.
+// OnContentLength implements nbhttp.Processor. The parser calls it at the end of the headers
+// of each response.
 func (x *exchange) OnContentLength(_ *nbhttp.Parser, n int) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if isInterim(x.head.Status) {
+	if x.headComplete || isInterim(x.head.Status) {
 		return
 	}
 	x.length = n
