share: a smaller share keeps its part of the level

An instance that loses its collector uses the fraction of one instance of each rate. Its level was only cut to the smaller bucket: a level of a tenth of the burst, which is that of all instances together, filled the bucket of each one of 60 (0.9 rates admitted at once), and a debt of all was left to each one to make up for from a sixtieth of the rate, 30 s and more without an answer.

TestSmallerShareKeepsItsPartOfTheLevel failed before (levels 100 and -500 of 1,000).

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -38,12 +38,16 @@
 	b.level = min(b.level, b.burst*b.fraction)
 }
 
-// setLimit sets the rate, the burst and the usable fraction of both.
+// setLimit sets the rate, the burst and the usable fraction of both. The tokens, and the debt, of
+// a larger fraction are those of more instances: this bucket keeps its part of them.
 func (b *bucket) setLimit(rate, burst, fraction float64, now time.Time) {
 	if b.rate == 0 {
 		b.rate, b.burst, b.fraction = rate, burst, fraction
 	}
 	b.refill(now)
+	if fraction < b.fraction {
+		b.level *= fraction / b.fraction
+	}
 	b.rate, b.burst, b.fraction = rate, burst, fraction
 	b.level = min(b.level, burst*fraction)
 }
