share: what accrued since an admission elsewhere is not lost

Callers saw: refusals inside the rate, 75 of 4,994 requests at 4 instances, 31 of 1,699 at 12, 5 of 351 at 60 (TestUseOfSeveralInstancesInsideRateIsAdmitted, red until now).

Cause: an instance hears of an admission elsewhere 225 ms later on average. Until then its bucket seems full and loses what accrues; then the whole cost is deducted. With half of the rate and requests of a quarter of the burst that is up to 0.2 bursts for each admission. Ruled out: the draw among instances (the refusals are of level < cost).

Change: what a full bucket lost in the last 150 ms is restored when others are charged, no more than they are charged and nothing twice. 150 ms is below the mean delay, so that it errs towards the rate.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -22,6 +22,7 @@
 	asked    int64 // Tokens of all requests at this instance since it started.
 
 	costs costHistory
+	lost  lostRefill
 }
 
 // refill adds the tokens accrued since the last call. It uses the monotonic clock,
@@ -34,6 +35,7 @@
 		b.level += elapsed*b.rate*b.fraction - used
 		b.estimated += used
 		b.refilledAt = now
+		b.lost.add(min(b.level-b.burst*b.fraction, lostRefillAge.Seconds()*b.rate*b.fraction), now)
 	}
 	b.level = min(b.level, b.burst*b.fraction)
 }
@@ -117,7 +119,8 @@
 }
 
 // chargeOthers deducts tokens that other instances have admitted. They replace the estimate:
-// all of it if the tokens are those of all others, otherwise as much as they are.
+// all of it if the tokens are those of all others, otherwise as much as they are. What accrued
+// since the admissions, in a bucket that seemed full, is not lost.
 func (b *bucket) chargeOthers(tokens int64, ofAll bool, now time.Time) {
 	b.refill(now)
 	replaced := b.estimated
@@ -125,7 +128,7 @@
 		replaced = min(replaced, max(0, float64(tokens)))
 	}
 	b.estimated -= replaced
-	b.level = min(b.level+replaced, b.burst*b.fraction) - float64(tokens)
+	b.level = min(b.level+replaced, b.burst*b.fraction) - float64(tokens) + b.lost.take(float64(tokens), now)
 }
 
 // keepEstimate makes the estimate final: no reply will contain what it stands for.
