share: an absurd usage of another instance ends

The cause was known; ruled out was a check in the collector, which knows neither rates nor, for other domains, the sources.

Change: the debt that others report is at most what accrues in a minute, many times the windows in which rates are judged; what is left out is logged as a record that is ignored. An instance's own admissions are charged whole, as before.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -118,17 +118,25 @@
 	b.admitted -= int64(cost)
 }
 
+// maxReportedDebt is how much accrued rate the debt that other instances report can be at most. It
+// is far longer than the windows in which rates are judged, and ends what absurd reports do.
+const maxReportedDebt = time.Minute
+
 // chargeOthers deducts tokens that other instances have admitted. They replace the estimate:
 // all of it if the tokens are those of all others, otherwise as much as they are. What accrued
-// since the admissions, in a bucket that seemed full, is not lost.
-func (b *bucket) chargeOthers(tokens int64, ofAll bool, now time.Time) {
+// since the admissions, in a bucket that seemed full, is not lost. It returns false if tokens
+// were left out because of maxReportedDebt.
+func (b *bucket) chargeOthers(tokens int64, ofAll bool, now time.Time) bool {
 	b.refill(now)
 	replaced := b.estimated
 	if !ofAll {
 		replaced = min(replaced, max(0, float64(tokens)))
 	}
 	b.estimated -= replaced
-	b.level = min(b.level+replaced, b.burst*b.fraction) - float64(tokens) + b.lost.take(float64(tokens), now)
+	before := min(b.level+replaced, b.burst*b.fraction)
+	floor := min(before, -b.rate*b.fraction*maxReportedDebt.Seconds())
+	b.level = max(floor, before-float64(tokens)+b.lost.take(float64(tokens), now))
+	return b.level > floor || tokens <= 0
 }
 
 // keepEstimate makes the estimate final: no reply will contain what it stands for.
--- a/core/share/bucket_test.go
+++ b/core/share/bucket_test.go
@@ -44,7 +44,7 @@
 	b := &bucket{refilledAt: now}
 	b.setLimit(1000, 1000, 1, now.Add(time.Second))
 	now = now.Add(time.Second)
-	b.chargeOthers(2000, true, now)
+	_ = b.chargeOthers(2000, true, now)
 	if ok, retryAt := b.tryCharge(100, now.Add(time.Second), 0); ok || retryAt.Sub(now) < time.Second {
 		t.Errorf("granted %v, retry after %v; want a refusal while the level is negative", ok, retryAt.Sub(now))
 	}
@@ -97,7 +97,7 @@
 	now := time.Now()
 	b := &bucket{refilledAt: now, level: 30_000}
 	b.setLimit(10_000, 30_000, 1, now)
-	b.chargeOthers(cost, true, now)
+	_ = b.chargeOthers(cost, true, now)
 	b.othersDemand = cost / demandWindow.Seconds()
 	if ok, _ := b.tryCharge(cost, now, math.Nextafter(1, 0)); !ok {
 		t.Errorf("refused with %v tokens of %v", b.level, b.burst)
--- a/core/share/lostrefill_test.go
+++ b/core/share/lostrefill_test.go
@@ -36,15 +36,15 @@
 // though it was lost long ago, or beyond what others have admitted.
 func TestRestoredRefillIsBounded(t *testing.T) {
 	b, now := fullBucketAfter(10*time.Second, 10*time.Second)
-	b.chargeOthers(500, true, now)
+	_ = b.chargeOthers(500, true, now)
 	checkLevel(t, b, 500+1000*lostRefillAge.Seconds())
 	b, now = fullBucketAfter(100*time.Millisecond, 100*time.Millisecond)
-	b.chargeOthers(50, true, now)
+	_ = b.chargeOthers(50, true, now)
 	checkLevel(t, b, 1000)
 	b, now = fullBucketAfter(100*time.Millisecond, 100*time.Millisecond)
 	b.tryCharge(ident.Tokens(1000), now, 0)
 	now = now.Add(2 * lostRefillAge)
-	b.chargeOthers(500, true, now)
+	_ = b.chargeOthers(500, true, now)
 	checkLevel(t, b, 1000*2*lostRefillAge.Seconds()-500)
 }
 
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -12,6 +12,7 @@
 
 	"monsoonfork/core/catalog"
 	"monsoonfork/core/event"
+	"monsoonfork/core/fault"
 	"monsoonfork/core/forward"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/link"
@@ -124,7 +125,7 @@
 	b.refilledAt = d.admissions[0].at
 	b.setLimit(rate, burst, fraction, b.refilledAt)
 	for _, a := range d.admissions {
-		b.chargeOthers(a.tokens, true, a.at)
+		_ = b.chargeOthers(a.tokens, true, a.at)
 	}
 	b.level = max(b.level, 0)
 	return b
@@ -218,7 +219,9 @@
 	d.add(delta, now)
 	if b := s.buckets[name]; b != nil {
 		b.heardUntil = s.heardUntil
-		b.chargeOthers(delta.admitted, !now.Before(s.completeAt), now)
+		if !b.chargeOthers(delta.admitted, !now.Before(s.completeAt), now) {
+			_ = level.Warn(s.log).Log("msg", event.PeerRecordIgnored, "from", string(s.collector), "record", "usage", "err", fault.New(fault.BadRequest, "%d tokens of organisation %.80q are more than accrue in %v", delta.admitted, name, maxReportedDebt))
+		}
 		if b.full() {
 			d.end()
 		}
--- a/core/share/silence_test.go
+++ b/core/share/silence_test.go
@@ -40,12 +40,12 @@
 // estimate and by the reply that contains them.
 func TestReplyReplacesEstimate(t *testing.T) {
 	b, now := silentFor(300 * time.Millisecond)
-	b.chargeOthers(50, true, now)
+	_ = b.chargeOthers(50, true, now)
 	checkLevel(t, b, 350) // 100 + 300 - 50.
 	b, now = silentFor(300 * time.Millisecond)
-	b.chargeOthers(50, false, now)
+	_ = b.chargeOthers(50, false, now)
 	checkLevel(t, b, 100) // The other 250 are estimated still.
-	b.chargeOthers(250, true, now)
+	_ = b.chargeOthers(250, true, now)
 	checkLevel(t, b, 100)
 }
 
@@ -54,6 +54,6 @@
 func TestNewCollectorKeepsEstimate(t *testing.T) {
 	b, now := silentFor(300 * time.Millisecond)
 	b.keepEstimate(now)
-	b.chargeOthers(0, true, now)
+	_ = b.chargeOthers(0, true, now)
 	checkLevel(t, b, 100)
 }
