forward: a stream that gets bytes but no events has stalled

Callers give up at twice the stall timeout.

Cause: the monitor of stalls counted any data. A stall is now the time without a complete event. What was ruled out: cutting sound streams that send events in small parts; TestSlowEventsAreNoStall passes before and after. The order is kept: the monitor is asked before an event is passed on, so that a stream that is resumed elsewhere gets no event twice, and none is left out.

--- a/core/forward/eventsplitter.go
+++ b/core/forward/eventsplitter.go
@@ -59,10 +59,27 @@
 	return "", false
 }
 
-// isInsideEvent reports whether the stream would end inside an event if no more data came. Blank
-// lines and comments are no part of an event.
-func (s *eventSplitter) isInsideEvent() bool {
-	for line := range bytes.Lines(s.partial) {
+// isInsideEvent reports whether the stream would end inside an event if no more data came.
+func (s *eventSplitter) isInsideEvent() bool { return hasEventLine(s.partial) }
+
+// completesEvent reports whether data, which has not been fed, completes an event.
+func (s *eventSplitter) completesEvent(data []byte) bool {
+	joined := data
+	if len(s.partial) > 0 {
+		tail := s.partial[max(0, len(s.partial)-maxSeparatorBytes+1):]
+		if LastEventEnd(append(bytes.Clone(tail), data...)) < 0 {
+			return false
+		}
+		joined = append(bytes.Clone(s.partial), data...)
+	}
+	end := LastEventEnd(joined)
+	return end >= 0 && hasEventLine(joined[:end])
+}
+
+// hasEventLine reports whether data has a line of an event. Blank lines and comments are no part
+// of an event.
+func hasEventLine(data []byte) bool {
+	for line := range bytes.Lines(data) {
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) > 0 && line[0] != ':' {
 			return true
--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// minStallTimeout is the shortest time without data after which a resumable stream is
+	// minStallTimeout is the shortest time without an event after which a resumable stream is
 	// to be resumed at another engine. An engine without a fault may pause for about a
 	// second.
 	minStallTimeout = 1200 * time.Millisecond
@@ -53,13 +53,13 @@
 type stallMonitor struct {
 	stream     *stream
 	cancelCall context.CancelCauseFunc
-	timeout    time.Duration // Longest time between two pieces of data; 0 if silence is no stall.
+	timeout    time.Duration // Longest time between two events; 0 if silence is no stall.
 	stop       context.CancelFunc
 	running    sync.WaitGroup
 	earlier    chan struct{} // Holds an element after stallsAt has moved to an earlier time.
 
 	mu          sync.Mutex
-	stallsAt    time.Time          // The stream has stalled if no data arrives before.
+	stallsAt    time.Time          // The stream has stalled if no event is complete before.
 	failed      bool               // The engine has failed: data does not move stallsAt any more.
 	replacement *decodeReservation // Set when the call is cancelled.
 }
@@ -97,7 +97,7 @@
 			return sink.OnHead(h)
 		},
 		OnData: func(data []byte) error {
-			if err := monitor.recordData(); err != nil {
+			if err := monitor.recordData(!s.isEventStream || s.splitter.completesEvent(data)); err != nil {
 				return err
 			}
 			return sink.OnData(data)
@@ -105,7 +105,7 @@
 	})
 }
 
-// stallTimeout returns how long the stream may be without data before it is to be resumed
+// stallTimeout returns how long the stream may be without an event before it is to be resumed
 // at another engine.
 func (s *stream) stallTimeout() time.Duration {
 	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
@@ -132,14 +132,15 @@
 }
 
 // recordData records that data has arrived. It fails if the call has been cancelled: the
-// other engine sends the same data again.
-func (m *stallMonitor) recordData() error {
+// other engine sends the same data again. A stream stalls also if its engine sends something,
+// but completes no event.
+func (m *stallMonitor) recordData(completesEvent bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.replacement != nil {
 		return errStreamStalled
 	}
-	if m.timeout > 0 && !m.failed {
+	if completesEvent && m.timeout > 0 && !m.failed {
 		m.moveStall(m.stream.router.now().Add(m.timeout))
 	}
 	return nil
@@ -176,7 +177,7 @@
 	}
 }
 
-// stallTime returns the time at which the stream stalls unless data arrives before.
+// stallTime returns the time at which the stream stalls unless an event is complete before.
 func (m *stallMonitor) stallTime() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -209,7 +210,7 @@
 }
 
 // replace reserves memory at another engine, within the limits of the route and the retry
-// budget, and cancels the call if no data has arrived meanwhile. If it fails, it returns
+// budget, and cancels the call if no event has arrived meanwhile. If it fails, it returns
 // what it took from the retry budget.
 func (m *stallMonitor) replace(ctx context.Context, stalledAt time.Time) error {
 	s := m.stream
@@ -256,7 +257,7 @@
 	return reserved, nil
 }
 
-// cancelIfStalled cancels the call, unless data has arrived after the given stall.
+// cancelIfStalled cancels the call, unless an event has arrived after the given stall.
 func (m *stallMonitor) cancelIfStalled(stalledAt time.Time, replacement decodeReservation) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
