engine: a decode stream that gets bytes but no tokens times out

A stream whose engine sends a byte, a comment or an event without tokens now and then lasted until the deadline of the request. Now the call ends with EndpointTimeout, and the request goes on at another engine.

Ruled out: cutting sound streams in small parts (TestSlowTokensAreKept passes before and after). TestStreamOfBytesWithoutTokensTimesOut failed in 4 of 4 cases before.

--- a/io/engine/decode.go
+++ b/io/engine/decode.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"monsoonfork/core/endpoint"
 	"monsoonfork/core/engineapi"
@@ -71,6 +72,7 @@
 	onDelta func(engineapi.Delta) error
 
 	status    int
+	heardAt   time.Time // When the head or the last event with a token, text or a finish reason arrived.
 	errorBody bodyBuffer
 	events    eventReader
 	finish    engineapi.Finish
@@ -80,7 +82,7 @@
 
 // onHead stores the response status.
 func (s *decodeStream) onHead(h endpoint.Head) error {
-	s.status = h.Status
+	s.status, s.heardAt = h.Status, time.Now()
 	return nil
 }
 
@@ -89,7 +91,14 @@
 	if !statusOK(s.status) {
 		return s.errorBody.add(chunk)
 	}
-	return s.events.feed(chunk, s.onEvent)
+	if err := s.events.feed(chunk, s.onEvent); err != nil {
+		return err
+	}
+	// A read timeout alone does not end a stream that gets bytes without tokens.
+	if limit := s.call.Limits.ReadTimeout; limit > 0 && !s.finished && time.Since(s.heardAt) > limit {
+		return fault.New(fault.EndpointTimeout, "the engine sent no token in time")
+	}
+	return nil
 }
 
 // onEvent decodes and checks the data of one event.
@@ -118,6 +127,9 @@
 // stores the reason and checks the token count.
 func (s *decodeStream) onChoice(e decodeEvent) error {
 	choice := e.Choices[0]
+	if len(choice.TokenIDs) > 0 || choice.Text != "" || choice.FinishReason != nil {
+		s.heardAt = time.Now()
+	}
 	s.finish.Tokens += ident.Tokens(len(choice.TokenIDs))
 	if s.finish.Tokens > s.call.MaxTokens {
 		return fault.New(fault.AnswerBroken, "the engine sent more than %d tokens", s.call.MaxTokens)
