share: validity is measured with the clock that counts suspensions

Here: the reply of a collector is valid for 0.8 s by the clock of package time, which stands still while a host is suspended.

Cause: durations by the wrong clock. Reports and replies have an expiry on the boot clock now. Refill stays on the monotonic clock: nothing accrues during a suspension.

--- a/core/share/bucket_test.go
+++ b/core/share/bucket_test.go
@@ -76,7 +76,7 @@
 func TestAdmitEnforcesRateWithoutCollector(t *testing.T) {
 	now := time.Now()
 	view := membership.NewTable(membership.Member{ID: "a1", Domain: "a"}, nopLogger, time.Now).View
-	s := New(view, func() int { return 4 }, nil, nopLogger, func() time.Time { return now })
+	s := New(view, func() int { return 4 }, nil, nopLogger, func() time.Time { return now }, bootTimeOf(func() time.Time { return now }))
 	o := organisation(1000, 1000)
 	admitted := ident.Tokens(0)
 	for range 800 {
--- a/core/share/calls.go
+++ b/core/share/calls.go
@@ -41,14 +41,14 @@
 // reportTo reports this instance's usage to the collector of its domain.
 func (s *Shares) reportTo(ctx context.Context, collector ident.InstanceID) error {
 	reply := &ReportReply{}
-	sentAt := s.now()
+	sentAt, validUntil := s.now(), s.bootTime().Add(reportTTL)
 	if err := s.call(ctx, collector, MethodReport, &Report{Admitted: s.ownTotals()}, reply); err != nil {
 		return err
 	}
 	if part := reply.GetPart(); !(part > 0 && part <= 1) { // Also if it is not a number.
 		return fault.New(fault.PeerUnavailable, "the collector answered with a share of %v", part)
 	}
-	s.applyReply(collector, reply, sentAt)
+	s.applyReply(collector, reply, sentAt, validUntil)
 	return nil
 }
 
--- a/core/share/calls_test.go
+++ b/core/share/calls_test.go
@@ -23,7 +23,7 @@
 			proto.Merge(resp, &ReportReply{Part: part})
 			return nil
 		}
-		s := New(view, func() int { return 1 }, call, nopLogger, func() time.Time { return now })
+		s := New(view, func() int { return 1 }, call, nopLogger, func() time.Time { return now }, bootTimeOf(func() time.Time { return now }))
 		o := organisation(1000, 1000)
 		s.Admit(o, 1)
 		if err := s.reportTo(t.Context(), "a2"); !fault.Is(err, fault.PeerUnavailable) {
--- a/core/share/collect.go
+++ b/core/share/collect.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"monsoonfork/core/boottime"
 	"monsoonfork/core/ident"
 )
 
@@ -11,8 +12,8 @@
 // another domain.
 type source struct {
 	domain      ident.DomainID
-	liveMembers int // Live members of the domain, as reported by a collector; 0 for a member.
-	reportedAt  time.Time
+	liveMembers int                            // Live members of the domain, as reported by a collector; 0 for a member.
+	validUntil  boottime.Instant               // When its last report expires.
 	baseline    map[ident.OrganisationID]usage // What is not counted, as no report was valid at that time.
 	latest      map[ident.OrganisationID]usage // What the last report contained.
 }
@@ -35,24 +36,24 @@
 
 // usageTotals adds up the usage that is reported to a collector.
 type usageTotals struct {
-	now func() time.Time
+	bootTime func() boottime.Instant
 
 	mu      sync.Mutex
 	sources map[ident.InstanceID]*source
 	dropped map[ident.DomainID]map[ident.OrganisationID]usage // Usage of sources that were dropped, so that totals never fall.
 }
 
-// sourceRetention is how long a source is kept after its last report.
+// sourceRetention is how long a source is kept after its last report has expired.
 const sourceRetention = 2 * time.Minute
 
 // newUsageTotals returns totals without any source.
-func newUsageTotals(now func() time.Time) usageTotals {
-	return usageTotals{now: now, sources: make(map[ident.InstanceID]*source), dropped: make(map[ident.DomainID]map[ident.OrganisationID]usage)}
+func newUsageTotals(bootTime func() boottime.Instant) usageTotals {
+	return usageTotals{bootTime: bootTime, sources: make(map[ident.InstanceID]*source), dropped: make(map[ident.DomainID]map[ident.OrganisationID]usage)}
 }
 
 // record stores the usage that a source has reported since it started.
 func (s *usageTotals) record(from ident.InstanceID, domain ident.DomainID, members int, reported []*Usage) {
-	now := s.now()
+	now := s.bootTime()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	src := s.sources[from]
@@ -63,8 +64,8 @@
 	}
 	// Tokens that a source admits while its reports are missing are covered by the
 	// fraction of the rate that is set aside for it.
-	expired := now.Sub(src.reportedAt) >= reportTTL
-	src.reportedAt, src.liveMembers = now, members
+	expired := !now.Before(src.validUntil)
+	src.validUntil, src.liveMembers = now.Add(reportTTL), members
 	for _, u := range reported {
 		name, latest := ident.OrganisationID(u.GetOrganisation()), usageOf(u)
 		if expired {
@@ -74,11 +75,11 @@
 	}
 }
 
-// dropExpired removes sources whose last report is older than sourceRetention, and keeps
+// dropExpired removes sources whose last report expired sourceRetention ago, and keeps
 // the sums of what they were counted with. The caller holds mu.
-func (s *usageTotals) dropExpired(now time.Time) {
+func (s *usageTotals) dropExpired(now boottime.Instant) {
 	for id, src := range s.sources {
-		if now.Sub(src.reportedAt) <= sourceRetention {
+		if now.Before(src.validUntil.Add(sourceRetention)) {
 			continue
 		}
 		sums := s.dropped[src.domain]
@@ -160,10 +161,10 @@
 // liveInDomain counts the members of this domain with a report no older than
 // reportTTL. The caller holds mu.
 func (s *usageTotals) liveInDomain(own ident.DomainID) int {
-	now := s.now()
+	now := s.bootTime()
 	n := 0
 	for _, src := range s.sources {
-		if src.domain == own && now.Sub(src.reportedAt) < reportTTL {
+		if src.domain == own && now.Before(src.validUntil) {
 			n++
 		}
 	}
@@ -174,10 +175,10 @@
 // While a domain changes its collector, two of them can report; the larger number
 // counts. The caller holds mu.
 func (s *usageTotals) liveElsewhere(own ident.DomainID) int {
-	now := s.now()
+	now := s.bootTime()
 	byDomain := make(map[ident.DomainID]int)
 	for _, src := range s.sources {
-		if src.domain != own && now.Sub(src.reportedAt) < reportTTL {
+		if src.domain != own && now.Before(src.validUntil) {
 			byDomain[src.domain] = max(byDomain[src.domain], src.liveMembers)
 		}
 	}
--- a/core/share/collect_test.go
+++ b/core/share/collect_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"monsoonfork/core/boottime"
 	"monsoonfork/core/ident"
 	"monsoonfork/core/membership"
 )
@@ -15,7 +16,7 @@
 // instances with a valid report.
 func TestUsableFractionExcludesExpiredSources(t *testing.T) {
 	now := time.Now()
-	s := newUsageTotals(func() time.Time { return now })
+	s := newUsageTotals(bootTime(func() time.Time { return now }))
 	s.record("a1", "a", 0, usages(0))
 	s.record("a2", "a", 0, usages(0))
 	s.record("b1", "b", 3, usages(0))
@@ -33,7 +34,7 @@
 // a source are not charged to others: after a change of the collector they would be
 // charged twice.
 func TestCountingStartsAtFirstReport(t *testing.T) {
-	s := newUsageTotals(time.Now)
+	s := newUsageTotals(boottime.Now)
 	s.record("a1", "a", 0, usages(1000))
 	s.record("a2", "a", 0, usages(500))
 	s.record("a1", "a", 0, usages(1070))
@@ -50,8 +51,8 @@
 func TestUsageBeforeFirstRequestIsNotCharged(t *testing.T) {
 	view := membership.NewTable(membership.Member{ID: "a1", Domain: "a"}, nopLogger, time.Now).View
 	s := New(view, func() int { return 2 }, nil, nopLogger, time.Now)
-	s.applyReply("c", &ReportReply{Part: 1, Others: usages(1_000_000)}, time.Now())
-	s.applyReply("c", &ReportReply{Part: 1, Others: usages(2_000_000)}, time.Now())
+	s.applyReply("c", &ReportReply{Part: 1, Others: usages(1_000_000)}, time.Now(), s.bootTime().Add(reportTTL))
+	s.applyReply("c", &ReportReply{Part: 1, Others: usages(2_000_000)}, time.Now(), s.bootTime().Add(reportTTL))
 	o := organisation(1000, 1000)
 	time.Sleep(20 * time.Millisecond)
 	if got := s.Admit(o, ident.Tokens(1)); !got.Granted {
@@ -64,7 +65,7 @@
 // of the rate set aside for it.
 func TestUsageOfExpiredSourceIsNotCharged(t *testing.T) {
 	now := time.Now()
-	s := newUsageTotals(func() time.Time { return now })
+	s := newUsageTotals(bootTime(func() time.Time { return now }))
 	s.record("a1", "a", 0, nil)
 	s.record("b1", "b", 1, nil)
 	now = now.Add(reportTTL / 2)
@@ -85,7 +86,7 @@
 // members would take the difference for tokens that were given back.
 func TestDroppedSourceReturnsNoTokens(t *testing.T) {
 	now := time.Now()
-	s := newUsageTotals(func() time.Time { return now })
+	s := newUsageTotals(bootTime(func() time.Time { return now }))
 	for _, domain := range []ident.DomainID{"a", "b"} {
 		gone, next := ident.InstanceID(domain+"-gone"), ident.InstanceID(domain+"-next")
 		s.record(gone, domain, 1, usages(0))
--- a/core/share/fleet_test.go
+++ b/core/share/fleet_test.go
@@ -40,7 +40,7 @@
 			}
 		}
 		f.tables[self.ID] = table
-		f.shares[self.ID] = New(table.View, func() int { return len(all) }, f.caller(self.ID), nopLogger, func() time.Time { return f.now })
+		f.shares[self.ID] = New(table.View, func() int { return len(all) }, f.caller(self.ID), nopLogger, func() time.Time { return f.now }, bootTimeOf(func() time.Time { return f.now }))
 	}
 	return f
 }
--- a/core/share/fuzz_test.go
+++ b/core/share/fuzz_test.go
@@ -27,7 +27,7 @@
 		}
 		return nil
 	}
-	s := New(table.View, func() int { return 4 }, call, nopLogger, now)
+	s := New(table.View, func() int { return 4 }, call, nopLogger, now, bootTimeOf(now))
 	s.random = func() float64 { return 0 }
 	return s
 }
@@ -86,7 +86,7 @@
 			t.Errorf("bucket of %s has level %v of %v", name, b.level, b.burst)
 		}
 	}
-	if f := s.currentFraction(s.now()); !(f > 0 && f <= 1) {
+	if f := s.currentFraction(); !(f > 0 && f <= 1) {
 		t.Errorf("the fraction of the rates is %v", f)
 	}
 	if r, ok := reply.(*ReportReply); ok && !(r.GetPart() > 0 && r.GetPart() <= 1) {
--- a/core/share/refund_test.go
+++ b/core/share/refund_test.go
@@ -16,7 +16,7 @@
 	const rate, cost, step = 100_000, 1000, 10 * time.Millisecond
 	now := time.Now()
 	view := membership.NewTable(membership.Member{ID: "a1", Domain: "a"}, nopLogger, time.Now).View
-	s := New(view, func() int { return 1 }, nil, log.NewNopLogger(), func() time.Time { return now })
+	s := New(view, func() int { return 1 }, nil, log.NewNopLogger(), func() time.Time { return now }, bootTimeOf(func() time.Time { return now }))
 	o := organisation(rate, rate)
 	type waiting struct {
 		until  time.Time
--- a/core/share/reporteddebt_test.go
+++ b/core/share/reporteddebt_test.go
@@ -16,7 +16,7 @@
 		s := newFuzzedShares(func() time.Time { return now }, nil)
 		o := organisation(1000, 1000)
 		report := func(tokens int64) {
-			s.applyReply("a2", &ReportReply{Part: 1, Others: []*Usage{{Organisation: string(o.Name), Tokens: tokens, Asked: tokens}}}, now)
+			s.applyReply("a2", &ReportReply{Part: 1, Others: []*Usage{{Organisation: string(o.Name), Tokens: tokens, Asked: tokens}}}, now, s.bootTime().Add(reportTTL))
 			now = now.Add(reportInterval)
 		}
 		report(10)
--- a/core/share/restart_test.go
+++ b/core/share/restart_test.go
@@ -61,7 +61,7 @@
 		f.tables[id].RecordHeartbeat(m)
 	}
 	f.tables[m.ID] = table
-	f.shares[m.ID] = New(table.View, func() int { return registered }, f.caller(m.ID), nopLogger, now)
+	f.shares[m.ID] = New(table.View, func() int { return registered }, f.caller(m.ID), nopLogger, now, bootTimeOf(now))
 }
 
 // TestNewInstancesDoNotAddBursts guards against an excess of the rate by restarted instances
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -10,6 +10,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"monsoonfork/core/boottime"
 	"monsoonfork/core/catalog"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
@@ -37,6 +38,7 @@
 type Shares struct {
 	log        log.Logger
 	now        func() time.Time
+	bootTime   func() boottime.Instant
 	view       func() *membership.View
 	registered func() int // Number of instances in the register.
 	call       link.CallFunc
@@ -47,6 +49,7 @@
 	collector  ident.InstanceID                 // Collector that answered last.
 	fraction   float64                          // Fraction of the rates in the collector's last reply.
 	reportedAt time.Time                        // When the report was sent that the reply answers.
+	validUntil boottime.Instant                 // When that reply expires.
 	others     map[ident.OrganisationID]usage   // Usage of all other instances, as of that reply.
 	demands    map[ident.OrganisationID]*demand // Demand at all other instances.
 	compared   bool                             // Whether two replies have been compared since the start.
@@ -56,12 +59,22 @@
 	totals usageTotals
 }
 
+// Option configures a Shares.
+type Option func(*Shares)
+
+// WithBootTime sets the clock that the validity of reports and replies is measured with. It also
+// counts the time in which the host is suspended.
+func WithBootTime(f func() boottime.Instant) Option {
+	return func(s *Shares) { s.bootTime = f }
+}
+
 // New returns the Shares of an instance. view returns the known members, and
 // registered the number of instances in the register.
-func New(view func() *membership.View, registered func() int, call link.CallFunc, logger log.Logger, now func() time.Time) *Shares {
-	return &Shares{
+func New(view func() *membership.View, registered func() int, call link.CallFunc, logger log.Logger, now func() time.Time, opts ...Option) *Shares {
+	s := &Shares{
 		log:        log.With(logger, "part", "Share"),
 		now:        now,
+		bootTime:   boottime.Now,
 		view:       view,
 		registered: registered,
 		call:       call,
@@ -69,8 +82,12 @@
 		buckets:    make(map[ident.OrganisationID]*bucket),
 		others:     make(map[ident.OrganisationID]usage),
 		demands:    make(map[ident.OrganisationID]*demand),
-		totals:     newUsageTotals(now),
 	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.totals = newUsageTotals(s.bootTime)
+	return s
 }
 
 // Admit charges the cost of a request to an organisation's rate, or returns when to
@@ -85,7 +102,7 @@
 	b := s.bucket(o, now)
 	ok, retryAt := b.tryCharge(cost, now, s.random())
 	if !ok {
-		return forward.Admission{RetryAt: retryAt, RateShare: s.currentFraction(now), CollectorAnsweredAt: s.reportedAt}
+		return forward.Admission{RetryAt: retryAt, RateShare: s.currentFraction(), CollectorAnsweredAt: s.reportedAt}
 	}
 	return forward.Admission{Granted: true, Refund: sync.OnceFunc(func() {
 		s.mu.Lock()
@@ -98,13 +115,13 @@
 // caller holds mu.
 func (s *Shares) bucket(o *catalog.Organisation, now time.Time) *bucket {
 	b := s.buckets[o.Name]
-	demand := s.othersDemand(o.Name, now)
+	demand := s.othersDemand(o.Name)
 	if b == nil {
 		b = s.newBucket(o, now)
 		s.buckets[o.Name] = b
 	}
 	b.heardUntil = s.heardUntil
-	b.setLimit(float64(o.Rate), float64(max(o.Burst, 1)), s.currentFraction(now), now)
+	b.setLimit(float64(o.Rate), float64(max(o.Burst, 1)), s.currentFraction(), now)
 	b.othersDemand = demand
 	return b
 }
@@ -114,7 +131,7 @@
 // known it holds only the share of this instance. The caller holds mu.
 func (s *Shares) newBucket(o *catalog.Organisation, now time.Time) *bucket {
 	b := &bucket{refilledAt: now, level: math.Inf(1)}
-	rate, burst, fraction := float64(o.Rate), float64(max(o.Burst, 1)), s.currentFraction(now)
+	rate, burst, fraction := float64(o.Rate), float64(max(o.Burst, 1)), s.currentFraction()
 	if !s.compared {
 		b.level = burst * s.ownFraction()
 	}
@@ -134,8 +151,8 @@
 // currentFraction returns the fraction of each rate that applies to this instance's
 // buckets: the collector's, or that of one instance alone if no reply of a collector is
 // valid. The caller holds mu.
-func (s *Shares) currentFraction(now time.Time) float64 {
-	if now.Sub(s.reportedAt) < reportTTL {
+func (s *Shares) currentFraction() float64 {
+	if s.bootTime().Before(s.validUntil) {
 		return s.fraction
 	}
 	return s.ownFraction()
@@ -171,8 +188,8 @@
 }
 
 // applyReply applies a collector's reply to the buckets. The reply is valid from the time
-// at which the report was sent, since this instance may have been paused since.
-func (s *Shares) applyReply(collector ident.InstanceID, r *ReportReply, sentAt time.Time) {
+// at which the report was sent, since this instance may have been paused since, to validUntil.
+func (s *Shares) applyReply(collector ident.InstanceID, r *ReportReply, sentAt time.Time, validUntil boottime.Instant) {
 	now := s.now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,7 +197,7 @@
 	// collectors can't be compared. The first reply of a new collector, or after a gap,
 	// charges nothing; the following replies are compared with it. What is admitted until all
 	// report to the new collector stays estimated.
-	chargeable := s.collector == collector && sentAt.Sub(s.reportedAt) < reportTTL
+	chargeable := s.collector == collector && validUntil.Before(s.validUntil.Add(reportTTL))
 	if !chargeable {
 		s.completeAt = now.Add(propagationTime)
 		for _, b := range s.buckets {
@@ -200,7 +217,7 @@
 	if r.GetPart() != s.fraction || collector != s.collector {
 		_ = level.Info(s.log).Log("msg", event.RateShareChanged, "part", r.GetPart(), "was", s.fraction, "collector", collector, "expected", ExpectedInstances(s.view(), s.registered()))
 	}
-	s.collector, s.fraction, s.reportedAt = collector, r.GetPart(), sentAt
+	s.collector, s.fraction, s.reportedAt, s.validUntil = collector, r.GetPart(), sentAt, validUntil
 }
 
 // applyUsage applies what other instances have admitted and were asked for since the
@@ -230,9 +247,9 @@
 
 // othersDemand returns how many tokens per second the other instances are asked for, or
 // 0 if no reply is valid: the share of this instance is then its own. The caller holds mu.
-func (s *Shares) othersDemand(name ident.OrganisationID, now time.Time) float64 {
+func (s *Shares) othersDemand(name ident.OrganisationID) float64 {
 	d := s.demands[name]
-	if d == nil || now.Sub(s.reportedAt) >= reportTTL {
+	if d == nil || !s.bootTime().Before(s.validUntil) {
 		return 0
 	}
 	return d.perSecond()
