engine: a failure that names a fencing number may have run

A report of other operators: callers were told that work hadn't run. Cause: the check looked at the body alone. An engine refuses with status 409 only; after any other status the call may have run. Ruled out: the same in platform/, which goes by status alone.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -173,9 +173,9 @@
 	return nil
 }
 
-// statusError returns the error for a response with a status other than 200. A
-// response with a fencing number means that the engine refused the call, so it
-// did not run; after any other status the call may have run, as it was sent.
+// statusError returns the error for a response with a status other than 200. Status 409
+// with a fencing number means that the engine refused the call, so it did not run; after
+// any other response the call may have run, as it was sent.
 func statusError(status int, body []byte) *fault.Error {
 	var response struct {
 		Error   string      `json:"error"`
@@ -187,7 +187,7 @@
 	if json.Unmarshal(body, &response) != nil {
 		response.Error = "no reason given"
 	}
-	if response.Fencing > 0 {
+	if status == http.StatusConflict && response.Fencing > 0 {
 		return fault.New(fault.NotHolder, "the engine has seen fencing number %d", response.Fencing).WithRan(fault.NotRun)
 	}
 	return fault.New(fault.EndpointFailed, "the engine returned status %d: %s", status, response.Error)
