quarantine: a late permission is no trial

A report of other operators: a process that had been paused acted on a permission that had run out. Here: an instance asks the owner of a held part for permission to try it. If it was paused or suspended during the call, it sent the request on the answer, when the owner may have given the next permission. The call's time limit doesn't help: the answer lies there when the process goes on. The answer has to be there by a time on the boot clock now. TestLatePermissionIsNoTrial failed before. Ruled out: permissions of the owner itself, which are used at once.

--- a/core/quarantine/trial.go
+++ b/core/quarantine/trial.go
@@ -56,10 +56,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	reply := &TrialReply{}
+	reply, answerBy := &TrialReply{}, q.bootTime().Add(callTimeout)
 	request := &TrialRequest{Service: string(h.Service), Model: string(h.Model), Part: string(h.Part)}
-	// Without an answer of the owner the part stays held.
-	return q.peers.Call(ctx, owner.ID, MethodTrial, request, reply) == nil && reply.GetGranted()
+	// Without an answer of the owner the part stays held. A late one may have been followed by
+	// another permission.
+	return q.peers.Call(ctx, owner.ID, MethodTrial, request, reply) == nil && reply.GetGranted() && q.bootTime().Before(answerBy)
 }
 
 // permit gives a permission for a trial, unless the part is still held here.
