share: an estimate shrinks with the share that it was taken from

Left out when levels began to fall with the usable fraction: the estimate of what the others admit was given back whole by the next reply, though only a part of it had been deducted from what is left. Found by reading; TestSmallerShareKeepsItsPartOfTheLevel failed with its new check before.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -49,6 +49,7 @@
 	b.refill(now)
 	if fraction < b.fraction {
 		b.level *= fraction / b.fraction
+		b.estimated *= fraction / b.fraction
 	}
 	b.rate, b.burst, b.fraction = rate, burst, fraction
 	b.level = min(b.level, burst*fraction)
