quarantine: a relay sends on also what it knew

Cause: one member of each other domain is asked to send a crash on there. It did so only with what was new to it: if a comparison with an instance of the first domain had brought it the crash a few milliseconds before, its domain got nothing, and learned of the crash by comparisons, a second and more later (BUDGET allows three such requests). The same for parts that are cleared.

--- a/core/quarantine/exchange.go
+++ b/core/quarantine/exchange.go
@@ -161,27 +161,30 @@
 	return reply, nil
 }
 
-// apply applies evidence of another instance, and sends what is new to the given recipients.
+// apply applies evidence of another instance, and sends it on to the given recipients. They may
+// lack it also if this instance has had it before, by a comparison.
 func (q *Quarantine) apply(from ident.InstanceID, m *Exchange, to recipients) {
 	now := q.now()
 	if len(m.GetCrashes()) > maxRecords || len(m.GetCleared()) > maxRecords*maxRecordParts {
 		q.logIgnored(from, "exchange", fault.New(fault.BadRequest, "%d crashes and %d cleared parts are too many", len(m.GetCrashes()), len(m.GetCleared())))
 		return
 	}
-	crashes := q.decodeCrashes(from, m, now)
+	crashes, cleared := q.decodeCrashes(from, m, now), q.decodeCleared(from, m, now)
 	for scope := range crashes {
 		q.scope(scope, maxRemoteScopes)
 	}
 	// Parts that are cleared come first, so that no crash counts against them.
-	for scope, list := range q.decodeCleared(from, m, now) {
+	for scope, list := range cleared {
 		if e := q.existing(scope); e != nil {
-			q.clear(e, list, "a prompt with it was answered at another instance", to)
+			q.clear(e, list, "a prompt with it was answered at another instance", toNobody)
 		}
+		q.outbox.add(to, batch{cleared: list})
 	}
 	for scope, list := range crashes {
 		if e := q.existing(scope); e != nil {
-			q.addCrashes(e, list, to)
+			q.addCrashes(e, list, toNobody)
 		}
+		q.outbox.add(to, batch{crashes: list})
 	}
 }
 
