caller: the idle time begins when the last answer is delivered

Cause: a connection counted as idle from the moment at which the server had passed its answer to nbio (endRequest). The connection was also closed too early after a slow delivery: its caller counts the idle limit from the last byte that it has read.

Callers saw: an answer that breaks off, without a log line, if the configuration's idle limit is short; and a connection closed within the idle limit.

A caller that reads nothing is found by the kernel's user timeout (10 s), as before.

Ruled out: the shut-down of the sending side (closeWriteIfDelivered) waits for the delivery already.

TestCallerThatReadsNothingIsClosed passed before too, after 0.66 s; it now takes 10.68 s, the user timeout.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -30,6 +30,7 @@
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
 	idleSince       time.Time          // When the last request ended, or the connection was opened.
 	closeDeadline   time.Time          // When the connection is closed unless a request is read or handled.
+	delivering      bool               // The caller's host may not have acknowledged the last response yet.
 	rejection       *fault.Error       // Why the request being read is rejected; nil if it is not.
 	cancel          func(*fault.Error) // Cancels the request being handled; nil without one.
 	activeRequests  int                // Requests read completely whose response is not yet written.
@@ -294,5 +295,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.activeRequests--
+	c.delivering = true
 	c.startIdleTime(time.Now())
 }
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -123,11 +123,25 @@
 		timeout = fault.New(fault.RequestTimeout, "the request was not complete in time")
 		c.rejection = timeout
 	}
+	c.checkDelivery(now)
 	idle = c.isIdle(now)
 	c.closing = c.closing || idle
 	return timeout, idle
 }
 
+// checkDelivery moves the start of the idle time to the delivery of the last response. Bytes
+// that nbio has buffered may reach the kernel only a moment after it has sent all others, so
+// delivery is checked again before the connection counts as idle. A caller that reads nothing
+// is detected by the kernel (userTimeout). The caller must hold c.mu.
+func (c *conn) checkDelivery(now time.Time) {
+	if c.activeRequests > 0 || c.writeClosed || (!c.delivering && !now.After(c.closeDeadline)) {
+		return
+	}
+	if c.delivering = hasUnacked(c.nbc); c.delivering {
+		c.startIdleTime(now)
+	}
+}
+
 // isTimedOut reports whether the request being read was not complete in time. The caller
 // must hold c.mu.
 func (c *conn) isTimedOut(now time.Time) bool {
