core/forward: a request's memory does not follow from the engines that its route allows

Cause: each request to a plain service allocates a channel whose capacity is the route's MaxEngines (attempts of the configuration), about 100 bytes for each, and nothing bounds that figure. Streams had a limit (maxStreamAttempts), plain requests had none.

Callers saw: with a configuration that allows very many engines, the process ends at the first request (out of memory is no panic and can't be contained), and with it all requests of the instance end without an answer or refusal.

Fix: at most maxPlainRuns engines may run a plain request; the channel has that size.

Ruled out: other allocations by figures of a configuration. Weights, rates, priorities and MaxReservationMS are only computed with; the bounds of limits are in platform/config.go.

--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -23,6 +23,8 @@
 	refusedRetryAfter = 150 * time.Millisecond
 	// maxRefusedCalls limits the retries after calls that engines have not run.
 	maxRefusedCalls = 3
+	// maxPlainRuns limits the engines that may run one request, whatever its route allows.
+	maxPlainRuns = 8
 	// maxBufferedAnswer is how many bytes of an answer are buffered before anything is sent
 	// to the caller. A buffered answer that breaks off can be replaced by that of another
 	// engine.
@@ -49,7 +51,7 @@
 func (j *job) servePlain(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := &plainCalls{job: j, ctx: ctx, results: make(chan callResult, maxRefusedCalls+j.route.MaxEngines+1)}
+	p := &plainCalls{job: j, ctx: ctx, results: make(chan callResult, maxRefusedCalls+maxPlainRuns+1)}
 	ended := false
 	defer func() {
 		if !ended { // A panic: the calls must not go on without the handler.
@@ -85,7 +87,7 @@
 				p.callNextEngine()
 			}
 		case <-hedge.C:
-			if j.route.Kind == catalog.Idempotent && p.possibleRuns() < j.route.MaxEngines && p.callNextEngine() {
+			if j.route.Kind == catalog.Idempotent && p.mayRunAgain() && p.callNextEngine() {
 				j.router.counters.hedges.Inc(1)
 			}
 		case <-ctx.Done():
@@ -132,6 +134,11 @@
 // possibleRuns returns how many engines may have run the request.
 func (p *plainCalls) possibleRuns() int { return p.callCount - p.notRunCalls }
 
+// mayRunAgain reports whether a further engine may run the request, if it is repeatable.
+func (p *plainCalls) mayRunAgain() bool {
+	return p.possibleRuns() < min(p.route.MaxEngines, maxPlainRuns)
+}
+
 // hedgeDelay returns the delay after which a second call is made in parallel to the first.
 func (p *plainCalls) hedgeDelay() time.Duration {
 	objective := time.Duration(p.route.TargetLatencyMS) * time.Millisecond
@@ -176,7 +183,7 @@
 	if res.isNotRun() {
 		return p.notRunCalls <= maxRefusedCalls
 	}
-	return p.route.Kind == catalog.Idempotent && p.possibleRuns() < p.route.MaxEngines
+	return p.route.Kind == catalog.Idempotent && p.mayRunAgain()
 }
 
 // finish ends a request whose calls have all failed: with the last answer of an engine if
