--- a/cmd/monsoonlab/platformsoak.go
+++ b/cmd/monsoonlab/platformsoak.go
@@ -38,17 +38,10 @@
 		return err
 	}
 	fmt.Println("answers by status (0: none):", verdict.AnswersByStatus)
-	for _, finding := range verdict.Findings {
-		fmt.Println("FINDING", finding)
-	}
 	if c.Keep {
 		fmt.Println("logs:", verdict.LogDir)
 	}
-	if n := len(verdict.Findings); n > 0 {
-		return fmt.Errorf("%d findings; repeat: %s", n, c.command())
-	}
-	fmt.Println("no findings:", c.command())
-	return nil
+	return printFindings(verdict.Findings, c.command())
 }
 
 // command returns the command line that repeats the run.
--- a/cmd/monsoonlab/soak.go
+++ b/cmd/monsoonlab/soak.go
@@ -57,17 +57,10 @@
 	if err := verdict.Report.Print(os.Stdout); err != nil {
 		return err
 	}
-	for _, finding := range verdict.Findings {
-		fmt.Println("FINDING", finding)
-	}
 	if c.Keep {
 		fmt.Println("logs:", verdict.LogDir)
 	}
-	if n := len(verdict.Findings); n > 0 {
-		return fmt.Errorf("%d findings; repeat: %s", n, c.command())
-	}
-	fmt.Println("no findings:", c.command())
-	return nil
+	return printFindings(verdict.Findings, c.command())
 }
 
 // command returns the command line that repeats the run.
--- a/lab/overhead/overhead.go
+++ b/lab/overhead/overhead.go
@@ -162,7 +162,7 @@
 		return s, fmt.Errorf("routed completion: %+v", routed.Last())
 	}
 	s.routedFirstToken = routed.Last().FirstToken
-	if s.directPlain, err = m.directPlain(ctx); err != nil {
+	if s.directPlain, err = m.fleet.StatusDirectly(ctx, m.client); err != nil {
 		return s, err
 	}
 	plain := m.send(ctx, workload.Request{Kind: workload.Status})
@@ -186,22 +186,6 @@
 	}
 }
 
-// directPlain calls the plain service without monsoonfork.
-func (m *measurement) directPlain(ctx context.Context) (time.Duration, error) {
-	start := time.Now()
-	url := "http://" + m.fleet.Services[0].Address + "/status"
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0, err
-	}
-	response, err := m.client.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	_, err = io.Copy(io.Discard, response.Body)
-	return time.Since(start), errors.Join(err, response.Body.Close())
-}
-
 // newPrompt returns a prompt that is unique for kind and n.
 func newPrompt(kind string, n int) string {
 	prompt := fmt.Sprintf("%s%d", kind, n)
--- a/lab/status/status.go
+++ b/lab/status/status.go
@@ -137,7 +137,7 @@
 		case <-ctx.Done():
 			return list, ctx.Err()
 		}
-		d, err := m.directCall(ctx)
+		d, err := m.fleet.StatusDirectly(ctx, m.client)
 		if err != nil {
 			return list, err
 		}
@@ -146,22 +146,6 @@
 	return list, nil
 }
 
-// directCall sends one status call directly to a service.
-func (m *measurement) directCall(ctx context.Context) (time.Duration, error) {
-	start := time.Now()
-	url := "http://" + m.fleet.Services[0].Address + "/status"
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return 0, err
-	}
-	response, err := m.client.Do(request)
-	if err != nil {
-		return 0, err
-	}
-	_, err = io.Copy(io.Discard, response.Body)
-	return time.Since(start), errors.Join(err, response.Body.Close())
-}
-
 // printLatencies prints percentiles of latencies in milliseconds.
 func printLatencies(out io.Writer, name string, list []time.Duration) {
 	_, _ = fmt.Fprintf(out, "  %s: %d calls, 50th %.2f, 95th %.2f, 99th %.2f ms\n", name, len(list),
