caller: log requests that cross the close of an idle connection

A drain closes idle connections, and what arrives after that is read and thrown away without a line, so that a log could not tell this end without an answer from others.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -108,6 +108,7 @@
 	PollerSlow           // poller did not respond in time
 	HandlerPanicked      // panic in a request handler
 	RejectingConnections // rejecting new connections
+	RequestCrossedClose  // request crossed the close of its connection
 
 	eventCount // Number of events; keep last.
 )
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -115,5 +115,6 @@
 	PanicContained:          {SubsystemProcess, "Work on data from the store, another instance, a caller or an engine panicked, which is a defect of the program. Only the step ends, and the process goes on. A step that belongs to a request has its id.", []string{"step", "request", "err", "stack"}},
 	PollerSlow:              {SubsystemProcess, "A poller of the connections with callers did not respond in time when a connection was accepted. The connection is used all the same.", []string{"err"}},
 	HandlerPanicked:         {SubsystemProcess, "The handler of a request panicked, which is a defect of the program. The caller was sent an internal error, or its connection was closed if the answer had begun; other requests continue.", []string{"request", "err", "stack"}},
+	RequestCrossedClose:     {SubsystemProcess, "A request arrived closed_ms after a drain had closed its idle connection. It was not read and has not run.", []string{"caller", "bytes", "closed_ms"}},
 	RejectingConnections:    {SubsystemProcess, "No descriptor is free for a new connection of a caller. Requests on new connections are refused as not run until descriptors are free again. Logged again if none was refused for 10 s in between.", []string{"err"}},
 }
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -37,6 +37,7 @@
 	lastRequest     bool               // No request is accepted after the one being handled.
 	deliveredSweeps int                // Successive calls of closeWriteIfDelivered that found all sent bytes acknowledged.
 	deliveryCheck   time.Time          // Before this time the last response does not count as delivered.
+	closedIdleAt    time.Time          // When a drain closed the connection unannounced; zero if not, or once logged.
 	writeClosed     bool               // The sending side was closed after the last response.
 	discarding      bool               // A rejection was sent: further input is discarded.
 	reading         bool               // The poller is reading and parsing input.
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -79,6 +79,7 @@
 // closeWrite closes the sending side and stops accepting requests. The connection is closed
 // when the caller closes its side, or after lingerTime. The caller must hold c.mu.
 func (c *conn) closeWrite(now time.Time) {
+	c.markClosedIdle(now)
 	c.lastRequest = true
 	c.writeClosed = true
 	c.closeDeadline = now.Add(lingerTime)
--- a/io/caller/read.go
+++ b/io/caller/read.go
@@ -57,6 +57,7 @@
 		}
 		return
 	}
+	s.logDiscarded(c, len(data))
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
 	if err := boundary.Run("read", func() { c.feed(data) }); err != nil {
 		c.sendRejection(fault.From(err))
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -79,6 +79,7 @@
 	responseTime metrics.Timer
 
 	containedPanics     metrics.Counter // Panics in reading a connection.
+	crossedClose        metrics.Counter // Requests that arrived after a drain had closed their connection as idle.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
 }
 
@@ -107,6 +108,7 @@
 		responseTime: metrics.GetOrRegisterTimer("Caller.Answers", r),
 
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
+		crossedClose:        metrics.GetOrRegisterCounter("Caller.CrossedClose", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
 	}
 }
