forward: expect streams to last as long as the slowest of similar ones

Cause: during a planned stop a stream was accepted if the average duration a token of all streams of its service fitted into the rest of the grace. Half of the streams last longer than an average, short streams count their prefill by token, engines that have become slower since show only when streams end, and after a start the average was empty, so that everything was accepted. The expected duration is now the 0.95 quantile of the 32 streams of the most similar expected length among the last 256 of the service, and of running ones that have exceeded it. While nothing is known, the deadline of the request must fit. Ruled out: streams cut by the drain itself; each has its line 'failed kind=ShuttingDown begun=true' at the end of the grace.

--- /dev/null
+++ b/core/forward/durations.go
@@ -0,0 +1,128 @@
+package forward
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"monsoonfork/core/ident"
+)
+
+const (
+	// durationSamples is the number of the newest durations that are kept of a service.
+	durationSamples = 256
+	// similarSamples is the number of durations from which one is estimated: those of the
+	// requests with the most similar expected output.
+	similarSamples = 32
+	// durationQuantile is the fraction of similar requests that take no longer than estimated.
+	durationQuantile = 0.95
+)
+
+// durations holds how long requests take, by service.
+type durations struct {
+	mu       sync.Mutex
+	services map[ident.ServiceID]*serviceDurations
+}
+
+// serviceDurations holds how long the newest requests of a service took, and since when its
+// others run.
+type serviceDurations struct {
+	ended   []duration // At most durationSamples.
+	oldest  int        // Index in ended of the next to be replaced, once it is full.
+	running map[*runningRequest]struct{}
+}
+
+// duration is how long a request took from its arrival to the end of its answer.
+type duration struct {
+	output ident.Tokens // Expected length of the answer; 1 for plain services.
+	took   time.Duration
+}
+
+// runningRequest is a request without a complete answer.
+type runningRequest struct {
+	output   ident.Tokens
+	received time.Time
+}
+
+// service returns the durations of a service. The caller must hold d.mu.
+func (d *durations) service(s ident.ServiceID) *serviceDurations {
+	if d.services == nil {
+		d.services = make(map[ident.ServiceID]*serviceDurations)
+	}
+	if d.services[s] == nil {
+		d.services[s] = &serviceDurations{running: make(map[*runningRequest]struct{})}
+	}
+	return d.services[s]
+}
+
+// begin adds a running request, and returns a function that removes it.
+func (d *durations) begin(s ident.ServiceID, output ident.Tokens, received time.Time) (end func()) {
+	r := &runningRequest{output, received}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.service(s).running[r] = struct{}{}
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.service(s).running, r)
+	}
+}
+
+// record adds the duration of a request with a complete answer.
+func (d *durations) record(s ident.ServiceID, output ident.Tokens, took time.Duration) {
+	if output <= 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	service := d.service(s)
+	if len(service.ended) < durationSamples {
+		service.ended = append(service.ended, duration{output, took})
+		return
+	}
+	service.ended[service.oldest] = duration{output, took}
+	service.oldest = (service.oldest + 1) % durationSamples
+}
+
+// estimate returns the time that few requests with this expected output exceed; 0 while none
+// has ended. Running requests that have exceeded it already count with their age, as engines
+// may have become slower since the others ended.
+func (d *durations) estimate(s ident.ServiceID, output ident.Tokens, now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	service := d.service(s)
+	samples := slices.Clone(service.ended)
+	for r := range service.running {
+		age := now.Sub(r.received)
+		if r.output > 0 && age > estimateFrom(service.ended, r.output) {
+			samples = append(samples, duration{r.output, age})
+		}
+	}
+	return estimateFrom(samples, output)
+}
+
+// estimateFrom returns the quantile of the durations of similar requests, each scaled to the
+// given output.
+func estimateFrom(samples []duration, output ident.Tokens) time.Duration {
+	if len(samples) == 0 || output <= 0 {
+		return 0
+	}
+	similar := slices.Clone(samples)
+	slices.SortStableFunc(similar, func(a, b duration) int {
+		return cmp.Compare(outputDistance(a.output, output), outputDistance(b.output, output))
+	})
+	similar = similar[:min(len(similar), similarSamples)]
+	scaled := make([]time.Duration, len(similar))
+	for i, sample := range similar {
+		scaled[i] = time.Duration(float64(sample.took) * float64(output) / float64(sample.output))
+	}
+	slices.Sort(scaled)
+	return scaled[int(math.Ceil(durationQuantile*float64(len(scaled))))-1]
+}
+
+// outputDistance returns how much two expected outputs differ, as a ratio on a log scale.
+func outputDistance(a, b ident.Tokens) float64 {
+	return math.Abs(math.Log(float64(a) / float64(b)))
+}
--- a/core/forward/failedanswer_test.go
+++ b/core/forward/failedanswer_test.go
@@ -88,7 +88,7 @@
 	if got := h.serve("stream"); got.err != nil || got.status != 500 {
 		t.Fatalf("error %v, status %d; want the engine's own answer", got.err, got.status)
 	}
-	if d := h.router.streamDurations.estimate("model", 1_000_000); d != 0 {
+	if d := h.router.durations.estimate("model", 1_000_000, time.Now()); d != 0 {
 		t.Errorf("a stream that failed counts in the average duration: %v for 1,000,000 tokens", d)
 	}
 	failed := 0
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -64,6 +64,8 @@
 		return fault.New(fault.RateExceeded, "organisation %s is above its rate of %.0f a second with a burst of %d", j.org.Name, j.org.Rate, j.org.Burst).WithRetryAfter(admission.RetryAt)
 	}
 	j.router.retryBudget.countRequest(j.service.Name, j.router.now())
+	end := j.router.durations.begin(j.service.Name, j.expectedOutput(), j.Received)
+	defer end()
 	var err error
 	if j.service.Model != nil {
 		err = j.serveModel(ctx)
--- a/core/forward/model.go
+++ b/core/forward/model.go
@@ -203,7 +203,7 @@
 	if p.source.Handle != "" {
 		e.RecordFetch(true, now)
 	}
-	s.router.streamDurations.record(s.service.Name, s.expectedOutput(), now.Sub(s.Received))
+	s.router.durations.record(s.service.Name, s.expectedOutput(), now.Sub(s.Received))
 }
 
 // serverError returns the error of an attempt that an engine has answered with a server
--- a/core/forward/plannedstop.go
+++ b/core/forward/plannedstop.go
@@ -1,73 +1,56 @@
 package forward
 
 import (
-	"sync"
 	"time"
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
 )
 
-// durationWeight is the weight of the newest stream in the average of its service.
-const durationWeight = 0.1
-
-// streamDurations holds the average duration of streams, by service.
-type streamDurations struct {
-	mu       sync.Mutex
-	perToken map[ident.ServiceID]time.Duration // From arrival to end, divided by the expected number of output tokens.
-}
-
-// record adds the duration of a completed stream.
-func (d *streamDurations) record(s ident.ServiceID, expected ident.Tokens, duration time.Duration) {
-	if expected <= 0 {
-		return
-	}
-	perToken := duration / time.Duration(expected)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.perToken == nil {
-		d.perToken = make(map[ident.ServiceID]time.Duration)
-	}
-	if old := d.perToken[s]; old > 0 {
-		perToken = old + time.Duration(durationWeight*float64(perToken-old))
-	}
-	d.perToken[s] = perToken
-}
-
-// estimate returns the expected duration of a stream; 0 while none has been completed.
-func (d *streamDurations) estimate(s ident.ServiceID, expected ident.Tokens) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return time.Duration(expected) * d.perToken[s]
-}
-
-// SetStopTime sets the planned end of the process. From now on new streams that are
-// expected to last longer are refused; other requests, and those in progress, are served.
+// SetStopTime sets the planned end of the process. From now on new requests that may last
+// longer are refused; others, and those in progress, are served.
 func (r *Router) SetStopTime(at time.Time) {
 	if !at.IsZero() {
 		r.processEnd.Store(&at)
 	}
 }
 
-// checkPlannedStop returns an error for a stream that is expected to be cut off by the
-// planned end of the process.
+// checkPlannedStop returns an error for a request that may be cut off by the planned end of
+// the process.
 func (j *job) checkPlannedStop() error {
 	processEnd := j.router.processEnd.Load()
 	if processEnd == nil || j.service.Model == nil {
 		return nil
 	}
 	now := j.router.now()
-	likely := j.router.streamDurations.estimate(j.service.Name, j.expectedOutput())
-	if !now.Add(likely).After(*processEnd) {
+	if !j.latestEnd(now).After(*processEnd) {
 		return nil
 	}
-	return fault.New(fault.ShuttingDown, "the instance stops in %v, before the expected end of the stream", processEnd.Sub(now).Round(time.Millisecond)).
+	return fault.New(fault.ShuttingDown, "the instance stops in %v, before the expected end of the request", processEnd.Sub(now).Round(time.Millisecond)).
 		WithRetryAfter(now.Add(stoppingRetryAfter))
 }
 
+// latestEnd returns the time before which a request that begins now is expected to end. While
+// no request of its service has ended, it is the deadline of a stream, and the objective of a
+// plain request.
+func (j *job) latestEnd(now time.Time) time.Time {
+	likely := j.router.durations.estimate(j.service.Name, j.expectedOutput(), now)
+	if likely == 0 && j.service.Model == nil {
+		likely = time.Duration(j.route.TargetLatencyMS) * time.Millisecond
+	}
+	end := now.Add(likely)
+	if likely == 0 || end.After(j.deadline) {
+		return j.deadline
+	}
+	return end
+}
+
 // expectedOutput returns the expected length of the answer: the caller's estimate if
-// there is one, otherwise the maximum.
+// there is one, otherwise the maximum; 1 for plain services.
 func (j *job) expectedOutput() ident.Tokens {
+	if j.service.Model == nil {
+		return 1
+	}
 	if j.EstimatedOutput == 0 {
 		return j.MaxOutputTokens
 	}
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -134,7 +134,7 @@
 	counters        counters
 	retrySettings   RetryBudgetSettings
 	refusalLog      *refusalLog
-	streamDurations streamDurations
+	durations       durations
 	outputEstimates outputEstimates
 	processEnd      atomic.Pointer[time.Time] // Planned end of the process; nil while no stop is planned.
 	stopping        atomic.Bool
