forward: refuse plain requests that may not end before a planned stop

Cause: the expected end of a request was compared with the planned end of the process for model services only. A plain request was sent to an engine up to the last millisecond, also one that must not run twice, and ended at the stop as one that may have run: the report of another operator. Ruled out: no event but the stop ends such a request. A plain request is now refused as not run, before any call, if the 0.95 quantile of the service's recent requests does not fit; while none is known, its objective. TestPlannedStopRefusesLatePlainRequests failed before: sent to an engine 100 ms before the end, with answers that take 200 ms. The old test that plain calls pass if they fit is unchanged and passes.

--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -69,8 +69,8 @@
 	var err error
 	if j.service.Model != nil {
 		err = j.serveModel(ctx)
-	} else {
-		err = j.servePlain(ctx)
+	} else if err = j.servePlain(ctx); err == nil {
+		j.router.durations.record(j.service.Name, j.expectedOutput(), j.router.now().Sub(j.Received))
 	}
 	if err != nil && fault.From(err).Ran == fault.NotRun {
 		admission.Refund()
--- a/core/forward/plannedstop.go
+++ b/core/forward/plannedstop.go
@@ -19,7 +19,7 @@
 // the process.
 func (j *job) checkPlannedStop() error {
 	processEnd := j.router.processEnd.Load()
-	if processEnd == nil || j.service.Model == nil {
+	if processEnd == nil {
 		return nil
 	}
 	now := j.router.now()
--- a/core/forward/plannedstop_test.go
+++ b/core/forward/plannedstop_test.go
@@ -63,6 +63,35 @@
 	}
 }
 
+// TestPlannedStopRefusesLatePlainRequests guards against a request that must not run twice, is
+// sent to an engine shortly before the planned end of the process, and is cut without an answer.
+func TestPlannedStopRefusesLatePlainRequests(t *testing.T) {
+	for _, name := range []string{"once", "safe"} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.send = func(_ int, _ Call, sink Sink) error {
+				time.Sleep(200 * time.Millisecond)
+				return sendAnswer(sink, 200, "answer")
+			}
+			for range 3 {
+				if got := h.serve(name); got.err != nil {
+					t.Fatal(got.err)
+				}
+			}
+			before := h.callCount()
+			h.router.SetStopTime(time.Now().Add(100 * time.Millisecond))
+			got := h.serve(name)
+			if f := fault.From(got.err); f.Kind != fault.ShuttingDown || f.Ran != fault.NotRun || f.RetryAfter.IsZero() || h.callCount() > before {
+				t.Errorf("%v, ran %v, %d calls; want a refusal before any", got.err, f.Ran, h.callCount()-before)
+			}
+			h.router.SetStopTime(time.Now().Add(500 * time.Millisecond))
+			if got := h.serve(name); got.err != nil {
+				t.Errorf("a request that ends in time: %v", got.err)
+			}
+		})
+	}
+}
+
 // TestDurationOfShortStreamsDoesNotCount guards against an estimate for long streams from the
 // time per token of short ones, most of which is the time until their first event.
 func TestDurationOfShortStreamsDoesNotCount(t *testing.T) {
