--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -64,11 +64,13 @@
 		return fault.New(fault.RateExceeded, "organisation %s is above its rate of %.0f a second with a burst of %d", j.org.Name, j.org.Rate, j.org.Burst).WithRetryAfter(admission.RetryAt)
 	}
 	j.router.retryBudget.countRequest(j.service.Name, j.router.now())
+	end := j.router.durations.begin(j.service.Name, j.expectedOutput(), j.Received)
+	defer end()
 	var err error
 	if j.service.Model != nil {
 		err = j.serveModel(ctx)
-	} else {
-		err = j.servePlain(ctx)
+	} else if err = j.servePlain(ctx); err == nil {
+		j.router.durations.record(j.service.Name, j.expectedOutput(), j.router.now().Sub(j.Received))
 	}
 	if err != nil && fault.From(err).Ran == fault.NotRun {
 		admission.Refund()
