revert: keep idle connections open until a planned stop ends

An idle connection that is closed sends its caller elsewhere without a refusal, unless a request crosses the close.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -56,8 +56,7 @@
 	log            log.Logger
 	limits         *limitHistory
 
-	closeIdleOnDrain bool // A drain closes connections without a request, at idleCloseAt.
-	idleCloseAt      atomic.Pointer[time.Time]
+	closeIdleOnDrain bool // A drain closes connections without a request.
 
 	engine       *nbhttp.Engine
 	acceptor     *acceptor
@@ -90,9 +89,8 @@
 // WithLimits sets the limits.
 func WithLimits(l Limits) Option { return func(s *Server) { s.limits = newLimitHistory(l) } }
 
-// WithIdleClose makes a drain wait until callers have been told of the close of their
-// connections, and close those without a request shortly before its deadline. Callers that
-// keep connections open through a load balancer would otherwise send requests on them until
+// WithIdleClose makes a drain close connections without a request. Callers that keep
+// connections open through a load balancer would otherwise send requests on them until
 // the process exits.
 func WithIdleClose() Option { return func(s *Server) { s.closeIdleOnDrain = true } }
 
@@ -220,7 +218,7 @@
 // and delivered last responses. A panic ends only the check of its connection.
 func (s *Server) sweepOnce(now time.Time) {
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
-	drain := s.closesIdle(now)
+	drain := s.closeIdleOnDrain && s.draining.Load()
 	s.conns.each(func(c *conn) {
 		_ = boundary.Run("sweep", func() { // A panic is logged; the next sweep checks the connection again.
 			c.enforceTimeouts(now)
@@ -232,15 +230,11 @@
 // Drain waits until all open requests are finished and their responses delivered.
 // Requests that arrive meanwhile are served, and their connections then closed.
 func (s *Server) Drain(ctx context.Context) error {
-	if s.closeIdleOnDrain {
-		at := idleCloseAt(ctx, time.Now())
-		s.idleCloseAt.Store(&at)
-	}
 	s.draining.Store(true)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for idleChecks := 0; idleChecks < idleSweeps; idleChecks++ {
-		if s.openRequests.Load() > 0 || s.conns.countActiveRequests() > 0 || s.awaitsCallers() {
+		if s.openRequests.Load() > 0 || s.conns.countActiveRequests() > 0 {
 			idleChecks = -1
 		}
 		select {
