--- a/core/forward/durations.go
+++ b/core/forward/durations.go
@@ -17,7 +17,7 @@
 	// requests with the most similar expected output.
 	similarSamples = 32
 	// durationQuantile is the fraction of similar requests that take no longer than estimated.
-	durationQuantile = 0.95
+	durationQuantile = 0.9
 )
 
 // durations holds how long requests take, by service.
