caller: announce the close from the begin of a planned stop

Cause: answers announced the close of their connection only once the balancer delay had passed, 2.1 s after SIGTERM, and idle connections were closed 150 ms later. Most callers had no answer in between, so that their next requests could cross the close. Answers announce the close from the signal on.

--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -96,10 +96,10 @@
 }
 
 // setConnectionClose sets "Connection: close" if the connection is closed after the
-// response. Each response calls it just before it writes its headers, so that a drain that
+// response. Each response calls it just before it writes its headers, so that a stop that
 // began during the request is announced.
 func (x *exchange) setConnectionClose() {
-	if x.conn.isLastResponse(x.server.draining.Load()) {
+	if x.conn.isLastResponse(x.server.announcing.Load() || x.server.draining.Load()) {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -62,6 +62,7 @@
 	acceptor     *acceptor
 	conns        connTable
 	openRequests atomic.Int64 // Requests whose handler has not returned.
+	announcing   atomic.Bool  // Responses announce the close of their connections.
 	draining     atomic.Bool
 	closing      atomic.Bool // New requests are refused.
 	barrier      atomic.Pointer[poller.Barrier]
@@ -227,6 +228,11 @@
 	})
 }
 
+// AnnounceClose makes each response the last one of its connection, which it announces. New
+// connections are accepted. Before a drain it leaves few connections on which a request can
+// cross the close.
+func (s *Server) AnnounceClose() { s.announcing.Store(true) }
+
 // Drain waits until all open requests are finished and their responses delivered.
 // Requests that arrive meanwhile are served, and their connections then closed.
 func (s *Server) Drain(ctx context.Context) error {
