--- a/io/caller/arrived_test.go
+++ b/io/caller/arrived_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/rcrowley/go-metrics"
+
+	"monsoonfork/core/membudget"
 )
 
 // unreadConn returns a connection that no poller reads, on which a caller has sent a request.
@@ -18,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newConn(nbc, newLimitHistory(defaultLimits), newServerMetrics(metrics.NewRegistry()))
+	c := newConn(nbc, newLimitHistory(defaultLimits), newServerMetrics(metrics.NewRegistry()), membudget.New(1<<20).Open(time.Now()))
 	if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -9,6 +9,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/membudget"
 )
 
 // lingerTime is how long input is read and discarded after the sending side of a
@@ -21,6 +22,7 @@
 	nbc     *nbio.Conn
 	limits  *limitHistory
 	metrics serverMetrics
+	unsent  *unsentBytes
 
 	// Accessed only by the goroutine of the connection's poller.
 	progress         requestProgress
@@ -44,9 +46,9 @@
 	closing         bool               // The connection is being closed, or is about to be, and is no longer read.
 }
 
-// newConn returns the state of a new connection.
-func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics) *conn {
-	c := &conn{nbc: nbc, limits: limits, metrics: m}
+// newConn returns the state of a new connection, whose unsent bytes holder counts.
+func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics, holder *membudget.Holder) *conn {
+	c := &conn{nbc: nbc, limits: limits, metrics: m, unsent: newUnsentBytes(holder)}
 	c.readChanged = sync.NewCond(&c.mu)
 	c.startIdleTime(time.Now())
 	return c
@@ -93,6 +95,7 @@
 	if !c.limiterInstalled {
 		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
 		parser.Execute = c.execute
+		parser.Conn = &countingConn{Conn: parser.Conn, unsent: c.unsent}
 		c.limiterInstalled = true
 	}
 	err := c.parse(parser, data)
@@ -204,7 +207,7 @@
 		return
 	}
 	c.metrics.rejected.Inc(1)
-	c.execute(func() { _, _ = c.nbc.Write(rawErrorResponse(err)) })
+	c.execute(func() { _, _ = c.unsent.writeTo(c.nbc, rawErrorResponse(err)) })
 }
 
 // ignoresInput reports whether a rejection was sent or the last request of the
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -103,6 +103,7 @@
 	closed := c.isClosed()
 	c.cancelIfDisconnected(closed)
 	if closed {
+		c.unsent.close()
 		return
 	}
 	timeout, idle := c.checkDeadlines(now)
--- a/io/caller/disconnect_early_test.go
+++ b/io/caller/disconnect_early_test.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/membudget"
 )
 
 // TestDisconnectBeforeHandlingIsDetected has a caller close its connection right after its
@@ -29,7 +30,7 @@
 				_ = caller.Close()
 			}
 			var got *fault.Error
-			c := newConn(nbc, newLimitHistory(defaultLimits), newServerMetrics(metrics.NewRegistry()))
+			c := newConn(nbc, newLimitHistory(defaultLimits), newServerMetrics(metrics.NewRegistry()), membudget.New(1<<20).Open(time.Now()))
 			eventually(t, "request cancelled if and only if the caller has disconnected", time.Second, func() bool {
 				got = nil
 				c.setCancel(func(f *fault.Error) { got = f })
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -127,12 +127,14 @@
 
 // nbioConnOf returns the nbio connection of a response.
 func nbioConnOf(w *nbhttp.Response) *nbio.Conn {
-	if wrapped, ok := w.Parser.Conn.(*nbhttp.Conn); ok {
-		if nbc, ok := wrapped.Conn.(*nbio.Conn); ok {
-			return nbc
-		}
+	c := w.Parser.Conn
+	if counting, ok := c.(*countingConn); ok {
+		c = counting.Conn
+	}
+	if wrapped, ok := c.(*nbhttp.Conn); ok {
+		c = wrapped.Conn
 	}
-	nbc, _ := w.Parser.Conn.(*nbio.Conn)
+	nbc, _ := c.(*nbio.Conn)
 	return nbc
 }
 
--- a/io/caller/limiter.go
+++ b/io/caller/limiter.go
@@ -110,7 +110,7 @@
 	l.conn.startBody()
 	l.Processor.OnContentLength(p, n)
 	if l.conn.progress.expectsContinue && !l.conn.isRejected() {
-		_, _ = l.conn.nbc.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		_, _ = l.conn.unsent.writeTo(l.conn.nbc, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
 	}
 }
 
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -19,6 +19,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/membudget"
 	"monsoonfork/core/request"
 	"monsoonfork/io/poller"
 )
@@ -55,6 +56,7 @@
 	forwardHandler func(*ForwardedRequest) // Handles every request if set; pipeline is then nil.
 	log            log.Logger
 	limits         *limitHistory
+	memory         *membudget.Budget // Counts the bytes held for callers, beside others.
 
 	closeIdleOnDrain bool // A drain closes connections without a request.
 
@@ -80,6 +82,7 @@
 
 	containedPanics     metrics.Counter // Panics in reading a connection.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
+	unsentBytes         metrics.Gauge   // Bytes of answers that the sockets have not taken yet.
 }
 
 // Option configures a Server.
@@ -108,9 +111,13 @@
 
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
+		unsentBytes:         metrics.GetOrRegisterGauge("Caller.UnsentBytes", r),
 	}
 }
 
+// WithMemory makes b count the bytes held for callers.
+func WithMemory(b *membudget.Budget) Option { return func(s *Server) { s.memory = b } }
+
 // New returns a server that handles requests with pipeline. Listen starts it.
 func New(pipeline *request.Pipeline, logger log.Logger, opts ...Option) *Server {
 	s := &Server{
@@ -118,6 +125,7 @@
 		log:       log.With(logger, "part", "Caller"),
 		limits:    newLimitHistory(defaultLimits),
 		metrics:   newServerMetrics(metrics.NewRegistry()),
+		memory:    membudget.New(membudget.LimitFor(0)),
 		stopSweep: make(chan struct{}),
 		sweepDone: make(chan struct{}),
 	}
@@ -145,6 +153,7 @@
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
 	s.engine.OnRead(s.onRead)
+	s.engine.OnWrittenSize(s.onWritten)
 	if err := poller.Start(s.engine); err != nil {
 		return "", fault.Wrap(err, fault.BadSettings, "cannot serve callers on %s", address)
 	}
@@ -184,7 +193,7 @@
 		}
 	}
 	setSocketOptions(nbc)
-	state := newConn(nbc, s.limits, s.metrics)
+	state := newConn(nbc, s.limits, s.metrics, s.memory.Open(time.Now()))
 	s.conns.add(nbc, state)
 	state.extendIdleTime(time.Now()) // SetLimits may have missed it.
 }
@@ -192,11 +201,24 @@
 // onClose removes a connection. nbhttp calls it only after the connection's handler has
 // returned.
 func (s *Server) onClose(c net.Conn, _ error) {
-	if nbc, ok := c.(*nbio.Conn); ok {
+	nbc, ok := c.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	if state := s.conns.get(nbc); state != nil {
+		state.unsent.close()
 		s.conns.remove(nbc)
 	}
 }
 
+// onWritten records that the socket of a connection has taken bytes. nbio calls it with the
+// connection's lock held.
+func (s *Server) onWritten(nbc *nbio.Conn, _ []byte, n int) {
+	if c := s.conns.get(nbc); c != nil {
+		c.unsent.recordSent(n)
+	}
+}
+
 // sweep checks all connections periodically until Close.
 func (s *Server) sweep() {
 	defer close(s.sweepDone)
@@ -217,12 +239,15 @@
 func (s *Server) sweepOnce(now time.Time) {
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
 	drain := s.closeIdleOnDrain && s.draining.Load()
+	unsent := int64(0)
 	s.conns.each(func(c *conn) {
+		unsent += c.unsent.bytes()
 		_ = boundary.Run("sweep", func() { // A panic is logged; the next sweep checks the connection again.
 			c.enforceTimeouts(now)
 			c.closeWriteIfDelivered(now, drain)
 		})
 	})
+	s.metrics.unsentBytes.Update(unsent)
 }
 
 // Drain waits until all open requests are finished and their responses delivered.
