caller: a write waits while the caller does not read

Cause: a write to a caller never waited; nbio buffered what the socket did not take, 32 MB a connection, while the engine was read on.

A piece of a body, 32 KB at most, is now written only if no more than 32 KB of the connection are unsent. The write holds up OnBody, so the engine's connection is not read. The wait ends when the caller disconnects, the server closes, or the caller has read nothing for 5 s after the deadline of its request, which core/forward hands over with the ResponseWriter; the connection is then closed, so that the answer does not look complete (event "caller ended", counters Caller.WaitingWrites and Caller.EndedUnread). A caller that reads on gets what is ready after the deadline too, as before. The sum over all connections counts in the instance's membudget.Budget: while bytes are scarce only a connection without unsent bytes gets more, the callers that have read nothing for 5 s are ended, and at the limit new requests are refused as not run.

Ruled out: a smaller MaxUnreadBytes. nbio closes the connection above it, which would cut slow callers. A larger bound than 32 KB: the kernel's send buffer holds what the network needs.

TestDrainServesRequestsBehindUndeliveredAnswer relied on a handler that returns while 12 MB are unsent, which can't happen any more.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -108,6 +108,7 @@
 	PollerSlow           // poller did not respond in time
 	HandlerPanicked      // panic in a request handler
 	RejectingConnections // rejecting new connections
+	CallerEnded          // caller ended, has not read its answer
 
 	eventCount // Number of events; keep last.
 )
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -116,4 +116,5 @@
 	PollerSlow:              {SubsystemProcess, "A poller of the connections with callers did not respond in time when a connection was accepted. The connection is used all the same.", []string{"err"}},
 	HandlerPanicked:         {SubsystemProcess, "The handler of a request panicked, which is a defect of the program. The caller was sent an internal error, or its connection was closed if the answer had begun; other requests continue.", []string{"request", "err", "stack"}},
 	RejectingConnections:    {SubsystemProcess, "No descriptor is free for a new connection of a caller. Requests on new connections are refused as not run until descriptors are free again. Logged again if none was refused for 10 s in between.", []string{"err"}},
+	CallerEnded:             {SubsystemProcess, "The connection of a caller was closed within its answer, as the caller did not read it: after the deadline of the request, when the process stops, or when memory is scarce. unsent is the number of bytes buffered for it, stalled_ms the time since it last read.", []string{"request", "kind", "unsent", "stalled_ms", "err"}},
 }
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -46,8 +46,9 @@
 
 // ResponseWriter writes the response to the caller.
 type ResponseWriter struct {
+	SetDeadline func(at time.Time)                            // Sets the deadline of the request, before anything is sent; may be nil.
 	WriteHeader func(status int, h http.Header, length int64) // Sends the head; a negative length is unknown.
-	Write       func(data []byte) error                       // Sends data of the body.
+	Write       func(data []byte) error                       // Sends data of the body; waits while the caller does not read.
 	Abort       func()                                        // Aborts an answer that has begun, so that the caller sees it as incomplete.
 }
 
@@ -204,6 +205,9 @@
 		r.logUnresolved(q, fault.From(err))
 		return err
 	}
+	if a.SetDeadline != nil {
+		a.SetDeadline(j.deadline)
+	}
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, fault.New(fault.DeadlineExceeded, "the deadline of the request has passed"))
 	defer cancel()
 	if panicked := j.boundary().Run("request", func() { err = j.run(ctx) }); panicked != nil {
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
 	"monsoonfork/core/membudget"
 )
 
@@ -28,6 +30,12 @@
 	progress         requestProgress
 	limiterInstalled bool // The parser's processor is wrapped in a limiter.
 
+	// Accessed only by the sweep.
+	ackedBytes int64 // Bytes that the caller's host had acknowledged at the last check.
+
+	endReason atomic.Pointer[fault.Error]     // Why the server has closed the connection before the end of an answer.
+	handled   atomic.Pointer[ident.RequestID] // The X-Request-Id of the request handled last.
+
 	mu              sync.Mutex
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
 	idleSince       time.Time          // When the last request ended, or the connection was opened.
@@ -299,3 +307,11 @@
 	c.activeRequests--
 	c.startIdleTime(time.Now())
 }
+
+// requestID returns the X-Request-Id of the request handled last, or "" without one.
+func (c *conn) requestID() ident.RequestID {
+	if id := c.handled.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
--- a/io/caller/drainclose_test.go
+++ b/io/caller/drainclose_test.go
@@ -13,21 +13,36 @@
 // delivered, and sends a second request on its connection. The caller has not been told that
 // the connection ends, so that the request must get an answer.
 func TestDrainServesRequestsBehindUndeliveredAnswer(t *testing.T) {
-	large := strings.Repeat("x", largeResponseBytes)
+	for path, undelivered := range map[string]func(*Server, *conn) bool{
+		"/waiting":  func(s *Server, c *conn) bool { return s.openRequests.Load() == 1 && c.unsent.bytes() > maxUnsentBytes },
+		"/returned": func(s *Server, c *conn) bool { return s.openRequests.Load() == 0 && c.unsent.bytes() > 0 },
+	} {
+		t.Run(path, func(t *testing.T) { checkDrainBehindAnswer(t, path, undelivered) })
+	}
+}
+
+// checkDrainBehindAnswer drains a server once an answer is undelivered, and checks that a second
+// request is served.
+func checkDrainBehindAnswer(t *testing.T, path string, undelivered func(*Server, *conn) bool) {
 	s, address := newForwardingTestServer(t, func(f *ForwardedRequest) {
-		if f.Request.URL.Path == "/small" {
+		switch f.Request.URL.Path {
+		case "/small":
 			f.WriteHeader(http.StatusOK, http.Header{}, 0)
-			return
+		case "/waiting": // The handler waits for its caller.
+			f.WriteHeader(http.StatusOK, http.Header{}, largeResponseBytes)
+			_ = f.Write(make([]byte, largeResponseBytes))
+		case "/returned": // The handler returns as soon as bytes are buffered for its caller.
+			f.WriteHeader(http.StatusOK, http.Header{}, -1)
+			for f.x.conn.unsent.bytes() == 0 && f.Write(make([]byte, 1024)) == nil {
+			}
 		}
-		f.WriteHeader(http.StatusOK, http.Header{}, largeResponseBytes)
-		_ = f.Write([]byte(large))
 	}, WithIdleClose())
 	caller := dialTest(t, address)
-	if _, err := io.WriteString(caller, "GET /large HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+	if _, err := io.WriteString(caller, "GET "+path+" HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
 	c := onlyConn(t, s)
-	eventually(t, "the answer is sent in part", 2*time.Second, func() bool { return s.openRequests.Load() == 0 && hasUnacked(c.nbc) })
+	eventually(t, "the answer is sent in part", 2*time.Second, func() bool { return undelivered(s, c) && hasUnacked(c.nbc) })
 	drained := make(chan error, 1)
 	go func() { drained <- s.Drain(t.Context()) }()
 	time.Sleep(3 * sweepInterval)
@@ -35,7 +50,7 @@
 		t.Fatal(err)
 	}
 	in := bufio.NewReader(caller)
-	for _, path := range []string{"/large", "/small"} {
+	for _, path := range []string{path, "/small"} {
 		res, err := http.ReadResponse(in, nil)
 		if err != nil {
 			t.Fatalf("%s: %v", path, err)
--- a/io/caller/forward.go
+++ b/io/caller/forward.go
@@ -18,6 +18,7 @@
 	Request  *http.Request
 	Body     []byte
 	Received time.Time
+	Refusal  *fault.Error // Why the request has to be refused; nil if it may be served.
 
 	x   *exchange
 	ctx context.Context
@@ -36,7 +37,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	x.setCancel(func(f *fault.Error) { cancel(f) })
-	f := &ForwardedRequest{Request: x.req, Received: received, x: x, ctx: ctx}
+	f := &ForwardedRequest{Request: x.req, Received: received, Refusal: s.checkMemory(received), x: x, ctx: ctx}
 	body, err := io.ReadAll(x.req.Body)
 	if err != nil {
 		x.writeError(fault.Wrap(err, fault.BadRequest, "cannot read the body"))
@@ -69,7 +70,12 @@
 	f.x.w.WriteHeader(statusWithReason(status))
 }
 
-// Write sends body data and flushes it. Its error has kind CallerGone.
+// SetDeadline sets the deadline of the request. A Write waits longer only for a caller that
+// reads on.
+func (f *ForwardedRequest) SetDeadline(at time.Time) { f.x.deadline = at }
+
+// Write sends body data and flushes it. It waits while the caller does not read. Its error
+// tells why the answer can't be completed; the connection is then closed.
 func (f *ForwardedRequest) Write(data []byte) error {
 	if err := f.x.checkCaller(); err != nil {
 		return err
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/membudget"
 	"monsoonfork/core/request"
 	"monsoonfork/core/text"
 	"monsoonfork/io/httpcall"
@@ -27,6 +28,8 @@
 	req        *http.Request
 	id         ident.RequestID // Unique; begins with the caller's X-Request-Id, if any.
 	responseID string          // The caller's X-Request-Id, or id; sent in the response.
+	received   time.Time
+	deadline   time.Time // Deadline of a forwarded request; zero while unknown.
 	session    *request.Session
 	started    bool // Status and headers of the response were set.
 	errorSent  bool // The response ends with an error event.
@@ -54,11 +57,16 @@
 		r.Close = false
 		c.markLastRequest()
 	}
-	x := &exchange{server: s, conn: c, w: response, req: r}
+	id := ident.RequestID(r.Header.Get(httpcall.RequestIDHeader))
+	c.handled.Store(&id)
+	x := &exchange{server: s, conn: c, w: response, req: r, received: received}
 	if s.closing.Load() {
 		x.refuseDuringClose()
 		return
 	}
+	if x.awaitSpace() != nil { // The caller reads no answers to earlier requests.
+		return
+	}
 	if p := contain.Call(func() { x.serve(received) }); p != nil {
 		x.reportPanic(p)
 	}
@@ -146,6 +154,9 @@
 	if limit := x.server.limits.current.MaxOpenRequests; x.server.openRequests.Load() > limit {
 		return fault.New(fault.Overloaded, "the instance has reached its limit of %d open requests", limit).WithRetryAfter(received.Add(time.Second))
 	}
+	if refusal := x.server.checkMemory(received); refusal != nil {
+		return refusal
+	}
 	credential, err := parseCredential(x.req)
 	if err != nil {
 		return err
@@ -240,14 +251,22 @@
 	}
 }
 
-// writeBody sends body data and flushes it. Its error has kind CallerGone.
+// writeBody sends body data and flushes each piece. It waits while the caller does not read;
+// see awaitSpace for the end of the wait. What is not written yet counts as held.
 func (x *exchange) writeBody(data []byte) error {
 	if !x.sendsBody() {
 		return nil
 	}
+	holder := x.conn.unsent.holder
+	holder.Add(membudget.Bytes(len(data)))
+	defer func() { holder.Release(membudget.Bytes(len(data))) }()
 	for len(data) > 0 {
+		if err := x.awaitSpace(); err != nil {
+			return err
+		}
 		piece := data[:min(len(data), maxWriteBytes)]
 		data = data[len(piece):]
+		holder.Release(membudget.Bytes(len(piece)))
 		if _, err := x.w.Write(piece); err != nil {
 			return fault.Wrap(err, fault.CallerGone, "cannot write to the caller")
 		}
--- a/io/caller/response.go
+++ b/io/caller/response.go
@@ -86,8 +86,7 @@
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set(httpcall.RequestIDHeader, a.responseID)
 	a.setConnectionClose()
-	_ = a.writeBody(body) // A write error means that the caller has disconnected.
-	return nil
+	return a.writeBody(body)
 }
 
 // writeStream sends an event for each token as it arrives. After an error, once the
@@ -107,7 +106,7 @@
 		if !a.started || a.checkCaller() != nil {
 			return err
 		}
-		a.writeEventData(encodeError(fault.From(err), a.responseID))
+		_ = a.writeEventData(encodeError(fault.From(err), a.responseID)) // The request fails with err in any case.
 		a.errorSent = true
 		return err
 	}
@@ -117,8 +116,7 @@
 	if err := a.writeEvent(last); err != nil {
 		return err
 	}
-	a.writeEventData([]byte("[DONE]"))
-	return nil
+	return a.writeEventData([]byte("[DONE]"))
 }
 
 // writeStreamHeaders sets the response headers of an event stream, once.
@@ -140,17 +138,16 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Internal, "cannot encode an event")
 	}
-	a.writeEventData(body)
-	return nil
+	return a.writeEventData(body)
 }
 
 // writeEventData sends one event with the given data and flushes it.
-func (a *modelResponse) writeEventData(body []byte) {
+func (a *modelResponse) writeEventData(body []byte) error {
 	message := make([]byte, 0, len(body)+8)
 	message = append(message, "data: "...)
 	message = append(message, body...)
 	message = append(message, "\n\n"...)
-	_ = a.writeBody(message) // A write error means that the caller has disconnected.
+	return a.writeBody(message)
 }
 
 // newResponse returns a response body with one choice.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -83,6 +83,9 @@
 	containedPanics     metrics.Counter // Panics in reading a connection.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
 	unsentBytes         metrics.Gauge   // Bytes of answers that the sockets have not taken yet.
+	heldBytes           metrics.Gauge   // Bytes that the memory budget counts.
+	waitingWrites       metrics.Counter // Writes that have waited for a caller to read.
+	endedCallers        metrics.Counter // Connections closed as their callers read nothing.
 }
 
 // Option configures a Server.
@@ -112,6 +115,9 @@
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
 		unsentBytes:         metrics.GetOrRegisterGauge("Caller.UnsentBytes", r),
+		heldBytes:           metrics.GetOrRegisterGauge("Memory.HeldBytes", r),
+		waitingWrites:       metrics.GetOrRegisterCounter("Caller.WaitingWrites", r),
+		endedCallers:        metrics.GetOrRegisterCounter("Caller.EndedUnread", r),
 	}
 }
 
@@ -193,7 +199,9 @@
 		}
 	}
 	setSocketOptions(nbc)
-	state := newConn(nbc, s.limits, s.metrics, s.memory.Open(time.Now()))
+	var state *conn
+	holder := s.memory.Open(time.Now(), membudget.WithEnd(func() { s.endForMemory(state) }))
+	state = newConn(nbc, s.limits, s.metrics, holder)
 	s.conns.add(nbc, state)
 	state.extendIdleTime(time.Now()) // SetLimits may have missed it.
 }
@@ -244,10 +252,13 @@
 		unsent += c.unsent.bytes()
 		_ = boundary.Run("sweep", func() { // A panic is logged; the next sweep checks the connection again.
 			c.enforceTimeouts(now)
+			c.recordProgress(now)
 			c.closeWriteIfDelivered(now, drain)
 		})
 	})
+	s.memory.EndStalled(now)
 	s.metrics.unsentBytes.Update(unsent)
+	s.metrics.heldBytes.Update(int64(s.memory.Held()))
 }
 
 // Drain waits until all open requests are finished and their responses delivered.
--- a/io/caller/socket.go
+++ b/io/caller/socket.go
@@ -36,10 +36,13 @@
 
 // hasUnacked reports whether the kernel holds sent bytes that the caller's host has not
 // acknowledged. Only while it does may nbio have buffered more.
-func hasUnacked(nbc *nbio.Conn) bool {
+func hasUnacked(nbc *nbio.Conn) bool { return unackedBytes(nbc) > 0 }
+
+// unackedBytes returns the number of sent bytes that the caller's host has not acknowledged.
+func unackedBytes(nbc *nbio.Conn) int {
 	n := 0
 	withDescriptor(nbc, func(fd int) { n, _ = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
-	return n > 0
+	return n
 }
 
 // hasUnread reports whether the kernel has received bytes that the poller has not read.
--- a/io/caller/unsent.go
+++ b/io/caller/unsent.go
@@ -14,9 +14,13 @@
 	written atomic.Int64 // Bytes passed to nbio, with headers and the framing of chunks.
 	sent    atomic.Int64 // Of those, bytes that the socket has taken.
 	closed  atomic.Bool  // The connection is closed: nbio has freed its buffers.
+
+	changed chan struct{} // Holds an element after the socket has taken bytes.
 }
 
-func newUnsentBytes(holder *membudget.Holder) *unsentBytes { return &unsentBytes{holder: holder} }
+func newUnsentBytes(holder *membudget.Holder) *unsentBytes {
+	return &unsentBytes{holder: holder, changed: make(chan struct{}, 1)}
+}
 
 // bytes returns the number of unsent bytes; 0 if the connection is closed.
 func (u *unsentBytes) bytes() int64 {
@@ -43,6 +47,10 @@
 func (u *unsentBytes) recordSent(n int) {
 	u.sent.Add(int64(n))
 	u.holder.Release(membudget.Bytes(n))
+	select {
+	case u.changed <- struct{}{}:
+	default:
+	}
 }
 
 // countingConn counts what nbhttp writes to a connection.
