forward: a caller that does not read is no stall of its engine

Cause: the stall monitor takes the time since the last event as the engine's silence. Since a write to a caller waits (the commit before), that time may be the caller's. What callers would see: after 1.2 s a resumable stream is cancelled and sent to another engine, which runs it again.

The monitor does not count the time in which data is delivered, and cancels no call meanwhile. Deliveries under 10 ms move nothing, so that an engine that drips can't evade the replacement.

Ruled out: read timeouts of io/httpcall and the prompt's crash detection; the first begins anew before each read, the second needs an error of the engine.

Evidence: TestSlowCallerIsNoStall failed before with 2 calls and 2 reservations in place of 1 each; TestSilenceAfterSlowCallerIsStall holds before and after.

--- a/core/forward/stall.go
+++ b/core/forward/stall.go
@@ -31,6 +31,9 @@
 	// replacementInterval is the pause between two attempts to find another engine for a
 	// stalled stream.
 	replacementInterval = 200 * time.Millisecond
+	// minDeliveryWait is the shortest delivery to a caller that counts as a wait for it. Others
+	// must not move a stall that is being handled.
+	minDeliveryWait = 10 * time.Millisecond
 )
 
 // errStreamStalled is the cancellation cause of a call that is replaced since its stream
@@ -61,6 +64,7 @@
 	mu          sync.Mutex
 	stallsAt    time.Time          // The stream has stalled if no event is complete before.
 	failed      bool               // The engine has failed: data does not move stallsAt any more.
+	delivering  time.Time          // When the delivery of data to the caller began; zero without one. The engine is not read meanwhile.
 	replacement *decodeReservation // Set when the call is cancelled.
 }
 
@@ -97,9 +101,10 @@
 			return sink.OnHead(h)
 		},
 		OnData: func(data []byte) error {
-			if err := monitor.recordData(!s.isEventStream || s.splitter.completesEvent(data)); err != nil {
+			if err := monitor.beginDelivery(!s.isEventStream || s.splitter.completesEvent(data)); err != nil {
 				return err
 			}
+			defer monitor.endDelivery()
 			return sink.OnData(data)
 		},
 	})
@@ -131,21 +136,34 @@
 	return m.replacement
 }
 
-// recordData records that data has arrived. It fails if the call has been cancelled: the
-// other engine sends the same data again. A stream stalls also if its engine sends something,
-// but completes no event.
-func (m *stallMonitor) recordData(completesEvent bool) error {
+// beginDelivery records that data has arrived and is being delivered to the caller. It fails if
+// the call has been cancelled: the other engine sends the same data again. A stream stalls also
+// if its engine sends something, but completes no event.
+func (m *stallMonitor) beginDelivery(completesEvent bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.replacement != nil {
 		return errStreamStalled
 	}
+	now := m.stream.router.now()
 	if completesEvent && m.timeout > 0 && !m.failed {
-		m.moveStall(m.stream.router.now().Add(m.timeout))
+		m.moveStall(now.Add(m.timeout))
 	}
+	m.delivering = now
 	return nil
 }
 
+// endDelivery records that data has been delivered. The time that the caller took is not the
+// engine's.
+func (m *stallMonitor) endDelivery() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if waited := m.stream.router.now().Sub(m.delivering); waited >= minDeliveryWait {
+		m.stallsAt = m.stallsAt.Add(waited)
+	}
+	m.delivering = time.Time{}
+}
+
 // recordFailedAnswer records that the engine has failed: the rest of its answer may take
 // failedAnswerTime.
 func (m *stallMonitor) recordFailedAnswer() {
@@ -181,7 +199,10 @@
 func (m *stallMonitor) stallTime() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.stallsAt
+	if m.delivering.IsZero() {
+		return m.stallsAt
+	}
+	return m.stallsAt.Add(m.stream.router.now().Sub(m.delivering))
 }
 
 // run waits for stalls, and tries to replace the call while one lasts. Each stall is
@@ -261,7 +282,7 @@
 func (m *stallMonitor) cancelIfStalled(stalledAt time.Time, replacement decodeReservation) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stallsAt != stalledAt {
+	if m.stallsAt != stalledAt || !m.delivering.IsZero() {
 		return false
 	}
 	m.replacement = &replacement
--- a/core/forward/stall_test.go
+++ b/core/forward/stall_test.go
@@ -302,3 +302,52 @@
 		}
 	}
 }
+
+// TestSlowCallerIsNoStall has a caller that does not read for longer than the stall timeout.
+// The engine is not silent, and the stream must stay with it.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	h.send = func(_ int, c Call, sink Sink) error { return sendStream(c, sink, 0, 0) }
+	got := &reply{}
+	var paused atomic.Bool
+	got.onWrite = func() {
+		if !paused.Swap(true) {
+			time.Sleep(silence)
+		}
+	}
+	h.serveTo(context.Background(), got, "resume", func(*Request) {})
+	checkComplete(t, got)
+	if len(h.sent) != 1 || len(h.reserved) != 1 {
+		t.Errorf("%d calls and %d reservations, want 1 each", len(h.sent), len(h.reserved))
+	}
+}
+
+// TestSilenceAfterSlowCallerIsStall has an engine fall silent for good after its caller did not
+// read for a while. The stream must go to another engine.
+func TestSilenceAfterSlowCallerIsStall(t *testing.T) {
+	t.Parallel()
+	h := newStallHarness(t, 2)
+	ended := make(chan struct{})
+	defer close(ended)
+	h.send = func(n int, c Call, sink Sink) error {
+		if n == 1 {
+			_ = sendAnswer(sink, 200, eventText(1))
+			<-ended
+			return errBroken
+		}
+		return sendStream(c, sink, 0, 0)
+	}
+	got := &reply{}
+	var paused atomic.Bool
+	got.onWrite = func() {
+		if !paused.Swap(true) {
+			time.Sleep(silence)
+		}
+	}
+	h.serveTo(context.Background(), got, "resume", func(*Request) {})
+	checkComplete(t, got)
+	if len(h.sent) != 2 {
+		t.Errorf("%d calls, want 2", len(h.sent))
+	}
+}
