--- a/io/caller/backpressure.go
+++ b/io/caller/backpressure.go
@@ -34,16 +34,13 @@
 // caller still reads nothing after the deadline; the connection is then closed.
 func (x *exchange) awaitSpace() error {
 	c := x.conn
-	if c.hasSpace(x.server.memory) {
-		return nil
+	if err := x.checkCaller(); err != nil || c.hasSpace(x.server.memory) {
+		return err
 	}
 	x.server.metrics.waitingWrites.Inc(1)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for !c.hasSpace(x.server.memory) {
-		if c.isClosed() {
-			return x.closedError()
-		}
 		if reason := x.endOfWait(time.Now()); reason != nil {
 			x.server.endCaller(c, reason)
 			return reason
@@ -52,18 +49,13 @@
 		case <-c.unsent.changed:
 		case <-ticker.C:
 		}
+		if err := x.checkCaller(); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
-// closedError returns the error of a request whose connection is closed.
-func (x *exchange) closedError() error {
-	if ended := x.conn.endReason.Load(); ended != nil {
-		return ended
-	}
-	return fault.New(fault.CallerGone, "the caller closed its connection")
-}
-
 // endOfWait returns why a write waits no longer, or nil.
 func (x *exchange) endOfWait(now time.Time) *fault.Error {
 	if x.server.closing.Load() {
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -226,12 +226,16 @@
 	return id != ""
 }
 
-// checkCaller returns an error of kind CallerGone if the caller has disconnected.
+// checkCaller returns an error if the connection is closed: of kind CallerGone, unless the
+// server has closed it for another reason.
 func (x *exchange) checkCaller() error {
-	if x.conn.isClosed() {
-		return fault.New(fault.CallerGone, "the caller closed its connection")
+	if !x.conn.isClosed() {
+		return nil
 	}
-	return nil
+	if reason := x.conn.endReason.Load(); reason != nil {
+		return reason
+	}
+	return fault.New(fault.CallerGone, "the caller closed its connection")
 }
 
 // maxWriteBytes is the largest piece of a body that is passed to nbhttp at once. With a
