--- a/core/event/event.go
+++ b/core/event/event.go
@@ -109,6 +109,7 @@
 	HandlerPanicked      // panic in a request handler
 	RejectingConnections // rejecting new connections
 	RequestCrossedClose  // request crossed the close of its connection
+	CallerEnded          // caller ended, has not read its answer
 
 	eventCount // Number of events; keep last.
 )
--- a/core/event/table.go
+++ b/core/event/table.go
@@ -117,4 +117,5 @@
 	HandlerPanicked:         {SubsystemProcess, "The handler of a request panicked, which is a defect of the program. The caller was sent an internal error, or its connection was closed if the answer had begun; other requests continue.", []string{"request", "err", "stack"}},
 	RequestCrossedClose:     {SubsystemProcess, "A request arrived closed_ms after a drain had closed its idle connection. It was not read and has not run.", []string{"caller", "bytes", "closed_ms"}},
 	RejectingConnections:    {SubsystemProcess, "No descriptor is free for a new connection of a caller. Requests on new connections are refused as not run until descriptors are free again. Logged again if none was refused for 10 s in between.", []string{"err"}},
+	CallerEnded:             {SubsystemProcess, "The connection of a caller was closed within its answer, as the caller did not read it: after the deadline of the request, when the process stops, or when memory is scarce. unsent is the number of bytes buffered for it, stalled_ms the time since it last read.", []string{"request", "kind", "unsent", "stalled_ms", "err"}},
 }
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membudget"
 )
 
 // lingerTime is how long input is read and discarded after the sending side of a
@@ -21,11 +24,18 @@
 	nbc     *nbio.Conn
 	limits  *limitHistory
 	metrics serverMetrics
+	unsent  *unsentBytes
 
 	// Accessed only by the goroutine of the connection's poller.
 	progress         requestProgress
 	limiterInstalled bool // The parser's processor is wrapped in a limiter.
 
+	// Accessed only by the sweep.
+	ackedBytes int64 // Bytes that the caller's host had acknowledged at the last check.
+
+	endReason atomic.Pointer[fault.Error]     // Why the server has closed the connection before the end of an answer.
+	handled   atomic.Pointer[ident.RequestID] // The X-Request-Id of the request handled last.
+
 	mu              sync.Mutex
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
 	idleSince       time.Time          // When the last request ended, or the connection was opened.
@@ -46,9 +56,9 @@
 	closing         bool               // The connection is being closed, or is about to be, and is no longer read.
 }
 
-// newConn returns the state of a new connection.
-func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics) *conn {
-	c := &conn{nbc: nbc, limits: limits, metrics: m}
+// newConn returns the state of a new connection, whose unsent bytes holder counts.
+func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics, holder *membudget.Holder) *conn {
+	c := &conn{nbc: nbc, limits: limits, metrics: m, unsent: newUnsentBytes(holder)}
 	c.readChanged = sync.NewCond(&c.mu)
 	c.startIdleTime(time.Now())
 	return c
@@ -95,6 +105,7 @@
 	if !c.limiterInstalled {
 		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
 		parser.Execute = c.execute
+		parser.Conn = &countingConn{Conn: parser.Conn, unsent: c.unsent}
 		c.limiterInstalled = true
 	}
 	err := c.parse(parser, data)
@@ -206,7 +217,7 @@
 		return
 	}
 	c.metrics.rejected.Inc(1)
-	c.execute(func() { _, _ = c.nbc.Write(rawErrorResponse(err)) })
+	c.execute(func() { _, _ = c.unsent.writeTo(c.nbc, rawErrorResponse(err)) })
 }
 
 // ignoresInput reports whether a rejection was sent or the last request of the
@@ -299,3 +310,11 @@
 	c.delivering = true
 	c.startIdleTime(time.Now())
 }
+
+// requestID returns the X-Request-Id of the request handled last, or "" without one.
+func (c *conn) requestID() ident.RequestID {
+	if id := c.handled.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -19,6 +19,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/membudget"
 	"monsoonfork/core/request"
 	"monsoonfork/io/poller"
 )
@@ -55,6 +56,7 @@
 	forwardHandler func(*ForwardedRequest) // Handles every request if set; pipeline is then nil.
 	log            log.Logger
 	limits         *limitHistory
+	memory         *membudget.Budget // Counts the bytes held for callers, beside others.
 
 	closeIdleOnDrain bool // A drain closes connections without a request.
 
@@ -82,6 +84,10 @@
 	containedPanics     metrics.Counter // Panics in reading a connection.
 	crossedClose        metrics.Counter // Requests that arrived after a drain had closed their connection as idle.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
+	unsentBytes         metrics.Gauge   // Bytes of answers that the sockets have not taken yet.
+	heldBytes           metrics.Gauge   // Bytes that the memory budget counts.
+	waitingWrites       metrics.Counter // Writes that have waited for a caller to read.
+	endedCallers        metrics.Counter // Connections closed as their callers read nothing.
 }
 
 // Option configures a Server.
@@ -111,9 +117,16 @@
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
 		crossedClose:        metrics.GetOrRegisterCounter("Caller.CrossedClose", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
+		unsentBytes:         metrics.GetOrRegisterGauge("Caller.UnsentBytes", r),
+		heldBytes:           metrics.GetOrRegisterGauge("Memory.HeldBytes", r),
+		waitingWrites:       metrics.GetOrRegisterCounter("Caller.WaitingWrites", r),
+		endedCallers:        metrics.GetOrRegisterCounter("Caller.EndedUnread", r),
 	}
 }
 
+// WithMemory makes b count the bytes held for callers.
+func WithMemory(b *membudget.Budget) Option { return func(s *Server) { s.memory = b } }
+
 // New returns a server that handles requests with pipeline. Listen starts it.
 func New(pipeline *request.Pipeline, logger log.Logger, opts ...Option) *Server {
 	s := &Server{
@@ -121,6 +134,7 @@
 		log:       log.With(logger, "part", "Caller"),
 		limits:    newLimitHistory(defaultLimits),
 		metrics:   newServerMetrics(metrics.NewRegistry()),
+		memory:    membudget.New(membudget.LimitFor(0)),
 		stopSweep: make(chan struct{}),
 		sweepDone: make(chan struct{}),
 	}
@@ -148,6 +162,7 @@
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
 	s.engine.OnRead(s.onRead)
+	s.engine.OnWrittenSize(s.onWritten)
 	if err := poller.Start(s.engine); err != nil {
 		return "", fault.Wrap(err, fault.BadSettings, "cannot serve callers on %s", address)
 	}
@@ -187,7 +202,9 @@
 		}
 	}
 	setSocketOptions(nbc)
-	state := newConn(nbc, s.limits, s.metrics)
+	var state *conn
+	holder := s.memory.Open(time.Now(), membudget.WithEnd(func() { s.endForMemory(state) }))
+	state = newConn(nbc, s.limits, s.metrics, holder)
 	s.conns.add(nbc, state)
 	state.extendIdleTime(time.Now()) // SetLimits may have missed it.
 }
@@ -195,11 +212,24 @@
 // onClose removes a connection. nbhttp calls it only after the connection's handler has
 // returned.
 func (s *Server) onClose(c net.Conn, _ error) {
-	if nbc, ok := c.(*nbio.Conn); ok {
+	nbc, ok := c.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	if state := s.conns.get(nbc); state != nil {
+		state.unsent.close()
 		s.conns.remove(nbc)
 	}
 }
 
+// onWritten records that the socket of a connection has taken bytes. nbio calls it with the
+// connection's lock held.
+func (s *Server) onWritten(nbc *nbio.Conn, _ []byte, n int) {
+	if c := s.conns.get(nbc); c != nil {
+		c.unsent.recordSent(n)
+	}
+}
+
 // sweep checks all connections periodically until Close.
 func (s *Server) sweep() {
 	defer close(s.sweepDone)
@@ -220,12 +250,18 @@
 func (s *Server) sweepOnce(now time.Time) {
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
 	drain := s.closeIdleOnDrain && s.draining.Load()
+	unsent := int64(0)
 	s.conns.each(func(c *conn) {
+		unsent += c.unsent.bytes()
 		_ = boundary.Run("sweep", func() { // A panic is logged; the next sweep checks the connection again.
 			c.enforceTimeouts(now)
+			c.recordProgress(now)
 			c.closeWriteIfDelivered(now, drain)
 		})
 	})
+	_ = boundary.Run("sweep", func() { s.memory.EndStalled(now) })
+	s.metrics.unsentBytes.Update(unsent)
+	s.metrics.heldBytes.Update(int64(s.memory.Held()))
 }
 
 // AnnounceClose makes each response the last one of its connection, which it announces. New
