caller: a limit for the memory of all requests that are read or handled

Cause: a request has a limit for its head and its body, and there was none for the sum over all connections, none for requests that are pipelined, and on the platform none for open requests. Class: bytes held for another party with a limit for each piece only.

Now each connection counts what its requests use, from the first byte until the end of the response, in the budget of the instance (core/membudget) and in the half of it that requests may use, so that they leave memory for responses. Without free memory the request being read whose memory and age have the largest product is refused, as not run, with Retry-After, and its memory is freed at once; that may be the request that asks. Requests that were read completely are never refused for it. The body is copied into a buffer of its size, no longer into one that grows.

Ruled out: reserving Content-Length with the head, as callers that announce large bodies and send nothing would then use up the memory without holding any; waiting 5 s as for responses that are not read (EndStalled), as a request that is being read has not been accepted.

New tests: the refusal is true, ends no request that is handled, and memory is released in each way that a request ends.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -91,23 +91,24 @@
 	HandshakeFailed         // handshake failed
 	ReplyNotSent            // reply not sent
 
-	Serving              // serving
-	SettingsReloaded     // settings reloaded
-	SettingsRejected     // settings rejected
-	RoleStarted          // role started
-	StopRequested        // stop requested
-	Draining             // draining
-	DrainFailed          // drain failed
-	CloseFailed          // close failed
-	ShutdownFailed       // operator server shutdown failed
-	Stopped              // stopped
-	AnswerEncodingFailed // encoding the answer failed
-	LinesDropped         // log lines dropped
-	InvariantViolated    // invariant violated
-	PanicContained       // panic contained
-	PollerSlow           // poller did not respond in time
-	HandlerPanicked      // panic in a request handler
-	RejectingConnections // rejecting new connections
+	Serving                // serving
+	SettingsReloaded       // settings reloaded
+	SettingsRejected       // settings rejected
+	RoleStarted            // role started
+	StopRequested          // stop requested
+	Draining               // draining
+	DrainFailed            // drain failed
+	CloseFailed            // close failed
+	ShutdownFailed         // operator server shutdown failed
+	Stopped                // stopped
+	AnswerEncodingFailed   // encoding the answer failed
+	LinesDropped           // log lines dropped
+	InvariantViolated      // invariant violated
+	PanicContained         // panic contained
+	PollerSlow             // poller did not respond in time
+	HandlerPanicked        // panic in a request handler
+	RejectingConnections   // rejecting new connections
+	RequestMemoryExhausted // refusing requests for lack of memory
 
 	eventCount // Number of events; keep last.
 )
--- a/core/kernel/node.go
+++ b/core/kernel/node.go
@@ -15,6 +15,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/membudget"
 	"monsoonfork/core/settings"
 )
 
@@ -26,6 +27,7 @@
 	Log      log.Logger
 	Metrics  metrics.Registry
 	Now      func() time.Time
+	Memory   *membudget.Budget // Limits the bytes that the instance holds for others.
 
 	mu             sync.Mutex
 	providedByType map[reflect.Type]any
@@ -49,6 +51,7 @@
 		Log:            log.With(logger, "instance", string(id), "domain", string(s.Domain)),
 		Metrics:        metrics.DefaultRegistry,
 		Now:            time.Now,
+		Memory:         membudget.New(membudget.LimitFor(s.MemoryMB)),
 		providedByType: make(map[reflect.Type]any),
 	}
 }
--- a/io/caller/arrived_test.go
+++ b/io/caller/arrived_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := newConn(nbc, newLimitHistory(defaultLimits), newServerMetrics(metrics.NewRegistry()))
+	c := newConn(nbc, newLimitHistory(defaultLimits), newTestMemory(), newServerMetrics(metrics.NewRegistry()))
 	if _, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/membudget"
 )
 
 // lingerTime is how long input is read and discarded after the sending side of a
@@ -18,15 +20,21 @@
 
 // conn is the state of a caller's connection.
 type conn struct {
-	nbc     *nbio.Conn
-	limits  *limitHistory
-	metrics serverMetrics
+	nbc      *nbio.Conn
+	limits   *limitHistory
+	requests *requestMemory
+	memory   requestHolder // Memory of all requests of the connection.
+	metrics  serverMetrics
 
 	// Accessed only by the goroutine of the connection's poller.
 	progress         requestProgress
-	limiterInstalled bool // The parser's processor is wrapped in a limiter.
+	limiterInstalled bool            // The parser's processor is wrapped in a limiter.
+	unparsed         membudget.Bytes // Input after the segment being parsed.
+	completedBytes   membudget.Bytes // Memory of the request that was read completely.
 
 	mu              sync.Mutex
+	readBytes       membudget.Bytes    // Memory of the request being read.
+	readSince       time.Time          // When the first byte of the request being read arrived.
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
 	idleSince       time.Time          // When the last request ended, or the connection was opened.
 	closeDeadline   time.Time          // When the connection is closed unless a request is read or handled.
@@ -45,10 +53,11 @@
 }
 
 // newConn returns the state of a new connection.
-func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics) *conn {
-	c := &conn{nbc: nbc, limits: limits, metrics: m}
+func newConn(nbc *nbio.Conn, limits *limitHistory, requests *requestMemory, m serverMetrics) *conn {
+	now := time.Now()
+	c := &conn{nbc: nbc, limits: limits, requests: requests, memory: requests.open(now), metrics: m}
 	c.readChanged = sync.NewCond(&c.mu)
-	c.startIdleTime(time.Now())
+	c.startIdleTime(now)
 	return c
 }
 
@@ -85,14 +94,17 @@
 	if c.ignoresInput() {
 		return
 	}
-	parser, ok := c.nbc.Session().(*nbhttp.Parser)
-	if !ok {
-		_ = c.nbc.Close()
+	if !c.reserveInput(membudget.Bytes(len(data))) {
+		c.rejectFailed(nil)
+		return
+	}
+	parser := c.parser()
+	if parser == nil {
 		return
 	}
 	if !c.limiterInstalled {
 		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
-		parser.Execute = c.execute
+		parser.Execute = c.executeRequest
 		c.limiterInstalled = true
 	}
 	err := c.parse(parser, data)
@@ -105,6 +117,27 @@
 	c.rejectFailed(err)
 }
 
+// parser returns the connection's parser, or nil if dropParser has dropped it.
+func (c *conn) parser() *nbhttp.Parser {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	parser, _ := c.nbc.Session().(*nbhttp.Parser)
+	return parser
+}
+
+// dropParser frees what the parser holds of a rejected request. It must be called by a job of
+// the connection, as nbhttp cleans up the parser of a closed connection in another one.
+func (c *conn) dropParser() {
+	parser := c.parser()
+	if parser == nil {
+		return
+	}
+	c.mu.Lock()
+	c.nbc.SetSession(nil)
+	c.mu.Unlock()
+	parser.CloseAndClean(net.ErrClosed)
+}
+
 // parse passes bytes to the parser in segments that never extend beyond the header
 // section or the body of a request, so that headerChecker sees each header line before
 // the parser does.
@@ -112,9 +145,13 @@
 	for len(data) > 0 && !c.isRejected() && !c.ignoresInput() {
 		if !c.progress.started {
 			c.startRequest()
+			if !c.reserveInput(requestBytes) {
+				return nil
+			}
 		}
 		segment := data[:c.progress.segmentLen(data)]
 		data = data[len(segment):]
+		c.unparsed = membudget.Bytes(len(data))
 		if c.progress.headersComplete {
 			c.progress.parsedBodyBytes += len(segment)
 			c.progress.bufferedBodyBytes += len(segment)
@@ -138,6 +175,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.progress.started = true
+	c.readSince = now
 	c.progress.limits = c.limits.at(now)
 	c.progress.bodyDeadline = now.Add(c.progress.limits.RequestTimeout)
 	if c.requestDeadline.IsZero() {
@@ -204,7 +242,11 @@
 		return
 	}
 	c.metrics.rejected.Inc(1)
-	c.execute(func() { _, _ = c.nbc.Write(rawErrorResponse(err)) })
+	c.dropInput()
+	c.execute(func() {
+		_, _ = c.nbc.Write(rawErrorResponse(err))
+		c.dropParser()
+	})
 }
 
 // ignoresInput reports whether a rejection was sent or the last request of the
@@ -227,6 +269,7 @@
 	c.requestDeadline = time.Time{}
 	c.lastRequest = c.lastRequest || last
 	c.activeRequests++
+	c.completedBytes = c.takeReadBytes()
 	return true
 }
 
@@ -268,6 +311,20 @@
 	return cancel != nil
 }
 
+// executeRequest queues a request that the parser has completed. Its memory is released when it
+// ends.
+func (c *conn) executeRequest(handle func()) bool {
+	held := c.completedBytes
+	queued := c.execute(func() {
+		defer c.memory.release(held)
+		handle()
+	})
+	if !queued {
+		c.memory.release(held)
+	}
+	return queued
+}
+
 // execute queues an accepted request. handle calls the handler and writes what is buffered
 // of its response; only then does the request end. It returns false if the connection is
 // closed.
--- a/io/caller/disconnect_early_test.go
+++ b/io/caller/disconnect_early_test.go
@@ -29,7 +29,7 @@
 				_ = caller.Close()
 			}
 			var got *fault.Error
-			c := newConn(nbc, newLimitHistory(defaultLimits), newServerMetrics(metrics.NewRegistry()))
+			c := newConn(nbc, newLimitHistory(defaultLimits), newTestMemory(), newServerMetrics(metrics.NewRegistry()))
 			eventually(t, "request cancelled if and only if the caller has disconnected", time.Second, func() bool {
 				got = nil
 				c.setCancel(func(f *fault.Error) { got = f })
--- a/io/caller/forward.go
+++ b/io/caller/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -37,7 +36,7 @@
 	defer cancel(nil)
 	x.setCancel(func(f *fault.Error) { cancel(f) })
 	f := &ForwardedRequest{Request: x.req, Received: received, x: x, ctx: ctx}
-	body, err := io.ReadAll(x.req.Body)
+	body, err := readBody(x.req.Body)
 	if err != nil {
 		x.writeError(fault.Wrap(err, fault.BadRequest, "cannot read the body"))
 		return
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -164,7 +163,7 @@
 	x.session = session
 	x.setCancel(session.Cancel)
 	defer func() { session.Close(err) }()
-	body, err := io.ReadAll(x.req.Body)
+	body, err := readBody(x.req.Body)
 	if err != nil {
 		return fault.Wrap(err, fault.BadRequest, "cannot read the body")
 	}
--- a/io/caller/heldrequests_test.go
+++ b/io/caller/heldrequests_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,11 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"monsoonfork/core/membudget"
 )
 
 // heldLimit is the memory that the requests of a server in these tests may use, and
@@ -19,6 +25,14 @@
 	heldMargin = 8 << 20
 )
 
+// withHeldLimit sets a budget of which requests may use heldLimit.
+func withHeldLimit() Option { return WithMemory(membudget.New(heldLimit / requestShare)) }
+
+// newTestMemory returns the limit for the requests of connections that are in no server.
+func newTestMemory() *requestMemory {
+	return newRequestMemory(membudget.New(heldLimit), &connTable{}, log.NewNopLogger(), metrics.NewCounter())
+}
+
 // heapBytes returns the size of all reachable objects.
 func heapBytes() int64 {
 	runtime.GC()
@@ -61,7 +75,7 @@
 // TestIncompleteBodiesAreBoundedInSum sends large bodies that never end on many connections.
 // Bodies that are only limited one by one would use up the memory of the machine.
 func TestIncompleteBodiesAreBoundedInSum(t *testing.T) {
-	_, address := newForwardingTestServer(t, respondEmpty)
+	_, address := newForwardingTestServer(t, respondEmpty, withHeldLimit())
 	part := strings.Repeat("x", 4<<20)
 	before := settledHeapBytes()
 	for range 40 {
@@ -74,7 +88,7 @@
 // TestIncompleteChunkedBodiesAreBoundedInSum is TestIncompleteBodiesAreBoundedInSum with
 // bodies whose length is not known.
 func TestIncompleteChunkedBodiesAreBoundedInSum(t *testing.T) {
-	_, address := newForwardingTestServer(t, respondEmpty)
+	_, address := newForwardingTestServer(t, respondEmpty, withHeldLimit())
 	part := strings.Repeat("x", 64<<10)
 	chunks := strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", len(part), part), 64)
 	before := settledHeapBytes()
@@ -105,7 +119,7 @@
 // that ends with the reading would let them use up the memory of the machine.
 func TestWaitingBodiesAreBoundedInSum(t *testing.T) {
 	handle, waiting := holdRequests(t)
-	_, address := newForwardingTestServer(t, handle)
+	_, address := newForwardingTestServer(t, handle, withHeldLimit())
 	body := strings.Repeat("x", 1<<20)
 	before := settledHeapBytes()
 	for range 100 {
@@ -127,7 +141,7 @@
 		"small heads":  strings.Repeat("GET /x HTTP/1.1\r\nHost: x\r\n\r\n", 1000),
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, address := newForwardingTestServer(t, handle)
+			_, address := newForwardingTestServer(t, handle, withHeldLimit())
 			conn := dialTest(t, address)
 			before := settledHeapBytes()
 			for range 60 {
@@ -142,7 +156,7 @@
 // TestSmallRequestPassesLargeIncompleteBodies fills the memory for requests with bodies that
 // never end. Requests that are complete at once must be served meanwhile.
 func TestSmallRequestPassesLargeIncompleteBodies(t *testing.T) {
-	_, address := newForwardingTestServer(t, respondEmpty)
+	_, address := newForwardingTestServer(t, respondEmpty, withHeldLimit())
 	part := strings.Repeat("x", 4<<20)
 	for range 10 {
 		sendAll(dialTest(t, address), fmt.Sprintf("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(part)+1, part))
@@ -153,3 +167,90 @@
 		}
 	}
 }
+
+// TestRefusalForLackOfMemoryIsTrue fills the memory with requests that are handled. A further
+// request must be told that it has not run and when to try again, and none that is handled may
+// end.
+func TestRefusalForLackOfMemoryIsTrue(t *testing.T) {
+	handle, waiting := holdRequests(t)
+	s, address := newForwardingTestServer(t, handle, withHeldLimit())
+	body := strings.Repeat("x", 1<<20)
+	const request = "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s"
+	for range 15 { // With the memory beside their bodies, 16 would be above the limit.
+		sendAll(dialTest(t, address), fmt.Sprintf(request, len(body), body))
+	}
+	eventually(t, "the requests are handled", 5*time.Second, func() bool { return waiting.Load() == 15 })
+	conn := dialTest(t, address)
+	sendAll(conn, fmt.Sprintf(request, len(body), body))
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get(RanHeader) != "not run" || res.Header.Get("Retry-After") != "1" {
+		t.Errorf("got %d with headers %v, want 503, not run, Retry-After 1", res.StatusCode, res.Header)
+	}
+	if n := s.metrics.refusedForMemory.Count(); n != 1 {
+		t.Errorf("%d requests counted as refused for lack of memory, want 1", n)
+	}
+	if n := s.openRequests.Load(); n != 15 {
+		t.Errorf("%d requests are handled, want 15", n)
+	}
+}
+
+// TestMemoryOfRequestsIsReleased ends requests in each way. Memory that stays counted after one
+// of them would in the end make the server refuse all requests.
+func TestMemoryOfRequestsIsReleased(t *testing.T) {
+	s, address := newForwardingTestServer(t, respondEmpty, withHeldLimit())
+	body := strings.Repeat("x", 300_000)
+	whole := fmt.Sprintf("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	for name, input := range map[string]string{
+		"whole":                            whole,
+		"pipelined":                        whole + whole + whole,
+		"in chunks":                        fmt.Sprintf("POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body),
+		"cut in its body":                  whole[:200_000],
+		"cut in its head":                  "POST /x HTTP/1.1\r\nHost",
+		"cut behind another":               whole + whole[:200_000],
+		"malformed":                        "POST /x HTTP/1.1\r\nHost x\r\n\r\n",
+		"too large":                        "POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 100000000\r\n\r\n" + body,
+		"last of its connection, and more": "GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + whole,
+	} {
+		for range 3 {
+			conn := dialTest(t, address)
+			sendAll(conn, input)
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.Close()
+		}
+		eventually(t, name+": the memory is released", 5*time.Second, func() bool {
+			return s.memory.Held() == 0 && s.requests.share.Held() == 0
+		})
+	}
+	conn := dialTest(t, address)
+	if status, err := post(conn, 300_000); err != nil || status != http.StatusOK {
+		t.Fatal(status, err)
+	}
+	eventually(t, "kept connection: the memory is released", time.Second, func() bool { return s.memory.Held() == 0 })
+}
+
+// TestRefusedReadReleasesMemory refuses a request while it is read, and its caller does not
+// close the connection. Its memory must be free at once, for the request that it is refused for.
+func TestRefusedReadReleasesMemory(t *testing.T) {
+	s, address := newForwardingTestServer(t, respondEmpty, withHeldLimit())
+	part := strings.Repeat("x", 4<<20)
+	before := settledHeapBytes()
+	for range 3 {
+		sendAll(dialTest(t, address), fmt.Sprintf("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(part)+1, part))
+	}
+	eventually(t, "the parts are read", 5*time.Second, func() bool { return s.memory.Held() > membudget.Bytes(3*len(part)) })
+	s.conns.each(func(c *conn) {
+		if !c.refuseReading(s.requests.exhausted(time.Now())) {
+			t.Error("no request was being read")
+		}
+	})
+	if n := s.memory.Held(); n != 0 {
+		t.Errorf("%d bytes are still counted", n)
+	}
+	time.Sleep(50 * time.Millisecond)
+	if grown := heapBytes() - before; grown > int64(len(part))/2 {
+		t.Errorf("%d bytes are still held", grown)
+	}
+}
--- a/io/caller/role.go
+++ b/io/caller/role.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := New(pipeline, n.Log, WithMetrics(n.Metrics))
+	s := New(pipeline, n.Log, WithMetrics(n.Metrics), WithMemory(n.Memory))
 	if _, err := s.Listen(n.Settings.CallerAddress); err != nil {
 		pipeline.Close()
 		return nil, err
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -19,6 +19,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/membudget"
 	"monsoonfork/core/request"
 	"monsoonfork/io/poller"
 )
@@ -61,6 +62,8 @@
 	engine       *nbhttp.Engine
 	acceptor     *acceptor
 	conns        connTable
+	memory       *membudget.Budget
+	requests     *requestMemory
 	openRequests atomic.Int64 // Requests whose handler has not returned.
 	draining     atomic.Bool
 	closing      atomic.Bool // New requests are refused.
@@ -80,6 +83,7 @@
 
 	containedPanics     metrics.Counter // Panics in reading a connection.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
+	refusedForMemory    metrics.Counter // Requests refused before they were read completely, as no memory was free.
 }
 
 // Option configures a Server.
@@ -108,15 +112,21 @@
 
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
+		refusedForMemory:    metrics.GetOrRegisterCounter("Caller.RefusedForMemory", r),
 	}
 }
 
+// WithMemory makes b count the bytes held for callers. The default is the budget of an instance
+// whose memory has no known size.
+func WithMemory(b *membudget.Budget) Option { return func(s *Server) { s.memory = b } }
+
 // New returns a server that handles requests with pipeline. Listen starts it.
 func New(pipeline *request.Pipeline, logger log.Logger, opts ...Option) *Server {
 	s := &Server{
 		pipeline:  pipeline,
 		log:       log.With(logger, "part", "Caller"),
 		limits:    newLimitHistory(defaultLimits),
+		memory:    membudget.New(membudget.LimitFor(0)),
 		metrics:   newServerMetrics(metrics.NewRegistry()),
 		stopSweep: make(chan struct{}),
 		sweepDone: make(chan struct{}),
@@ -124,6 +134,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.requests = newRequestMemory(s.memory, &s.conns, s.log, s.metrics.refusedForMemory)
 	return s
 }
 
@@ -184,7 +195,7 @@
 		}
 	}
 	setSocketOptions(nbc)
-	state := newConn(nbc, s.limits, s.metrics)
+	state := newConn(nbc, s.limits, s.requests, s.metrics)
 	s.conns.add(nbc, state)
 	state.extendIdleTime(time.Now()) // SetLimits may have missed it.
 }
@@ -192,9 +203,14 @@
 // onClose removes a connection. nbhttp calls it only after the connection's handler has
 // returned.
 func (s *Server) onClose(c net.Conn, _ error) {
-	if nbc, ok := c.(*nbio.Conn); ok {
-		s.conns.remove(nbc)
+	nbc, ok := c.(*nbio.Conn)
+	if !ok {
+		return
+	}
+	if state := s.conns.get(nbc); state != nil {
+		state.memory.close()
 	}
+	s.conns.remove(nbc)
 }
 
 // sweep checks all connections periodically until Close.
