--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -25,6 +25,7 @@
 	requests *requestMemory
 	memory   requestHolder // Memory of all requests of the connection.
 	metrics  serverMetrics
+	unsent   *unsentBytes
 
 	// Accessed only by the goroutine of the connection's poller.
 	progress         requestProgress
@@ -52,10 +53,10 @@
 	closing         bool               // The connection is being closed, or is about to be, and is no longer read.
 }
 
-// newConn returns the state of a new connection.
-func newConn(nbc *nbio.Conn, limits *limitHistory, requests *requestMemory, m serverMetrics) *conn {
+// newConn returns the state of a new connection, whose unsent bytes holder counts.
+func newConn(nbc *nbio.Conn, limits *limitHistory, requests *requestMemory, m serverMetrics, holder *membudget.Holder) *conn {
 	now := time.Now()
-	c := &conn{nbc: nbc, limits: limits, requests: requests, memory: requests.open(now), metrics: m}
+	c := &conn{nbc: nbc, limits: limits, requests: requests, memory: requests.open(now), metrics: m, unsent: newUnsentBytes(holder)}
 	c.readChanged = sync.NewCond(&c.mu)
 	c.startIdleTime(now)
 	return c
@@ -105,6 +106,7 @@
 	if !c.limiterInstalled {
 		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
 		parser.Execute = c.executeRequest
+		parser.Conn = &countingConn{Conn: parser.Conn, unsent: c.unsent}
 		c.limiterInstalled = true
 	}
 	err := c.parse(parser, data)
@@ -244,7 +246,7 @@
 	c.metrics.rejected.Inc(1)
 	c.dropInput()
 	c.execute(func() {
-		_, _ = c.nbc.Write(rawErrorResponse(err))
+		_, _ = c.unsent.writeTo(c.nbc, rawErrorResponse(err))
 		c.dropParser()
 	})
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -56,13 +56,13 @@
 	forwardHandler func(*ForwardedRequest) // Handles every request if set; pipeline is then nil.
 	log            log.Logger
 	limits         *limitHistory
+	memory         *membudget.Budget // Counts the bytes held for callers, beside others.
 
 	closeIdleOnDrain bool // A drain closes connections without a request.
 
 	engine       *nbhttp.Engine
 	acceptor     *acceptor
 	conns        connTable
-	memory       *membudget.Budget
 	requests     *requestMemory
 	openRequests atomic.Int64 // Requests whose handler has not returned.
 	draining     atomic.Bool
@@ -84,6 +84,7 @@
 	containedPanics     metrics.Counter // Panics in reading a connection.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
 	refusedForMemory    metrics.Counter // Requests refused before they were read completely, as no memory was free.
+	unsentBytes         metrics.Gauge   // Bytes of answers that the sockets have not taken yet.
 }
 
 // Option configures a Server.
@@ -113,6 +114,7 @@
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
 		refusedForMemory:    metrics.GetOrRegisterCounter("Caller.RefusedForMemory", r),
+		unsentBytes:         metrics.GetOrRegisterGauge("Caller.UnsentBytes", r),
 	}
 }
 
@@ -126,8 +128,8 @@
 		pipeline:  pipeline,
 		log:       log.With(logger, "part", "Caller"),
 		limits:    newLimitHistory(defaultLimits),
-		memory:    membudget.New(membudget.LimitFor(0)),
 		metrics:   newServerMetrics(metrics.NewRegistry()),
+		memory:    membudget.New(membudget.LimitFor(0)),
 		stopSweep: make(chan struct{}),
 		sweepDone: make(chan struct{}),
 	}
@@ -156,6 +158,7 @@
 	s.engine.OnOpen(s.onOpen)
 	s.engine.OnClose(s.onClose)
 	s.engine.OnRead(s.onRead)
+	s.engine.OnWrittenSize(s.onWritten)
 	if err := poller.Start(s.engine); err != nil {
 		return "", fault.Wrap(err, fault.BadSettings, "cannot serve callers on %s", address)
 	}
@@ -195,7 +198,7 @@
 		}
 	}
 	setSocketOptions(nbc)
-	state := newConn(nbc, s.limits, s.requests, s.metrics)
+	state := newConn(nbc, s.limits, s.requests, s.metrics, s.memory.Open(time.Now()))
 	s.conns.add(nbc, state)
 	state.extendIdleTime(time.Now()) // SetLimits may have missed it.
 }
@@ -208,9 +211,18 @@
 		return
 	}
 	if state := s.conns.get(nbc); state != nil {
+		state.unsent.close()
 		state.memory.close()
+		s.conns.remove(nbc)
+	}
+}
+
+// onWritten records that the socket of a connection has taken bytes. nbio calls it with the
+// connection's lock held.
+func (s *Server) onWritten(nbc *nbio.Conn, _ []byte, n int) {
+	if c := s.conns.get(nbc); c != nil {
+		c.unsent.recordSent(n)
 	}
-	s.conns.remove(nbc)
 }
 
 // sweep checks all connections periodically until Close.
@@ -233,12 +245,15 @@
 func (s *Server) sweepOnce(now time.Time) {
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
 	drain := s.closeIdleOnDrain && s.draining.Load()
+	unsent := int64(0)
 	s.conns.each(func(c *conn) {
+		unsent += c.unsent.bytes()
 		_ = boundary.Run("sweep", func() { // A panic is logged; the next sweep checks the connection again.
 			c.enforceTimeouts(now)
 			c.closeWriteIfDelivered(now, drain)
 		})
 	})
+	s.metrics.unsentBytes.Update(unsent)
 }
 
 // Drain waits until all open requests are finished and their responses delivered.
