httpcall: send a body without a copy for each call

Cause: encode built one message of head and body for each call, and a write that the endpoint does not take at once kept it. Class: memory of a request that multiplies with its calls, outside the budget that counts the request.

The pool now encodes the head, and writes a large request's body as it is after it. The client for single calls, which is for small calls on the platform, still makes one message.

--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -199,6 +199,15 @@
 
 // encode returns the call as an HTTP/1.1 request message.
 func encode(call Call) ([]byte, error) {
+	head, err := encodeHead(call)
+	if err != nil {
+		return nil, err
+	}
+	return append(head, call.Body...), nil
+}
+
+// encodeHead returns the request line and the headers of the call.
+func encodeHead(call Call) ([]byte, error) {
 	if !isValidTarget(call.Target) {
 		return nil, fault.New(fault.BadRequest, "invalid path %q", call.Target)
 	}
@@ -230,7 +239,6 @@
 		return nil, fault.Wrap(err, fault.Internal, "cannot encode the request").WithRan(fault.NotRun)
 	}
 	b.WriteString("\r\n")
-	b.Write(call.Body)
 	return b.Bytes(), nil
 }
 
--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -89,7 +89,7 @@
 
 // do makes the call and keeps its connection if it can be reused.
 func (p *Pool) do(ctx context.Context, call Call, sink endpoint.Sink) error {
-	message, err := encode(call)
+	head, err := encodeHead(call)
 	if err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 		return err
 	}
 	x := &poolExchange{pool: p, ctx: ctx, call: call, conn: c, sink: sink}
-	reusable, err := x.run(message)
+	reusable, err := x.run(head)
 	if reusable {
 		reusableConn = c
 	} else {
--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -45,9 +45,9 @@
 	panic *contain.Panic // The write has panicked.
 }
 
-// run sends the request and receives the response. It reports whether the connection
-// can be reused.
-func (x *poolExchange) run(message []byte) (bool, error) {
+// run sends the request, whose encoded head is given, and receives the response. It reports
+// whether the connection can be reused.
+func (x *poolExchange) run(head []byte) (bool, error) {
 	if deadline := x.call.Limits.SendDeadline; !deadline.IsZero() && !time.Now().Before(deadline) {
 		return true, fault.New(fault.DeadlineExceeded, "the deadline to send the request has passed").WithRan(fault.NotRun)
 	}
@@ -60,7 +60,7 @@
 	x.conn.recordCall(x.call, time.Now())
 	_ = x.conn.SetDeadline(x.call.Limits.ResponseDeadline)
 	stop := context.AfterFunc(x.ctx, func() { _ = x.conn.Close() })
-	reusable, err := x.exchange(message)
+	reusable, err := x.exchange(head)
 	if !stop() {
 		reusable = false
 	}
@@ -106,15 +106,16 @@
 	return r.err == nil
 }
 
-// exchange writes the request and reads the response.
-func (x *poolExchange) exchange(message []byte) (bool, error) {
-	if len(message) > maxSyncWriteBytes {
+// exchange writes the request and reads the response. A large body is not copied, as several
+// calls may send it at once.
+func (x *poolExchange) exchange(head []byte) (bool, error) {
+	if len(head)+len(x.call.Body) > maxSyncWriteBytes {
 		if err := x.conn.setUserTimeout(largeUserTimeout); err != nil {
 			return false, err
 		}
 		x.writeDone = make(chan writeResult, 1)
-		go x.writeConcurrently(message)
-	} else if _, err := x.conn.Write(message); err != nil {
+		go x.writeConcurrently(head)
+	} else if _, err := x.conn.Write(append(head, x.call.Body...)); err != nil {
 		// The endpoint may have responded before it closed the connection.
 		x.writeErr = err
 	}
@@ -147,9 +148,13 @@
 
 // writeConcurrently writes the request while the response is read. If it panics, it closes the
 // connection, so that the call ends; the call then panics for it.
-func (x *poolExchange) writeConcurrently(message []byte) {
+func (x *poolExchange) writeConcurrently(head []byte) {
 	var res writeResult
-	res.panic = contain.Call(func() { _, res.err = x.conn.Write(message) })
+	res.panic = contain.Call(func() {
+		if _, res.err = x.conn.Write(head); res.err == nil {
+			_, res.err = x.conn.Write(x.call.Body)
+		}
+	})
 	x.writeDone <- res
 	if res.panic != nil {
 		_ = x.conn.Close()
