--- a/core/event/event.go
+++ b/core/event/event.go
@@ -109,6 +109,7 @@
 	HandlerPanicked        // panic in a request handler
 	RejectingConnections   // rejecting new connections
 	RequestMemoryExhausted // refusing requests for lack of memory
+	RequestCrossedClose    // request crossed the close of its connection
 
 	eventCount // Number of events; keep last.
 )
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -39,6 +39,7 @@
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
 	idleSince       time.Time          // When the last request ended, or the connection was opened.
 	closeDeadline   time.Time          // When the connection is closed unless a request is read or handled.
+	delivering      bool               // The caller's host may not have acknowledged the last response yet.
 	rejection       *fault.Error       // Why the request being read is rejected; nil if it is not.
 	cancel          func(*fault.Error) // Cancels the request being handled; nil without one.
 	activeRequests  int                // Requests read completely whose response is not yet written.
@@ -46,6 +47,7 @@
 	lastRequest     bool               // No request is accepted after the one being handled.
 	deliveredSweeps int                // Successive calls of closeWriteIfDelivered that found all sent bytes acknowledged.
 	deliveryCheck   time.Time          // Before this time the last response does not count as delivered.
+	closedIdleAt    time.Time          // When a drain closed the connection unannounced; zero if not, or once logged.
 	writeClosed     bool               // The sending side was closed after the last response.
 	discarding      bool               // A rejection was sent: further input is discarded.
 	reading         bool               // The poller is reading and parsing input.
@@ -353,5 +355,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.activeRequests--
+	c.delivering = true
 	c.startIdleTime(time.Now())
 }
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -58,7 +58,8 @@
 	limits         *limitHistory
 	memory         *membudget.Budget // Counts the bytes held for callers, beside others.
 
-	closeIdleOnDrain bool // A drain closes connections without a request.
+	closeIdleOnDrain bool // A drain closes connections without a request, at idleCloseAt.
+	idleCloseAt      atomic.Pointer[time.Time]
 
 	engine       *nbhttp.Engine
 	acceptor     *acceptor
@@ -82,6 +83,7 @@
 	responseTime metrics.Timer
 
 	containedPanics     metrics.Counter // Panics in reading a connection.
+	crossedClose        metrics.Counter // Requests that arrived after a drain had closed their connection as idle.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
 	refusedForMemory    metrics.Counter // Requests refused before they were read completely, as no memory was free.
 	unsentBytes         metrics.Gauge   // Bytes of answers that the sockets have not taken yet.
@@ -93,8 +95,9 @@
 // WithLimits sets the limits.
 func WithLimits(l Limits) Option { return func(s *Server) { s.limits = newLimitHistory(l) } }
 
-// WithIdleClose makes a drain close connections without a request. Callers that keep
-// connections open through a load balancer would otherwise send requests on them until
+// WithIdleClose makes a drain wait until callers have been told of the close of their
+// connections, and close those without a request shortly before its deadline. Callers that
+// keep connections open through a load balancer would otherwise send requests on them until
 // the process exits.
 func WithIdleClose() Option { return func(s *Server) { s.closeIdleOnDrain = true } }
 
@@ -112,6 +115,7 @@
 		responseTime: metrics.GetOrRegisterTimer("Caller.Answers", r),
 
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
+		crossedClose:        metrics.GetOrRegisterCounter("Caller.CrossedClose", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
 		refusedForMemory:    metrics.GetOrRegisterCounter("Caller.RefusedForMemory", r),
 		unsentBytes:         metrics.GetOrRegisterGauge("Caller.UnsentBytes", r),
@@ -244,7 +248,7 @@
 // and delivered last responses. A panic ends only the check of its connection.
 func (s *Server) sweepOnce(now time.Time) {
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
-	drain := s.closeIdleOnDrain && s.draining.Load()
+	drain := s.closesIdle(now)
 	unsent := int64(0)
 	s.conns.each(func(c *conn) {
 		unsent += c.unsent.bytes()
@@ -259,11 +263,15 @@
 // Drain waits until all open requests are finished and their responses delivered.
 // Requests that arrive meanwhile are served, and their connections then closed.
 func (s *Server) Drain(ctx context.Context) error {
+	if s.closeIdleOnDrain {
+		at := idleCloseAt(ctx, time.Now())
+		s.idleCloseAt.Store(&at)
+	}
 	s.draining.Store(true)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for idleChecks := 0; idleChecks < idleSweeps; idleChecks++ {
-		if s.openRequests.Load() > 0 || s.conns.countActiveRequests() > 0 {
+		if s.openRequests.Load() > 0 || s.conns.countActiveRequests() > 0 || s.awaitsCallers() {
 			idleChecks = -1
 		}
 		select {
