logwriter: a test of the memory of long lines, failing

Cause looked for: the queue is limited by the number of lines. A line of a refused request has its host and path, which may be as long as the limit for headers, 64 KB and up to 1 MB.

--- a/io/logwriter/logwriter_test.go
+++ b/io/logwriter/logwriter_test.go
@@ -71,3 +71,20 @@
 		t.Errorf("Close took %v, which is longer than its timeout allows", elapsed)
 	}
 }
+
+// TestLongLinesAreBoundedInSum writes lines with the longest paths that callers may send while
+// the output blocks. A limit for the number of lines alone would let them use up the memory.
+func TestLongLinesAreBoundedInSum(t *testing.T) {
+	g := &blockableOutput{unblocked: make(chan struct{})}
+	w := New(g)
+	line := []byte(strings.Repeat("x", 64<<10) + "\n")
+	for range maxQueuedLines {
+		_, _ = w.Write(line)
+	}
+	queued := int64(maxQueuedLines) - w.Dropped()
+	if held := queued * int64(len(line)); held > 4<<20 {
+		t.Errorf("%d lines are queued, %d bytes", queued, held)
+	}
+	close(g.unblocked)
+	_ = w.Close()
+}
