logwriter: a limit for the size of the queued lines

Cause: the queue held 2,048 lines of any size. The host and path of a refused request are in its line, and the operator's limit for headers allows 64 KB by default and up to 1 MB. Class: bytes held for another party with a limit for each piece only.

Lines beyond 2 MB are dropped and counted like those beyond the number; usual lines have some 400 bytes, so that the number binds first.

Passed with -race. The test now also checks that the count returns to zero.

--- a/io/logwriter/logwriter.go
+++ b/io/logwriter/logwriter.go
@@ -12,6 +12,8 @@
 const (
 	// maxQueuedLines bounds the lines that wait to be written.
 	maxQueuedLines = 2048
+	// maxQueuedBytes bounds their size: a line may have a long path of a caller.
+	maxQueuedBytes = 2 << 20
 	// maxBatchBytes is the size at which no more lines are added to one write.
 	maxBatchBytes = 16 << 10
 	// closeTimeout bounds how long Close waits for the queued lines to be written.
@@ -23,6 +25,7 @@
 type Writer struct {
 	out             io.Writer
 	queue           chan []byte
+	queuedBytes     atomic.Int64 // Size of the lines in the queue.
 	unreportedDrops atomic.Int64 // Dropped lines not yet reported in the log.
 	totalDrops      atomic.Int64 // All dropped lines.
 
@@ -41,15 +44,29 @@
 // Write queues a copy of line, or drops the line if the queue is full. It never
 // returns an error.
 func (w *Writer) Write(line []byte) (int, error) {
-	select {
-	case w.queue <- append([]byte(nil), line...):
-	default:
+	if !w.enqueue(line) {
 		w.unreportedDrops.Add(1)
 		w.totalDrops.Add(1)
 	}
 	return len(line), nil
 }
 
+// enqueue queues a copy of line, and reports whether the queue had room for it.
+func (w *Writer) enqueue(line []byte) bool {
+	n := int64(len(line))
+	if w.queuedBytes.Add(n) > maxQueuedBytes {
+		w.queuedBytes.Add(-n)
+		return false
+	}
+	select {
+	case w.queue <- append([]byte(nil), line...):
+		return true
+	default:
+		w.queuedBytes.Add(-n)
+		return false
+	}
+}
+
 // Dropped returns the total number of dropped lines.
 func (w *Writer) Dropped() int64 { return w.totalDrops.Load() }
 
@@ -93,9 +110,11 @@
 // writeBatch writes a line and further queued lines in one call. If lines were
 // dropped since the last report, it appends a log line with their number.
 func (w *Writer) writeBatch(batch []byte) {
+	w.queuedBytes.Add(-int64(len(batch)))
 	for len(batch) < maxBatchBytes {
 		select {
 		case line := <-w.queue:
+			w.queuedBytes.Add(-int64(len(line)))
 			batch = append(batch, line...)
 			continue
 		default:
--- a/io/logwriter/logwriter_test.go
+++ b/io/logwriter/logwriter_test.go
@@ -87,4 +87,7 @@
 	}
 	close(g.unblocked)
 	_ = w.Close()
+	if _, err := w.Write([]byte("msg=after\n")); err != nil || w.queuedBytes.Load() > int64(len("msg=after\n")) {
+		t.Errorf("%d bytes are counted as queued after all were written, %v", w.queuedBytes.Load(), err)
+	}
 }
