--- a/core/event/event.go
+++ b/core/event/event.go
@@ -110,6 +110,7 @@
 	RejectingConnections   // rejecting new connections
 	RequestMemoryExhausted // refusing requests for lack of memory
 	RequestCrossedClose    // request crossed the close of its connection
+	CallerEnded            // caller ended, has not read its answer
 
 	eventCount // Number of events; keep last.
 )
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -4,12 +4,14 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
 	"monsoonfork/core/membudget"
 )
 
@@ -33,6 +35,12 @@
 	unparsed         membudget.Bytes // Input after the segment being parsed.
 	completedBytes   membudget.Bytes // Memory of the request that was read completely.
 
+	// Accessed only by the sweep.
+	ackedBytes int64 // Bytes that the caller's host had acknowledged at the last check.
+
+	endReason atomic.Pointer[fault.Error]     // Why the server has closed the connection before the end of an answer.
+	handled   atomic.Pointer[ident.RequestID] // The X-Request-Id of the request handled last.
+
 	mu              sync.Mutex
 	readBytes       membudget.Bytes    // Memory of the request being read.
 	readSince       time.Time          // When the first byte of the request being read arrived.
@@ -358,3 +366,11 @@
 	c.delivering = true
 	c.startIdleTime(time.Now())
 }
+
+// requestID returns the X-Request-Id of the request handled last, or "" without one.
+func (c *conn) requestID() ident.RequestID {
+	if id := c.handled.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
