forward: a limit for the memory of all buffered answers

Cause: an answer of a plain service was buffered up to 256 KB with no limit for the sum, so that engines which begin many answers and do not end them use up the memory. Class: bytes held for another party with a limit for each piece only.

The buffered bytes count in the instance's budget. When that is scarce an answer is forwarded as it arrives, as one of more than 256 KB is: it reaches the caller whole, and only one that breaks off is no longer replaced. No request is refused or ended for it.

Ruled out: the half of the budget that requests have, as an answer that can't be buffered needs no refusal; refusing the call, which may have run.

--- a/core/forward/heldanswers_test.go
+++ b/core/forward/heldanswers_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"monsoonfork/core/membudget"
 )
 
 // heldAnswersLimit is the memory that buffered answers may use in these tests.
@@ -26,6 +28,7 @@
 func TestBufferedAnswersAreBoundedInSum(t *testing.T) {
 	const requests = 200
 	h := newHarness(t)
+	h.router.Memory = membudget.New(heldAnswersLimit)
 	var begun sync.WaitGroup
 	begun.Add(requests)
 	end := make(chan struct{})
@@ -59,4 +62,7 @@
 	}
 	close(end)
 	served.Wait()
+	if n := h.router.Memory.Held(); n != 0 {
+		t.Errorf("%d bytes are still counted", n)
+	}
 }
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -11,6 +11,7 @@
 	"monsoonfork/core/engines"
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
+	"monsoonfork/core/membudget"
 )
 
 const (
@@ -51,7 +52,8 @@
 func (j *job) servePlain(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p := &plainCalls{job: j, ctx: ctx, results: make(chan callResult, maxRefusedCalls+maxPlainRuns+1)}
+	p := &plainCalls{job: j, ctx: ctx, results: make(chan callResult, maxRefusedCalls+maxPlainRuns+1), buffered: j.router.Memory.Open(j.router.now())}
+	defer p.buffered.Close()
 	ended := false
 	defer func() {
 		if !ended { // A panic: the calls must not go on without the handler.
@@ -124,6 +126,7 @@
 	*job
 	ctx             context.Context
 	results         chan callResult
+	buffered        *membudget.Holder              // Memory of the answers that are buffered.
 	pending         int                            // Number of open calls.
 	notRunCalls     int                            // Number of calls that engines have certainly not run.
 	answer          *callResult                    // The last answer with a server error; the answer to the caller is job.answer.
@@ -196,7 +199,7 @@
 }
 
 // callEngine calls one engine and buffers its answer. An answer of more than
-// maxBufferedAnswer bytes is forwarded without buffering. An engine that has not begun to
+// maxBufferedAnswer bytes, or one for which no memory is free, is forwarded without buffering. An engine that has not begun to
 // answer after the hedge delay is silent until it does.
 func (p *plainCalls) callEngine(ctx context.Context, e *engines.Engine, call Call) callResult {
 	sent := p.router.now()
@@ -216,7 +219,7 @@
 		OnData: func(data []byte) error {
 			res.heardAt = p.router.now()
 			e.RecordAnswer(res.heardAt)
-			if len(res.body)+len(data) > maxBufferedAnswer || res.forwarded {
+			if res.forwarded || !p.mayBuffer(len(res.body), len(data)) {
 				return p.forwardChunk(&res, data)
 			}
 			res.body = append(res.body, data...)
@@ -234,7 +237,16 @@
 	return res
 }
 
-// forwardChunk sends a chunk of an answer that is too large to be buffered to the caller,
+// mayBuffer reports whether n bytes of an answer may be buffered beside those that are, and
+// counts them. Buffering leaves the rest of the memory to what can't do without.
+func (p *plainCalls) mayBuffer(buffered, n int) bool {
+	if buffered+n > maxBufferedAnswer || p.router.Memory.IsScarce() {
+		return false
+	}
+	return p.buffered.Reserve(membudget.Bytes(n))
+}
+
+// forwardChunk sends a chunk of an answer that can't be buffered to the caller,
 // after the head and the data buffered so far. Only one call of a request may do so.
 func (p *plainCalls) forwardChunk(res *callResult, data []byte) error {
 	if !res.forwarded {
@@ -246,6 +258,7 @@
 		if err := p.job.answer.Write(res.body); err != nil {
 			return err
 		}
+		p.buffered.Release(membudget.Bytes(len(res.body)))
 		res.body = nil
 	}
 	return p.job.answer.Write(data)
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -18,6 +18,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/membudget"
 	"monsoonfork/core/quarantine"
 )
 
@@ -125,6 +126,7 @@
 	Calls         EngineCalls
 	LiveInstances func() int             // Number of instances that share the retry budget.
 	Quarantine    *quarantine.Quarantine // Parts of prompts that are held back from engines.
+	Memory        *membudget.Budget      // Limits the answers that are buffered.
 
 	domain          ident.DomainID
 	log             log.Logger
@@ -178,6 +180,7 @@
 		log:           logger,
 		now:           now,
 		retrySettings: t,
+		Memory:        membudget.New(membudget.LimitFor(0)),
 		refusalLog:    newRefusalLog(logger),
 		counters: counters{
 			requests:        counter("Requests"),
