platformsoak: callers that send large bodies slowly

A new fault: 100 connections to an instance, each with 0.9 MB of a body of 1 MB, the largest that the configuration allows, of which the rest comes in pieces of 500 bytes. The instances now have the memory of the platform in their settings, MemoryMB 134, as deployed; before they had none, so that neither the runtime's limit nor the budget followed from it.

--- a/lab/platformsoak/table.go
+++ b/lab/platformsoak/table.go
@@ -71,6 +71,7 @@
 		{"OddEntries", operatorTarget, writeOddEntries},
 		{"KeyWithdrawn", operatorTarget, withdrawKey},
 		{"ChangesInARow", operatorTarget, addRoutes},
+		{"CallersSendSlowly", soundInstanceTarget, sendSlowly},
 		{"InstanceStorm", soundInstanceTarget, stormInstance},
 		{"ConfigurationStorm", operatorTarget, stormConfiguration},
 	}
--- a/lab/platformsoak/testbed.go
+++ b/lab/platformsoak/testbed.go
@@ -207,6 +207,7 @@
 		}
 		s := settings.Default()
 		s.Name, s.Domain, s.Deployment = i.name, ident.DomainID(domains[n%len(domains)]), settings.Platform
+		s.MemoryMB = float64(maxResidentBytes) / 1e6
 		for _, to := range []*ident.Address{&s.CallerAddress, &s.PeerAddress, &s.OperatorAddress, &s.MetricsAddress} {
 			address, err := process.FreeAddress()
 			if err != nil {
