--- a/io/caller/disconnect_early_test.go
+++ b/io/caller/disconnect_early_test.go
@@ -30,7 +30,7 @@
 				_ = caller.Close()
 			}
 			var got *fault.Error
-			c := newConn(nbc, newLimitHistory(defaultLimits), newServerMetrics(metrics.NewRegistry()), membudget.New(1<<20).Open(time.Now()))
+			c := newConn(nbc, newLimitHistory(defaultLimits), newTestMemory(), newServerMetrics(metrics.NewRegistry()), membudget.New(1<<20).Open(time.Now()))
 			eventually(t, "request cancelled if and only if the caller has disconnected", time.Second, func() bool {
 				got = nil
 				c.setCancel(func(f *fault.Error) { got = f })
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -63,6 +63,7 @@
 	engine       *nbhttp.Engine
 	acceptor     *acceptor
 	conns        connTable
+	requests     *requestMemory
 	openRequests atomic.Int64 // Requests whose handler has not returned.
 	announcing   atomic.Bool  // Responses announce the close of their connections.
 	draining     atomic.Bool
@@ -84,6 +85,7 @@
 	containedPanics     metrics.Counter // Panics in reading a connection.
 	crossedClose        metrics.Counter // Requests that arrived after a drain had closed their connection as idle.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
+	refusedForMemory    metrics.Counter // Requests refused before they were read completely, as no memory was free.
 	unsentBytes         metrics.Gauge   // Bytes of answers that the sockets have not taken yet.
 	heldBytes           metrics.Gauge   // Bytes that the memory budget counts.
 	waitingWrites       metrics.Counter // Writes that have waited for a caller to read.
@@ -117,6 +119,7 @@
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
 		crossedClose:        metrics.GetOrRegisterCounter("Caller.CrossedClose", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
+		refusedForMemory:    metrics.GetOrRegisterCounter("Caller.RefusedForMemory", r),
 		unsentBytes:         metrics.GetOrRegisterGauge("Caller.UnsentBytes", r),
 		heldBytes:           metrics.GetOrRegisterGauge("Memory.HeldBytes", r),
 		waitingWrites:       metrics.GetOrRegisterCounter("Caller.WaitingWrites", r),
@@ -124,7 +127,8 @@
 	}
 }
 
-// WithMemory makes b count the bytes held for callers.
+// WithMemory makes b count the bytes held for callers. The default is the budget of an instance
+// whose memory has no known size.
 func WithMemory(b *membudget.Budget) Option { return func(s *Server) { s.memory = b } }
 
 // New returns a server that handles requests with pipeline. Listen starts it.
@@ -141,6 +145,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.requests = newRequestMemory(s.memory, &s.conns, s.log, s.metrics.refusedForMemory)
 	return s
 }
 
@@ -204,7 +209,7 @@
 	setSocketOptions(nbc)
 	var state *conn
 	holder := s.memory.Open(time.Now(), membudget.WithEnd(func() { s.endForMemory(state) }))
-	state = newConn(nbc, s.limits, s.metrics, holder)
+	state = newConn(nbc, s.limits, s.requests, s.metrics, holder)
 	s.conns.add(nbc, state)
 	state.extendIdleTime(time.Now()) // SetLimits may have missed it.
 }
@@ -218,6 +223,7 @@
 	}
 	if state := s.conns.get(nbc); state != nil {
 		state.unsent.close()
+		state.memory.close()
 		s.conns.remove(nbc)
 	}
 }
--- a/io/logwriter/logwriter_test.go
+++ b/io/logwriter/logwriter_test.go
@@ -71,3 +71,23 @@
 		t.Errorf("Close took %v, which is longer than its timeout allows", elapsed)
 	}
 }
+
+// TestLongLinesAreBoundedInSum writes lines with the longest paths that callers may send while
+// the output blocks. A limit for the number of lines alone would let them use up the memory.
+func TestLongLinesAreBoundedInSum(t *testing.T) {
+	g := &blockableOutput{unblocked: make(chan struct{})}
+	w := New(g)
+	line := []byte(strings.Repeat("x", 64<<10) + "\n")
+	for range maxQueuedLines {
+		_, _ = w.Write(line)
+	}
+	queued := int64(maxQueuedLines) - w.Dropped()
+	if held := queued * int64(len(line)); held > 4<<20 {
+		t.Errorf("%d lines are queued, %d bytes", queued, held)
+	}
+	close(g.unblocked)
+	_ = w.Close()
+	if _, err := w.Write([]byte("msg=after\n")); err != nil || w.queuedBytes.Load() > int64(len("msg=after\n")) {
+		t.Errorf("%d bytes are counted as queued after all were written, %v", w.queuedBytes.Load(), err)
+	}
+}
