--- a/core/event/event_string.go
+++ b/core/event/event_string.go
@@ -109,8 +109,9 @@
 var _Event_index = [...]uint16{0, 8, 15, 21, 40, 53, 67, 81, 107, 134, 164, 176, 190, 205, 242, 273, 295, 320, 348, 354, 364, 392, 410, 430, 448, 473, 487, 506, 537, 550, 584, 622, 649, 673, 705, 718, 746, 766, 790, 800, 819, 836, 854, 878, 896, 926, 956, 968, 998, 1018, 1037, 1058, 1080, 1108, 1138, 1164, 1181, 1204, 1222, 1233, 1256, 1280, 1293, 1310, 1327, 1348, 1386, 1416, 1435, 1455, 1492, 1517, 1533, 1547, 1554, 1571, 1588, 1600, 1614, 1622, 1634, 1646, 1677, 1684, 1710, 1727, 1745, 1760, 1790, 1816, 1841, 1877, 1920, 1957, 1985}
 
 func (i Event) String() string {
-	if i < 0 || i >= Event(len(_Event_index)-1) {
+	idx := int(i) - 0
+	if i < 0 || idx >= len(_Event_index)-1 {
 		return "Event(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
-	return _Event_name[_Event_index[i]:_Event_index[i+1]]
+	return _Event_name[_Event_index[idx]:_Event_index[idx+1]]
 }
--- a/core/event/subsystem_string.go
+++ b/core/event/subsystem_string.go
@@ -24,8 +24,9 @@
 var _Subsystem_index = [...]uint8{0, 8, 19, 28, 35, 40, 53, 65, 72, 81}
 
 func (i Subsystem) String() string {
-	if i < 0 || i >= Subsystem(len(_Subsystem_index)-1) {
+	idx := int(i) - 0
+	if i < 0 || idx >= len(_Subsystem_index)-1 {
 		return "Subsystem(" + strconv.FormatInt(int64(i), 10) + ")"
 	}
-	return _Subsystem_name[_Subsystem_index[i]:_Subsystem_index[i+1]]
+	return _Subsystem_name[_Subsystem_index[idx]:_Subsystem_index[idx+1]]
 }
