catalog: an empty key belongs to no organisation

Cause: the index of keys had an entry for each string among an organisation's keys, also for an empty one, and a request without a key is looked up as the empty key. Callers saw: with such a configuration, requests without a key are admitted and run on account of that organisation, where 401 is due. Evidence (go test ./platform -run TestEmptyKey): before: a request without a key belongs to organisation o; after: passes. Ruled out: public routes, which ask for no key.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -120,6 +120,9 @@
 	}
 	for i := range c.Organisations {
 		for _, key := range c.Organisations[i].Keys {
+			if key == "" { // That of requests without a key.
+				continue
+			}
 			c.byKey[sha256.Sum256([]byte(key))] = &c.Organisations[i]
 		}
 	}
