--- a/core/forward/plannedstop.go
+++ b/core/forward/plannedstop.go
@@ -27,15 +27,7 @@
 		return nil
 	}
 	return fault.New(fault.ShuttingDown, "the instance stops in %v, before the expected end of the request", processEnd.Sub(now).Round(time.Millisecond)).
-		WithRetryAfter(j.router.stoppingRetryAt())
-}
-
-// stoppingRetryAt returns when a caller that was refused because of a planned stop may retry.
-func (r *Router) stoppingRetryAt() time.Time {
-	if r.AllStopping != nil && r.AllStopping() {
-		return r.now().Add(allStoppingRetryAfter)
-	}
-	return r.now().Add(stoppingRetryAfter)
+		WithRetryAfter(now.Add(stoppingRetryAfter))
 }
 
 // latestEnd returns the time before which a request that begins now is expected to end. While
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -123,7 +123,6 @@
 	Admit         func(o *catalog.Organisation, cost ident.Tokens) Admission // Takes tokens of an organisation's rate.
 	Calls         EngineCalls
 	LiveInstances func() int             // Number of instances that share the retry budget.
-	AllStopping   func() bool            // Whether no other instance takes requests either; nil for never.
 	Quarantine    *quarantine.Quarantine // Parts of prompts that are held back from engines.
 
 	domain          ident.DomainID
@@ -231,7 +230,7 @@
 func (r *Router) resolve(q *Request, a ResponseWriter) (*job, error) {
 	c := r.Catalog()
 	if r.stopping.Load() {
-		return nil, fault.New(fault.ShuttingDown, "the instance is stopping").WithRetryAfter(r.stoppingRetryAt())
+		return nil, fault.New(fault.ShuttingDown, "the instance is stopping").WithRetryAfter(r.now().Add(stoppingRetryAfter))
 	}
 	if c == nil {
 		return nil, fault.New(fault.StoreUnavailable, "no configuration has been received yet").WithRetryAfter(r.now().Add(noConfigRetryAfter))
@@ -261,7 +260,4 @@
 	// stoppingRetryAfter is the Retry-After of an instance that is stopping. It is short,
 	// as another instance serves the retry.
 	stoppingRetryAfter = 20 * time.Millisecond
-	// allStoppingRetryAfter is the Retry-After while all instances are stopping. Callers retry
-	// a few times only, and one has to start first.
-	allStoppingRetryAfter = time.Second
 )
