caller: a slow caller with a small receive window is not cut

Cause: TCP_USER_TIMEOUT of 10 s. The kernel also applies it to the probes of a closed receive window, and counts the time on until the window takes the whole first segment, up to 64 KB on a local connection. A caller that reads on and whose buffer is smaller is reset. Callers saw a reset within an answer after 10.6 to 10.8 s, in the middle of reading.

The option is no longer set.

--- a/io/caller/backpressure_test.go
+++ b/io/caller/backpressure_test.go
@@ -176,3 +176,26 @@
 		}
 	}
 }
+
+// TestSlowCallerIsNotCut has a caller with a small receive window read an answer for longer than
+// unresponsiveTime. The kernel's user timeout cut such callers: it also ends a connection whose
+// window never takes a whole segment.
+func TestSlowCallerIsNotCut(t *testing.T) {
+	if testing.Short() {
+		t.Skip("reads for longer than unresponsiveTime")
+	}
+	for framing, length := range map[string]int64{"length": answerBytes, "chunked": -1} {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			_, address := newForwardingTestServer(t, func(f *ForwardedRequest) {
+				if err := answerInPieces(f, length); err != nil {
+					t.Errorf("write: %v", err)
+				}
+			})
+			c := muteCaller(t, address, "/")
+			if n, err := readAnswer(slowReader{c, 20 << 10}); n != answerBytes || err != nil {
+				t.Errorf("%d bytes of the answer, %v", n, err)
+			}
+		})
+	}
+}
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -33,8 +33,9 @@
 	// Accessed only by the sweep.
 	ackedBytes int64 // Bytes that the caller's host had acknowledged at the last check.
 
-	endReason atomic.Pointer[fault.Error]     // Why the server has closed the connection before the end of an answer.
-	handled   atomic.Pointer[ident.RequestID] // The X-Request-Id of the request handled last.
+	waitDeadline atomic.Pointer[time.Time]       // Deadline of the request whose write waits for the caller to read; nil without one.
+	endReason    atomic.Pointer[fault.Error]     // Why the server has closed the connection before the end of an answer.
+	handled      atomic.Pointer[ident.RequestID] // The X-Request-Id of the request handled last.
 
 	mu              sync.Mutex
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -134,7 +134,7 @@
 // checkDelivery moves the start of the idle time to the delivery of the last response. Bytes
 // that nbio has buffered may reach the kernel only a moment after it has sent all others, so
 // delivery is checked again before the connection counts as idle. A caller that reads nothing
-// is detected by the kernel (userTimeout). The caller must hold c.mu.
+// is detected by endUnread. The caller must hold c.mu.
 func (c *conn) checkDelivery(now time.Time) {
 	if c.activeRequests > 0 || c.writeClosed || (!c.delivering && !now.After(c.closeDeadline)) {
 		return
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -251,16 +251,18 @@
 func (s *Server) sweepOnce(now time.Time) {
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
 	drain := s.closesIdle(now)
+	// Before the connections are checked, as it notices when the process was suspended.
+	_ = boundary.Run("sweep", func() { s.memory.EndStalled(now) })
 	unsent := int64(0)
 	s.conns.each(func(c *conn) {
 		unsent += c.unsent.bytes()
 		_ = boundary.Run("sweep", func() { // A panic is logged; the next sweep checks the connection again.
 			c.enforceTimeouts(now)
 			c.recordProgress(now)
+			s.endUnread(c, now)
 			c.closeWriteIfDelivered(now, drain)
 		})
 	})
-	_ = boundary.Run("sweep", func() { s.memory.EndStalled(now) })
 	s.metrics.unsentBytes.Update(unsent)
 	s.metrics.heldBytes.Update(int64(s.memory.Held()))
 }
--- a/io/caller/slowdelivery_test.go
+++ b/io/caller/slowdelivery_test.go
@@ -71,8 +71,8 @@
 // are kept for a caller who never reads.
 func TestCallerThatReadsNothingIsClosed(t *testing.T) {
 	if testing.Short() {
-		t.Skip("waits for the user timeout of the kernel")
+		t.Skip("waits for unresponsiveTime")
 	}
 	s, _, _ := requestLargeAnswer(t, 100*time.Millisecond)
-	eventually(t, "the connection is closed", 2*userTimeout, func() bool { return s.conns.countConns() == 0 })
+	eventually(t, "the connection is closed", 2*unresponsiveTime, func() bool { return s.conns.countConns() == 0 })
 }
--- a/io/caller/socket.go
+++ b/io/caller/socket.go
@@ -7,13 +7,23 @@
 	"golang.org/x/sys/unix"
 )
 
-// Settings with which the kernel detects, within about 11 s, that a caller's host or
-// network no longer responds. A connection that the caller closes is detected at once.
+// Settings with which the kernel detects, within about 11 s, that a caller's host or network no
+// longer responds while no sent bytes are unacknowledged; see isUnresponsive for the rest.
+// TCP_USER_TIMEOUT is not set: it also ends connections of callers that read slowly, whose
+// receive window does not take a whole segment for that long. A connection that the caller closes
+// is detected at once.
 const (
 	keepaliveIdle     = 5 * time.Second
 	keepaliveInterval = 2 * time.Second
 	keepaliveProbes   = 3
-	userTimeout       = 10 * time.Second // How long sent bytes may stay unacknowledged.
+)
+
+const (
+	// unresponsiveTime is how long a caller's host may acknowledge nothing.
+	unresponsiveTime = 10 * time.Second
+	// unansweredProbes is the number of probes of a closed receive window to which a host has
+	// to respond in this time.
+	unansweredProbes = 3
 )
 
 // setSocketOptions makes the kernel detect a caller whose host or network no longer
@@ -25,7 +35,6 @@
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int(keepaliveIdle.Seconds()))
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int(keepaliveInterval.Seconds()))
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, keepaliveProbes)
-		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 	})
 }
 
@@ -45,6 +54,26 @@
 	return n
 }
 
+// hostResponds reports whether the caller's host responds to what is sent to it.
+func hostResponds(nbc *nbio.Conn) bool {
+	responds := true
+	withDescriptor(nbc, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		responds = err != nil || !isUnresponsive(info)
+	})
+	return responds
+}
+
+// isUnresponsive reports whether a host has acknowledged nothing for unresponsiveTime, neither
+// segments that were sent again nor probes of its closed receive window. A host whose caller
+// reads nothing does acknowledge probes.
+func isUnresponsive(info *unix.TCPInfo) bool {
+	if int64(info.Last_ack_recv) < unresponsiveTime.Milliseconds() {
+		return false
+	}
+	return info.Unacked > 0 && info.Retransmits > 0 || info.Probes >= unansweredProbes
+}
+
 // hasUnread reports whether the kernel has received bytes that the poller has not read.
 func hasUnread(nbc *nbio.Conn) bool {
 	n := 0
