httpcall, engine: a sink that waits for its caller is no silence of the endpoint

Cause: Client compared the read timeout with the time of the last read before the delivery, and the client for engines with the time of the last token before its delivery. Since a write to a caller waits, both count the caller's time. Callers of the own deployment would see their answer broken off as a stalled one.

Ruled out: Pool, which sets the deadline anew before each read.

Evidence (go test ./io/httpcall -run TestSlowSinkIsNoSilence): failed before with "client: 1 bytes, EndpointTimeout: the response stalled".

--- a/io/engine/decode.go
+++ b/io/engine/decode.go
@@ -138,6 +138,7 @@
 		if err := s.onDelta(engineapi.Delta{IDs: choice.TokenIDs, Text: choice.Text}); err != nil {
 			return err
 		}
+		s.heardAt = time.Now() // The engine is not silent while its caller does not read.
 	}
 	if choice.FinishReason == nil {
 		return nil
--- a/io/httpcall/receive.go
+++ b/io/httpcall/receive.go
@@ -29,6 +29,9 @@
 		if err := deliver(update.fragments, sink); err != nil {
 			return err
 		}
+		if len(update.fragments) > 0 {
+			update.lastReadAt = time.Now() // The endpoint is not silent while the sink waits.
+		}
 		if update.err != nil {
 			return update.err
 		}
