--- /dev/null
+++ b/lab/matrix/matrix_test.go
@@ -0,0 +1,60 @@
+package matrix
+
+import (
+	"flag"
+	"os"
+	"sync"
+	"testing"
+
+	"monsoonfork/lab/process"
+)
+
+// parallelRuns is the number of fleets that run at a time.
+const parallelRuns = 4
+
+var tablePath = flag.String("table", "", "file to which the table of outcomes is written")
+
+// TestMatrix brings a request into each state, lets each event happen, and compares what
+// becomes of the requests with what the rules allow.
+func TestMatrix(t *testing.T) {
+	runner, err := process.NewRunner()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var (
+		mu    sync.Mutex
+		cells []Cell
+		slots = make(chan struct{}, parallelRuns)
+	)
+	t.Run("events", func(t *testing.T) {
+		for e := range eventCount {
+			t.Run(e.String(), func(t *testing.T) {
+				t.Parallel()
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				got, err := Run(t.Context(), runner, e)
+				if err != nil {
+					t.Error(err)
+				}
+				for _, c := range got {
+					if !c.OK() {
+						t.Errorf("%s, %s: %s, want one of %v: %s", c.Event, c.Row, c.Outcome, Allowed(c.Event, c.Row), c.Detail)
+					}
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				cells = append(cells, got...)
+			})
+		}
+	})
+	table := Table(cells)
+	t.Log("\n" + table)
+	if *tablePath != "" {
+		if err := os.WriteFile(*tablePath, []byte(table), 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := runner.Close(); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/lab/matrix/run.go
@@ -0,0 +1,133 @@
+// Package matrix runs the table of request states and events: requests are brought into each
+// state of their life at a real instance, an event happens, and what becomes of each request
+// is compared with what the rules allow.
+package matrix
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"monsoonfork/lab/process"
+	"monsoonfork/platform/standin"
+)
+
+// Time limits of a run.
+const (
+	reachTimeout = 20 * time.Second // For the fleet to start and for all requests to get into their states.
+	eventTimeout = 20 * time.Second
+	endTimeout   = 20 * time.Second
+	logTimeout   = 2 * time.Second // For the log lines of requests that have ended.
+	exitSlack    = time.Second     // After the time limit of a stop.
+)
+
+// Run brings a request into each state, lets the event happen, and returns the cells.
+func Run(ctx context.Context, runner *process.Runner, e Event) (cells []Cell, err error) {
+	startCtx, cancel := context.WithTimeout(ctx, reachTimeout)
+	defer cancel()
+	f, err := startFleet(startCtx, runner, e.String())
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, f.close()) }()
+	calls, err := f.prepareAll(startCtx)
+	if err != nil {
+		return nil, err
+	}
+	eventCtx, cancelEvent := context.WithTimeout(ctx, eventTimeout)
+	defer cancelEvent()
+	if err := f.runEvent(eventCtx, e, calls); err != nil {
+		return nil, err
+	}
+	endCtx, cancelEnd := context.WithTimeout(ctx, endTimeout)
+	defer cancelEnd()
+	awaitCalls(endCtx, calls)
+	if e.isStop() {
+		err = f.checkExit(endCtx)
+	}
+	return f.cells(ctx, e, calls), err
+}
+
+// prepareAll brings a request into the state of each row.
+func (f *fleet) prepareAll(ctx context.Context) ([]*call, error) {
+	var calls []*call
+	for _, r := range Rows() {
+		c, err := f.prepare(ctx, r)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", r, err)
+		}
+		calls = append(calls, c)
+	}
+	var waiting sync.WaitGroup
+	for _, c := range calls {
+		waiting.Go(func() { f.awaitState(ctx, c) })
+	}
+	waiting.Wait()
+	return calls, nil
+}
+
+// runEvent lets the event happen, sends what is missing of the requests, and lets the engines
+// go on.
+func (f *fleet) runEvent(ctx context.Context, e Event, calls []*call) error {
+	s := e.eventSteps()
+	if err := s.begin(ctx, f); err != nil {
+		return err
+	}
+	for _, c := range calls {
+		c.sendRest()
+	}
+	if s.end != nil {
+		if err := s.end(f); err != nil {
+			return err
+		}
+	}
+	f.engines.Holds.Release()
+	f.full.SetBehaviour(standin.Correct)
+	for _, c := range calls {
+		if c.row.State == Unacknowledged {
+			go c.receive()
+		}
+	}
+	return nil
+}
+
+// awaitCalls waits until all calls have ended, or ctx does.
+func awaitCalls(ctx context.Context, calls []*call) {
+	for _, c := range calls {
+		select {
+		case <-c.done:
+		case <-ctx.Done():
+		}
+		c.conn.Close()
+		<-c.done
+	}
+}
+
+// checkExit checks that the instance ends in time without an error.
+func (f *fleet) checkExit(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, stopS*time.Second+exitSlack)
+	defer cancel()
+	if err := f.process.Wait(ctx); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
+
+// cells returns the cells of the calls.
+func (f *fleet) cells(ctx context.Context, e Event, calls []*call) []Cell {
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	var cells []Cell
+	for _, c := range calls {
+		cell := Cell{Event: e, Row: c.row}
+		await(ctx, func() bool {
+			runs := f.engines.Recorder.Runs()[c.request.ID]
+			cell.Outcome, cell.Detail = c.classify(runs, f.process.Log()), c.describe(runs)
+			return cell.Outcome != Unlogged
+		})
+		cells = append(cells, cell)
+	}
+	return cells
+}
