kernel: an instance is not ready before all its roles are started

Cause: Node.Ready asks the roles that are running. The role that answers the readiness check (Process) starts before the one that serves callers (Routing), so that the check was answered with 200 until Routing had started. The class: readiness that is true by default and that each role takes back. It is now false until Start has returned.

What callers saw: a balancer that asks in that moment sends new connections to an address on which nothing listens (refused), or to an instance without a configuration and engines (503).

TestStartingNodeIsNotReady fails without the change: 'ready before Start', 'ready while a role is started'.

TestDrainingNodeIsNotReadyDuringTheBalancerDelay asked a node that was never started whether it is ready; it starts the node first now, and checks the same.

--- a/core/kernel/kernel_test.go
+++ b/core/kernel/kernel_test.go
@@ -101,6 +101,9 @@
 	registerTestRoles(t)
 	n := newTestNode()
 	n.Settings.BalancerDelayMS = 300
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
 	if err := n.Ready(); err != nil {
 		t.Fatal(err)
 	}
@@ -132,3 +135,28 @@
 		t.Errorf("no role provides *Role: got %v, want an error of kind Internal", err)
 	}
 }
+
+// TestStartingNodeIsNotReady guards against a readiness check that is answered while the role
+// that serves callers is not started yet: callers were sent to an instance that refused them.
+func TestStartingNodeIsNotReady(t *testing.T) {
+	var whileStarting error
+	n := newTestNode()
+	first := (&lifecycleRecorder{}).newRole("A")
+	second := Role{Name: "B", DependsOn: []string{"A"}, Start: func(context.Context, *Node) (*Callbacks, error) {
+		whileStarting = n.Ready()
+		return &Callbacks{}, nil
+	}}
+	registerTestRoles(t, first, second)
+	if err := n.Ready(); err == nil {
+		t.Error("ready before Start")
+	}
+	if err := n.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if whileStarting == nil {
+		t.Error("ready while a role is started")
+	}
+	if err := n.Ready(); err != nil {
+		t.Errorf("not ready after Start: %v", err)
+	}
+}
--- a/core/kernel/node.go
+++ b/core/kernel/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"reflect"
 	"sync"
@@ -30,9 +31,14 @@
 	mu             sync.Mutex
 	providedByType map[reflect.Type]any
 	running        []runningRole
+	started        atomic.Bool // All roles are started.
 	draining       atomic.Bool
 }
 
+// errStarting is why an instance is not ready whose roles are not all started: the role that
+// serves callers may be one of them.
+var errStarting = errors.New("the instance is starting")
+
 // runningRole is a started role with its callbacks.
 type runningRole struct {
 	role      Role
@@ -95,6 +101,7 @@
 		n.mu.Unlock()
 		_ = level.Debug(n.Log).Log("msg", event.RoleStarted, "role", r.Name)
 	}
+	n.started.Store(true)
 	return nil
 }
 
@@ -164,6 +171,9 @@
 	if n.Draining() {
 		return fault.New(fault.ShuttingDown, "the instance is stopping")
 	}
+	if !n.started.Load() {
+		return errStarting
+	}
 	for _, s := range n.runningReversed() {
 		if s.callbacks.Ready == nil {
 			continue
