matrix: stricter outcomes, chunked and closing requests, more events

Cells are red too for a run by another service, an answer after the route's timeout, and a refusal without a time for a retry. New states: half of a chunked body, a request with Connection: close at its engine. New events: services taken away, shorter time for heads, one connection an engine, answers that arrive while the process is suspended; with shorter timeouts engines are held until these have passed. A failed cell shows the request's log lines. A third decode engine: with two, half of them removed left too little memory for the long prompts, and Prefilling/OnceStream was refused (a true refusal).

Before the third engine RouteMoved, AtEngine/Resumable showed 502 once; that is being traced.

--- a/lab/matrix/fleet.go
+++ b/lab/matrix/fleet.go
@@ -81,7 +81,7 @@
 	for _, s := range []standin.Spec{
 		{Service: standin.PlainService}, {Service: standin.PlainService}, {Service: otherPlain},
 		{Service: standin.ModelService, Stage: "prefill"}, {Service: standin.ModelService, Stage: "prefill"},
-		{Service: standin.ModelService, Stage: "decode"}, {Service: standin.ModelService, Stage: "decode"},
+		{Service: standin.ModelService, Stage: "decode"}, {Service: standin.ModelService, Stage: "decode"}, {Service: standin.ModelService, Stage: "decode"},
 		{Service: otherModel, Stage: "prefill"}, {Service: otherModel, Stage: "decode"},
 		{Service: fullModel, Stage: "prefill"}, {Service: fullModel, Stage: "decode"},
 	} {
--- a/lab/matrix/rule.go
+++ b/lab/matrix/rule.go
@@ -1,6 +1,11 @@
 package matrix
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"monsoonfork/platform/standin"
+)
 
 // Cell is a cell of the matrix with what it showed.
 type Cell struct {
@@ -19,7 +24,7 @@
 	switch {
 	case e.isStop():
 		return allowedAtStop(r)
-	case r.State == Accepted || r.State == KeptIdle || r.State == HeadHalfRead || r.State == BodyHalfRead:
+	case !r.sentWhole():
 		return allowedUnread(e, r)
 	case r.State == NotHandled && (e == RouteRemoved || e == KeyWithdrawn):
 		return []Outcome{Whole, NotAllowed} // Read before the change, handled after it.
@@ -45,7 +50,7 @@
 	switch r.State {
 	case Accepted, KeptIdle:
 		return []Outcome{Whole, Refused, ClosedBefore, Crossed}
-	case HeadHalfRead, BodyHalfRead, NotHandled, WaitingForMemory:
+	case HeadHalfRead, BodyHalfRead, ChunksHalfRead, NotHandled, WaitingForMemory:
 		return []Outcome{Whole, Refused}
 	default:
 		return []Outcome{Whole}
@@ -65,7 +70,49 @@
 		}
 	case RateLowered:
 		return []Outcome{Whole, Refused}
+	case TimeoutShorter:
+		return []Outcome{Unknown} // Its engine is held until the timeout has passed.
 	default:
 	}
 	return []Outcome{Whole}
 }
+
+// servicesOf returns the services that may run the row's request.
+func servicesOf(e Event, r Row) []string {
+	before, after := standin.PlainService, otherPlain
+	if r.Kind.isStream() {
+		before, after = standin.ModelService, otherModel
+	}
+	if r.State == WaitingForMemory {
+		before = fullModel
+	}
+	switch e {
+	case RouteMoved, ServiceRemoved, ChangeStoreSlow:
+		if !r.sentWhole() {
+			return []string{after}
+		}
+		if r.State == NotHandled {
+			return []string{before, after}
+		}
+	case RoutesSplit, StopDuringChange, ChangeStoreAway:
+		return []string{before, after}
+	default:
+	}
+	return []string{before}
+}
+
+// isTimed reports whether the time from the end of the row's request to the end of its answer
+// is bounded: the caller reads all the time, and no other request is ahead.
+func (r Row) isTimed() bool { return r.State != Unacknowledged && r.State != NotHandled }
+
+// timeoutOf returns the time within which the row's request must have its answer.
+func timeoutOf(e Event, r Row) time.Duration {
+	switch {
+	case e == TimeoutShorter && !r.sentWhole() && r.Kind.isStream():
+		return shortStreamTimeout
+	case e == TimeoutShorter && !r.sentWhole():
+		return shortPlainTimeout
+	default:
+		return requestTimeout
+	}
+}
--- a/lab/matrix/run.go
+++ b/lab/matrix/run.go
@@ -78,11 +78,22 @@
 	for _, c := range calls {
 		c.sendRest()
 	}
+	if s.enginesFirst {
+		f.releaseEngines(calls)
+	}
 	if s.end != nil {
 		if err := s.end(f); err != nil {
 			return err
 		}
 	}
+	if !s.enginesFirst {
+		f.releaseEngines(calls)
+	}
+	return nil
+}
+
+// releaseEngines lets the engines go on, and the callers read that did not.
+func (f *fleet) releaseEngines(calls []*call) {
 	f.engines.Holds.Release()
 	f.full.SetBehaviour(standin.Correct)
 	for _, c := range calls {
@@ -90,7 +101,6 @@
 			go c.receive()
 		}
 	}
-	return nil
 }
 
 // awaitCalls waits until all calls have ended, or ctx does.
@@ -123,8 +133,9 @@
 	for _, c := range calls {
 		cell := Cell{Event: e, Row: c.row}
 		await(ctx, func() bool {
+			log := f.process.Log()
 			runs := f.engines.Recorder.Runs()[c.request.ID]
-			cell.Outcome, cell.Detail = c.classify(runs, f.process.Log()), c.describe(runs)
+			cell.Outcome, cell.Detail = c.classify(e, runs, log), c.describe(runs)+"\n"+linesOf(log, c.request.ID)
 			return cell.Outcome != Unlogged
 		})
 		cells = append(cells, cell)
--- a/lab/matrix/state.go
+++ b/lab/matrix/state.go
@@ -17,12 +17,14 @@
 	Accepted         State = iota // The connection is accepted; nothing was sent.
 	HeadHalfRead                  // Half of the head was sent.
 	BodyHalfRead                  // The head and half of the body were sent.
+	ChunksHalfRead                // The head and half of a body in chunks were sent.
 	NotHandled                    // Sent whole, behind a request on the same connection that an engine holds.
 	WaitingForRate                // Waits for tokens of its organisation's rate.
 	WaitingForMemory              // No engine has memory for it.
 	Hedged                        // Two engines run it; neither has answered.
 	Prefilling                    // A prefill engine reads its prompt.
 	AtEngine                      // An engine was called for the answer and has sent nothing.
+	AtEngineClosing               // The same; the request is the last one of its connection.
 	FirstPartWritten              // The caller has the first part of the answer.
 	MidStream                     // The caller has half of the stream.
 	Unacknowledged                // The engine has answered, and the caller does not read.
@@ -107,7 +109,7 @@
 // holdPoint returns the point at which engines hold the row's request, if they do.
 func (r Row) holdPoint() (p standin.Point, held bool) {
 	switch r.State {
-	case Hedged, AtEngine:
+	case Hedged, AtEngine, AtEngineClosing:
 		return standin.BeforeAnswer, true
 	case Prefilling:
 		return standin.AtPrefill, true
@@ -123,7 +125,7 @@
 // sentWhole reports whether the request is sent whole before the event.
 func (r Row) sentWhole() bool {
 	switch r.State {
-	case Accepted, HeadHalfRead, BodyHalfRead, KeptIdle:
+	case Accepted, HeadHalfRead, BodyHalfRead, ChunksHalfRead, KeptIdle:
 		return false
 	default:
 		return true
