forward: a test of a stream that loses its engine before it has begun, red

TestStalledStreamWaitsForMemoryAfterRefusedReplacement fails in 2 of 2 runs for the stream that has not begun ('no decode engine has free memory'), and passes for the one that has.

--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,36 @@
 	checkComplete(t, h.serve("resume"))
 }
 
+// TestStalledStreamWaitsForMemoryAfterRefusedReplacement guards against a stream that may have
+// run and gets 502 with most of its time left: the engine that replaces a silent one refuses the
+// stream, and no engine has memory for a moment then. It must wait whether or not it has begun.
+func TestStalledStreamWaitsForMemoryAfterRefusedReplacement(t *testing.T) {
+	t.Parallel()
+	const noMemory = 300 * time.Millisecond
+	for _, pauseAfter := range []int{0, silentAfter} {
+		h := newStallHarness(t, 2)
+		var memoryAt atomic.Pointer[time.Time]
+		h.reserve = func(engines.Entry) (string, error) {
+			if at := memoryAt.Load(); at != nil && time.Now().Before(*at) {
+				return "", errRefused
+			}
+			return "reservation", nil
+		}
+		h.send = func(n int, c Call, sink Sink) error {
+			if n == 2 {
+				at := time.Now().Add(noMemory)
+				memoryAt.Store(&at)
+				return errRefused.WithRan(fault.NotRun)
+			}
+			if n > 2 {
+				return sendStream(c, sink, -1, 0)
+			}
+			return sendStream(c, sink, pauseAfter, silence+time.Second)
+		}
+		checkComplete(t, h.serve("resume"))
+	}
+}
+
 // TestStalledStreamSurvivesUnreachableReplacement has the engine that replaces a silent one be
 // unreachable, with no third engine. The answer must not be aborted.
 func TestStalledStreamSurvivesUnreachableReplacement(t *testing.T) {
