forward: a stream that lost its place may wait for memory from then on

Cause: the time in which a stream waits for memory ended at a point that is counted from its arrival (1.8 s with the usual objective), in every attempt; only a stream that had begun was exempt. An attempt after the first mostly came later than that: it asked engines once at most, and not at all within 300 ms of another request's refusal, as it counted as late. The class: a limit for one kind of waiting (for a place) that also runs while the request is somewhere else (in a prefill, at a silent engine, in a suspended process).

What callers saw: 502 where the stream may have run (once, 3.5 s after it was sent, 11 s left), and 503 where it had not, though engines had memory a moment later (log: asked=1 usable=1).

--- a/core/forward/replacement_test.go
+++ b/core/forward/replacement_test.go
@@ -70,6 +70,33 @@
 	}
 }
 
+// TestStreamThatLostItsPlaceWaitsForMemory guards against a stream that is refused with most of
+// its time left and without asking any engine again: its engine refuses it after the time in
+// which a first place is looked for, as after a suspension of the process, and no engine has
+// memory for a moment then.
+func TestStreamThatLostItsPlaceWaitsForMemory(t *testing.T) {
+	t.Parallel()
+	const noMemory = 300 * time.Millisecond
+	h := newStallHarness(t, 2)
+	var memoryAt atomic.Pointer[time.Time]
+	h.reserve = func(engines.Entry) (string, error) {
+		if at := memoryAt.Load(); at != nil && time.Now().Before(*at) {
+			return "", errRefused
+		}
+		return "reservation", nil
+	}
+	h.send = func(n int, c Call, sink Sink) error {
+		if n > 1 {
+			return sendStream(c, sink, -1, 0)
+		}
+		time.Sleep(minStallTimeout)
+		at := time.Now().Add(noMemory)
+		memoryAt.Store(&at)
+		return errRefused.WithRan(fault.NotRun)
+	}
+	checkComplete(t, h.serve("resume"))
+}
+
 // TestStalledStreamSurvivesUnreachableReplacement has the engine that replaces a silent one be
 // unreachable, with no third engine. The answer must not be aborted.
 func TestStalledStreamSurvivesUnreachableReplacement(t *testing.T) {
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -39,8 +39,8 @@
 	// maxWaitObjectives limits the wait for a reservation to a multiple of the route's time
 	// objective. Callers give up some time after that, and must get the refusal before.
 	maxWaitObjectives = 2
-	// maxResumeWait limits the wait for a reservation with which an answer that has begun
-	// is resumed. Callers give up two seconds after the last event at the earliest.
+	// maxResumeWait limits the wait for a reservation of a request that has lost its place.
+	// Callers give up two seconds after the last event at the earliest.
 	maxResumeWait = time.Second
 	// overloadedRetryAfter is the Retry-After of a request that got no reservation. Memory
 	// is freed as streams end, which takes seconds.
@@ -103,9 +103,10 @@
 }
 
 // reserveBy returns the time until which a reservation is early enough for a first event
-// within the route's time objective. An answer that has begun has no such objective left.
+// within the route's time objective. A request that has lost its place has no such objective
+// left, and does not come after those that wait for their first place.
 func (s *stream) reserveBy() time.Time {
-	if s.headSent {
+	if s.lostPlace() {
 		return s.waitDeadline()
 	}
 	objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond
@@ -113,17 +114,26 @@
 	return s.Received.Add(objective - need)
 }
 
-// waitDeadline returns the time until which the request waits for a reservation. An
-// answer that has begun can't be refused any more, and waits from now on.
+// lostPlace reports whether an earlier attempt had a reservation. The time that it took is not
+// spent on waiting; and if the request may have run, it can't be refused any more.
+func (s *stream) lostPlace() bool { return s.headSent || s.attempts > 1 }
+
+// waitDeadline returns the time until which the request waits for a reservation. One that has
+// lost its place may wait from now on.
 func (s *stream) waitDeadline() time.Time {
+	resumeBy := s.router.now().Add(maxResumeWait)
 	if s.headSent {
-		return s.router.now().Add(maxResumeWait)
+		return resumeBy
 	}
 	wait := time.Duration(maxWaitShare * float64(s.deadline.Sub(s.Received)))
 	if objective := time.Duration(s.route.TargetLatencyMS) * time.Millisecond; objective > 0 {
 		wait = min(wait, maxWaitObjectives*objective)
 	}
-	return s.Received.Add(wait)
+	refuseBy := s.Received.Add(wait)
+	if s.lostPlace() && resumeBy.After(refuseBy) {
+		return resumeBy
+	}
+	return refuseBy
 }
 
 // tryReserve asks the best decode engines for a reservation, one after another, until one
