--- a/lab/matrix/fleet.go
+++ b/lab/matrix/fleet.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -41,7 +42,9 @@
 	full      *standin.Engine   // Has no memory until the requests are released.
 	settings  settings.Settings
 	process   *process.Process
-	config    standin.Configuration
+
+	mu     sync.Mutex
+	config standin.Configuration // The newest one in the store.
 }
 
 // startFleet starts the store, the engines and an instance, and waits until it is ready.
@@ -150,6 +153,8 @@
 
 // configure changes the configuration and writes it to the store.
 func (f *fleet) configure(change func(*standin.Configuration)) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	change(&f.config)
 	f.config.Version++
 	return f.store.Configure(f.config)
@@ -157,7 +162,16 @@
 
 // awaitConfiguration waits until the instance has applied the newest configuration.
 func (f *fleet) awaitConfiguration(ctx context.Context) error {
-	return f.awaitLog(ctx, fmt.Sprintf("msg=\"configuration applied\" version=%d ", f.config.Version))
+	applied := func() bool {
+		f.mu.Lock()
+		newest := fmt.Sprintf("msg=\"configuration applied\" version=%d ", f.config.Version)
+		f.mu.Unlock()
+		return strings.Contains(f.process.Log(), newest)
+	}
+	if !await(ctx, applied) {
+		return errors.New("the instance has not applied the newest configuration")
+	}
+	return nil
 }
 
 // awaitLog waits until the instance has logged a text.
