--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -18,6 +18,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/membudget"
 	"monsoonfork/core/quarantine"
 )
 
@@ -46,8 +47,9 @@
 
 // ResponseWriter writes the response to the caller.
 type ResponseWriter struct {
+	SetDeadline func(at time.Time)                            // Sets the deadline of the request, before anything is sent; may be nil.
 	WriteHeader func(status int, h http.Header, length int64) // Sends the head; a negative length is unknown.
-	Write       func(data []byte) error                       // Sends data of the body.
+	Write       func(data []byte) error                       // Sends data of the body; waits while the caller does not read.
 	Abort       func()                                        // Aborts an answer that has begun, so that the caller sees it as incomplete.
 }
 
@@ -124,6 +126,7 @@
 	Calls         EngineCalls
 	LiveInstances func() int             // Number of instances that share the retry budget.
 	Quarantine    *quarantine.Quarantine // Parts of prompts that are held back from engines.
+	Memory        *membudget.Budget      // Limits the answers that are buffered.
 
 	domain          ident.DomainID
 	log             log.Logger
@@ -134,7 +137,7 @@
 	counters        counters
 	retrySettings   RetryBudgetSettings
 	refusalLog      *refusalLog
-	streamDurations streamDurations
+	durations       durations
 	outputEstimates outputEstimates
 	processEnd      atomic.Pointer[time.Time] // Planned end of the process; nil while no stop is planned.
 	stopping        atomic.Bool
@@ -177,6 +180,7 @@
 		log:           logger,
 		now:           now,
 		retrySettings: t,
+		Memory:        membudget.New(membudget.LimitFor(0)),
 		refusalLog:    newRefusalLog(logger),
 		counters: counters{
 			requests:        counter("Requests"),
@@ -204,6 +208,9 @@
 		r.logUnresolved(q, fault.From(err))
 		return err
 	}
+	if a.SetDeadline != nil {
+		a.SetDeadline(j.deadline)
+	}
 	ctx, cancel := context.WithDeadlineCause(ctx, j.deadline, fault.New(fault.DeadlineExceeded, "the deadline of the request has passed"))
 	defer cancel()
 	if panicked := j.boundary().Run("request", func() { err = j.run(ctx) }); panicked != nil {
