--- a/lab/matrix/rule.go
+++ b/lab/matrix/rule.go
@@ -65,6 +65,8 @@
 		return allowedAtStop(r)
 	case !r.sentWhole():
 		return allowedUnread(e, r)
+	case r.State == WaitingForMemory:
+		return []Outcome{Whole, Refused} // Refused if it has waited for too long.
 	case r.State == NotHandled && (e == RouteRemoved || e == KeyWithdrawn):
 		return []Outcome{Whole, NotAllowed} // Read before the change, handled after it.
 	case r.State == NotHandled && e == RateLowered:
