forward: a true Retry-After of the only instance of a failure domain

Cause: an instance that stops refuses with a Retry-After of 20 ms, as another instance serves the retry. The load balancer sends the callers of a failure domain to its instances until it has noticed the stop. Its Retry-After is now the end of the balancer delay. TestRetryAfterOfTheOnlyInstance fails without it (20 ms).

--- a/core/forward/plannedstop.go
+++ b/core/forward/plannedstop.go
@@ -15,6 +15,21 @@
 	}
 }
 
+// SetBalancerEnd sets when the load balancer will have noticed that a planned stop has begun.
+func (r *Router) SetBalancerEnd(at time.Time) { r.balancerEnd.Store(&at) }
+
+// stoppingRetryAt returns when a caller that was refused because of a planned stop may retry:
+// at once, as another instance serves it, but not before the load balancer sends the callers
+// of this failure domain to another one, if none else serves them here.
+func (r *Router) stoppingRetryAt() time.Time {
+	retry := r.now().Add(stoppingRetryAfter)
+	end := r.balancerEnd.Load()
+	if end == nil || end.Before(retry) || r.AloneInDomain == nil || !r.AloneInDomain() {
+		return retry
+	}
+	return *end
+}
+
 // checkPlannedStop returns an error for a request that may be cut off by the planned end of
 // the process.
 func (j *job) checkPlannedStop() error {
@@ -27,7 +42,7 @@
 		return nil
 	}
 	return fault.New(fault.ShuttingDown, "the instance stops in %v, before the expected end of the request", processEnd.Sub(now).Round(time.Millisecond)).
-		WithRetryAfter(now.Add(stoppingRetryAfter))
+		WithRetryAfter(j.router.stoppingRetryAt())
 }
 
 // latestEnd returns the time before which a request that begins now is expected to end. While
--- a/core/forward/plannedstop_test.go
+++ b/core/forward/plannedstop_test.go
@@ -135,3 +135,36 @@
 		t.Errorf("%d requests count as running", n)
 	}
 }
+
+// TestRetryAfterOfTheOnlyInstance guards against callers whose few retries all reach the
+// stopping instance again, since it is the only one of its failure domain and the load
+// balancer has not noticed the stop.
+func TestRetryAfterOfTheOnlyInstance(t *testing.T) {
+	const balancerDelay = time.Second
+	h := newHarness(t)
+	h.router.SetStopTime(time.Now())
+	for _, c := range []struct {
+		name     string
+		alone    bool
+		noticed  bool
+		wantLate bool
+	}{
+		{"others in the domain", false, false, false},
+		{"alone", true, false, true},
+		{"alone, and the balancer has noticed", true, true, false},
+	} {
+		h.router.AloneInDomain = func() bool { return c.alone }
+		end := time.Now().Add(balancerDelay)
+		if c.noticed {
+			end = time.Now()
+		}
+		h.router.SetBalancerEnd(end)
+		for _, stopped := range []bool{false, true} {
+			h.router.stopping.Store(stopped)
+			wait := time.Until(fault.From(h.serve("once").err).RetryAfter)
+			if late := wait > balancerDelay/2; late != c.wantLate {
+				t.Errorf("%s, refusing everything %v: Retry-After %v", c.name, stopped, wait)
+			}
+		}
+	}
+}
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -125,6 +125,7 @@
 	Admit         func(o *catalog.Organisation, cost ident.Tokens) Admission // Takes tokens of an organisation's rate.
 	Calls         EngineCalls
 	LiveInstances func() int             // Number of instances that share the retry budget.
+	AloneInDomain func() bool            // Whether no other instance of the failure domain is live; nil for never.
 	Quarantine    *quarantine.Quarantine // Parts of prompts that are held back from engines.
 	Memory        *membudget.Budget      // Limits the answers that are buffered.
 
@@ -140,6 +141,7 @@
 	durations       durations
 	outputEstimates outputEstimates
 	processEnd      atomic.Pointer[time.Time] // Planned end of the process; nil while no stop is planned.
+	balancerEnd     atomic.Pointer[time.Time] // When the load balancer sends no more callers; nil while no stop is planned.
 	stopping        atomic.Bool
 }
 
@@ -237,7 +239,7 @@
 func (r *Router) resolve(q *Request, a ResponseWriter) (*job, error) {
 	c := r.Catalog()
 	if r.stopping.Load() {
-		return nil, fault.New(fault.ShuttingDown, "the instance is stopping").WithRetryAfter(r.now().Add(stoppingRetryAfter))
+		return nil, fault.New(fault.ShuttingDown, "the instance is stopping").WithRetryAfter(r.stoppingRetryAt())
 	}
 	if c == nil {
 		return nil, fault.New(fault.StoreUnavailable, "no configuration has been received yet").WithRetryAfter(r.now().Add(noConfigRetryAfter))
