httpcall: a connection of Client is not read while its sink waits

A connection is not read while 256 KB of its response are buffered; Do reads it on after the sink has taken them. The engine of nbio works edge-triggered, as an unread connection would otherwise wake its poller again and again. When the endpoint has closed, what has arrived is read at once, since the poller closes the connection after the event; that is at most the receive buffer.

Not covered: a response with a Content-Length. nbhttp's parser passes its body on as one piece; maxBytes limits it.

Evidence (go test ./io/httpcall -run TestSlowSinkStopsReading): with a sink that waits 0.7 s the endpoint could write the whole 33.6 MB before, 4.3 MB after (Pool: 3.9 MB; the kernel's buffers hold the most of it). The package's tests passed 4 times plain and once with -race.

--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -98,7 +98,7 @@
 	if _, err := nbc.Write(message); err != nil {
 		return fault.Wrap(err, fault.EndpointFailed, "the connection failed while the request was sent")
 	}
-	return c.receive(ctx, call, x, sink)
+	return c.receive(ctx, call, nbc, x, sink)
 }
 
 // dial connects to the endpoint and records the time taken.
--- a/io/httpcall/client.go
+++ b/io/httpcall/client.go
@@ -6,6 +6,7 @@
 import (
 	"sync"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rcrowley/go-metrics"
 
@@ -15,12 +16,8 @@
 const (
 	// defaultPollers is the number of poller goroutines.
 	defaultPollers = 2
-	// defaultMaxResponseBytes is the maximum size of a response, and of the part of it
-	// that is buffered until Do passes it to the sink.
+	// defaultMaxResponseBytes is the maximum size of a response.
 	defaultMaxResponseBytes = 64 << 20
-	// readsPerEvent lets the poller read until a socket is empty. Otherwise the end
-	// of a response is lost if the endpoint closes the connection right after it.
-	readsPerEvent = 1 << 30
 )
 
 // Client makes calls, each on a new connection. It is safe for concurrent use.
@@ -71,13 +68,14 @@
 		dial:       metrics.GetOrRegisterTimer("HTTPCall.Dial", c.registry),
 	}
 	c.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name:                         "HTTPCall",
-		NPoller:                      c.pollers,
-		ReadLimit:                    c.maxBytes,
-		MaxConnReadTimesPerEventLoop: readsPerEvent,
-		ServerExecutor:               func(f func()) { go f() },
-		ClientExecutor:               func(f func()) { go f() },
+		Name:           "HTTPCall",
+		NPoller:        c.pollers,
+		ReadLimit:      c.maxBytes,
+		EpollMod:       nbio.EPOLLET, // A connection that is not read causes no further events.
+		ServerExecutor: func(f func()) { go f() },
+		ClientExecutor: func(f func()) { go f() },
 	})
+	c.engine.OnRead(c.onRead)
 	if err := poller.Start(c.engine); err != nil {
 		return nil, err
 	}
--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -21,6 +21,9 @@
 	maxBytes int
 	changed  chan struct{} // Holds an element after a change.
 
+	readMu sync.Mutex // Held while the connection is read and parsed.
+	paused bool       // The connection is not read, as enough is buffered.
+
 	mu            sync.Mutex
 	head          endpoint.Head
 	headBytes     int  // Bytes read until the read in which the headers are complete.
--- a/io/httpcall/receive.go
+++ b/io/httpcall/receive.go
@@ -5,13 +5,15 @@
 	"io"
 	"time"
 
+	"github.com/lesismal/nbio"
+
 	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 )
 
 // receive passes the response to the sink until it is complete or a time limit is
 // exceeded.
-func (c *Client) receive(ctx context.Context, call Call, x *exchange, sink endpoint.Sink) error {
+func (c *Client) receive(ctx context.Context, call Call, nbc *nbio.Conn, x *exchange, sink endpoint.Sink) error {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	headDelivered := false
@@ -31,6 +33,7 @@
 		}
 		if len(update.fragments) > 0 {
 			update.lastReadAt = time.Now() // The endpoint is not silent while the sink waits.
+			x.resume(nbc)
 		}
 		if update.err != nil {
 			return update.err
--- a/io/httpcall/slowsink_test.go
+++ b/io/httpcall/slowsink_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,3 +46,46 @@
 		}
 	}
 }
+
+// TestSlowSinkStopsReading has a sink take no more of a response without end. The endpoint must
+// be able to write only what the kernel and a small buffer hold.
+func TestSlowSinkStopsReading(t *testing.T) {
+	const (
+		pieceBytes = 64 << 10
+		pieces     = 512
+		maxWritten = 16 << 20 // The kernel's buffers hold the most of it.
+	)
+	for name, caller := range map[string]doer{"pool": newTestPool(t), "client": newClient(t)} {
+		var written atomic.Int64
+		e := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n", RequestIDHeader, r.Header.Get(RequestIDHeader))
+			piece := "10000\r\n" + strings.Repeat("x", pieceBytes) + "\r\n"
+			for range pieces {
+				n, err := io.WriteString(c, piece)
+				if written.Add(int64(n)); err != nil {
+					break
+				}
+			}
+			_, _ = io.WriteString(c, "0\r\n\r\n")
+			return false
+		})
+		received, delivered := int64(0), int64(0)
+		err := caller.Do(context.Background(), Call{Address: e.address, Method: "GET", Target: "/", ID: "a", Limits: limitsWithin(20 * time.Second)}, endpoint.Sink{
+			OnHead: func(endpoint.Head) error { return nil },
+			OnBody: func(data []byte) error {
+				if received == 0 {
+					time.Sleep(700 * time.Millisecond)
+					delivered = written.Load()
+				}
+				received += int64(len(data))
+				return nil
+			},
+		})
+		if err != nil || received != pieces*pieceBytes {
+			t.Errorf("%s: %d bytes, %v", name, received, err)
+		}
+		if t.Logf("%s: %d bytes written while the sink waited", name, delivered); delivered > maxWritten {
+			t.Errorf("%s: the endpoint could write %d bytes while the sink waited", name, delivered)
+		}
+	}
+}
