--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,14 +22,18 @@
 
 // conn is the state of a caller's connection.
 type conn struct {
-	nbc     *nbio.Conn
-	limits  *limitHistory
-	metrics serverMetrics
-	unsent  *unsentBytes
+	nbc      *nbio.Conn
+	limits   *limitHistory
+	requests *requestMemory
+	memory   requestHolder // Memory of all requests of the connection.
+	metrics  serverMetrics
+	unsent   *unsentBytes
 
 	// Accessed only by the goroutine of the connection's poller.
 	progress         requestProgress
-	limiterInstalled bool // The parser's processor is wrapped in a limiter.
+	limiterInstalled bool            // The parser's processor is wrapped in a limiter.
+	unparsed         membudget.Bytes // Input after the segment being parsed.
+	completedBytes   membudget.Bytes // Memory of the request that was read completely.
 
 	// Accessed only by the sweep.
 	ackedBytes int64 // Bytes that the caller's host had acknowledged at the last check.
@@ -38,6 +43,8 @@
 	handled      atomic.Pointer[ident.RequestID] // The X-Request-Id of the request handled last.
 
 	mu              sync.Mutex
+	readBytes       membudget.Bytes    // Memory of the request being read.
+	readSince       time.Time          // When the first byte of the request being read arrived.
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
 	idleSince       time.Time          // When the last request ended, or the connection was opened.
 	closeDeadline   time.Time          // When the connection is closed unless a request is read or handled.
@@ -58,10 +65,11 @@
 }
 
 // newConn returns the state of a new connection, whose unsent bytes holder counts.
-func newConn(nbc *nbio.Conn, limits *limitHistory, m serverMetrics, holder *membudget.Holder) *conn {
-	c := &conn{nbc: nbc, limits: limits, metrics: m, unsent: newUnsentBytes(holder)}
+func newConn(nbc *nbio.Conn, limits *limitHistory, requests *requestMemory, m serverMetrics, holder *membudget.Holder) *conn {
+	now := time.Now()
+	c := &conn{nbc: nbc, limits: limits, requests: requests, memory: requests.open(now), metrics: m, unsent: newUnsentBytes(holder)}
 	c.readChanged = sync.NewCond(&c.mu)
-	c.startIdleTime(time.Now())
+	c.startIdleTime(now)
 	return c
 }
 
@@ -98,14 +106,17 @@
 	if c.ignoresInput() {
 		return
 	}
-	parser, ok := c.nbc.Session().(*nbhttp.Parser)
-	if !ok {
-		_ = c.nbc.Close()
+	if !c.reserveInput(membudget.Bytes(len(data))) {
+		c.rejectFailed(nil)
+		return
+	}
+	parser := c.parser()
+	if parser == nil {
 		return
 	}
 	if !c.limiterInstalled {
 		parser.Processor = &limiter{Processor: parser.Processor, conn: c}
-		parser.Execute = c.execute
+		parser.Execute = c.executeRequest
 		parser.Conn = &countingConn{Conn: parser.Conn, unsent: c.unsent}
 		c.limiterInstalled = true
 	}
@@ -119,6 +130,27 @@
 	c.rejectFailed(err)
 }
 
+// parser returns the connection's parser, or nil if dropParser has dropped it.
+func (c *conn) parser() *nbhttp.Parser {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	parser, _ := c.nbc.Session().(*nbhttp.Parser)
+	return parser
+}
+
+// dropParser frees what the parser holds of a rejected request. It must be called by a job of
+// the connection, as nbhttp cleans up the parser of a closed connection in another one.
+func (c *conn) dropParser() {
+	parser := c.parser()
+	if parser == nil {
+		return
+	}
+	c.mu.Lock()
+	c.nbc.SetSession(nil)
+	c.mu.Unlock()
+	parser.CloseAndClean(net.ErrClosed)
+}
+
 // parse passes bytes to the parser in segments that never extend beyond the header
 // section or the body of a request, so that headerChecker sees each header line before
 // the parser does.
@@ -126,9 +158,13 @@
 	for len(data) > 0 && !c.isRejected() && !c.ignoresInput() {
 		if !c.progress.started {
 			c.startRequest()
+			if !c.reserveInput(requestBytes) {
+				return nil
+			}
 		}
 		segment := data[:c.progress.segmentLen(data)]
 		data = data[len(segment):]
+		c.unparsed = membudget.Bytes(len(data))
 		if c.progress.headersComplete {
 			c.progress.parsedBodyBytes += len(segment)
 			c.progress.bufferedBodyBytes += len(segment)
@@ -152,6 +188,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	c.progress.started = true
+	c.readSince = now
 	c.progress.limits = c.limits.at(now)
 	c.progress.bodyDeadline = now.Add(c.progress.limits.RequestTimeout)
 	if c.requestDeadline.IsZero() {
@@ -218,7 +255,11 @@
 		return
 	}
 	c.metrics.rejected.Inc(1)
-	c.execute(func() { _, _ = c.unsent.writeTo(c.nbc, rawErrorResponse(err)) })
+	c.dropInput()
+	c.execute(func() {
+		_, _ = c.unsent.writeTo(c.nbc, rawErrorResponse(err))
+		c.dropParser()
+	})
 }
 
 // ignoresInput reports whether a rejection was sent or the last request of the
@@ -241,6 +282,7 @@
 	c.requestDeadline = time.Time{}
 	c.lastRequest = c.lastRequest || last
 	c.activeRequests++
+	c.completedBytes = c.takeReadBytes()
 	return true
 }
 
@@ -282,6 +324,20 @@
 	return cancel != nil
 }
 
+// executeRequest queues a request that the parser has completed. Its memory is released when it
+// ends.
+func (c *conn) executeRequest(handle func()) bool {
+	held := c.completedBytes
+	queued := c.execute(func() {
+		defer c.memory.release(held)
+		handle()
+	})
+	if !queued {
+		c.memory.release(held)
+	}
+	return queued
+}
+
 // execute queues an accepted request. handle calls the handler and writes what is buffered
 // of its response; only then does the request end. It returns false if the connection is
 // closed.
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -104,10 +103,10 @@
 }
 
 // setConnectionClose sets "Connection: close" if the connection is closed after the
-// response. Each response calls it just before it writes its headers, so that a drain that
+// response. Each response calls it just before it writes its headers, so that a stop that
 // began during the request is announced.
 func (x *exchange) setConnectionClose() {
-	if x.conn.isLastResponse(x.server.draining.Load()) {
+	if x.conn.isLastResponse(x.server.announcing.Load() || x.server.draining.Load()) {
 		x.w.Header().Set("Connection", "close")
 	}
 }
@@ -177,7 +176,7 @@
 	x.session = session
 	x.setCancel(session.Cancel)
 	defer func() { session.Close(err) }()
-	body, err := io.ReadAll(x.req.Body)
+	body, err := readBody(x.req.Body)
 	if err != nil {
 		return fault.Wrap(err, fault.BadRequest, "cannot read the body")
 	}
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -58,13 +58,14 @@
 	limits         *limitHistory
 	memory         *membudget.Budget // Counts the bytes held for callers, beside others.
 
-	closeIdleOnDrain bool // A drain closes connections without a request, at idleCloseAt.
-	idleCloseAt      atomic.Pointer[time.Time]
+	closeIdleOnDrain bool // A drain closes connections without a request.
 
 	engine       *nbhttp.Engine
 	acceptor     *acceptor
 	conns        connTable
+	requests     *requestMemory
 	openRequests atomic.Int64 // Requests whose handler has not returned.
+	announcing   atomic.Bool  // Responses announce the close of their connections.
 	draining     atomic.Bool
 	closing      atomic.Bool // New requests are refused.
 	barrier      atomic.Pointer[poller.Barrier]
@@ -84,6 +85,7 @@
 	containedPanics     metrics.Counter // Panics in reading a connection.
 	crossedClose        metrics.Counter // Requests that arrived after a drain had closed their connection as idle.
 	rejectedConnections metrics.Counter // Connections that were rejected as no descriptor was free.
+	refusedForMemory    metrics.Counter // Requests refused before they were read completely, as no memory was free.
 	unsentBytes         metrics.Gauge   // Bytes of answers that the sockets have not taken yet.
 	heldBytes           metrics.Gauge   // Bytes that the memory budget counts.
 	waitingWrites       metrics.Counter // Writes that have waited for a caller to read.
@@ -96,9 +98,8 @@
 // WithLimits sets the limits.
 func WithLimits(l Limits) Option { return func(s *Server) { s.limits = newLimitHistory(l) } }
 
-// WithIdleClose makes a drain wait until callers have been told of the close of their
-// connections, and close those without a request shortly before its deadline. Callers that
-// keep connections open through a load balancer would otherwise send requests on them until
+// WithIdleClose makes a drain close connections without a request. Callers that keep
+// connections open through a load balancer would otherwise send requests on them until
 // the process exits.
 func WithIdleClose() Option { return func(s *Server) { s.closeIdleOnDrain = true } }
 
@@ -118,6 +119,7 @@
 		containedPanics:     metrics.GetOrRegisterCounter("Caller.ContainedPanics", r),
 		crossedClose:        metrics.GetOrRegisterCounter("Caller.CrossedClose", r),
 		rejectedConnections: metrics.GetOrRegisterCounter("Caller.RejectedConnections", r),
+		refusedForMemory:    metrics.GetOrRegisterCounter("Caller.RefusedForMemory", r),
 		unsentBytes:         metrics.GetOrRegisterGauge("Caller.UnsentBytes", r),
 		heldBytes:           metrics.GetOrRegisterGauge("Memory.HeldBytes", r),
 		waitingWrites:       metrics.GetOrRegisterCounter("Caller.WaitingWrites", r),
@@ -125,7 +127,8 @@
 	}
 }
 
-// WithMemory makes b count the bytes held for callers.
+// WithMemory makes b count the bytes held for callers. The default is the budget of an instance
+// whose memory has no known size.
 func WithMemory(b *membudget.Budget) Option { return func(s *Server) { s.memory = b } }
 
 // New returns a server that handles requests with pipeline. Listen starts it.
@@ -142,6 +145,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.requests = newRequestMemory(s.memory, &s.conns, s.log, s.metrics.refusedForMemory)
 	return s
 }
 
@@ -205,7 +209,7 @@
 	setSocketOptions(nbc)
 	var state *conn
 	holder := s.memory.Open(time.Now(), membudget.WithEnd(func() { s.endForMemory(state) }))
-	state = newConn(nbc, s.limits, s.metrics, holder)
+	state = newConn(nbc, s.limits, s.requests, s.metrics, holder)
 	s.conns.add(nbc, state)
 	state.extendIdleTime(time.Now()) // SetLimits may have missed it.
 }
@@ -219,6 +223,7 @@
 	}
 	if state := s.conns.get(nbc); state != nil {
 		state.unsent.close()
+		state.memory.close()
 		s.conns.remove(nbc)
 	}
 }
@@ -250,7 +255,7 @@
 // and delivered last responses. A panic ends only the check of its connection.
 func (s *Server) sweepOnce(now time.Time) {
 	boundary := contain.Boundary{Log: s.log, Panics: s.metrics.containedPanics}
-	drain := s.closesIdle(now)
+	drain := s.closeIdleOnDrain && s.draining.Load()
 	// Before the connections are checked, as it notices when the process was suspended.
 	_ = boundary.Run("sweep", func() { s.memory.EndStalled(now) })
 	unsent := int64(0)
@@ -267,18 +272,19 @@
 	s.metrics.heldBytes.Update(int64(s.memory.Held()))
 }
 
+// AnnounceClose makes each response the last one of its connection, which it announces. New
+// connections are accepted. Before a drain it leaves few connections on which a request can
+// cross the close.
+func (s *Server) AnnounceClose() { s.announcing.Store(true) }
+
 // Drain waits until all open requests are finished and their responses delivered.
 // Requests that arrive meanwhile are served, and their connections then closed.
 func (s *Server) Drain(ctx context.Context) error {
-	if s.closeIdleOnDrain {
-		at := idleCloseAt(ctx, time.Now())
-		s.idleCloseAt.Store(&at)
-	}
 	s.draining.Store(true)
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for idleChecks := 0; idleChecks < idleSweeps; idleChecks++ {
-		if s.openRequests.Load() > 0 || s.conns.countActiveRequests() > 0 || s.awaitsCallers() {
+		if s.openRequests.Load() > 0 || s.conns.countActiveRequests() > 0 {
 			idleChecks = -1
 		}
 		select {
