caller: a test of the number of open requests, failing

Cause looked for: on the platform nothing limits how many requests are open at once, and the limit for their memory counts 4 KB for each beside its bytes.

go test -run TestOpenRequestsAre ./io/caller: all 1,500 requests wait, with a limit of 16.8 MB.

--- a/io/caller/heldrequests_test.go
+++ b/io/caller/heldrequests_test.go
@@ -254,3 +254,24 @@
 		t.Errorf("%d bytes are still held", grown)
 	}
 }
+
+// openRequestBytes is what an open request without a body takes: its connection, its goroutines
+// and the call to an engine that waits for its answer.
+const openRequestBytes = 24 << 10
+
+// TestOpenRequestsAreBoundedInSum has more small requests wait than there is memory for. Without
+// a limit for their number an engine that answers slowly would use up the memory of the machine.
+func TestOpenRequestsAreBoundedInSum(t *testing.T) {
+	handle, waiting := holdRequests(t)
+	s, address := newForwardingTestServer(t, handle, withHeldLimit())
+	const requests = 1500
+	for range requests {
+		sendAll(dialTest(t, address), "GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+	}
+	eventually(t, "each request is handled or refused", 10*time.Second, func() bool {
+		return waiting.Load()+s.metrics.rejected.Count() == requests
+	})
+	if n := waiting.Load(); n*openRequestBytes > heldLimit || n < heldLimit/openRequestBytes/2 {
+		t.Errorf("%d requests wait, want at most %d and at least half of that", n, heldLimit/openRequestBytes)
+	}
+}
