caller: count what a request takes beside its bytes

Class: what a piece costs beside its bytes is not counted.

A request now counts 24 KB in the limit for requests, 569 open ones without bodies at MemoryMB 112 and 681 at 134.

--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -33,7 +33,7 @@
 	progress         requestProgress
 	limiterInstalled bool            // The parser's processor is wrapped in a limiter.
 	unparsed         membudget.Bytes // Input after the segment being parsed.
-	completedBytes   membudget.Bytes // Memory of the request that was read completely.
+	completedSize    requestSize     // Memory of the request that was read completely.
 
 	// Accessed only by the sweep.
 	ackedBytes int64 // Bytes that the caller's host had acknowledged at the last check.
@@ -42,7 +42,7 @@
 	handled   atomic.Pointer[ident.RequestID] // The X-Request-Id of the request handled last.
 
 	mu              sync.Mutex
-	readBytes       membudget.Bytes    // Memory of the request being read.
+	readSize        requestSize        // Memory of the request being read.
 	readSince       time.Time          // When the first byte of the request being read arrived.
 	requestDeadline time.Time          // When the request being read must be complete; zero without one.
 	idleSince       time.Time          // When the last request ended, or the connection was opened.
@@ -105,7 +105,7 @@
 	if c.ignoresInput() {
 		return
 	}
-	if !c.reserveInput(membudget.Bytes(len(data))) {
+	if !c.reserveInput(requestSize{input: membudget.Bytes(len(data))}) {
 		c.rejectFailed(nil)
 		return
 	}
@@ -157,7 +157,7 @@
 	for len(data) > 0 && !c.isRejected() && !c.ignoresInput() {
 		if !c.progress.started {
 			c.startRequest()
-			if !c.reserveInput(requestBytes) {
+			if !c.reserveInput(requestSize{state: requestBytes}) {
 				return nil
 			}
 		}
@@ -281,7 +281,7 @@
 	c.requestDeadline = time.Time{}
 	c.lastRequest = c.lastRequest || last
 	c.activeRequests++
-	c.completedBytes = c.takeReadBytes()
+	c.completedSize = c.takeReadSize()
 	return true
 }
 
@@ -326,7 +326,7 @@
 // executeRequest queues a request that the parser has completed. Its memory is released when it
 // ends.
 func (c *conn) executeRequest(handle func()) bool {
-	held := c.completedBytes
+	held := c.completedSize
 	queued := c.execute(func() {
 		defer c.memory.release(held)
 		handle()
--- a/io/caller/requestmemory.go
+++ b/io/caller/requestmemory.go
@@ -16,11 +16,12 @@
 )
 
 const (
-	// requestShare is the share of the memory budget that requests may use, so that they leave
-	// memory for responses.
+	// requestShare is the limit of the memory of requests as a share of the memory budget. Their
+	// input is in the budget, and so leaves memory for responses.
 	requestShare = 0.5
-	// requestBytes is what a request needs beside the bytes received.
-	requestBytes membudget.Bytes = 4 << 10
+	// requestBytes is what a request takes beside the bytes received: its connection, goroutines
+	// and the call to an engine.
+	requestBytes membudget.Bytes = 24 << 10
 	// memoryRetryDelay is the Retry-After of a request that is refused for lack of memory.
 	memoryRetryDelay = time.Second
 	// memoryLogInterval is the shortest time between two log lines about such requests.
@@ -31,8 +32,8 @@
 // handled. Without free memory, requests that are being read are refused; those that were read
 // completely are kept.
 type requestMemory struct {
-	budget *membudget.Budget // All holders of the instance.
-	share  *membudget.Budget // What requests may use of it.
+	budget *membudget.Budget // All bytes that the instance holds for others.
+	share  *membudget.Budget // All memory of requests.
 	conns  *connTable
 	log    log.Logger
 
@@ -54,7 +55,22 @@
 	}
 }
 
-// requestHolder counts the memory that the requests of one connection use.
+// requestSize is the memory of a request.
+type requestSize struct {
+	input membudget.Bytes // Bytes received.
+	state membudget.Bytes // What the program takes to handle it; 0 or requestBytes.
+}
+
+// total returns the sum.
+func (n requestSize) total() membudget.Bytes { return n.input + n.state }
+
+// add returns the sum of two sizes.
+func (n requestSize) add(other requestSize) requestSize {
+	return requestSize{n.input + other.input, n.state + other.state}
+}
+
+// requestHolder counts the memory that the requests of one connection use. The budget counts
+// their input alone: it limits bytes held for others.
 type requestHolder struct {
 	budget *membudget.Holder
 	share  *membudget.Holder
@@ -65,22 +81,22 @@
 	return requestHolder{budget: m.budget.Open(now), share: m.share.Open(now)}
 }
 
-// reserve counts n bytes more, or returns false if there is not enough memory.
-func (h requestHolder) reserve(n membudget.Bytes) bool {
-	if !h.share.Reserve(n) {
+// reserve counts n, or returns false if there is not enough memory.
+func (h requestHolder) reserve(n requestSize) bool {
+	if !h.share.Reserve(n.total()) {
 		return false
 	}
-	if !h.budget.Reserve(n) {
-		h.share.Release(n)
+	if !h.budget.Reserve(n.input) {
+		h.share.Release(n.total())
 		return false
 	}
 	return true
 }
 
-// release takes n bytes back.
-func (h requestHolder) release(n membudget.Bytes) {
-	h.share.Release(n)
-	h.budget.Release(n)
+// release takes n back.
+func (h requestHolder) release(n requestSize) {
+	h.share.Release(n.total())
+	h.budget.Release(n.input)
 }
 
 // close takes back all bytes of the connection.
@@ -89,10 +105,10 @@
 	h.budget.Close()
 }
 
-// reserve reserves n bytes for the request that a connection reads. Without enough memory it
+// reserve reserves memory for the request that a connection reads. Without enough memory it
 // refuses other requests that are being read, first those that have used most memory for the
 // longest time, down to the connection's own request; it then returns false.
-func (m *requestMemory) reserve(c *conn, n membudget.Bytes) bool {
+func (m *requestMemory) reserve(c *conn, n requestSize) bool {
 	for !c.memory.reserve(n) {
 		now := time.Now()
 		victim := m.costliestRead(now)
@@ -147,7 +163,7 @@
 	if c.requestDeadline.IsZero() || c.rejection != nil || c.activeRequests > 0 {
 		return 0
 	}
-	return float64(c.readBytes) * now.Sub(c.readSince).Seconds()
+	return float64(c.readSize.total()) * now.Sub(c.readSince).Seconds()
 }
 
 // refuseReading refuses the request being read and reports whether there was one.
@@ -166,22 +182,23 @@
 
 // reserveInput reserves memory for the request being read, and rejects the request if there is
 // none.
-func (c *conn) reserveInput(n membudget.Bytes) bool {
+func (c *conn) reserveInput(n requestSize) bool {
 	if !c.requests.reserve(c, n) {
 		c.reject(c.requests.exhausted(time.Now()))
 		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readBytes += n
+	c.readSize = c.readSize.add(n)
 	return true
 }
 
-// takeReadBytes returns the memory that the request just read completely uses. That of the
+// takeReadSize returns the memory that the request just read completely uses. That of the
 // input after it remains counted for the next request. The caller must hold c.mu.
-func (c *conn) takeReadBytes() membudget.Bytes {
-	n := c.readBytes - c.unparsed
-	c.readBytes = c.unparsed
+func (c *conn) takeReadSize() requestSize {
+	n := c.readSize
+	n.input -= c.unparsed
+	c.readSize = requestSize{input: c.unparsed}
 	return n
 }
 
@@ -194,8 +211,8 @@
 	if c.activeRequests > 1 { // The rejection is one.
 		return
 	}
-	c.memory.release(c.readBytes)
-	c.readBytes = 0
+	c.memory.release(c.readSize)
+	c.readSize = requestSize{}
 }
 
 // readBody reads the body of a request, which nbhttp has buffered, into memory of just its size.
