--- a/io/caller/heldrequests_test.go
+++ b/io/caller/heldrequests_test.go
@@ -275,3 +275,26 @@
 		t.Errorf("%d requests wait, want at most %d and at least half of that", n, heldLimit/openRequestBytes)
 	}
 }
+
+// TestHeaderLinesAreBoundedInSum has requests with many short header lines wait. A line takes many
+// times its bytes; counting the bytes alone would let them use up the memory of the machine.
+func TestHeaderLinesAreBoundedInSum(t *testing.T) {
+	handle, waiting := holdRequests(t)
+	s, address := newForwardingTestServer(t, handle, withHeldLimit())
+	var head strings.Builder
+	head.WriteString("GET /x HTTP/1.1\r\nHost: x\r\n")
+	for i := 0; head.Len() < 50_000; i++ {
+		fmt.Fprintf(&head, "%x:\r\n", i)
+	}
+	head.WriteString("\r\n")
+	before := settledHeapBytes()
+	const requests = 150
+	for range requests {
+		sendAll(dialTest(t, address), head.String())
+	}
+	eventually(t, "each request is handled or refused", 10*time.Second, func() bool {
+		return waiting.Load()+s.metrics.rejected.Count() == requests
+	})
+	t.Logf("%d requests wait", waiting.Load())
+	expectHeldWithin(t, before)
+}
