caller: count what a header line takes beside its bytes

Cause: a header line takes a map entry, a slice and a string beside its bytes, 131 bytes in the heap for one of 4 to 7 bytes; only its bytes were counted. Class: what a piece costs beside its bytes.

A usual request has ten to twenty lines, 5 KB at most. Ruled out: a limit for the number of lines, which would refuse requests that the operator's limits allow; trailers, which do not grow the heap (trial).

--- a/io/caller/limiter.go
+++ b/io/caller/limiter.go
@@ -61,6 +61,9 @@
 // OnHeader implements nbhttp.Processor.
 func (l *limiter) OnHeader(p *nbhttp.Parser, key, value string) {
 	l.countHeaderBytes(len(key) + len(value) + headerOverhead)
+	if !l.conn.reserveInput(requestSize{state: headerLineBytes}) {
+		return // The request is rejected.
+	}
 	value = strings.Trim(value, " \t")
 	l.checkBodyLength(key)
 	if key == "Expect" && strings.EqualFold(value, "100-continue") {
--- a/io/caller/requestmemory.go
+++ b/io/caller/requestmemory.go
@@ -22,6 +22,9 @@
 	// requestBytes is what a request takes beside the bytes received: its connection, goroutines
 	// and the call to an engine.
 	requestBytes membudget.Bytes = 24 << 10
+	// headerLineBytes is what a header line takes beside its bytes, in the request and in the copy
+	// that is sent on.
+	headerLineBytes membudget.Bytes = 256
 	// memoryRetryDelay is the Retry-After of a request that is refused for lack of memory.
 	memoryRetryDelay = time.Second
 	// memoryLogInterval is the shortest time between two log lines about such requests.
@@ -58,7 +61,7 @@
 // requestSize is the memory of a request.
 type requestSize struct {
 	input membudget.Bytes // Bytes received.
-	state membudget.Bytes // What the program takes to handle it; 0 or requestBytes.
+	state membudget.Bytes // What the program takes to handle it.
 }
 
 // total returns the sum.
