--- a/lab/matrix/rule.go
+++ b/lab/matrix/rule.go
@@ -36,9 +36,13 @@
 	return slices.Compact(allowed)
 }
 
-// services returns the services that may run the row's request.
+// services returns the services that may run the row's request. With several events a request
+// may be handled before them.
 func (events Events) services(r Row) []string {
 	var services []string
+	if len(events) > 1 {
+		services = servicesOf(Hangup, r)
+	}
 	for _, e := range events {
 		services = append(services, servicesOf(e, r)...)
 	}
