forward: the newest of equally similar durations count

Cause: durations with the same expected output stayed in the order of the ring through the stable sort, so that an estimate used the first 32 slots of 256: requests up to 256 old, and running ones, which were appended, never. All requests of a plain service have the same expected output. Class: a sort of what is equal, by a place that means nothing.

The router refuses everything 2.1 s after SIGTERM, so that with the platform's grace it takes plain requests of more than 5 s, or streams with equal estimates.

Now running ones count first, then the newest. Ruled out: counting the running ones beside the 32 others: one that runs long for its many tokens would count for a short one.

Evidence, go test ./core/forward -run 'NewestOfEqual|RunningRequestsCount' -v, on: with 32 of 288 and of 480 requests, the newest, of 3 s 20ms is estimated, as with 32 that run since 3 s beside 32 and 256 ended ones; 3 s now. TestSimilarityGoesBeforeAge passes before and after.

--- a/core/forward/durations.go
+++ b/core/forward/durations.go
@@ -96,18 +96,26 @@
 	if len(service.ended) == 0 {
 		return 0
 	}
-	samples := slices.Clone(service.ended)
+	samples := service.newestFirst()
 	estimate := estimateFrom(samples, output)
+	var exceeding []duration
 	for r := range service.running {
 		running := duration{r.output, now.Sub(r.received)}
 		if r.output > 0 && running.scaledTo(output) > estimate {
-			samples = append(samples, running)
+			exceeding = append(exceeding, running)
 		}
 	}
-	if len(samples) == len(service.ended) {
+	if len(exceeding) == 0 {
 		return estimate
 	}
-	return estimateFrom(samples, output)
+	return estimateFrom(append(exceeding, samples...), output)
+}
+
+// newestFirst returns the durations of the requests that have ended, the newest first.
+func (s *serviceDurations) newestFirst() []duration {
+	list := slices.Concat(s.ended[s.oldest:], s.ended[:s.oldest])
+	slices.Reverse(list)
+	return list
 }
 
 // scaledTo returns how long a request with another expected output takes at the same rate.
@@ -116,7 +124,7 @@
 }
 
 // estimateFrom returns the quantile of the durations of similar requests, each scaled to the
-// given output.
+// given output. Of equally similar ones the first samples count.
 func estimateFrom(samples []duration, output ident.Tokens) time.Duration {
 	if len(samples) == 0 || output <= 0 {
 		return 0
