forward: compare expected outputs without logarithms

The ratio of two outputs has the order of its logarithm. The results are the same; the tests of estimates pass unchanged.

--- a/core/forward/durations.go
+++ b/core/forward/durations.go
@@ -142,7 +142,7 @@
 	return scaled[int(math.Ceil(durationQuantile*float64(len(scaled))))-1]
 }
 
-// outputDistance returns how much two expected outputs differ, as a ratio on a log scale.
+// outputDistance returns how much two expected outputs differ, as the ratio of the larger one.
 func outputDistance(a, b ident.Tokens) float64 {
-	return math.Abs(math.Log(float64(a) / float64(b)))
+	return float64(max(a, b)) / float64(min(a, b))
 }
