forward: a server error is replaced also while memory is scarce

A server error of up to 4 KB is now buffered in any case, and counted. That is no more than each request holds already, whose number the memory for requests limits. A longer one is forwarded.

Ruled out: ending the call with an error in place of the answer: callers would lose the engine's status and body when no other engine answers.

Evidence, go test -run TestServerError ./core/forward: before, 'status 500, "no" after 1 calls'; now the second engine's answer. TestServerErrorOfAllEnginesReachesCaller passes before and after. core/forward with -race -short passed in 20 s.

--- a/core/forward/heldanswers_test.go
+++ b/core/forward/heldanswers_test.go
@@ -66,3 +66,37 @@
 		t.Errorf("%d bytes are still counted", n)
 	}
 }
+
+// TestServerErrorIsReplacedWhileMemoryIsScarce guards against a request that gets the server error
+// of one engine although another one would answer, as its answer could not be buffered.
+func TestServerErrorIsReplacedWhileMemoryIsScarce(t *testing.T) {
+	h := newHarness(t)
+	h.router.Memory = membudget.New(heldAnswersLimit)
+	h.router.Memory.Open(time.Now()).Add(heldAnswersLimit)
+	h.send = func(n int, _ Call, sink Sink) error {
+		if n == 1 {
+			return sendAnswer(sink, http.StatusInternalServerError, "no")
+		}
+		return sendAnswer(sink, http.StatusOK, "answer")
+	}
+	if got := h.serve("safe"); got.err != nil || got.status != http.StatusOK || got.body.String() != "answer" || h.callCount() != 2 {
+		t.Errorf("status %d, %q, %v after %d calls; want that of the second engine", got.status, got.body.String(), got.err, h.callCount())
+	}
+}
+
+// TestServerErrorOfAllEnginesReachesCaller guards against a server error that is not forwarded
+// while memory is scarce.
+func TestServerErrorOfAllEnginesReachesCaller(t *testing.T) {
+	for _, name := range []string{"safe", "once"} {
+		h := newHarness(t)
+		h.router.Memory = membudget.New(heldAnswersLimit)
+		h.router.Memory.Open(time.Now()).Add(heldAnswersLimit)
+		h.send = func(_ int, _ Call, sink Sink) error {
+			return sendAnswer(sink, http.StatusInternalServerError, "no")
+		}
+		got := h.serve(name)
+		if got.err != nil || got.status != http.StatusInternalServerError || got.body.String() != "no" {
+			t.Errorf("%s: status %d, %q, %v; want the engine's error", name, got.status, got.body.String(), got.err)
+		}
+	}
+}
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,9 @@
 	// to the caller. A buffered answer that breaks off can be replaced by that of another
 	// engine.
 	maxBufferedAnswer = 256 << 10
+	// maxScarceError is how many bytes of a server error are buffered while memory is scarce.
+	// It is no more than what a request that is read or handled needs anyway.
+	maxScarceError = 4 << 10
 )
 
 // callResult is the result of a call to one engine.
@@ -198,9 +202,9 @@
 	return p.noEngineError(p.lastErr)
 }
 
-// callEngine calls one engine and buffers its answer. An answer of more than
-// maxBufferedAnswer bytes, or one for which no memory is free, is forwarded without buffering. An engine that has not begun to
-// answer after the hedge delay is silent until it does.
+// callEngine calls one engine and buffers its answer. An answer of more than maxBufferedAnswer
+// bytes, or one for which no memory is free, is forwarded without buffering. An engine that has
+// not begun to answer after the hedge delay is silent until it does.
 func (p *plainCalls) callEngine(ctx context.Context, e *engines.Engine, call Call) callResult {
 	sent := p.router.now()
 	res := callResult{engine: e, heardAt: sent}
@@ -219,7 +223,7 @@
 		OnData: func(data []byte) error {
 			res.heardAt = p.router.now()
 			e.RecordAnswer(res.heardAt)
-			if res.forwarded || !p.mayBuffer(len(res.body), len(data)) {
+			if res.forwarded || !p.mayBuffer(&res, len(data)) {
 				return p.forwardChunk(&res, data)
 			}
 			res.body = append(res.body, data...)
@@ -237,13 +241,18 @@
 	return res
 }
 
-// mayBuffer reports whether n bytes of an answer may be buffered beside those that are, and
-// counts them. Buffering leaves the rest of the memory to what can't do without.
-func (p *plainCalls) mayBuffer(buffered, n int) bool {
-	if buffered+n > maxBufferedAnswer || p.router.Memory.IsScarce() {
+// mayBuffer reports whether n bytes more of an answer may be buffered, and counts them. Buffering
+// leaves the rest of the memory to what can't do without; a short server error is buffered in any
+// case, as the answer of another engine may replace it.
+func (p *plainCalls) mayBuffer(res *callResult, n int) bool {
+	size := len(res.body) + n
+	if size > maxBufferedAnswer {
 		return false
 	}
-	return p.buffered.Reserve(membudget.Bytes(n))
+	if !p.router.Memory.IsScarce() && p.buffered.Reserve(membudget.Bytes(n)) {
+		return true
+	}
+	return res.head.Status >= http.StatusInternalServerError && size <= maxScarceError && p.buffered.Add(membudget.Bytes(n))
 }
 
 // forwardChunk sends a chunk of an answer that can't be buffered to the caller,
