caller: a test of the unsent end of an answer and the idle limit

Callers would again see answers that break off with a short idle limit, if the fix were lost.

The new test has the handler return with bytes that the kernel has not taken, and a caller who reads later than the idle limit. Ruled out: changing the old tests, which still check a slow reader and a connection's idle time from the caller's side.

--- a/io/caller/slowdelivery_test.go
+++ b/io/caller/slowdelivery_test.go
@@ -76,3 +76,34 @@
 	s, _, _ := requestLargeAnswer(t, 100*time.Millisecond)
 	eventually(t, "the connection is closed", 2*unresponsiveTime, func() bool { return s.conns.countConns() == 0 })
 }
+
+// TestIdleLimitKeepsUnsentEndOfAnswer guards against an answer that breaks off, as its caller does
+// not read for longer than the idle limit after the handler has returned, and its end is not in
+// the kernel yet.
+func TestIdleLimitKeepsUnsentEndOfAnswer(t *testing.T) {
+	const idleLimit = 100 * time.Millisecond
+	limits := defaultLimits
+	limits.IdleTimeout = idleLimit
+	written := make(chan int, 1)
+	_, address := newForwardingTestServer(t, func(f *ForwardedRequest) {
+		f.WriteHeader(http.StatusOK, http.Header{}, -1)
+		total := 0
+		for piece := make([]byte, maxWriteBytes); f.x.conn.unsent.bytes() == 0 && f.Write(piece) == nil; {
+			total += len(piece)
+		}
+		written <- total
+	}, WithLimits(limits))
+	conn := dialTest(t, address)
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	want := <-written
+	time.Sleep(idleLimit + idleCloseDelay + time.Second)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, res.Body); err != nil || n != int64(want) {
+		t.Errorf("the answer broke off after %d of %d bytes: %v", n, want, err)
+	}
+}
