caller: one connection leaves memory for the requests of others

Cause: all that a connection sends while its first request is handled is read, and requests that were read completely are never refused for memory. Class: a limit for the sum without one for each party, so that one party uses it up.

Above a quarter of the limit for requests a connection with a request handled and another one waiting is refused the next, in its turn, as not run, and is then closed. A caller that sends its requests in turn is never affected: it has one earlier request at most.

Ruled out: refusing requests that were read completely, as they were accepted; not reading the connection, as the poller is level-triggered and would be woken again and again. Not covered: many connections with a complete request each.

Evidence, go test ./io/caller -run 'PipeliningLeaves|LargeRequestsInTurn', arm64, limit 16.8 MB: before, 503 for another caller's first request, 32 requests sent on one connection, 16,715,725 bytes held; a trial, 20 of 20 refused. Now 20 of 20 get 200. LargeRequestsInTurn passes before and after. The whole package with -race passed in 154 s.

--- a/io/caller/requestmemory.go
+++ b/io/caller/requestmemory.go
@@ -19,6 +19,9 @@
 	// requestShare is the limit of the memory of requests as a share of the memory budget. Their
 	// input is in the budget, and so leaves memory for responses.
 	requestShare = 0.5
+	// connectionShare is the share of that limit above which a connection may not have further
+	// requests wait for the one that is handled, so that it leaves memory to others.
+	connectionShare = 0.25
 	// requestBytes is what a request takes beside the bytes received: its connection, goroutines
 	// and the call to an engine.
 	requestBytes membudget.Bytes = 24 << 10
@@ -110,8 +113,13 @@
 
 // reserve reserves memory for the request that a connection reads. Without enough memory it
 // refuses other requests that are being read, first those that have used most memory for the
-// longest time, down to the connection's own request; it then returns false.
+// longest time, down to the connection's own request; it then returns false. It also returns
+// false for a connection that sends on while it has used up its share.
 func (m *requestMemory) reserve(c *conn, n requestSize) bool {
+	if !m.mayQueue(c, n) {
+		m.recordRefusal(time.Now())
+		return false
+	}
 	for !c.memory.reserve(n) {
 		now := time.Now()
 		victim := m.costliestRead(now)
@@ -124,6 +132,16 @@
 	return true
 }
 
+// mayQueue reports whether n more may be held of the request that a connection reads. A connection
+// with one earlier request at most always may: a caller that sends requests in turn sends the next
+// one when it has read a response, and that request may not have ended here yet.
+func (m *requestMemory) mayQueue(c *conn, n requestSize) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	held := c.memory.share.Held() + n.total()
+	return c.activeRequests <= 1 || float64(held) <= connectionShare*float64(m.share.Limit())
+}
+
 // costliestRead returns the connection whose request being read has the largest product of the
 // memory used and the time since its first byte, or nil if no request is being read.
 func (m *requestMemory) costliestRead(now time.Time) *conn {
