--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -10,7 +10,7 @@
 type Limits struct {
 	MaxHeaderBytes  int           // Maximum size of the request line and headers of a request.
 	MaxBodyBytes    int           // Maximum size of the body of a request.
-	MaxUnreadBytes  int           // Maximum response data buffered for a caller that does not read it.
+	MaxUnreadBytes  int           // Unsent bytes above which a connection is closed; a last resort, see awaitSpace.
 	MaxOpenRequests int64         // Maximum number of requests handled concurrently.
 	HeaderTimeout   time.Duration // Maximum time from the first byte of a request to the end of its headers.
 	RequestTimeout  time.Duration // Maximum time from the first to the last byte of a request.
