caller: one refusal for lack of memory

The check of a request that was read, which came with the back pressure, could then refuse only what had just been granted memory; it stood twice and is removed, with membudget.Budget.IsExhausted that only it used.

--- a/core/membudget/budget.go
+++ b/core/membudget/budget.go
@@ -57,9 +57,6 @@
 // IsScarce reports whether so much of the limit is used that holders should not grow.
 func (b *Budget) IsScarce() bool { return float64(b.Held()) > scarceShare*float64(b.limit) }
 
-// IsExhausted reports whether the limit is reached.
-func (b *Budget) IsExhausted() bool { return b.Held() >= b.limit }
-
 // add adds n to the sum.
 func (b *Budget) add(n Bytes) { b.held.Add(int64(n)) }
 
--- a/core/membudget/budget_test.go
+++ b/core/membudget/budget_test.go
@@ -23,8 +23,8 @@
 	if !first.Reserve(60) || second.Reserve(50) || !second.Reserve(40) {
 		t.Error("a reservation above the limit was granted, or one within it refused")
 	}
-	if !b.IsExhausted() || b.Held() != 100 {
-		t.Errorf("%d bytes held, exhausted %v", b.Held(), b.IsExhausted())
+	if b.Held() != 100 || !b.IsScarce() {
+		t.Errorf("%d bytes held, scarce %v", b.Held(), b.IsScarce())
 	}
 	first.Close()
 	if b.Held() != 40 || b.IsScarce() {
--- a/io/caller/backpressure.go
+++ b/io/caller/backpressure.go
@@ -21,8 +21,6 @@
 	// maxPause is how long a caller may read nothing while a write waits for it. The engine keeps
 	// the memory of an answer that is not read.
 	maxPause = 15 * time.Second
-	// exhaustedRetryAfter is the Retry-After of a request that is refused as there is no memory.
-	exhaustedRetryAfter = time.Second
 )
 
 // hasSpace reports whether another piece of a body may be written to the connection. While
@@ -92,15 +90,6 @@
 	s.endCaller(c, fault.New(fault.CallerGone, "the caller has read nothing, and memory for answers is scarce"))
 }
 
-// checkMemory returns the refusal of a request for which there is no memory, or nil.
-func (s *Server) checkMemory(now time.Time) *fault.Error {
-	if !s.memory.IsExhausted() {
-		return nil
-	}
-	return fault.New(fault.Overloaded, "the instance holds %d bytes for others, its limit", s.memory.Limit()).
-		WithRan(fault.NotRun).WithRetryAfter(now.Add(exhaustedRetryAfter))
-}
-
 // recordProgress records whether the caller has read since the last call: its host has
 // acknowledged more bytes, or there is nothing to read.
 func (c *conn) recordProgress(now time.Time) {
--- a/io/caller/forward.go
+++ b/io/caller/forward.go
@@ -17,7 +17,6 @@
 	Request  *http.Request
 	Body     []byte
 	Received time.Time
-	Refusal  *fault.Error // Why the request has to be refused; nil if it may be served.
 
 	x   *exchange
 	ctx context.Context
@@ -36,7 +35,7 @@
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	x.setCancel(func(f *fault.Error) { cancel(f) })
-	f := &ForwardedRequest{Request: x.req, Received: received, Refusal: s.checkMemory(received), x: x, ctx: ctx}
+	f := &ForwardedRequest{Request: x.req, Received: received, x: x, ctx: ctx}
 	body, err := readBody(x.req.Body)
 	if err != nil {
 		x.writeError(fault.Wrap(err, fault.BadRequest, "cannot read the body"))
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -153,9 +153,6 @@
 	if limit := x.server.limits.current.MaxOpenRequests; x.server.openRequests.Load() > limit {
 		return fault.New(fault.Overloaded, "the instance has reached its limit of %d open requests", limit).WithRetryAfter(received.Add(time.Second))
 	}
-	if refusal := x.server.checkMemory(received); refusal != nil {
-		return refusal
-	}
 	credential, err := parseCredential(x.req)
 	if err != nil {
 		return err
--- a/io/caller/memorylimit_test.go
+++ b/io/caller/memorylimit_test.go
@@ -41,16 +41,13 @@
 func newMemoryTestServer(t *testing.T, memory *membudget.Budget, logger log.Logger, opts ...Option) string {
 	t.Helper()
 	s := NewForwardingServer(func(f *ForwardedRequest) {
-		switch {
-		case f.Refusal != nil:
-			f.x.writeError(f.Refusal)
-		case f.Request.URL.Path == "/mute":
+		if f.Request.URL.Path == "/mute" {
 			_ = f.x.conn.nbc.SetWriteBuffer(smallBuffer)
 			writeEndlessly(f, 0)
-		default:
-			if err := answerInPieces(f, answerBytes); err != nil {
-				t.Errorf("write to a caller that reads: %v", err)
-			}
+			return
+		}
+		if err := answerInPieces(f, answerBytes); err != nil {
+			t.Errorf("write to a caller that reads: %v", err)
 		}
 	}, logger, append(opts, WithMemory(memory))...)
 	address, err := s.Listen("127.0.0.1:0")
@@ -81,7 +78,7 @@
 		})
 	}
 	opened := 0
-	for ; !memory.IsExhausted() && opened < 1000; opened++ {
+	for ; memory.Held() < memory.Limit() && opened < 1000; opened++ {
 		muteCaller(t, address, "/mute")
 		time.Sleep(5 * time.Millisecond)
 	}
