matrix: a stop that the requests outlast, red

New event StopOutlasted: the engines do not go on before the process has ended. NotHandled is refused with a time for a retry, and no log line names the request: all four kinds, go test ./lab/matrix -run TestMatrix/events/StopOutlasted -v. TestRefusalDuringCloseIsLoggedWithItsRequest shows the same without a fleet.

--- a/io/caller/closerefusal_test.go
+++ b/io/caller/closerefusal_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -105,3 +106,52 @@
 		}
 	}
 }
+
+// TestRefusalDuringCloseIsLoggedWithItsRequest guards against a refusal whose log line does not
+// tell which request it is about.
+func TestRefusalDuringCloseIsLoggedWithItsRequest(t *testing.T) {
+	started, proceed := make(chan struct{}), make(chan struct{})
+	var lines logBuffer
+	s := NewForwardingServer(func(*ForwardedRequest) {
+		close(started)
+		<-proceed
+	}, log.NewLogfmtLogger(&lines))
+	address, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, kept := dialTest(t, string(address)), dialTest(t, string(address))
+	if _, err := io.WriteString(first, "GET /first HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-started
+	closed := make(chan error, 1)
+	go func() { closed <- s.Close() }()
+	eventually(t, "the server closes", time.Second, s.closing.Load)
+	if _, err := io.WriteString(kept, "GET / HTTP/1.1\r\nHost: x\r\nX-Request-Id: late-1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a log line names the request", time.Second, func() bool { return strings.Contains(lines.String(), "request=late-1 ") })
+	close(proceed)
+	if err := <-closed; err != nil {
+		t.Fatal(err)
+	}
+}
+
+// logBuffer is a buffer that several goroutines may use.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- a/lab/matrix/event.go
+++ b/lab/matrix/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -33,6 +34,7 @@
 	Hangup                            // SIGHUP.
 	StopRequested                     // SIGTERM; the requests go on soon after it.
 	StopDraining                      // SIGTERM; the requests go on when the instance drains.
+	StopOutlasted                     // SIGTERM; the engines do not go on before the instance has ended.
 	StopDuringChange                  // SIGTERM together with RouteMoved.
 	ChangeStoreAway                   // A change, and the store is away from then on.
 	ChangeStoreSlow                   // A change while the store is slow.
@@ -126,6 +128,8 @@
 		return steps{begin: stop(stopSettle)}
 	case StopDraining:
 		return steps{begin: stop(drainSettle)}
+	case StopOutlasted:
+		return steps{begin: stop(stopSettle), end: awaitEnd}
 	case StopDuringChange:
 		return steps{begin: func(ctx context.Context, f *fleet) error {
 			if err := f.configure(moveRoutes); err != nil {
@@ -245,6 +249,16 @@
 	}
 }
 
+// awaitEnd waits until the instance has ended.
+func awaitEnd(f *fleet) error {
+	select {
+	case <-f.process.Ended():
+		return nil
+	case <-time.After(stopS*time.Second + exitSlack):
+		return errors.New("the instance has not ended in time")
+	}
+}
+
 // changeStoreAway writes a change and takes the store away.
 func changeStoreAway(_ context.Context, f *fleet) error {
 	err := f.configure(moveRoutes)
--- a/lab/matrix/fleet.go
+++ b/lab/matrix/fleet.go
@@ -49,11 +49,7 @@
 }
 
 // startFleet starts the store, the engines and an instance, and waits until it is ready.
-func startFleet(ctx context.Context, runner *process.Runner, name string) (*fleet, error) {
-	program, err := runner.Build(ctx, "monsoonfork")
-	if err != nil {
-		return nil, err
-	}
+func startFleet(ctx context.Context, runner *process.Runner, program, name string) (*fleet, error) {
 	f := &fleet{runner: runner, store: standin.NewStore(), config: initialConfiguration()}
 	f.engines = &standin.Engines{Store: f.store, Recorder: standin.NewRecorder(), Holds: standin.NewHolds()}
 	if err := f.startStore(); err != nil {
--- a/lab/matrix/pair.go
+++ b/lab/matrix/pair.go
@@ -43,9 +43,13 @@
 // when the events begin and end, when the rest of each request is sent, and when the engines go
 // on.
 func RunPair(ctx context.Context, runner *process.Runner, name string, pair Events, random *rand.Rand) (cells []Cell, err error) {
+	program, err := runner.Build(ctx, "monsoonfork")
+	if err != nil {
+		return nil, err
+	}
 	startCtx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	f, err := startFleet(startCtx, runner, name)
+	f, err := startFleet(startCtx, runner, program, name)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/matrix/rule.go
+++ b/lab/matrix/rule.go
@@ -61,10 +61,17 @@
 // stops reports whether the instance stops.
 func (events Events) stops() bool { return slices.ContainsFunc(events, Event.isStop) }
 
+// stopsInTime reports whether the instance stops and can complete its requests before.
+func (events Events) stopsInTime() bool {
+	return events.stops() && !slices.Contains(events, StopOutlasted)
+}
+
 // Allowed returns the outcomes that the rules allow in a cell. A request that was read has a
 // whole answer or a true refusal, whatever happens; the others are named here.
 func Allowed(e Event, r Row) []Outcome {
 	switch {
+	case e == StopOutlasted && r.sentWhole():
+		return allowedAtEnd(r)
 	case e.isStop():
 		return allowedAtStop(r)
 	case !r.sentWhole():
@@ -83,7 +90,7 @@
 // isStop reports whether the instance stops.
 func (e Event) isStop() bool {
 	switch e {
-	case StopRequested, StopDraining, StopDuringChange, StopStoreAway, StopStoreSlow:
+	case StopRequested, StopDraining, StopOutlasted, StopDuringChange, StopStoreAway, StopStoreSlow:
 		return true
 	default:
 		return false
@@ -102,6 +109,24 @@
 	}
 }
 
+// allowedAtEnd returns the outcomes that the rules allow for a request that is in its state
+// until the instance ends: an engine is at work on it in the last sixth of the time for the
+// stop, or none has got it.
+func allowedAtEnd(r Row) []Outcome {
+	switch r.State {
+	case NotHandled, WaitingForMemory:
+		return []Outcome{Refused}
+	case Prefilling:
+		return []Outcome{Refused, Unknown} // Unknown if the decode engine reads the prompt.
+	case FirstPartWritten, MidStream:
+		return []Outcome{Whole, BrokenOff} // Whole if another engine has resumed it.
+	case Unacknowledged:
+		return []Outcome{Whole, BrokenOff} // What the caller's host has not accepted is lost.
+	default:
+		return []Outcome{Unknown}
+	}
+}
+
 // allowedUnread returns the outcomes that the rules allow for a request that was not read
 // whole before the event. What a change forbids is not allowed to run after it is in force.
 func allowedUnread(e Event, r Row) []Outcome {
--- a/lab/matrix/run.go
+++ b/lab/matrix/run.go
@@ -30,9 +30,13 @@
 
 // Run brings a request into each state, lets the event happen, and returns the cells.
 func Run(ctx context.Context, runner *process.Runner, e Event) (cells []Cell, err error) {
+	program, err := runner.Build(ctx, "monsoonfork")
+	if err != nil {
+		return nil, err
+	}
 	startCtx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	f, err := startFleet(startCtx, runner, e.String())
+	f, err := startFleet(startCtx, runner, program, e.String())
 	if err != nil {
 		return nil, err
 	}
@@ -164,7 +168,7 @@
 func (f *fleet) finish(ctx context.Context, events Events, calls []*call) ([]Cell, error) {
 	awaitCalls(ctx, calls)
 	var err error
-	if events.stops() {
+	if events.stopsInTime() {
 		err = f.checkExit(ctx)
 	}
 	return f.cells(ctx, events, calls), err
--- a/lab/matrix/state.go
+++ b/lab/matrix/state.go
@@ -22,7 +22,7 @@
 	WaitingForRate                // Waits for tokens of its organisation's rate.
 	WaitingForMemory              // No engine has memory for it.
 	Hedged                        // Two engines run it; neither has answered.
-	Prefilling                    // A prefill engine reads its prompt.
+	Prefilling                    // An engine reads its prompt.
 	AtEngine                      // An engine was called for the answer and has sent nothing.
 	AtEngineClosing               // The same; the request is the last one of its connection.
 	FirstPartWritten              // The caller has the first part of the answer.
