caller: the refusal of a request as the server closes is logged with its id

Cause: refuseDuringClose logs the exchange's id, which only the path of ordinary requests sets; the refusal itself took the id from the header. The class: an outcome that is logged before the request has been identified.

What callers saw: nothing wrong, a refusal with a time for a retry; who looks for the request in the log finds no line, and can't tell it from a lost one.

Ruled out: that the line is dropped at the end of the process: it is there, with request= empty.

TestRefusalDuringCloseIsLoggedWithItsRequest failed before.

--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -75,6 +75,7 @@
 // the last one of its connection.
 func (x *exchange) refuseDuringClose() {
 	x.responseID = x.req.Header.Get(httpcall.RequestIDHeader)
+	x.id = ident.RequestID(x.responseID) // For the log line: the refusal is the request's outcome.
 	x.conn.markLastRequest()
 	err := errClosing.WithRan(fault.NotRun)
 	x.logRejection(err)
