--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -75,6 +75,7 @@
 // the last one of its connection.
 func (x *exchange) refuseDuringClose() {
 	x.responseID = x.req.Header.Get(httpcall.RequestIDHeader)
+	x.id = ident.RequestID(x.responseID) // For the log line: the refusal is the request's outcome.
 	x.conn.markLastRequest()
 	err := errClosing.WithRan(fault.NotRun)
 	x.logRejection(err)
@@ -153,9 +154,6 @@
 	if limit := x.server.limits.current.MaxOpenRequests; x.server.openRequests.Load() > limit {
 		return fault.New(fault.Overloaded, "the instance has reached its limit of %d open requests", limit).WithRetryAfter(received.Add(time.Second))
 	}
-	if refusal := x.server.checkMemory(received); refusal != nil {
-		return refusal
-	}
 	credential, err := parseCredential(x.req)
 	if err != nil {
 		return err
