--- a/lab/matrix/fleet.go
+++ b/lab/matrix/fleet.go
@@ -127,7 +127,7 @@
 	if err != nil {
 		return err
 	}
-	if !await(ctx, func() bool { return f.isReady(ctx) }) {
+	if !await(ctx, func() bool { return process.IsReady(ctx, f.settings.OperatorAddress) }) {
 		return fmt.Errorf("the instance is not ready: %s", f.process.Log())
 	}
 	return nil
@@ -136,20 +136,6 @@
 // address returns the address on which the instance serves callers.
 func (f *fleet) address() string { return string(f.settings.CallerAddress) }
 
-// isReady reports whether the instance answers its readiness check.
-func (f *fleet) isReady(ctx context.Context) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(f.settings.OperatorAddress)+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	r.Close = true
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	return response.Body.Close() == nil && response.StatusCode == http.StatusOK
-}
-
 // configure changes the configuration and writes it to the store.
 func (f *fleet) configure(change func(*standin.Configuration)) error {
 	f.mu.Lock()
--- a/lab/matrix/pair.go
+++ b/lab/matrix/pair.go
@@ -44,30 +44,10 @@
 // RunPair brings a request into each state, and lets two events overlap, with all times drawn:
 // when the events begin and end, when the rest of each request is sent, and when the engines go
 // on.
-func RunPair(ctx context.Context, runner *process.Runner, name string, pair Events, random *rand.Rand) (cells []Cell, err error) {
-	program, err := runner.Build(ctx, "monsoonfork")
-	if err != nil {
-		return nil, err
-	}
-	startCtx, cancel := context.WithTimeout(ctx, reachTimeout)
-	defer cancel()
-	f, err := startFleet(startCtx, runner, program, name)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { err = errors.Join(err, f.close()) }()
-	calls, err := f.prepareAll(startCtx)
-	if err != nil {
-		return nil, err
-	}
-	eventCtx, cancelEvent := context.WithTimeout(ctx, eventTimeout)
-	defer cancelEvent()
-	if err := f.overlap(eventCtx, pair, calls, random); err != nil {
-		return nil, err
-	}
-	endCtx, cancelEnd := context.WithTimeout(ctx, endTimeout)
-	defer cancelEnd()
-	return f.finish(endCtx, pair, calls)
+func RunPair(ctx context.Context, runner *process.Runner, name string, pair Events, random *rand.Rand) ([]Cell, error) {
+	return run(ctx, runner, name, pair, func(ctx context.Context, f *fleet, calls []*call) error {
+		return f.overlap(ctx, pair, calls, random)
+	})
 }
 
 // overlap lets the events happen, sends what is missing of the requests, and lets the engines
--- a/lab/matrix/run.go
+++ b/lab/matrix/run.go
@@ -29,14 +29,22 @@
 const maxPrepareTries = 5
 
 // Run brings a request into each state, lets the event happen, and returns the cells.
-func Run(ctx context.Context, runner *process.Runner, e Event) (cells []Cell, err error) {
+func Run(ctx context.Context, runner *process.Runner, e Event) ([]Cell, error) {
+	return run(ctx, runner, e.String(), Events{e}, func(ctx context.Context, f *fleet, calls []*call) error {
+		return f.runEvent(ctx, e, calls)
+	})
+}
+
+// run starts a fleet, brings a request into each state, calls happen, which lets the events
+// happen, and returns the cells.
+func run(ctx context.Context, runner *process.Runner, name string, events Events, happen func(context.Context, *fleet, []*call) error) (cells []Cell, err error) {
 	program, err := runner.Build(ctx, "monsoonfork")
 	if err != nil {
 		return nil, err
 	}
 	startCtx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	f, err := startFleet(startCtx, runner, program, e.String())
+	f, err := startFleet(startCtx, runner, program, name)
 	if err != nil {
 		return nil, err
 	}
@@ -47,12 +55,12 @@
 	}
 	eventCtx, cancelEvent := context.WithTimeout(ctx, eventTimeout)
 	defer cancelEvent()
-	if err := f.runEvent(eventCtx, e, calls); err != nil {
+	if err := happen(eventCtx, f, calls); err != nil {
 		return nil, err
 	}
 	endCtx, cancelEnd := context.WithTimeout(ctx, endTimeout)
 	defer cancelEnd()
-	return f.finish(endCtx, Events{e}, calls)
+	return f.finish(endCtx, events, calls)
 }
 
 // prepareAll brings a request into the state of each row, those first that make an earlier
--- a/lab/platformsoak/testbed.go
+++ b/lab/platformsoak/testbed.go
@@ -301,20 +301,14 @@
 	return i.process
 }
 
+// readyTimeout is the time limit for the readiness check of an instance.
+const readyTimeout = 500 * time.Millisecond
+
 // isReady reports whether an instance answers its readiness check.
 func (i *instance) isReady(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(i.settings.OperatorAddress)+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	r.Close = true
-	response, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	return response.Body.Close() == nil && response.StatusCode == http.StatusOK
+	return process.IsReady(ctx, i.settings.OperatorAddress)
 }
 
 // waitReady waits until an instance is ready and adds it to the rotation.
