--- a/lab/matrix/run.go
+++ b/lab/matrix/run.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	exitSlack    = time.Second     // After the time limit of a stop.
 )
 
+// exitLogLines is how many lines of an instance's log are shown if it has not ended as it should.
+const exitLogLines = 30
+
 // maxPrepareTries is how many requests may be sent to bring one into the state of a row.
 const maxPrepareTries = 5
 
@@ -167,11 +171,17 @@
 	ctx, cancel := context.WithTimeout(ctx, stopS*time.Second+exitSlack)
 	defer cancel()
 	if err := f.process.Wait(ctx); err != nil {
-		return fmt.Errorf("stop: %w", err)
+		return fmt.Errorf("stop: %w; end of the log: %s", err, lastLines(f.process.Log(), exitLogLines))
 	}
 	return nil
 }
 
+// lastLines returns the last n lines of a log.
+func lastLines(log string, n int) string {
+	lines := strings.Split(strings.TrimSpace(log), "\n")
+	return strings.Join(lines[max(0, len(lines)-n):], "\n")
+}
+
 // finish waits until all calls have ended, and a stopping instance too, and returns the cells.
 func (f *fleet) finish(ctx context.Context, events Events, calls []*call) ([]Cell, error) {
 	awaitCalls(ctx, calls)
