--- a/lab/matrix/run.go
+++ b/lab/matrix/run.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,18 +26,29 @@
 	exitSlack    = time.Second     // After the time limit of a stop.
 )
 
+// exitLogLines is how many lines of an instance's log are shown if it has not ended as it should.
+const exitLogLines = 30
+
 // maxPrepareTries is how many requests may be sent to bring one into the state of a row.
 const maxPrepareTries = 5
 
 // Run brings a request into each state, lets the event happen, and returns the cells.
-func Run(ctx context.Context, runner *process.Runner, e Event) (cells []Cell, err error) {
+func Run(ctx context.Context, runner *process.Runner, e Event) ([]Cell, error) {
+	return run(ctx, runner, e.String(), Events{e}, func(ctx context.Context, f *fleet, calls []*call) error {
+		return f.runEvent(ctx, e, calls)
+	})
+}
+
+// run starts a fleet, brings a request into each state, calls happen, which lets the events
+// happen, and returns the cells.
+func run(ctx context.Context, runner *process.Runner, name string, events Events, happen func(context.Context, *fleet, []*call) error) (cells []Cell, err error) {
 	program, err := runner.Build(ctx, "monsoonfork")
 	if err != nil {
 		return nil, err
 	}
 	startCtx, cancel := context.WithTimeout(ctx, reachTimeout)
 	defer cancel()
-	f, err := startFleet(startCtx, runner, program, e.String())
+	f, err := startFleet(startCtx, runner, program, name)
 	if err != nil {
 		return nil, err
 	}
@@ -47,12 +59,12 @@
 	}
 	eventCtx, cancelEvent := context.WithTimeout(ctx, eventTimeout)
 	defer cancelEvent()
-	if err := f.runEvent(eventCtx, e, calls); err != nil {
+	if err := happen(eventCtx, f, calls); err != nil {
 		return nil, err
 	}
 	endCtx, cancelEnd := context.WithTimeout(ctx, endTimeout)
 	defer cancelEnd()
-	return f.finish(endCtx, Events{e}, calls)
+	return f.finish(endCtx, events, calls)
 }
 
 // prepareAll brings a request into the state of each row, those first that make an earlier
@@ -159,11 +171,17 @@
 	ctx, cancel := context.WithTimeout(ctx, stopS*time.Second+exitSlack)
 	defer cancel()
 	if err := f.process.Wait(ctx); err != nil {
-		return fmt.Errorf("stop: %w", err)
+		return fmt.Errorf("stop: %w; end of the log: %s", err, lastLines(f.process.Log(), exitLogLines))
 	}
 	return nil
 }
 
+// lastLines returns the last n lines of a log.
+func lastLines(log string, n int) string {
+	lines := strings.Split(strings.TrimSpace(log), "\n")
+	return strings.Join(lines[max(0, len(lines)-n):], "\n")
+}
+
 // finish waits until all calls have ended, and a stopping instance too, and returns the cells.
 func (f *fleet) finish(ctx context.Context, events Events, calls []*call) ([]Cell, error) {
 	awaitCalls(ctx, calls)
