tests: an event in small parts counts its work; a planned stop runs on a clock of its own

Cause: both measured real time. TestEventInSmallPartsIsSplitInLinearTime allowed 1 s for 262,144 calls, which a busy machine with -race doesn't keep; TestPlannedStopRefusesLongStreams has 400 ms until the stop, of which a sleep of 100 ms that the machine delays leaves nothing for the requests after it.

Ruled out: the product. The splitter searches 3 bytes and appends one for each part; the stop time is compared with the router's own clock.

Change: the first counts the bytes searched and moved at two sizes and compares their growth with that of the size, 1.1 at most beside it; the second runs in a bubble of testing/synctest, in which its bounds are unchanged.

--- a/core/forward/eventsplitter.go
+++ b/core/forward/eventsplitter.go
@@ -29,13 +29,15 @@
 type eventSplitter struct {
 	partial []byte // Data after the last complete event.
 	lastID  string // Id of the last complete event that has one.
+
+	lastEnd func(data []byte) int // Searches for the end of an event; nil means LastEventEnd.
 }
 
 // feed adds data of the stream and returns the events that are now complete.
 func (s *eventSplitter) feed(data []byte) []byte {
 	searched := max(0, len(s.partial)-maxSeparatorBytes+1) // No separator begins before it.
 	s.partial = append(s.partial, data...)
-	end := LastEventEnd(s.partial[searched:])
+	end := s.findLastEnd(s.partial[searched:])
 	if end < 0 {
 		return nil
 	}
@@ -48,6 +50,14 @@
 	return complete
 }
 
+// findLastEnd returns the index after the last event that ends in data, or -1.
+func (s *eventSplitter) findLastEnd(data []byte) int {
+	if s.lastEnd != nil {
+		return s.lastEnd(data)
+	}
+	return LastEventEnd(data)
+}
+
 // lastEventID returns the id of the last event that has one, and whether there is one.
 func lastEventID(events []byte) (string, bool) {
 	lines := bytes.Split(events, []byte("\n"))
--- a/core/forward/selection_test.go
+++ b/core/forward/selection_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"monsoonfork/core/catalog"
@@ -32,6 +33,11 @@
 // TestPlannedStopRefusesLongStreams has a planned stop before the expected end of a long
 // stream. Only the long stream may be refused, not short ones and plain requests.
 func TestPlannedStopRefusesLongStreams(t *testing.T) {
+	synctest.Test(t, testPlannedStopRefusesLongStreams)
+}
+
+// testPlannedStopRefusesLongStreams runs in a bubble, whose clock moves only by its sleeps.
+func testPlannedStopRefusesLongStreams(t *testing.T) {
 	h := newHarness(t)
 	h.send = func(_ int, c Call, sink Sink) error {
 		time.Sleep(time.Duration(c.Request.MaxOutputTokens) * time.Millisecond)
