membership: a view is built for a change of a state, not for each heartbeat

Cause: each heartbeat and each reply built a view of all members: a copy of the table, the live members of each domain sorted and hashed, twice for a heartbeat with a digest; a digest hashed the ids of the whole table again. Each member that another instance reports at a start built one as well.

Ruled out: fewer heartbeats, which delay what depends on them.

Change: a view is built when the set of members, a state or an address changes. Counters, revisions and times of heartbeats are read from the table (Member, Members, digest). Reported members are added together. The table keeps the hashes of ids.

--- a/core/config/relay/survey.go
+++ b/core/config/relay/survey.go
@@ -128,14 +128,14 @@
 // knownInstances returns the status of a domain's instances, as known to this
 // instance from heartbeats.
 func (s *Service) knownInstances(d ident.DomainID) []InstanceStatus {
-	v := s.table.View()
+	self := s.table.Self().ID
 	var list []InstanceStatus
-	for _, m := range v.Members() {
+	for _, m := range s.table.Members() {
 		if m.Domain != d || m.State == membership.Gone {
 			continue
 		}
 		status := InstanceStatus{Instance: m.ID, State: m.State.String(), Revision: m.Revision}
-		if m.ID == v.Self.ID {
+		if m.ID == self {
 			status.Revision = s.holder.Revision()
 		} else {
 			status.HeartbeatAgeMS = s.now().Sub(m.LastHeartbeat).Milliseconds()
--- a/core/membership/digest.go
+++ b/core/membership/digest.go
@@ -8,16 +8,18 @@
 
 // digest returns the state of the other members of this daemon's domain. Silent members
 // are omitted.
-func (v *View) digest() *Digest {
-	d := &Digest{}
-	for _, domain := range v.Domains() {
-		d.Domains = append(d.Domains, string(domain))
+func (t *Table) digest() *Digest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	v := t.View()
+	d := &Digest{
+		Domains:   v.domainNames,
+		Members:   make([]uint64, 0, len(v.neighbours)),
+		Counters:  make([]int64, 0, len(v.neighbours)),
+		Revisions: make([]int64, 0, len(v.neighbours)),
 	}
-	for _, m := range v.members {
-		if m.Domain != v.Self.Domain || m.ID == v.Self.ID {
-			continue
-		}
-		hash := uint64(m.hash())
+	for _, n := range v.neighbours {
+		m, hash := t.members[n.id], uint64(n.hash)
 		switch m.State {
 		case Gone:
 			d.Gone = append(d.Gone, hash)
@@ -50,10 +52,6 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	byHash := make(map[memberHash]ident.InstanceID, len(t.members))
-	for id, m := range t.members {
-		byHash[m.hash()] = id
-	}
 	for _, domain := range d.GetDomains() {
 		if t.shouldQueryDomain(ident.DomainID(domain)) {
 			needsView = true
@@ -61,7 +59,7 @@
 	}
 	changed := false
 	for i, hash := range d.GetMembers() {
-		id, known := byHash[memberHash(hash)]
+		id, known := t.byHash[memberHash(hash)]
 		if !known {
 			needsView = true
 			continue
@@ -72,7 +70,7 @@
 		}
 	}
 	for _, hash := range d.GetGone() {
-		id, known := byHash[memberHash(hash)]
+		id, known := t.byHash[memberHash(hash)]
 		// A counter that still grows shows that the process lives.
 		grows := known && t.now().Sub(t.members[id].LastHeartbeat) < t.settleTime
 		if known && !grows && t.markGone(id) {
@@ -81,8 +79,6 @@
 	}
 	if changed {
 		t.publish()
-	} else {
-		t.storeView()
 	}
 	return needsView
 }
--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -85,7 +85,7 @@
 // table.
 func (s *Service) fetchUnknownViews(addresses []ident.Address) {
 	known := make(map[ident.Address]bool)
-	for _, m := range s.Table.View().Members() {
+	for _, m := range s.Table.View().members {
 		if m.State != Gone {
 			known[m.PeerAddress] = true
 		}
--- a/core/membership/heartbeat.go
+++ b/core/membership/heartbeat.go
@@ -205,7 +205,7 @@
 // process has ended, and its counter has not grown meanwhile. No second heartbeat is needed
 // if another process has answered at its address.
 func (s *Service) confirmGone(id ident.InstanceID, err error) {
-	m, known := s.Table.View().Member(id)
+	m, known := s.Table.Member(id)
 	if !known || m.State == Gone {
 		return
 	}
@@ -223,7 +223,7 @@
 	defer cancel()
 	local := m.Domain == s.Table.Self().Domain
 	err = s.links.Call(ctx, id, methodHeartbeat, s.newHeartbeat(local), &HeartbeatReply{})
-	now, _ := s.Table.View().Member(id)
+	now, _ := s.Table.Member(id)
 	lives := now.Counter > m.Counter
 	if err != nil && showsProcessEnded(err) && (isReplaced(err) || !lives) {
 		s.Table.MarkGone(id)
--- a/core/membership/member.go
+++ b/core/membership/member.go
@@ -35,6 +35,12 @@
 	goneSince time.Time // When it was marked as gone.
 }
 
+// hasRecordOf reports whether m and other have the same record, leaving their states aside.
+func (m Member) hasRecordOf(other Member) bool {
+	return m.ID == other.ID && m.Domain == other.Domain && m.PeerAddress == other.PeerAddress &&
+		m.OperatorAddress == other.OperatorAddress && m.Started.Equal(other.Started)
+}
+
 // memberHash identifies a member in digests: the hash of its instance id.
 type memberHash uint64
 
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -117,7 +117,7 @@
 		AnnounceStop: func(time.Time) { s.Leave() },
 		Close:        s.Close,
 		Reload:       func(c *settings.Settings) { s.firstPeers.Store(&c.FirstPeers) },
-		Dump:         func() any { return s.Table.View().Members() },
+		Dump:         func() any { return s.Table.Members() },
 	}, nil
 }
 
@@ -231,7 +231,7 @@
 		Counter:  s.heartbeatCount.Load(),
 	}
 	if local {
-		heartbeat.Digest = v.digest()
+		heartbeat.Digest = s.Table.digest()
 	}
 	return heartbeat
 }
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,8 +30,9 @@
 	mu              sync.Mutex
 	self            Member
 	members         map[ident.InstanceID]Member
-	settleTime      time.Duration                // Time for which reports about a member may be older than its newest state here.
-	nextDomainQuery map[ident.DomainID]time.Time // Earliest time of the next fetch of a view because of a silent domain.
+	byHash          map[memberHash]ident.InstanceID // The keys of members by their hashes.
+	settleTime      time.Duration                   // Time for which reports about a member may be older than its newest state here.
+	nextDomainQuery map[ident.DomainID]time.Time    // Earliest time of the next fetch of a view because of a silent domain.
 	subscribers     []func(*View)
 }
 
@@ -40,19 +42,53 @@
 		log:             log.With(logger, "part", "Membership"),
 		now:             now,
 		self:            self,
-		members:         map[ident.InstanceID]Member{self.ID: self},
+		members:         make(map[ident.InstanceID]Member),
+		byHash:          make(map[memberHash]ident.InstanceID),
 		nextDomainQuery: make(map[ident.DomainID]time.Time),
 	}
+	t.add(self)
 	t.publish()
 	return t
 }
 
-// View returns the current view, which is immutable.
+// add adds or replaces a member. t.mu must be held.
+func (t *Table) add(m Member) {
+	if _, known := t.members[m.ID]; !known {
+		t.byHash[m.hash()] = m.ID
+	}
+	t.members[m.ID] = m
+}
+
+// remove deletes a member. t.mu must be held.
+func (t *Table) remove(m Member) {
+	delete(t.members, m.ID)
+	delete(t.byHash, m.hash())
+}
+
+// View returns the current view, which is immutable. A new one is built only for a change of the
+// set of members, or of a state or an address: heartbeats are far more frequent. What the
+// heartbeats of a member have said since is returned by Member and Members.
 func (t *Table) View() *View { return t.view.Load() }
 
 // Self returns this daemon's own entry.
 func (t *Table) Self() Member { return t.View().Self }
 
+// Member returns the member with the given instance id as its last heartbeat describes it.
+func (t *Table) Member(id ident.InstanceID) (Member, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, known := t.members[id]
+	return m, known
+}
+
+// Members returns all members in any state as their last heartbeats describe them, sorted by
+// domain and instance id.
+func (t *Table) Members() []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return sortedMembers(t.members)
+}
+
 // AddressOf returns the peer address of an instance.
 func (t *Table) AddressOf(id ident.InstanceID) (ident.Address, bool) {
 	m, ok := t.View().Member(id)
@@ -74,7 +110,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.self.State = Leaving
-	t.members[t.self.ID] = t.self
+	t.add(t.self)
 	t.publish()
 }
 
@@ -99,14 +135,14 @@
 	if known && old.State == Leaving {
 		m.State = Leaving
 	}
-	t.members[m.ID] = m
+	t.add(m)
 	replaced := t.markReplaced(m)
 	if replaced || !known || old.State != m.State {
 		t.logChange(m)
-		t.publish()
+	} else if old.hasRecordOf(m) {
 		return
 	}
-	t.storeView()
+	t.publish()
 }
 
 // markReplaced marks older processes at m's address as gone and reports whether there were
@@ -135,38 +171,44 @@
 	return false
 }
 
-// AddUnconfirmed adds a member that another one has reported, unless it is known. It is
-// silent until a heartbeat confirms that it is live.
-func (t *Table) AddUnconfirmed(m Member) {
+// AddUnconfirmed adds members that another one has reported, except those that are known. They
+// are silent until a heartbeat confirms that they are live.
+func (t *Table) AddUnconfirmed(reported ...Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, known := t.members[m.ID]; known {
-		return
+	before := len(t.members)
+	for _, m := range reported {
+		if _, known := t.members[m.ID]; known {
+			continue
+		}
+		m.State = Silent
+		m.LastHeartbeat = t.now()
+		t.add(m)
+	}
+	if len(t.members) > before {
+		t.publish()
 	}
-	m.State = Silent
-	m.LastHeartbeat = t.now()
-	t.members[m.ID] = m
-	t.publish()
 }
 
 // mergeView adds the members of the view that another instance has reported.
 func (t *Table) mergeView(remote link.Remote, reply *ViewReply) {
-	var reported []Member
+	var all, ownDomain []Member // All that were reported, and those of the remote instance's domain.
 	for _, r := range reply.GetMembers() {
 		m, err := memberFromRecord(r)
 		if err != nil {
 			_ = level.Warn(t.log).Log("msg", event.PeerRecordIgnored, "from", string(remote.Instance), "record", "member", "err", err)
 			continue
 		}
-		t.AddUnconfirmed(m)
+		all = append(all, m)
 		if m.Domain == remote.Domain {
-			reported = append(reported, m)
+			ownDomain = append(ownDomain, m)
 		}
 	}
+	t.AddUnconfirmed(all...)
 	// A member is authoritative for its own domain: the members that it reports as live
 	// there are live here too, so that all daemons compute the same owners of keys.
 	if remote.Domain != t.Self().Domain {
-		t.ReplaceDomain(remote.Domain, reported)
+		t.ReplaceDomain(remote.Domain, ownDomain)
 	}
 }
 
@@ -187,10 +229,10 @@
 		if known && old.State == Gone && (t.hasSuccessor(m) || t.now().Sub(old.goneSince) < t.settleTime) {
 			continue
 		}
-		changed = changed || !known || old.State != m.State
+		changed = changed || !known || old.State != m.State || !old.hasRecordOf(m)
 		m.Revision = old.Revision
 		m.LastHeartbeat = t.now()
-		t.members[m.ID] = m
+		t.add(m)
 	}
 	for id, m := range t.members {
 		if m.Domain == domain && m.State == Live && !reportedIDs[id] {
@@ -215,7 +257,6 @@
 			t.members[id] = m
 		}
 	}
-	t.storeView()
 }
 
 // MarkGone records that the process of a member has ended: its state becomes Gone.
@@ -240,7 +281,7 @@
 			continue
 		}
 		if m.LastHeartbeat.Before(forgetBefore) {
-			delete(t.members, id)
+			t.remove(m)
 			changed = true
 			continue
 		}
@@ -269,7 +310,6 @@
 		m.LastHeartbeat = t.now()
 		t.members[id] = m
 	}
-	t.storeView()
 }
 
 // logChange logs the new state of a member.
@@ -277,21 +317,10 @@
 	_ = level.Info(t.log).Log("msg", event.MemberStateChanged, "member", string(m.ID), "state", m.State, "member_domain", string(m.Domain))
 }
 
-// storeView stores and returns a new view without calling the subscribers. t.mu must be
-// held.
-func (t *Table) storeView() *View {
-	members := make(map[ident.InstanceID]Member, len(t.members))
-	for id, m := range t.members {
-		members[id] = m
-	}
-	v := newView(t.self, members)
-	t.view.Store(v)
-	return v
-}
-
 // publish stores a new view and calls the subscribers. t.mu must be held.
 func (t *Table) publish() {
-	v := t.storeView()
+	v := newView(t.self, maps.Clone(t.members))
+	t.view.Store(v)
 	for _, f := range t.subscribers {
 		f(v)
 	}
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -2,17 +2,29 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sort"
 
 	"monsoonfork/core/ident"
 )
 
-// View is an immutable snapshot of the table of members.
+// View is an immutable snapshot of the table of members. Counter, Revision and LastHeartbeat of its
+// members are as of the time at which it was built.
 type View struct {
-	Self    Member
-	members map[ident.InstanceID]Member
-	live    map[ident.DomainID][]Member // Members in state Live, sorted by instance id.
-	hashes  map[ident.DomainID]uint64   // Hash of the ids of a domain's live members, to compare views.
+	Self        Member
+	members     map[ident.InstanceID]Member
+	notGone     int                         // Number of members that are not Gone.
+	live        map[ident.DomainID][]Member // Members in state Live, sorted by instance id.
+	hashes      map[ident.DomainID]uint64   // Hash of the ids of a domain's live members, to compare views.
+	domains     []ident.DomainID            // Domains with live members, sorted by name.
+	domainNames []string                    // The same.
+	neighbours  []neighbour                 // Other members of the own domain.
+}
+
+// neighbour is another member of the own domain.
+type neighbour struct {
+	id   ident.InstanceID
+	hash memberHash
 }
 
 // newView builds the view of a set of members.
@@ -23,14 +35,25 @@
 		live:    make(map[ident.DomainID][]Member),
 		hashes:  make(map[ident.DomainID]uint64),
 	}
-	for _, m := range members {
+	for id, m := range members {
+		if m.State != Gone {
+			v.notGone++
+		}
 		if m.State == Live {
 			v.live[m.Domain] = append(v.live[m.Domain], m)
 		}
+		if m.Domain == self.Domain && id != self.ID {
+			v.neighbours = append(v.neighbours, neighbour{id, m.hash()})
+		}
 	}
 	for domain, list := range v.live {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 		v.hashes[domain] = hashMembers(list)
+		v.domains = append(v.domains, domain)
+	}
+	slices.Sort(v.domains)
+	for _, domain := range v.domains {
+		v.domainNames = append(v.domainNames, string(domain))
 	}
 	return v
 }
@@ -49,15 +72,12 @@
 // change the slice.
 func (v *View) Live(domain ident.DomainID) []Member { return v.live[domain] }
 
-// Domains returns the domains that have live members, sorted by name.
-func (v *View) Domains() []ident.DomainID {
-	domains := make([]ident.DomainID, 0, len(v.live))
-	for d := range v.live {
-		domains = append(domains, d)
-	}
-	sort.Slice(domains, func(i, j int) bool { return domains[i] < domains[j] })
-	return domains
-}
+// Domains returns the domains that have live members, sorted by name. The caller must not
+// change the slice.
+func (v *View) Domains() []ident.DomainID { return v.domains }
+
+// NotGone returns the number of members in any state but Gone.
+func (v *View) NotGone() int { return v.notGone }
 
 // Member returns the member with the given instance id, in any state.
 func (v *View) Member(id ident.InstanceID) (Member, bool) {
@@ -66,9 +86,12 @@
 }
 
 // Members returns all members in any state, sorted by domain and instance id.
-func (v *View) Members() []Member {
-	list := make([]Member, 0, len(v.members))
-	for _, m := range v.members {
+func (v *View) Members() []Member { return sortedMembers(v.members) }
+
+// sortedMembers returns members sorted by domain and instance id.
+func sortedMembers(members map[ident.InstanceID]Member) []Member {
+	list := make([]Member, 0, len(members))
+	for _, m := range members {
 		list = append(list, m)
 	}
 	sort.Slice(list, func(i, j int) bool {
