share: reports and replies have only what has changed; collectors keep running sums

Cause: each report had all organisations, and each reply the sums of all, which the collector added up from all members anew: at 49 members, 40 organisations and 6.7 reports a second some 650,000 map operations a second, and 2.6 Mbit/s of replies of the 20 Mbit/s that a small instance has. ExpectedInstances sorted all members for each of them.

Change: a report names the last reply that was applied, and has what has changed since; the reply likewise. After a failed call, with another collector, or with one that has forgotten the member, both have everything. The collector adds differences to sums by domain. How many members are not gone is counted when a view is built.

Ruled out: an older collector answers without a number and gets everything each time; an older member is answered with everything.

Exchanges between collectors still have everything: open.

--- a/core/share/calls.go
+++ b/core/share/calls.go
@@ -40,9 +40,13 @@
 
 // reportTo reports this instance's usage to the collector of its domain.
 func (s *Shares) reportTo(ctx context.Context, collector ident.InstanceID) error {
-	reply := &ReportReply{}
 	sentAt, validUntil := s.now(), s.bootTime().Add(reportTTL)
-	if err := s.call(ctx, collector, MethodReport, &Report{Admitted: s.ownTotals()}, reply); err != nil {
+	reply, err := s.sendReport(ctx, collector)
+	if err == nil && reply.GetResend() {
+		s.acknowledged.reset("")
+		reply, err = s.sendReport(ctx, collector)
+	}
+	if err != nil {
 		return err
 	}
 	if part := reply.GetPart(); !(part > 0 && part <= 1) { // Also if it is not a number.
@@ -52,6 +56,23 @@
 	return nil
 }
 
+// sendReport reports what has changed since the collector's last reply, or everything if there is
+// none.
+func (s *Shares) sendReport(ctx context.Context, collector ident.InstanceID) (*ReportReply, error) {
+	if s.acknowledged.collector != collector {
+		s.acknowledged.reset(collector)
+	}
+	report, reply := s.acknowledged.report(s.ownTotals()), &ReportReply{}
+	if err := s.call(ctx, collector, MethodReport, report, reply); err != nil {
+		s.acknowledged.reset("")
+		return nil, err
+	}
+	if !reply.GetResend() {
+		s.acknowledged.record(report, reply)
+	}
+	return reply, nil
+}
+
 // exchangeWith exchanges domain totals with the collector of another domain. If that
 // collector does not answer, its domain's fraction of the rates stays set aside; see
 // usableFraction.
@@ -83,9 +104,14 @@
 // ServeReport records the report of a member and answers with the usage of all other
 // instances.
 func (s *Shares) ServeReport(_ context.Context, from ident.InstanceID, r *Report) (proto.Message, error) {
+	if r.GetReply() > 0 && !s.totals.hasReplied(from) {
+		return &ReportReply{Resend: true}, nil
+	}
 	v := s.view()
 	s.totals.record(from, v.Self.Domain, 0, r.GetAdmitted())
-	return &ReportReply{Others: s.totals.totalExcept(from), Part: s.totals.usableFraction(v.Self.Domain, ExpectedInstances(v, s.registered()))}, nil
+	sequence, others := s.totals.reply(from, r.GetReply())
+	part := s.totals.usableFraction(v.Self.Domain, ExpectedInstances(v, s.registered()))
+	return &ReportReply{Others: others, Part: part, Sequence: sequence}, nil
 }
 
 // ServeExchange records the totals of another domain and answers with those of this
--- a/core/share/collect.go
+++ b/core/share/collect.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -12,10 +13,19 @@
 // another domain.
 type source struct {
 	domain      ident.DomainID
-	liveMembers int                            // Live members of the domain, as reported by a collector; 0 for a member.
-	validUntil  boottime.Instant               // When its last report expires.
-	baseline    map[ident.OrganisationID]usage // What is not counted, as no report was valid at that time.
-	latest      map[ident.OrganisationID]usage // What the last report contained.
+	liveMembers int                 // Live members of the domain, as reported by a collector; 0 for a member.
+	validUntil  boottime.Instant    // When its last report expires.
+	baseline    usageByOrganisation // What is not counted, as no report was valid at that time.
+	latest      usageByOrganisation // What the source has reported.
+	replies     int64               // Number of replies to its reports.
+	replied     usageByOrganisation // What the last of them and those before have contained.
+}
+
+// newSource returns a source that has not reported yet.
+func newSource(domain ident.DomainID) *source {
+	return &source{
+		domain: domain, baseline: make(usageByOrganisation), latest: make(usageByOrganisation), replied: make(usageByOrganisation),
+	}
 }
 
 // usage is how many tokens of an organisation were admitted, and asked for.
@@ -24,6 +34,11 @@
 // usageOf returns the usage in a message.
 func usageOf(u *Usage) usage { return usage{admitted: u.GetTokens(), asked: u.GetAsked()} }
 
+// message returns the message for the usage of an organisation.
+func (u usage) message(name ident.OrganisationID) *Usage {
+	return &Usage{Organisation: string(name), Tokens: u.admitted, Asked: u.asked}
+}
+
 // plus returns the sum of two usages.
 func (u usage) plus(v usage) usage {
 	return usage{admitted: u.admitted + v.admitted, asked: u.asked + v.asked}
@@ -34,13 +49,30 @@
 	return usage{admitted: u.admitted - v.admitted, asked: u.asked - v.asked}
 }
 
-// usageTotals adds up the usage that is reported to a collector.
+// usageByOrganisation is the usage of each organisation.
+type usageByOrganisation map[ident.OrganisationID]usage
+
+// add adds to the usage of an organisation.
+func (m usageByOrganisation) add(name ident.OrganisationID, u usage) { m[name] = m[name].plus(u) }
+
+// messages returns the usage as messages.
+func (m usageByOrganisation) messages() []*Usage {
+	list := make([]*Usage, 0, len(m))
+	for name, u := range m {
+		list = append(list, u.message(name))
+	}
+	return list
+}
+
+// usageTotals adds up the usage that is reported to a collector. The sums contain the sources
+// that were dropped, so that they never fall.
 type usageTotals struct {
 	bootTime func() boottime.Instant
 
-	mu      sync.Mutex
-	sources map[ident.InstanceID]*source
-	dropped map[ident.DomainID]map[ident.OrganisationID]usage // Usage of sources that were dropped, so that totals never fall.
+	mu       sync.Mutex
+	sources  map[ident.InstanceID]*source
+	total    usageByOrganisation
+	byDomain map[ident.DomainID]usageByOrganisation
 }
 
 // sourceRetention is how long a source is kept after its last report has expired.
@@ -48,17 +80,23 @@
 
 // newUsageTotals returns totals without any source.
 func newUsageTotals(bootTime func() boottime.Instant) usageTotals {
-	return usageTotals{bootTime: bootTime, sources: make(map[ident.InstanceID]*source), dropped: make(map[ident.DomainID]map[ident.OrganisationID]usage)}
+	return usageTotals{
+		bootTime: bootTime,
+		sources:  make(map[ident.InstanceID]*source),
+		total:    make(usageByOrganisation),
+		byDomain: make(map[ident.DomainID]usageByOrganisation),
+	}
 }
 
-// record stores the usage that a source has reported since it started.
+// record stores the usage that a source has reported since it started. Organisations that are
+// not reported have not changed.
 func (s *usageTotals) record(from ident.InstanceID, domain ident.DomainID, members int, reported []*Usage) {
 	now := s.bootTime()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	src := s.sources[from]
 	if src == nil {
-		src = &source{domain: domain, baseline: make(map[ident.OrganisationID]usage), latest: make(map[ident.OrganisationID]usage)}
+		src = newSource(domain)
 		s.dropExpired(now)
 		s.sources[from] = src
 	}
@@ -68,29 +106,30 @@
 	src.validUntil, src.liveMembers = now.Add(reportTTL), members
 	for _, u := range reported {
 		name, latest := ident.OrganisationID(u.GetOrganisation()), usageOf(u)
+		before := src.counted(name)
 		if expired {
-			src.baseline[name] = src.baseline[name].plus(latest.minus(src.latest[name]))
+			src.baseline.add(name, latest.minus(src.latest[name]))
 		}
 		src.latest[name] = latest
+		s.addToSums(src.domain, name, src.counted(name).minus(before))
+	}
+}
+
+// addToSums adds usage of a domain to the sums. The caller holds mu.
+func (s *usageTotals) addToSums(domain ident.DomainID, name ident.OrganisationID, u usage) {
+	if s.byDomain[domain] == nil {
+		s.byDomain[domain] = make(usageByOrganisation)
 	}
+	s.byDomain[domain].add(name, u)
+	s.total.add(name, u)
 }
 
-// dropExpired removes sources whose last report expired sourceRetention ago, and keeps
-// the sums of what they were counted with. The caller holds mu.
+// dropExpired removes sources whose last report expired sourceRetention ago. The caller holds mu.
 func (s *usageTotals) dropExpired(now boottime.Instant) {
 	for id, src := range s.sources {
-		if now.Before(src.validUntil.Add(sourceRetention)) {
-			continue
-		}
-		sums := s.dropped[src.domain]
-		if sums == nil {
-			sums = make(map[ident.OrganisationID]usage)
-			s.dropped[src.domain] = sums
+		if !now.Before(src.validUntil.Add(sourceRetention)) {
+			delete(s.sources, id)
 		}
-		for name := range src.latest {
-			sums[name] = sums[name].plus(src.counted(name))
-		}
-		delete(s.sources, id)
 	}
 }
 
@@ -99,49 +138,56 @@
 	return src.latest[name].minus(src.baseline[name])
 }
 
-// totalExcept returns the counted tokens of all sources but one.
-func (s *usageTotals) totalExcept(excluded ident.InstanceID) []*Usage {
+// hasReplied reports whether a source has received a reply since it is known. If not, its reports
+// must contain all of its usage.
+func (s *usageTotals) hasReplied(to ident.InstanceID) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.total(func(id ident.InstanceID, _ *source) bool { return id != excluded }, func(ident.DomainID) bool { return true })
+	src := s.sources[to]
+	return src != nil && src.replies > 0
 }
 
-// domainTotal returns the counted tokens of the members of a domain, and how many of
-// these members are live.
-func (s *usageTotals) domainTotal(domain ident.DomainID) ([]*Usage, int) {
+// reply returns the number of the next reply to a source, and the usage of all other sources. If
+// the source has received the reply before, that is only what has changed since.
+func (s *usageTotals) reply(to ident.InstanceID, received int64) (sequence int64, changed []*Usage) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := s.total(func(_ ident.InstanceID, src *source) bool { return src.domain == domain }, func(d ident.DomainID) bool { return d == domain })
-	return list, s.liveInDomain(domain)
-}
-
-// total adds up the sources that include accepts, and the dropped sources of the domains
-// that includeDropped accepts. Organisations that only other sources report are listed
-// with 0 tokens. The caller holds mu.
-func (s *usageTotals) total(include func(ident.InstanceID, *source) bool, includeDropped func(ident.DomainID) bool) []*Usage {
-	byName := make(map[ident.OrganisationID]usage)
-	for id, src := range s.sources {
-		for name := range src.latest {
-			counted := usage{}
-			if include(id, src) {
-				counted = src.counted(name)
-			}
-			byName[name] = byName[name].plus(counted)
-		}
+	src := s.sources[to]
+	if received != src.replies || received == 0 {
+		clear(src.replied)
 	}
-	for domain, sums := range s.dropped {
-		if !includeDropped(domain) {
+	src.replies++
+	for name, sum := range s.total {
+		u := sum.minus(src.counted(name))
+		if before, known := src.replied[name]; known && before == u {
 			continue
 		}
-		for name, counted := range sums {
-			byName[name] = byName[name].plus(counted)
-		}
+		src.replied[name] = u
+		changed = append(changed, u.message(name))
 	}
-	list := make([]*Usage, 0, len(byName))
-	for name, u := range byName {
-		list = append(list, &Usage{Organisation: string(name), Tokens: u.admitted, Asked: u.asked})
+	return src.replies, changed
+}
+
+// totalExcept returns the counted tokens of all sources but one. Organisations that only that one
+// reports are listed with 0 tokens.
+func (s *usageTotals) totalExcept(excluded ident.InstanceID) []*Usage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	others := maps.Clone(s.total)
+	if src := s.sources[excluded]; src != nil {
+		for name := range src.latest {
+			others[name] = others[name].minus(src.counted(name))
+		}
 	}
-	return list
+	return others.messages()
+}
+
+// domainTotal returns the counted tokens of the members of a domain, and how many of
+// these members are live.
+func (s *usageTotals) domainTotal(domain ident.DomainID) ([]*Usage, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byDomain[domain].messages(), s.liveInDomain(domain)
 }
 
 // usableFraction returns the fraction of each rate that the live instances may use
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -56,7 +56,8 @@
 	completeAt time.Time                        // From then on, the collector's replies contain the usage of all.
 	heardUntil time.Time                        // From then on, what the others admit is estimated.
 
-	totals usageTotals
+	acknowledged acknowledged
+	totals       usageTotals
 }
 
 // Option configures a Shares.
@@ -167,13 +168,7 @@
 // registered instances, or the number of members that the view does not count as gone,
 // whichever is larger.
 func ExpectedInstances(v *membership.View, registered int) int {
-	live := 0
-	for _, m := range v.Members() {
-		if m.State != membership.Gone {
-			live++
-		}
-	}
-	return max(1, live, registered)
+	return max(1, v.NotGone(), registered)
 }
 
 // ownTotals returns the usage of this instance since it started.
@@ -204,12 +199,18 @@
 			b.keepEstimate(now)
 		}
 	}
+	changed := make(map[ident.OrganisationID]bool, len(r.GetOthers()))
 	for _, u := range r.GetOthers() {
 		name := ident.OrganisationID(u.GetOrganisation())
 		delta := usageOf(u).minus(s.others[name])
-		s.others[name] = usageOf(u)
+		s.others[name], changed[name] = usageOf(u), true
 		s.applyUsage(name, delta, chargeable, now)
 	}
+	for name := range s.others {
+		if !changed[name] {
+			s.applyUsage(name, usage{}, chargeable, now)
+		}
+	}
 	s.compared = s.compared || chargeable
 	if !now.Before(s.completeAt) {
 		s.heardUntil = sentAt.Add(reportInterval)
