replication: pulls that wait are woken by changes, they don't look for them

Cause: each waiting pull looked for a new configuration, notice or health every 50 ms: 49 members are 980 wake-ups a second at the instance that follows the store.

Change: the follower, the catalog and the notice board report changes to the replicator, which wakes the waiting pulls. The fake of the tests reports them as the role does.

--- a/core/follow/follow.go
+++ b/core/follow/follow.go
@@ -56,6 +56,8 @@
 	Now         func() time.Time
 	OnLost      func()             // Called when the store no longer answers. May be nil.
 	OnRecovered func(at time.Time) // Called when the store answers again after a failure. May be nil.
+	// OnHealthChange is called after what Healthy returns may have changed. May be nil.
+	OnHealthChange func()
 	// FirstWatchDelay is the pause between the first list and the first watch. An
 	// instance that has just started can't tell yet whether it is the one that has to
 	// watch.
@@ -119,8 +121,16 @@
 // setSettling records whether Run is in the pause after the first list.
 func (f *Follower) setSettling(settling bool) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.settling, f.maybeStale = settling, settling
+	f.mu.Unlock()
+	f.healthChanged()
+}
+
+// healthChanged calls OnHealthChange.
+func (f *Follower) healthChanged() {
+	if f.OnHealthChange != nil {
+		f.OnHealthChange()
+	}
 }
 
 // Settling reports whether Run is in the pause after the first list.
@@ -170,19 +180,24 @@
 // other instances don't rely on this one; no change has been missed yet.
 func (f *Follower) setMaybeStale(maybeStale bool) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
+	changed := f.maybeStale != maybeStale
 	f.maybeStale = maybeStale
+	f.mu.Unlock()
+	if changed {
+		f.healthChanged()
+	}
 }
 
 // setState sets the state and returns the previous one.
 func (f *Follower) setState(s storeState) storeState {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	previous := f.state
 	f.state, f.maybeStale = s, false
 	if s != previous || f.stateSince.IsZero() {
 		f.stateSince = f.Now()
 	}
+	f.mu.Unlock()
+	f.healthChanged()
 	return previous
 }
 
--- a/core/replication/fleet_test.go
+++ b/core/replication/fleet_test.go
@@ -90,6 +90,12 @@
 
 // newFleet starts instances in two domains, a and b, with the given number of members each.
 func newFleet(t *testing.T, st *fakeStore, members int) map[ident.InstanceID]*instance {
+	t.Helper()
+	return newFleetWith(t, st, members, func(*instance) {})
+}
+
+// newFleetWith is newFleet with a change of each instance before it starts.
+func newFleetWith(t *testing.T, st *fakeStore, members int, change func(*instance)) map[ident.InstanceID]*instance {
 	t.Helper()
 	fleet := make(map[ident.InstanceID]*instance)
 	var all []membership.Member
@@ -110,6 +116,7 @@
 			}
 		}
 		fleet[self.ID].Replicator = newReplicator(fleet, st, fleet[self.ID], table)
+		change(fleet[self.ID])
 	}
 	for _, i := range fleet {
 		wg.Go(func() { i.Run(ctx) })
@@ -148,6 +155,7 @@
 		ApplyNotice: func(raw []byte, revision int64) {
 			// The error is ignored: the notices of these tests are valid.
 			_ = i.notices.Put(raw, revision)
+			i.NotifyChange()
 		},
 		RegisteredInstances: func() int { return len(fleet) },
 		SetRegistered:       func(int) {},
@@ -164,12 +172,16 @@
 		refused, v := s.refuses[i.id], s.version
 		s.mu.Unlock()
 		i.mu.Lock()
+		changed := i.healthy == refused || i.version < v && !refused
 		i.healthy = !refused
 		i.mu.Unlock()
 		if !refused {
 			i.applyConfig(v)
 			i.Table.Replace(s.list(v), int64(v))
 		}
+		if changed {
+			i.NotifyChange()
+		}
 		sleep.For(ctx, 5*time.Millisecond)
 	}
 	s.mu.Lock()
--- a/core/replication/replication.go
+++ b/core/replication/replication.go
@@ -90,6 +90,7 @@
 	Log                 log.Logger
 
 	compressed compressedConfig
+	changes    signal // Raised by NotifyChange.
 
 	mu                  sync.Mutex
 	healthyReplyAt      time.Time          // Last reply of a healthy instance.
@@ -134,6 +135,10 @@
 	}
 }
 
+// NotifyChange answers the pulls that wait at this instance. It is called after a change of the
+// configuration, of the notice or of what Healthy returns. Changes of the table need no call.
+func (s *Replicator) NotifyChange() { s.changes.raise() }
+
 // IsFirstRanked reports whether the instance of a view ranks first in its domain. The first
 // instance follows the store in normal operation.
 func IsFirstRanked(v *membership.View) bool {
@@ -226,6 +231,7 @@
 		s.stopFollowing = nil
 	}
 	s.mu.Unlock()
+	s.NotifyChange()
 	if !follow {
 		cancel()
 		<-done
--- a/core/replication/serve.go
+++ b/core/replication/serve.go
@@ -25,6 +25,7 @@
 		sequence = delta.Sequence
 	}
 	for {
+		changed := s.changes.wait()
 		delta := s.Table.Since(sequence)
 		if len(delta.Changes) > 2*replyEntryLimit {
 			// The whole list has changed. The caller gets no entries and compares
@@ -36,7 +37,7 @@
 		if len(reply.Engines) > 0 || len(reply.Configuration) > 0 || len(reply.Notice) > 0 || reply.More || !reply.Healthy || remaining <= 0 {
 			return reply, nil
 		}
-		if err := s.awaitChange(ctx, delta.Changed, r, remaining); err != nil {
+		if err := awaitChange(ctx, delta.Changed, changed, remaining); err != nil {
 			return nil, err
 		}
 	}
@@ -72,33 +73,18 @@
 	return reply
 }
 
-// configPollInterval is the time between two checks for a new configuration or notice
-// while a pull waits.
-const configPollInterval = 50 * time.Millisecond
-
-// awaitChange returns when there may be changes for the caller, when this instance is
-// unhealthy, or when the remaining time is over. changed is closed at the next change of
-// the table.
-func (s *Replicator) awaitChange(ctx context.Context, changed <-chan struct{}, r *PullRequest, remaining time.Duration) error {
+// awaitChange returns when one of the channels is closed, or when the remaining time is over.
+func awaitChange(ctx context.Context, engines, others <-chan struct{}, remaining time.Duration) error {
 	timer := time.NewTimer(remaining)
 	defer timer.Stop()
-	ticker := time.NewTicker(configPollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-changed:
-			return nil
-		case <-timer.C:
-			return nil
-		case <-ticker.C:
-			_, notice := s.Notice()
-			if s.Version() > ident.Revision(r.GetVersion()) || notice > r.GetNoticeRevision() || !s.storeHealthy() {
-				return nil
-			}
-		case <-ctx.Done():
-			return fault.From(ctx.Err())
-		}
+	select {
+	case <-engines:
+	case <-others:
+	case <-timer.C:
+	case <-ctx.Done():
+		return fault.From(ctx.Err())
 	}
+	return nil
 }
 
 // changeMessage encodes a change.
--- a/core/stagecontrol/notice.go
+++ b/core/stagecontrol/notice.go
@@ -48,6 +48,7 @@
 	// ChangeTime returns how long engines take for a change of stage, once their streams have
 	// ended; 0 if it is not known.
 	ChangeTime func() time.Duration
+	OnChange   func() // Called after a notice has become the current one. May be nil.
 
 	mu       sync.Mutex
 	raw      []byte
@@ -74,6 +75,9 @@
 	for _, c := range n.Changes {
 		b.Exclude(c.Engine, c.To, until)
 	}
+	if b.OnChange != nil {
+		b.OnChange()
+	}
 	return nil
 }
 
