replication: instances that start get the list from those that their settings name

Cause: an instance that starts follows the store until the member table shows that another one ranks first.

Change: only the first peers of the settings list the store at once. The others pull from one of them and from one other member, and list the store themselves if they have no list after 0.8 s and an exponentially distributed time of up to 1.5 s, so that few do before the rest get it from them.

--- a/core/replication/fleet_test.go
+++ b/core/replication/fleet_test.go
@@ -25,6 +25,7 @@
 	version      ident.Revision
 	refuses      map[ident.InstanceID]bool // Instances whose calls it refuses.
 	followers    map[ident.InstanceID]bool
+	listed       map[ident.InstanceID]bool // Instances that have ever followed the store.
 	partitioned  bool // Whether the domains can't reach each other.
 	engineCount  int  // Number of engines in the list; 0 counts as 1.
 	sentEntries  int  // List entries that instances have sent each other.
@@ -130,7 +131,7 @@
 	return &Replicator{
 		View: table.View,
 		Call: func(ctx context.Context, to ident.InstanceID, _ string, req, resp proto.Message) error {
-			if st.isPartitioned(i.id, to) {
+			if st.isPartitioned(i.id, to) || fleet[to] == nil {
 				return fault.New(fault.PeerUnavailable, "partitioned")
 			}
 			reply, err := fleet[to].Serve(ctx, i.id, req.(*PullRequest))
@@ -158,6 +159,7 @@
 			i.NotifyChange()
 		},
 		RegisteredInstances: func() int { return len(fleet) },
+		FirstPeers:          func() []ident.Address { return []ident.Address{table.Self().PeerAddress} },
 		SetRegistered:       func(int) {},
 		Now:                 time.Now,
 		Log:                 log.NewNopLogger(),
@@ -169,6 +171,10 @@
 	for ctx.Err() == nil {
 		s.mu.Lock()
 		s.followers[i.id] = true
+		if s.listed == nil {
+			s.listed = make(map[ident.InstanceID]bool)
+		}
+		s.listed[i.id] = true
 		refused, v := s.refuses[i.id], s.version
 		s.mu.Unlock()
 		i.mu.Lock()
--- a/core/replication/replication.go
+++ b/core/replication/replication.go
@@ -83,9 +83,10 @@
 	// Settling reports whether this instance has listed the store and does not watch it
 	// yet. That lasts for SettleTime at most.
 	Settling            func() bool
-	SettleTime          time.Duration
-	RegisteredInstances func() int  // Number of instances in the register.
-	SetRegistered       func(n int) // Sets the number of registered instances that another instance reports.
+	SettleTime          time.Duration          // How long after its start the member table of an instance is complete.
+	FirstPeers          func() []ident.Address // Addresses at which instances that start look for others.
+	RegisteredInstances func() int             // Number of instances in the register.
+	SetRegistered       func(n int)            // Sets the number of registered instances that another instance reports.
 	Now                 func() time.Time
 	Log                 log.Logger
 
@@ -106,6 +107,7 @@
 // Run follows the store or pulls from other instances until ctx ends.
 func (s *Replicator) Run(ctx context.Context) {
 	defer s.setFollowing(ctx, false, "")
+	s.start(ctx)
 	remotePulledAt := time.Time{}
 	for ctx.Err() == nil {
 		v := s.View()
--- /dev/null
+++ b/core/replication/start.go
@@ -0,0 +1,94 @@
+package replication
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membership"
+	"monsoonfork/core/sleep"
+)
+
+const (
+	// minPeerListWait is how long an instance that has just started waits at least for the list of
+	// another one before it lists the store itself.
+	minPeerListWait = 800 * time.Millisecond
+	// peerListWaitSpread is how much longer it waits at most.
+	peerListWaitSpread = 1500 * time.Millisecond
+	// peerListWaitSkew is how many times more likely a wait is than one that is shorter by
+	// peerListWaitSpread, as the power of e. Where all start at the same moment and none has the
+	// list, few list the store early, and the rest get the list from them.
+	peerListWaitSkew = 5.0
+	// settlingPullInterval is the time between two pulls until the member table is complete.
+	settlingPullInterval = 500 * time.Millisecond
+)
+
+// start gets the first list from other instances, and follows them until the member table of this
+// instance is complete: only then does its rank say whether it has to follow the store. Where all
+// instances start together, only those that the others know from their settings list the store.
+// start returns early if no other instance has the list.
+func (s *Replicator) start(ctx context.Context) {
+	if s.isFirstPeer() {
+		return
+	}
+	settled := s.Now().Add(s.SettleTime)
+	listBy := s.Now().Add(peerListWait(rand.Float64()))
+	for ctx.Err() == nil && s.Now().Before(settled) {
+		s.pullFromKnown(ctx)
+		pause := settlingPullInterval
+		if known, _ := s.Table.HasCompleteList(); !known {
+			pause = retryDelay
+			if s.Now().After(listBy) {
+				return
+			}
+		}
+		sleep.For(ctx, pause)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.healthyReplyAt = s.Now()
+}
+
+// peerListWait returns how long an instance waits for the list of another one. draw is uniform in
+// [0, 1).
+func peerListWait(draw float64) time.Duration {
+	spread := math.Log1p(draw*math.Expm1(peerListWaitSkew)) / peerListWaitSkew
+	return minPeerListWait + time.Duration(spread*float64(peerListWaitSpread))
+}
+
+// isFirstPeer reports whether other instances know this one from their settings.
+func (s *Replicator) isFirstPeer() bool {
+	return slices.Contains(s.FirstPeers(), s.View().Self.PeerAddress)
+}
+
+// pullFromKnown pulls from one of the first peers and from one other member, both chosen at
+// random. The first peers list the store at their start.
+func (s *Replicator) pullFromKnown(ctx context.Context) {
+	first, others := s.knownMembers()
+	for _, list := range [][]ident.InstanceID{first, others} {
+		if len(list) == 0 {
+			continue
+		}
+		// An error is ignored; the next pull is from another member.
+		_, _ = s.pull(ctx, list[rand.IntN(len(list))])
+	}
+}
+
+// knownMembers returns the members that may be running, except this one: those that are first
+// peers, and all others.
+func (s *Replicator) knownMembers() (first, others []ident.InstanceID) {
+	v, addresses := s.View(), s.FirstPeers()
+	for _, m := range v.Members() {
+		switch {
+		case m.ID == v.Self.ID || m.State == membership.Gone:
+		case slices.Contains(addresses, m.PeerAddress):
+			first = append(first, m.ID)
+		default:
+			others = append(others, m.ID)
+		}
+	}
+	return first, others
+}
