--- a/core/replication/fleet_test.go
+++ b/core/replication/fleet_test.go
@@ -26,10 +26,10 @@
 	refuses      map[ident.InstanceID]bool // Instances whose calls it refuses.
 	followers    map[ident.InstanceID]bool
 	listed       map[ident.InstanceID]bool // Instances that have ever followed the store.
-	partitioned  bool // Whether the domains can't reach each other.
-	engineCount  int  // Number of engines in the list; 0 counts as 1.
-	sentEntries  int  // List entries that instances have sent each other.
-	largestReply int  // Number of entries in the largest reply.
+	partitioned  bool                      // Whether the domains can't reach each other.
+	engineCount  int                       // Number of engines in the list; 0 counts as 1.
+	sentEntries  int                       // List entries that instances have sent each other.
+	largestReply int                       // Number of entries in the largest reply.
 	sentBy       map[ident.InstanceID]int
 }
 
