tests: the idle limit after a change is checked with given times

Ruled out: the product's times. checkDeadlines at the limit and a nanosecond after it closes neither connection too early nor too late, with the time that the older limit was promised.

Change: the test gives the times, exact to the nanosecond; a second one through the sockets has the promise as its lower bound, and 20 s for the close.

--- a/io/caller/limits.go
+++ b/io/caller/limits.go
@@ -120,8 +120,10 @@
 // keep their value; MaxUnreadBytes and MaxOpenRequests can't be changed. Larger limits apply
 // at once. Smaller ones apply once no caller relies on the earlier ones any more: to requests
 // after requestLimitGrace, and to connections that become idle after the earlier IdleTimeout.
-func (s *Server) SetLimits(l Limits) {
-	now := time.Now()
+func (s *Server) SetLimits(l Limits) { s.setLimitsAt(l, time.Now()) }
+
+// setLimitsAt is SetLimits at a given time.
+func (s *Server) setLimitsAt(l Limits, now time.Time) {
 	s.limits.set(l, now)
 	s.conns.each(func(c *conn) { c.extendIdleTime(now) })
 }
--- a/io/caller/limits_test.go
+++ b/io/caller/limits_test.go
@@ -11,6 +11,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/go-kit/log"
+	"github.com/lesismal/nbio"
 )
 
 // post sends a request with a body of n bytes and returns the status, or an error.
@@ -113,6 +116,50 @@
 // TestIdleLimitShrinksAfterPromisedTime lowers the idle limit. Connections that callers may
 // still believe to be kept for the older limit must be, and later ones are closed earlier.
 func TestIdleLimitShrinksAfterPromisedTime(t *testing.T) {
+	const idleTimeout = 1500 * time.Millisecond
+	limits := defaultLimits
+	limits.IdleTimeout = idleTimeout
+	s := NewForwardingServer(nil, log.NewNopLogger(), WithLimits(limits))
+	now := time.Now()
+	conn := idleConn(t, s, now)
+	s.setLimitsAt(Limits{IdleTimeout: 100 * time.Millisecond}, now)
+	s.setLimitsAt(Limits{IdleTimeout: 50 * time.Millisecond}, now)
+	expectIdleAfter(t, conn, now.Add(idleTimeout+idleCloseDelay))
+	now = now.Add(idleTimeout + time.Nanosecond)
+	later := idleConn(t, s, now)
+	expectIdleAfter(t, later, now.Add(50*time.Millisecond+idleCloseDelay))
+}
+
+// idleConn opens a connection that has been idle since a time.
+func idleConn(t *testing.T, s *Server, since time.Time) *conn {
+	t.Helper()
+	_, server := connPair(t)
+	nbc, err := nbio.NBConn(server)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.onOpen(nbc)
+	c := s.conns.get(nbc)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startIdleTime(since)
+	return c
+}
+
+// expectIdleAfter checks that a connection is closed as idle after a time, and not before.
+func expectIdleAfter(t *testing.T, c *conn, end time.Time) {
+	t.Helper()
+	if _, idle := c.checkDeadlines(end); idle {
+		t.Errorf("the connection is closed before %v", end)
+	}
+	if _, idle := c.checkDeadlines(end.Add(time.Nanosecond)); !idle {
+		t.Errorf("the connection is open after %v", end)
+	}
+}
+
+// TestIdleConnectionIsClosedAfterLowerLimit guards against an idle connection that stays open after
+// a lower limit, through the sockets. TestIdleLimitShrinksAfterPromisedTime checks the times.
+func TestIdleConnectionIsClosedAfterLowerLimit(t *testing.T) {
 	limits := defaultLimits
 	limits.IdleTimeout = 1500 * time.Millisecond
 	s, address := newForwardingTestServer(t, respondEmpty, WithLimits(limits))
@@ -120,15 +167,15 @@
 	if status, err := post(conn, 1); err != nil || status != http.StatusOK {
 		t.Fatal(status, err)
 	}
-	s.SetLimits(Limits{IdleTimeout: 100 * time.Millisecond})
 	s.SetLimits(Limits{IdleTimeout: 50 * time.Millisecond})
 	expectOpen(t, conn, 1500*time.Millisecond)
-	expectClosed(t, conn, idleCloseDelay+time.Second)
+	const closed = 20 * time.Second // Far more than the sweep needs on a busy machine.
+	expectClosed(t, conn, closed)
 	later := dialTest(t, address)
 	if status, err := post(later, 1); err != nil || status != http.StatusOK {
 		t.Fatal(status, err)
 	}
-	expectClosed(t, later, idleCloseDelay+500*time.Millisecond)
+	expectClosed(t, later, closed)
 }
 
 // TestIdleConnectionOutlivesLimit reuses a connection just at its idle limit, as a caller's
