share: small requests may overdraw a bucket that large ones have left in debt

Pattern: an organisation with streams of a tenth of its burst and plain requests of 200 tokens. Cause: instances that admit streams from the same tokens, before they know of each other, leave the replicated bucket in debt; until it has accrued every request is refused, and small ones are most. One exact bucket would not have admitted the second stream, and has the tokens of a small request nearly always. Besides, an instance of many sees too few requests to tell which are small, so that the draw for fair parts refused small ones as if all were.

Change: a request of at most 1/64 of the burst may overdraw the bucket down to half of the burst, if all of its size fit in the rate beside larger ones by max-min fairness. The rate is exceeded by no more than that overdraft. Reports count requests, and an equal part of the tokens of all is the least fair limit.

--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -14,15 +14,18 @@
 	level      float64 // Available tokens; negative when other instances used more than was left.
 	refilledAt time.Time
 
-	othersDemand float64   // Tokens per second that the other instances are asked for; 0 if unknown.
-	heardUntil   time.Time // From then on, what the others admit is estimated.
-	estimated    float64   // Tokens deducted by an estimate that no reply has replaced yet.
+	othersDemand   float64   // Tokens per second that the other instances are asked for; 0 if unknown.
+	othersMeanCost float64   // Mean cost of the requests that ask for them.
+	heardUntil     time.Time // From then on, what the others admit is estimated.
+	estimated      float64   // Tokens deducted by an estimate that no reply has replaced yet.
 
 	admitted int64 // Tokens admitted by this instance since it started, less refunds.
 	asked    int64 // Tokens of all requests at this instance since it started.
+	requests int64 // Number of these requests.
 
 	costs costHistory
 	lost  lostRefill
+	own   demand // What this instance is asked for.
 }
 
 // refill adds the tokens accrued since the last call. It uses the monotonic clock,
@@ -61,15 +64,21 @@
 // Of a demand above what is available, each instance admits the same proportion of the
 // tokens at random, as all have nearly the same level and each could admit all of it.
 //
+// A small request may overdraw the bucket. The level is negative after two instances have
+// admitted large requests from the same tokens, which one bucket would not have done: it would
+// still have the tokens of a small one.
+//
 // A request larger than the bucket needs a full bucket, and is admitted in the proportion
 // that the bucket has to it, so that instances that are alone add no more than their
 // shares together.
 func (b *bucket) tryCharge(cost ident.Tokens, now time.Time, draw float64) (ok bool, retryAt time.Time) {
 	b.refill(now)
 	b.asked += int64(cost)
+	b.requests++
+	b.own.add(usage{asked: int64(cost)}, now)
 	b.costs.add(cost)
 	need := min(float64(cost), b.burst*b.fraction)
-	if b.level < need {
+	if b.level < need && !b.mayOverdraw(cost) {
 		perSecond := max(b.rate*b.fraction, 1)
 		return false, now.Add(time.Duration((need - b.level) / perSecond * float64(time.Second)))
 	}
@@ -85,6 +94,32 @@
 	return true, time.Time{}
 }
 
+const (
+	// smallRequest is the largest request that may overdraw a bucket, as a fraction of the burst.
+	smallRequest = 1.0 / 64
+	// maxOverdraft is how much small requests may overdraw a bucket, as a fraction of the burst.
+	maxOverdraft = 0.5
+)
+
+// mayOverdraw reports whether a request may be admitted though the bucket lacks its tokens. That
+// holds for small requests, as long as all requests of their size fit in the rate beside larger
+// ones by max-min fairness: the rate is then exceeded by no more than the overdraft.
+func (b *bucket) mayOverdraw(cost ident.Tokens) bool {
+	size := b.burst * b.fraction
+	if float64(cost) > smallRequest*size || b.level-float64(cost) < -maxOverdraft*size {
+		return false
+	}
+	sustained := b.rate * b.fraction / max(b.othersDemand+b.own.perSecond(), 1)
+	return sustained >= 1 || float64(cost) <= b.fairLimit(sustained)
+}
+
+// fairLimit returns the most that a request gets of a proportion of the demand by max-min
+// fairness. It is computed from the requests of this instance, but is at least an equal part,
+// which is all that is known of the others.
+func (b *bucket) fairLimit(proportion float64) float64 {
+	return max(b.costs.fairLimit(proportion), proportion*b.othersMeanCost)
+}
+
 // admissionProbability returns the probability with which a request is admitted: 1 up to the
 // fair limit, and for a larger one so much that it gets the limit on average.
 func (b *bucket) admissionProbability(cost ident.Tokens) float64 {
@@ -92,7 +127,7 @@
 	if proportion >= 1 {
 		return 1
 	}
-	return b.costs.fairLimit(proportion) / max(float64(cost), 1)
+	return b.fairLimit(proportion) / max(float64(cost), 1)
 }
 
 // admissibleProportion returns the proportion of the demand at the other instances that
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -116,14 +116,14 @@
 // caller holds mu.
 func (s *Shares) bucket(o *catalog.Organisation, now time.Time) *bucket {
 	b := s.buckets[o.Name]
-	demand := s.othersDemand(o.Name)
+	demand, meanCost := s.othersDemand(o.Name)
 	if b == nil {
 		b = s.newBucket(o, now)
 		s.buckets[o.Name] = b
 	}
 	b.heardUntil = s.heardUntil
 	b.setLimit(float64(o.Rate), float64(max(o.Burst, 1)), s.currentFraction(), now)
-	b.othersDemand = demand
+	b.othersDemand, b.othersMeanCost = demand, meanCost
 	return b
 }
 
@@ -177,7 +177,7 @@
 	defer s.mu.Unlock()
 	list := make([]*Usage, 0, len(s.buckets))
 	for name, b := range s.buckets {
-		list = append(list, &Usage{Organisation: string(name), Tokens: b.admitted, Asked: b.asked})
+		list = append(list, usage{admitted: b.admitted, asked: b.asked, requests: b.requests}.message(name))
 	}
 	return list
 }
@@ -246,12 +246,13 @@
 	}
 }
 
-// othersDemand returns how many tokens per second the other instances are asked for, or
-// 0 if no reply is valid: the share of this instance is then its own. The caller holds mu.
-func (s *Shares) othersDemand(name ident.OrganisationID) float64 {
+// othersDemand returns how many tokens per second the other instances are asked for, and by
+// requests of what mean cost; 0 if no reply is valid: the share of this instance is then its own.
+// The caller holds mu.
+func (s *Shares) othersDemand(name ident.OrganisationID) (tokensPerSecond, meanCost float64) {
 	d := s.demands[name]
 	if d == nil || !s.bootTime().Before(s.validUntil) {
-		return 0
+		return 0, 0
 	}
-	return d.perSecond()
+	return d.perSecond(), d.meanCost()
 }
