replication, membership: a start after a loss of power does not wait for members that are off

Discovery asked the first peers one after another, up to a second each, and a start waited at least 0.8 s for a list from others before it called the store.

Change: the first peers are asked at the same time; a pull at the start takes 0.25 s at most; the store is listed after 0.4 s and up to 1.2 s more.

--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -90,12 +91,14 @@
 			known[m.PeerAddress] = true
 		}
 	}
+	ctx, cancel := context.WithTimeout(s.ctx, discoveryInterval)
+	defer cancel()
+	var wg sync.WaitGroup
 	for _, address := range addresses {
-		if known[address] {
-			continue
+		if !known[address] {
+			// An address that does not answer must not delay the others.
+			wg.Go(func() { _ = s.fetchView(ctx, address) })
 		}
-		ctx, cancel := context.WithTimeout(s.ctx, discoveryInterval)
-		_ = s.fetchView(ctx, address)
-		cancel()
 	}
+	wg.Wait()
 }
--- a/core/replication/start.go
+++ b/core/replication/start.go
@@ -15,13 +15,15 @@
 const (
 	// minPeerListWait is how long an instance that has just started waits at least for the list of
 	// another one before it lists the store itself.
-	minPeerListWait = 800 * time.Millisecond
+	minPeerListWait = 400 * time.Millisecond
 	// peerListWaitSpread is how much longer it waits at most.
-	peerListWaitSpread = 1500 * time.Millisecond
+	peerListWaitSpread = 1200 * time.Millisecond
 	// peerListWaitSkew is how many times more likely a wait is than one that is shorter by
 	// peerListWaitSpread, as the power of e. Where all start at the same moment and none has the
 	// list, few list the store early, and the rest get the list from them.
 	peerListWaitSkew = 5.0
+	// startPullTimeout bounds a pull at the start. Members that have just lost power don't answer.
+	startPullTimeout = 250 * time.Millisecond
 	// settlingPullInterval is the time between two pulls until the member table is complete.
 	settlingPullInterval = 500 * time.Millisecond
 )
@@ -72,8 +74,10 @@
 		if len(list) == 0 {
 			continue
 		}
+		callCtx, cancel := context.WithTimeout(ctx, startPullTimeout)
 		// An error is ignored; the next pull is from another member.
-		_, _ = s.pull(ctx, list[rand.IntN(len(list))])
+		_, _ = s.pull(callCtx, list[rand.IntN(len(list))])
+		cancel()
 	}
 }
 
