request: an endpoint that did not accept a connection in time is tried again after the others failed

Cause of TestIdempotentCallsFailOver: at high load, or with the process paused for more than the 1 s that a connection may take, the sound endpoint counts as unreached; the faulty one is then the last candidate, and an idempotent call ends with 502 with 4 s left and a sound endpoint.

Ruled out: a longer limit for connections, which holds calls to an unreachable service.

If none is reached the call is refused after one round.

--- a/core/request/forward.go
+++ b/core/request/forward.go
@@ -65,14 +65,18 @@
 
 // tryEndpoints calls one endpoint after another, at most maxAttempts of them. If no
 // byte of the call reached an endpoint, it always tries the next one; after any
-// other failure it does so only if mayRetry returns true.
+// other failure it does so only if mayRetry returns true. An endpoint that did not accept
+// a connection in time is tried once more after those that were reached have failed: this
+// process may have been paused meanwhile, or the connection attempt was lost.
 func (s *Session) tryEndpoints(ctx context.Context, call ServiceCall, sink endpoint.Sink, mayRetry func(*fault.Error) bool) error {
 	candidates := s.pipeline.endpoints.candidates(s.Service, s.pipeline.domain, s.pipeline.now())
 	if len(candidates) > maxAttempts {
 		candidates = candidates[:maxAttempts]
 	}
 	var lastErr *fault.Error
-	for i, e := range candidates {
+	var unreached []text.Endpoint
+	for i := 0; i < len(candidates); i++ {
+		e := candidates[i]
 		err := s.callEndpoint(ctx, e, call, sink)
 		if err == nil {
 			return nil
@@ -81,6 +85,12 @@
 		if isEndpointFailure(lastErr) {
 			s.pipeline.endpoints.recordFailure(e.Name, s.pipeline.now())
 		}
+		if lastErr.Kind == fault.EndpointTimeout && lastErr.Ran == fault.NotRun {
+			unreached = append(unreached, e)
+		} else if i == len(candidates)-1 {
+			candidates = append(candidates, unreached[:min(len(unreached), maxAttempts-len(candidates))]...)
+			unreached = nil
+		}
 		if ctx.Err() != nil || !isEndpointFailure(lastErr) || i == len(candidates)-1 {
 			break
 		}
