membership, forward: a start of all instances finds its first peers quickly, and refusals tell when

Cause: an instance that finds the first peers not yet listening looked for them again a second later, and had nobody to get the configuration from meanwhile; callers were told to come back in 0.3 s, used up their retry, and were refused for good.

Ruled out: a longer constant, which keeps callers of a single restarted instance away.

Change: until a member is found the first ten rounds of discovery follow at 0.25 s. The refusal of an instance without a configuration names the time at which it will have read the store if no other instance sends the list before, and 0.3 s at least.

--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -125,6 +125,7 @@
 	Admit         func(o *catalog.Organisation, cost ident.Tokens) Admission // Takes tokens of an organisation's rate.
 	Calls         EngineCalls
 	LiveInstances func() int             // Number of instances that share the retry budget.
+	ConfigBy      func() time.Time       // When the configuration is read from the store unless another instance sends it before; nil if unknown.
 	AloneInDomain func() bool            // Whether no other instance of the failure domain is live; nil for never.
 	Quarantine    *quarantine.Quarantine // Parts of prompts that are held back from engines.
 	Memory        *membudget.Budget      // Limits the answers that are buffered.
@@ -242,7 +243,7 @@
 		return nil, fault.New(fault.ShuttingDown, "the instance is stopping").WithRetryAfter(r.stoppingRetryAt())
 	}
 	if c == nil {
-		return nil, fault.New(fault.StoreUnavailable, "no configuration has been received yet").WithRetryAfter(r.now().Add(noConfigRetryAfter))
+		return nil, fault.New(fault.StoreUnavailable, "no configuration has been received yet").WithRetryAfter(r.configRetryAt())
 	}
 	route, ok := c.Route(q.Host, q.Path)
 	if !ok {
@@ -263,9 +264,24 @@
 	return j, nil
 }
 
+// configRetryAt returns when a request may be sent again that was refused as there is no
+// configuration yet.
+func (r *Router) configRetryAt() time.Time {
+	retry := r.now().Add(noConfigRetryAfter)
+	if r.ConfigBy == nil {
+		return retry
+	}
+	if at := r.ConfigBy().Add(listTime); at.After(retry) {
+		return at
+	}
+	return retry
+}
+
 const (
-	// noConfigRetryAfter is the Retry-After of an instance that has no configuration yet.
+	// noConfigRetryAfter is the least Retry-After of an instance that has no configuration yet.
 	noConfigRetryAfter = 300 * time.Millisecond
+	// listTime is how long it takes to list the store.
+	listTime = 100 * time.Millisecond
 	// stoppingRetryAfter is the Retry-After of an instance that is stopping. It is short,
 	// as another instance serves the retry.
 	stoppingRetryAfter = 20 * time.Millisecond
--- a/core/membership/discovery.go
+++ b/core/membership/discovery.go
@@ -9,13 +9,12 @@
 
 	"monsoonfork/core/event"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/sleep"
 )
 
 // discoveryLoop discovers instances that are not in the table: at the first peers of the
 // settings, at registered addresses, and through the platform's instance list.
 func (s *Service) discoveryLoop() {
-	ticker := time.NewTicker(discoveryInterval)
-	defer ticker.Stop()
 	for round := 0; ; round++ {
 		s.fetchUnknownViews(*s.firstPeers.Load())
 		if f := s.registeredAddresses.Load(); f != nil {
@@ -27,14 +26,23 @@
 		if round%listReadEvery == 0 && s.isListReader() {
 			s.fetchUnknownViews(s.readInstanceList(s.listedAddresses))
 		}
-		select {
-		case <-s.ctx.Done():
+		sleep.For(s.ctx, s.discoveryPause(round))
+		if s.ctx.Err() != nil {
 			return
-		case <-ticker.C:
 		}
 	}
 }
 
+// discoveryPause returns the time from a round of discovery to the next one. It is short after a
+// start, until another instance is found: instances that start together find the first peers not
+// yet listening.
+func (s *Service) discoveryPause(round int) time.Duration {
+	if alone := len(s.Table.View().members) == 1; alone && round < firstRounds {
+		return firstRoundInterval
+	}
+	return discoveryInterval
+}
+
 // fetchNextView fetches the view of a live member of another domain, round robin. Heartbeats go
 // to one member of each other domain and carry no members of others, so that without it two
 // parts of this domain that joined at the same time, through different members, would not
--- a/core/membership/role.go
+++ b/core/membership/role.go
@@ -34,6 +34,8 @@
 	remoteSilentAfterMissed = 3                      // Heartbeats to other domains without a confirmation after which their members are silent.
 	refusedRecheckDelay     = 300 * time.Millisecond // Delay of the second call after a refused connection.
 	discoveryInterval       = time.Second            // Interval of discovery, and timeout of its calls.
+	firstRounds             = 10                     // Rounds of discovery after the start that follow each other quickly while no member is found.
+	firstRoundInterval      = 250 * time.Millisecond // Interval of these rounds; links are dialled again after less.
 	joinRounds              = 5                      // Rounds of discovery after the start that all read a view of another domain.
 	viewReadEvery           = 30                     // Rounds of discovery for each view of another domain, after joinRounds.
 	maxFirstView            = 1 << 16                // Upper bound of the random first position among the members of other domains.
--- a/core/replication/replication.go
+++ b/core/replication/replication.go
@@ -100,6 +100,7 @@
 	sequence            int64              // Sequence number up to which the changes of that table were applied here.
 	pulledAt            time.Time          // Last reply of any instance.
 	incomplete          bool               // The last reply did not contain all that is missing.
+	listBy              time.Time          // See ListBy.
 	stopFollowing       context.CancelFunc // Nil while this instance does not follow the store.
 	followDone          chan struct{}      // Closed when Follow has returned.
 }
--- a/core/replication/start.go
+++ b/core/replication/start.go
@@ -38,6 +38,7 @@
 	}
 	settled := s.Now().Add(s.SettleTime)
 	listBy := s.Now().Add(peerListWait(rand.Float64()))
+	s.setListBy(listBy)
 	for ctx.Err() == nil && s.Now().Before(settled) {
 		s.pullFromKnown(ctx)
 		pause := settlingPullInterval
@@ -54,6 +55,21 @@
 	s.healthyReplyAt = s.Now()
 }
 
+// setListBy records when this instance lists the store if it gets no list from others.
+func (s *Replicator) setListBy(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listBy = at
+}
+
+// ListBy returns when this instance lists the store if it gets no list from others before; zero if
+// it does not wait for them.
+func (s *Replicator) ListBy() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listBy
+}
+
 // peerListWait returns how long an instance waits for the list of another one. draw is uniform in
 // [0, 1).
 func peerListWait(draw float64) time.Duration {
