--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -25,7 +25,7 @@
 
 	costs costHistory
 	lost  lostRefill
-	own   demand // What this instance is asked for.
+	own   askedTokens // What this instance is asked for.
 }
 
 // refill adds the tokens accrued since the last call. It uses the monotonic clock,
@@ -75,7 +75,7 @@
 	b.refill(now)
 	b.asked += int64(cost)
 	b.requests++
-	b.own.add(usage{asked: int64(cost)}, now)
+	b.own.add(int64(cost), 1, now)
 	b.costs.add(cost)
 	need := min(float64(cost), b.burst*b.fraction)
 	if b.level < need && !b.mayOverdraw(cost) {
--- a/core/share/demand.go
+++ b/core/share/demand.go
@@ -11,12 +11,37 @@
 // admissionHistory is how long admissions of other instances are kept for new buckets.
 const admissionHistory = 2 * time.Second
 
-// demand is what instances were asked for, as an exponentially decaying sum, and what they have
-// admitted lately. The sum does not decay between two additions.
+// askedTokens is what instances were asked for, as an exponentially decaying sum. It does not decay
+// between two additions.
+type askedTokens struct {
+	sum      float64
+	requests float64 // Number of the requests that asked for sum.
+	at       time.Time
+}
+
+// add counts what was asked for since the last addition.
+func (a *askedTokens) add(tokens, requests int64, now time.Time) {
+	decay := math.Exp(-now.Sub(a.at).Seconds() / demandWindow.Seconds())
+	a.sum = a.sum*decay + float64(max(tokens, 0))
+	a.requests = a.requests*decay + float64(max(requests, 0))
+	a.at = now
+}
+
+// perSecond returns the average number of tokens that are asked for in a second.
+func (a *askedTokens) perSecond() float64 { return a.sum / demandWindow.Seconds() }
+
+// meanCost returns the mean cost of the requests, or 0 if there are none.
+func (a *askedTokens) meanCost() float64 {
+	if a.requests <= 0 {
+		return 0
+	}
+	return a.sum / a.requests
+}
+
+// demand is what the other instances were asked for, and what they have admitted lately. It does not
+// decay without replies of a collector.
 type demand struct {
-	sum        float64
-	requests   float64 // Number of the requests that asked for sum.
-	at         time.Time
+	askedTokens
 	admissions []othersAdmission // Oldest first.
 }
 
@@ -28,10 +53,7 @@
 
 // add counts the usage of other instances since the previous reply.
 func (d *demand) add(u usage, now time.Time) {
-	decay := math.Exp(-now.Sub(d.at).Seconds() / demandWindow.Seconds())
-	d.sum = d.sum*decay + float64(max(u.asked, 0))
-	d.requests = d.requests*decay + float64(max(u.requests, 0))
-	d.at = now
+	d.askedTokens.add(u.asked, u.requests, now)
 	d.admissions = append(d.admissions, othersAdmission{at: now, tokens: u.admitted})
 	for now.Sub(d.admissions[0].at) > admissionHistory {
 		d.admissions = d.admissions[1:]
@@ -43,14 +65,3 @@
 
 // end forgets the sum: a bucket that is full after a reply shows that the demand is over.
 func (d *demand) end() { d.sum, d.requests = 0, 0 }
-
-// meanCost returns the mean cost of the requests, or 0 if there are none.
-func (d *demand) meanCost() float64 {
-	if d.requests <= 0 {
-		return 0
-	}
-	return d.sum / d.requests
-}
-
-// perSecond returns the average number of tokens that are asked for in a second.
-func (d *demand) perSecond() float64 { return d.sum / demandWindow.Seconds() }
