replication: an instance that starts pulls a list to its end, from more members

A list of more than 100 entries comes in two replies, and the second was asked for a round later, from another member.

--- /dev/null
+++ b/core/replication/pull.go
@@ -0,0 +1,139 @@
+package replication
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/go-kit/log/level"
+
+	"monsoonfork/core/engines"
+	"monsoonfork/core/event"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/membership"
+	"monsoonfork/core/sleep"
+)
+
+// catchUp pulls from randomly chosen members of the domain while much of the list is
+// missing.
+func (s *Replicator) catchUp(ctx context.Context, v *membership.View) {
+	if !s.isIncomplete() {
+		return
+	}
+	members := v.Ranked(v.Self.Domain, followerKey)
+	if len(members) == 0 {
+		return
+	}
+	for range catchUpCalls {
+		to := members[rand.IntN(len(members))].ID
+		if to == v.Self.ID {
+			continue
+		}
+		// An error is ignored; the next pull is from another member.
+		_, _ = s.pull(ctx, to)
+	}
+}
+
+// isIncomplete reports whether the last reply did not contain all that is missing.
+func (s *Replicator) isIncomplete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incomplete
+}
+
+// pullAny pulls from instances in turn until one replies as healthy, and reports whether
+// one did.
+func (s *Replicator) pullAny(ctx context.Context, sources []ident.InstanceID) bool {
+	for _, id := range sources {
+		healthy, err := s.pull(ctx, id)
+		if err == nil && healthy {
+			return true
+		}
+	}
+	return false
+}
+
+// pull calls another instance and applies its reply.
+func (s *Replicator) pull(ctx context.Context, from ident.InstanceID) (healthy bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	s.mu.Lock()
+	req := &PullRequest{Of: string(s.sequenceOwner), Sequence: s.sequence, Version: int64(s.Version())}
+	_, req.NoticeRevision = s.Notice()
+	pulledAt := s.pulledAt
+	s.mu.Unlock()
+	if ident.InstanceID(req.GetOf()) != from || s.Now().Sub(pulledAt) > sequenceValidity {
+		sums := s.Table.Checksums()
+		req.Of, req.Sums = "", sums[:]
+	}
+	reply := &PullReply{}
+	if err := s.Call(ctx, from, MethodPull, req, reply); err != nil {
+		return false, err
+	}
+	s.applyReply(from, reply)
+	if len(reply.GetConfiguration()) > 0 && int64(s.Version()) == req.GetVersion() {
+		// The configuration was rejected here, and the next reply has it again.
+		sleep.For(ctx, retryDelay)
+	}
+	return reply.GetHealthy(), nil
+}
+
+// applyReply applies the configuration, engines and notice of a reply, and records when it
+// arrived and up to which sequence number.
+func (s *Replicator) applyReply(from ident.InstanceID, r *PullReply) {
+	if compressed := r.GetConfiguration(); len(compressed) > 0 {
+		raw, err := decompress(compressed)
+		if err != nil {
+			_ = level.Warn(s.Log).Log("msg", event.InvalidPullReply, "from", from, "err", err)
+		} else {
+			s.ApplyConfig(raw)
+		}
+	}
+	changes := make([]engines.Change, 0, len(r.GetEngines()))
+	for _, e := range r.GetEngines() {
+		changes = append(changes, e.toChange())
+	}
+	applied := s.applyEngines(r, changes)
+	if s.OnEnginesChanged != nil && len(applied) > 0 {
+		s.OnEnginesChanged(applied)
+	}
+	if len(r.GetNotice()) > 0 {
+		s.ApplyNotice(r.GetNotice(), r.GetNoticeRevision())
+	}
+	s.SetRegistered(int(r.GetExpected()))
+	now := s.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequenceOwner, s.sequence, s.pulledAt, s.incomplete = from, r.GetSequence(), now, r.GetMore()
+	if s.incomplete {
+		s.sequenceOwner = ""
+	}
+	if !r.GetHealthy() {
+		return
+	}
+	if now.Sub(s.healthyReplyAt) > staleAfter {
+		s.healthyRepliesSince = now
+	}
+	s.healthyReplyAt = now
+}
+
+// applyEngines applies the engines of a reply. Engines that are missing from a
+// partition are removed only if the callee follows the store and is healthy.
+func (s *Replicator) applyEngines(r *PullReply, changes []engines.Change) (applied []engines.Change) {
+	if len(r.GetParts()) > 0 && r.GetKnown() && r.GetHealthy() {
+		parts := make([]int, 0, len(r.GetParts()))
+		for _, p := range r.GetParts() {
+			parts = append(parts, int(p))
+		}
+		entries := make([]engines.Entry, 0, len(changes))
+		for _, c := range changes {
+			entries = append(entries, c.Entry)
+		}
+		applied = s.Table.ReplacePartitions(parts, entries, r.GetRevision())
+	} else {
+		applied = s.Table.Apply(changes)
+	}
+	if r.GetKnown() && !r.GetMore() {
+		s.Table.MarkComplete(r.GetRevision())
+	}
+	return applied
+}
--- a/core/replication/start.go
+++ b/core/replication/start.go
@@ -24,6 +24,12 @@
 	peerListWaitSkew = 5.0
 	// startPullTimeout bounds a pull at the start. Members that have just lost power don't answer.
 	startPullTimeout = 250 * time.Millisecond
+	// startPulls is the number of members besides the first peers from which an instance pulls in
+	// a round.
+	startPulls = 2
+	// maxListReplies bounds the successive pulls from one member at the start. With more entries
+	// the list comes from several members.
+	maxListReplies = 8
 	// settlingPullInterval is the time between two pulls until the member table is complete.
 	settlingPullInterval = 500 * time.Millisecond
 )
@@ -82,18 +88,28 @@
 	return slices.Contains(s.FirstPeers(), s.View().Self.PeerAddress)
 }
 
-// pullFromKnown pulls from one of the first peers and from one other member, both chosen at
-// random. The first peers list the store at their start.
+// pullFromKnown pulls from one of the first peers and from other members, chosen at random. The
+// first peers list the store at their start.
 func (s *Replicator) pullFromKnown(ctx context.Context) {
 	first, others := s.knownMembers()
-	for _, list := range [][]ident.InstanceID{first, others} {
-		if len(list) == 0 {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, startPullTimeout)
+	if len(first) > 0 {
+		s.pullList(ctx, first[rand.IntN(len(first))])
+	}
+	for range min(len(others), startPulls) {
+		s.pullList(ctx, others[rand.IntN(len(others))])
+	}
+}
+
+// pullList pulls from a member that may not answer, and again while its replies contain parts of
+// its list.
+func (s *Replicator) pullList(ctx context.Context, from ident.InstanceID) {
+	ctx, cancel := context.WithTimeout(ctx, startPullTimeout)
+	defer cancel()
+	for range maxListReplies {
 		// An error is ignored; the next pull is from another member.
-		_, _ = s.pull(callCtx, list[rand.IntN(len(list))])
-		cancel()
+		if _, err := s.pull(ctx, from); err != nil || !s.isIncomplete() {
+			return
+		}
 	}
 }
 
