monsoonlab judge-rates: what instances admitted and refused, against one exact bucket

Reads the log lines of a run and replays the requests of each organisation on one bucket: how many were refused by the instances, by the bucket, and by the instances alone; the most tokens in a window; a plot of level and tries.

--- a/cmd/monsoonlab/verbs.go
+++ b/cmd/monsoonlab/verbs.go
@@ -19,6 +19,7 @@
 		{"soak", "Run a fleet under random faults and check its promises.", &soakCommand{}},
 		{"platform-soak", "Run instances as on the platform under random faults and check their promises.", &platformSoakCommand{}},
 		{"rates", "Exceed an organisation's rate under faults and check the limit in every window.", &ratesCommand{}},
+		{"judge-rates", "Compare logged admissions and refusals with one exact token bucket.", &judgeRatesCommand{}},
 		{"bench", "Compare placement policies under load.", &benchCommand{}},
 		{"handover", "Measure the failover of a dispatcher.", &handoverCommand{}},
 		{"statuslatency", "Measure the latency of status calls while the engines are saturated.", &statusLatencyCommand{}},
