--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -17,7 +17,7 @@
 	live        map[ident.DomainID][]Member // Members in state Live, sorted by instance id.
 	hashes      map[ident.DomainID]uint64   // Hash of the ids of a domain's live members, to compare views.
 	domains     []ident.DomainID            // Domains with live members, sorted by name.
-	domainNames []string                    // The same.
+	domainNames []string                    // The same, as digests have them.
 	neighbours  []neighbour                 // Other members of the own domain.
 }
 
--- a/core/replication/start.go
+++ b/core/replication/start.go
@@ -18,9 +18,9 @@
 	minPeerListWait = 400 * time.Millisecond
 	// peerListWaitSpread is how much longer it waits at most.
 	peerListWaitSpread = 1200 * time.Millisecond
-	// peerListWaitSkew is how many times more likely a wait is than one that is shorter by
-	// peerListWaitSpread, as the power of e. Where all start at the same moment and none has the
-	// list, few list the store early, and the rest get the list from them.
+	// peerListWaitSkew sets how steeply the density of these waits grows: by the factor e to this
+	// power over peerListWaitSpread. Where all start at the same moment and none has the list, few
+	// list the store early, and the rest get the list from them.
 	peerListWaitSkew = 5.0
 	// startPullTimeout bounds a pull at the start. Members that have just lost power don't answer.
 	startPullTimeout = 250 * time.Millisecond
@@ -34,10 +34,10 @@
 	settlingPullInterval = 500 * time.Millisecond
 )
 
-// start gets the first list from other instances, and follows them until the member table of this
-// instance is complete: only then does its rank say whether it has to follow the store. Where all
-// instances start together, only those that the others know from their settings list the store.
-// start returns early if no other instance has the list.
+// start gets the first list from other instances, and pulls from them until the member table of
+// this instance is complete: only then does its rank say whether it has to follow the store. Where
+// all instances start together, only the first peers list the store. start returns early at a first
+// peer, and if no other instance has the list.
 func (s *Replicator) start(ctx context.Context) {
 	if s.isFirstPeer() {
 		return
