--- a/core/share/changedusage_test.go
+++ b/core/share/changedusage_test.go
@@ -36,7 +36,8 @@
 }
 
 // fleetOfOrganisations returns a fleet of one domain in which each instance has admitted requests of
-// many organisations and has reported them, and the calls of one instance that isn't the collector.
+// many organisations and has reported them, one of its instances that isn't the collector, and the
+// calls of that instance.
 func fleetOfOrganisations(organisations int) (f *fleet, s *Shares, calls *recordedCalls) {
 	f = newFleet(1, 6)
 	ranked := f.shares["a0"].view().Ranked("a", collectorKey)
