httpcall: an answer with a malformed head is a failed attempt

What callers saw: an engine in trouble sent an answer in whose head the name of a field held a blank. The caller got it as an answer, with that line passed on. If the field was the length or the transfer coding, the reader on nbhttp (Client) obeyed it, so that the caller got a body that is not the engine's; the one on net/http (Pool) took it for an unknown field, and the body as ending with the connection.

Cause: nobody checked the lines of a head before they were believed. Both parsers are lenient, each in its own way. nbhttp cuts a name at its first blank, takes a folded line for a field, any bytes for a value, any version and any digits for a status; net/http keeps a name with a blank as it is, and takes any version.

Fix: io/http1 checks each line of a head as its bytes arrive, without a copy and before a parser gets it, with the same rules for both readers. What it refuses is a failure of the endpoint after a possible run, no head reaches the caller, and the connection is closed. This works whatever the parsers make of a line, as they do not get it. A folded line could also be joined (RFC 9112, 5.2), as Pool did; it is refused by both, as in requests, since two readings of one line are the fault. Statuses outside of 100 to 599 were refused before, as was a 200 without a length that ends in a reset: their tests stand, nothing is changed for them.

--- a/io/httpcall/bench_test.go
+++ b/io/httpcall/bench_test.go
@@ -11,11 +11,17 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"monsoonfork/core/endpoint"
 	"monsoonfork/core/ident"
 )
 
-// serveFixedResponse starts an endpoint that responds to every request with two bytes and
+// fixedResponse is a response with a head of usual size.
+const fixedResponse = "HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 02:40:00 GMT\r\nContent-Type: application/json\r\n" +
+	"X-Instance-Id: i-7f3a91c2\r\nKeep-Alive: timeout=12\r\nContent-Length: 2\r\n\r\nok"
+
+// serveFixedResponse starts an endpoint that responds to every request with fixedResponse and
 // keeps connections open. It returns the address.
 func serveFixedResponse(b *testing.B) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -38,7 +44,7 @@
 						return
 					}
 					_, _ = io.Copy(io.Discard, r.Body)
-					if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); err != nil {
+					if _, err := io.WriteString(conn, fixedResponse); err != nil {
 						return
 					}
 				}
@@ -56,16 +62,25 @@
 }
 
 // BenchmarkNewConnection measures calls with Client, which opens a connection for each.
-func BenchmarkNewConnection(b *testing.B) {
+func BenchmarkNewConnection(b *testing.B) { benchmarkCalls(b, newClient(b)) }
+
+// BenchmarkPool measures calls with Pool on one connection.
+func BenchmarkPool(b *testing.B) {
+	p := NewPool(metrics.NewRegistry())
+	defer p.Close()
+	benchmarkCalls(b, p)
+}
+
+// benchmarkCalls measures calls to one endpoint.
+func benchmarkCalls(b *testing.B, c doer) {
 	addr := serveFixedResponse(b)
-	c := newClient(b)
 	body := []byte(strings.Repeat("x", 1000))
 	var durations []time.Duration
 	for b.Loop() {
 		var a recorder
 		started := time.Now()
 		deadline := started.Add(10 * time.Second)
-		call := Call{Address: ident.Address(addr), Method: "POST", Target: "/", Body: body, ID: "r", Limits: endpoint.Limits{ConnectDeadline: deadline, ResponseDeadline: deadline}}
+		call := Call{Address: ident.Address(addr), Method: "POST", Target: "/", Body: body, Limits: endpoint.Limits{ConnectDeadline: deadline, ResponseDeadline: deadline}}
 		if err := c.Do(context.Background(), call, a.sink()); err != nil {
 			b.Fatal(err)
 		}
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -157,7 +157,7 @@
 			_ = conn.Close()
 			return
 		}
-		c.engine.DataHandler(conn, data)
+		c.parse(conn, x, data)
 	})
 	nbc.Unlock()
 	if err := c.awaitPoller(ctx, nbc, x.call.Limits); err != nil {
--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -10,6 +10,7 @@
 
 	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
+	"monsoonfork/io/http1"
 )
 
 // exchange buffers the response of a call. The poller fills it through the methods of
@@ -21,8 +22,9 @@
 	maxBytes int
 	changed  chan struct{} // Holds an element after a change.
 
-	readMu sync.Mutex // Held while the connection is read and parsed.
-	paused bool       // The connection is not read, as enough is buffered.
+	readMu    sync.Mutex // Held while the connection is read and parsed.
+	paused    bool       // The connection is not read, as enough is buffered.
+	headCheck http1.ResponseHead
 
 	mu            sync.Mutex
 	head          endpoint.Head
@@ -75,9 +77,12 @@
 	return true
 }
 
-// headTooLargeError returns the error for a response whose head exceeds maxHeadBytes.
-func headTooLargeError() *fault.Error {
-	return fault.New(fault.AnswerBroken, "the head of the response is larger than %d bytes", maxHeadBytes)
+// reject ends the exchange with an error, unless it has ended.
+func (x *exchange) reject(err *fault.Error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.fail(err)
+	x.signal()
 }
 
 // OnStatus implements nbhttp.Processor.
--- a/io/httpcall/poolconn.go
+++ b/io/httpcall/poolconn.go
@@ -2,47 +2,19 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"slices"
 	"time"
 )
 
-const (
-	// connBufferBytes is the size of a connection's read buffer.
-	connBufferBytes = 4 << 10
-	// maxHeadBytes is the maximum size of the head of a response, together with the
-	// interim responses before it.
-	maxHeadBytes = 64 << 10
-)
-
-// headLimiter reads from a connection, and while a head is read at most maxHeadBytes.
-type headLimiter struct {
-	conn      net.Conn
-	inHead    bool
-	remaining int  // Bytes that may still be read for the head.
-	exceeded  bool // The head is larger than maxHeadBytes.
-}
-
-// Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if !l.inHead {
-		return l.conn.Read(p)
-	}
-	if l.remaining == 0 {
-		l.exceeded = true
-		return 0, io.ErrUnexpectedEOF
-	}
-	n, err := l.conn.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
+// connBufferBytes is the size of a connection's read buffer.
+const connBufferBytes = 4 << 10
 
 // poolConn is a connection of a Pool.
 type poolConn struct {
 	net.Conn
-	limiter   *headLimiter
-	br        *bufio.Reader // Reads from limiter.
+	head      *headReader
+	br        *bufio.Reader // Reads from head.
 	idleSince time.Time     // When its last call ended.
 	expires   time.Time     // Not reused from this time on.
 	used      bool          // A call was sent on it.
@@ -59,8 +31,8 @@
 
 // newPoolConn returns a connection on which nothing was sent.
 func newPoolConn(conn net.Conn) *poolConn {
-	limiter := &headLimiter{conn: conn}
-	return &poolConn{Conn: conn, limiter: limiter, br: bufio.NewReaderSize(limiter, connBufferBytes)}
+	head := &headReader{conn: conn}
+	return &poolConn{Conn: conn, head: head, br: bufio.NewReaderSize(head, connBufferBytes)}
 }
 
 // setUserTimeout sets how long sent bytes may stay unacknowledged or unread before the
@@ -76,12 +48,6 @@
 	return nil
 }
 
-// beginHead limits the bytes that are read until endHead.
-func (c *poolConn) beginHead() { c.limiter.inHead, c.limiter.remaining = true, maxHeadBytes }
-
-// endHead removes the limit that beginHead has set.
-func (c *poolConn) endHead() { c.limiter.inHead = false }
-
 // hasCarried reports whether a call with this id was sent on the connection. A repeated
 // response to that call could not be distinguished from one to a new call with the id.
 func (c *poolConn) hasCarried(id string) bool {
--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -181,13 +181,13 @@
 func (x *poolExchange) readHead() (*http.Response, error) {
 	deadline := earliest(x.call.Limits.FirstByteDeadline, x.call.Limits.ResponseDeadline)
 	_ = x.conn.SetReadDeadline(deadline)
-	x.conn.beginHead()
-	defer x.conn.endHead()
+	x.conn.head.begin()
+	defer x.conn.head.end()
 	for {
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: x.call.Method})
-		if err != nil && x.conn.limiter.exceeded {
-			// The parser may report the incomplete line instead of the reader's error.
-			return nil, headTooLargeError()
+		if x.conn.head.err != nil {
+			// The parser may report the incomplete line instead of the reader's error, or no error.
+			return nil, x.conn.head.err
 		}
 		if err != nil {
 			return nil, x.readError(err, fault.EndpointFailed, "no response from the endpoint")
--- a/io/httpcall/read.go
+++ b/io/httpcall/read.go
@@ -8,6 +8,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"golang.org/x/sys/unix"
+
+	"monsoonfork/io/http1"
 )
 
 const (
@@ -90,6 +92,24 @@
 	return true
 }
 
+// parse passes bytes to the parser of a connection, those of a head line by line, so that each line is
+// checked before it.
+func (c *Client) parse(nbc *nbio.Conn, x *exchange, data []byte) {
+	for len(data) > 0 && !x.headCheck.Ended() {
+		n, problem := x.headCheck.CheckLine(data)
+		if problem != http1.NoProblem {
+			x.reject(malformedHeadError(problem))
+			_ = nbc.Close()
+			return
+		}
+		c.engine.DataHandler(nbc, data[:n])
+		data = data[n:]
+	}
+	if len(data) > 0 {
+		c.engine.DataHandler(nbc, data)
+	}
+}
+
 // peerClosed reports whether the endpoint has closed its side or reset the connection.
 func peerClosed(nbc *nbio.Conn) bool {
 	nbc.Lock() // Keeps the descriptor from being closed and used again.
