--- a/io/http1/fieldlines.go
+++ b/io/http1/fieldlines.go
@@ -148,3 +148,6 @@
 	}
 	return name != ""
 }
+
+// IsText reports whether b may stand in a value or a reason phrase.
+func IsText(b byte) bool { return textTable[b] }
