store, instancelist: an answer with a malformed head is not believed

What an operator saw: nothing. A store in trouble whose answer had a blank in the name of a field could make a key look removed (404), a list look empty, and a conditional write look done, as the line was taken for an unknown field and the rest of the answer was believed. The same held for the instance list and for the command line's calls to an instance.

These clients read by the transport of net/http, which keeps such names and takes any version.

Fix: http1.Transport checks what net/http has read: names, version, reason phrase, and the names in interim responses.

--- a/io/instancelist/client.go
+++ b/io/instancelist/client.go
@@ -16,6 +16,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/io/http1"
 )
 
 // Limits of one read of the list.
@@ -78,7 +79,7 @@
 	transport := &http.Transport{DisableKeepAlives: true}
 	return &Client{
 		url:  fmt.Sprintf("http://%s/v1/catalog/service/monsoonfork", address),
-		http: &http.Client{Timeout: callTimeout, Transport: transport},
+		http: &http.Client{Timeout: callTimeout, Transport: http1.NewTransport(transport)},
 	}
 }
 
--- a/io/instancelist/client_test.go
+++ b/io/instancelist/client_test.go
@@ -53,3 +53,21 @@
 		}
 	}
 }
+
+// TestMalformedHeadIsNotBelieved guards against a list that is believed though its head has a line
+// that HTTP does not allow.
+func TestMalformedHeadIsNotBelieved(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length : 9\r\n\r\n[]"))
+		_ = conn.Close()
+	}))
+	t.Cleanup(s.Close)
+	if list, err := New(ident.Address(strings.TrimPrefix(s.URL, "http://"))).Instances(t.Context()); !fault.Is(err, fault.StoreUnavailable) {
+		t.Errorf("got instances %v, error %v, want StoreUnavailable", list, err)
+	}
+}
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/config"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/io/http1"
 )
 
 // clientTimeout is the timeout of one call. It is longer than the server's timeout
@@ -30,7 +31,7 @@
 func NewClient(address ident.Address) *Client {
 	return &Client{address: address, http: http.Client{
 		Timeout:   clientTimeout,
-		Transport: &http.Transport{DisableKeepAlives: true},
+		Transport: http1.NewTransport(&http.Transport{DisableKeepAlives: true}),
 	}}
 }
 
--- a/io/store/conn.go
+++ b/io/store/conn.go
@@ -10,6 +10,7 @@
 
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/io/http1"
 )
 
 // errNotSent marks a call that failed before any byte of it was sent.
@@ -49,7 +50,7 @@
 	if newConn {
 		transport = c.freshTransport
 	}
-	res, err := transport.RoundTrip(req)
+	res, err := http1.NewTransport(transport).RoundTrip(req)
 	if err != nil {
 		return nil, c.callError(ctx, address, err)
 	}
