httpcall: a chunked body ends only where a sound size says so

What callers saw, on the product's own text: an answer in chunks whose size line held "0 2" or "0x2" came through as a complete answer without a body, and "2ok" as a size of 2. An answer with trailers that the head did not name, or without one that it named, was refused, though RFC 9112 (7.1.2) allows both. A trailer with a blank in its name was accepted, on the platform too; it went no further.

Fix: Client checks the lines of a chunked body before the parser gets them (http1.ChunkedBody), and gives it no trailers. Pool checks the names of the trailers that net/http has read. A problem is AnswerBroken: what came before it was delivered, the answer does not end as complete. After a complete response nothing is checked, as what follows it belongs to no call.

--- a/io/http1/problem.go
+++ b/io/http1/problem.go
@@ -1,4 +1,5 @@
-// Package http1 checks the heads of HTTP/1 messages as their bytes arrive, before a parser gets them.
+// Package http1 checks heads and chunked bodies of HTTP/1 messages as their bytes arrive, before a parser
+// gets them.
 // Parsers accept lines that other implementations read differently, or take a malformed line for a
 // sound one.
 package http1
@@ -22,5 +23,6 @@
 	ConflictingLengths                // two different lengths
 	UnknownCoding                     // transfer coding other than chunked
 	CodingWithLength                  // length beside a transfer coding
+	InvalidChunk                      // malformed chunk
 	CodingInHTTP10                    // transfer coding in HTTP/1.0
 )
--- a/io/http1/responsehead.go
+++ b/io/http1/responsehead.go
@@ -18,6 +18,9 @@
 // Status returns the status of the current response, once its status line has ended.
 func (h *ResponseHead) Status() int { return h.status.status }
 
+// IsChunked reports whether the body of the response is chunked, once its head has ended.
+func (h *ResponseHead) IsChunked() bool { return h.framing.isChunked }
+
 // IsInterim reports whether the current response is an interim one.
 func (h *ResponseHead) IsInterim() bool { return h.status.isInterim() }
 
--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -20,7 +20,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return headError(checkNames(h)) },
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { return headError(CheckNames(h)) },
 	})
 	res, err := t.base.RoundTrip(r.WithContext(ctx))
 	if err != nil {
@@ -51,11 +51,11 @@
 			return ControlCharacter
 		}
 	}
-	return checkNames(res.Header)
+	return CheckNames(res.Header)
 }
 
-// checkNames checks the names of fields that net/http has read: only blanks are left in them.
-func checkNames(h map[string][]string) Problem {
+// CheckNames checks the names of fields that net/http has read: it refuses all but blanks in them.
+func CheckNames(h map[string][]string) Problem {
 	for name := range h {
 		if !IsName(name) {
 			return BlankInName
--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -10,6 +10,7 @@
 
 	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
+	"monsoonfork/io/http1"
 )
 
 // exchange buffers the response of a call. The poller fills it through the methods of
@@ -24,6 +25,7 @@
 	readMu    sync.Mutex // Held while the connection is read and parsed.
 	paused    bool       // The connection is not read, as enough is buffered.
 	headLines headLines
+	chunks    http1.ChunkedBody
 
 	mu            sync.Mutex
 	head          endpoint.Head
@@ -80,6 +82,9 @@
 func (x *exchange) reject(err *fault.Error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if x.complete {
+		return
+	}
 	x.fail(err)
 	x.signal()
 }
--- a/io/httpcall/headreader.go
+++ b/io/httpcall/headreader.go
@@ -35,7 +35,7 @@
 	n, err := r.conn.Read(p[:min(len(p), r.remaining)])
 	r.remaining -= n
 	if problem := r.check.Check(p[:n]); problem != http1.NoProblem {
-		r.err = malformedHeadError(problem)
+		r.err = malformedError(problem)
 		return 0, r.err
 	}
 	return n, err
@@ -49,14 +49,14 @@
 // end ends the head: bytes are read without a limit or a check from here on.
 func (r *headReader) end() { r.inHead = false }
 
-// malformedHeadError returns the error for a response with a malformed head. Bytes that do not begin
-// like a response are none.
-func malformedHeadError(problem http1.Problem) *fault.Error {
+// malformedError returns the error for a response with a malformed line. Bytes that do not begin like
+// a response are none.
+func malformedError(problem http1.Problem) *fault.Error {
 	kind := fault.AnswerBroken
 	if problem == http1.InvalidStatusLine {
 		kind = fault.EndpointFailed
 	}
-	return fault.New(kind, "malformed head of the response: %s", problem)
+	return fault.New(kind, "malformed response: %s", problem)
 }
 
 // headTooLargeError returns the error for a response whose head exceeds maxHeadBytes.
--- a/io/httpcall/poolexchange.go
+++ b/io/httpcall/poolexchange.go
@@ -14,6 +14,7 @@
 	"monsoonfork/core/contain"
 	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
+	"monsoonfork/io/http1"
 )
 
 const (
@@ -147,6 +148,9 @@
 			return false, err
 		}
 	}
+	if problem := http1.CheckNames(res.Trailer); problem != http1.NoProblem {
+		return false, malformedError(problem)
+	}
 	complete = true
 	x.updateExpiry(res.Header)
 	return !res.Close && x.conn.br.Buffered() == 0 && x.writeErr == nil, nil
--- a/io/httpcall/read.go
+++ b/io/httpcall/read.go
@@ -92,24 +92,42 @@
 	return true
 }
 
-// parse passes bytes to the parser of a connection, those of a head line by line, each of which is
-// checked before.
+// parse passes bytes to the parser of a connection, lines of a head or of a chunked body after their
+// check.
 func (c *Client) parse(nbc *nbio.Conn, x *exchange, data []byte) {
-	for len(data) > 0 && !x.headLines.ended() {
-		line, rest, problem := x.headLines.next(data)
-		if problem != http1.NoProblem {
-			x.reject(malformedHeadError(problem))
-			_ = nbc.Close()
-			return
+	problem := http1.NoProblem
+	for len(data) > 0 && problem == http1.NoProblem {
+		var part []byte
+		switch {
+		case !x.headLines.ended():
+			part, data, problem = x.headLines.next(data)
+		case x.headLines.isChunked() && !x.chunks.Ended():
+			part, data, problem = x.nextChunkPart(data)
+		default:
+			part, data = data, nil
 		}
-		if line != nil {
-			c.engine.DataHandler(nbc, line)
+		if len(part) > 0 {
+			c.engine.DataHandler(nbc, part)
 		}
-		data = rest
 	}
-	if len(data) > 0 {
-		c.engine.DataHandler(nbc, data)
+	if problem != http1.NoProblem {
+		x.reject(malformedError(problem))
+		_ = nbc.Close()
+	}
+}
+
+// nextChunkPart takes bytes up to the trailer section or its end from data. It returns what of them is
+// to be parsed, which is nothing of the trailers, and the remaining bytes.
+func (x *exchange) nextChunkPart(data []byte) (part, rest []byte, problem http1.Problem) {
+	inTrailers := x.chunks.InTrailers()
+	n, problem := x.chunks.Next(data)
+	switch {
+	case !inTrailers:
+		return data[:n], data[n:], problem
+	case x.chunks.Ended():
+		return []byte("\r\n"), data[n:], problem
 	}
+	return nil, data[n:], problem
 }
 
 // peerClosed reports whether the endpoint has closed its side or reset the connection.
