httpcall: malformed answers are logged and counted

An operator could not see which engine sends malformed answers: the line of a failed attempt exists only where another one follows, and says no more than that the parser failed, at times with bytes of the answer.

Each malformed response now has a line with the address of the endpoint, the id of the request and the problem, from a closed list, and is counted (HTTPCall.Malformed, HTTPPool.Malformed). No byte of the response gets into the line or the error. The error's kind and text for callers stay as they were.

Ran: go test ./io/httpcall ./core/event ./cmd/monsoonfork.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -51,6 +51,7 @@
 	EnginePaused           // engine paused
 	EnginePauseIgnored     // invalid pause of an engine ignored
 	EngineLimited          // engine refuses at its limit
+	AnswerMalformed        // malformed answer of an endpoint
 	PartHeld               // part of prompts held back from engines
 	PartTried              // part of prompts tried again
 	PartReleased           // part of prompts released
--- a/io/engine/role.go
+++ b/io/engine/role.go
@@ -18,7 +18,7 @@
 // startRole starts the role. It provides the HTTP client that all calls to endpoints
 // share, the client for engines and its calls besides completions.
 func startRole(_ context.Context, n *kernel.Node) (*kernel.Callbacks, error) {
-	calls, err := httpcall.New(httpcall.WithMetrics(n.Metrics))
+	calls, err := httpcall.New(httpcall.WithMetrics(n.Metrics), httpcall.WithLog(n.Log))
 	if err != nil {
 		return nil, err
 	}
--- a/io/httpcall/call.go
+++ b/io/httpcall/call.go
@@ -58,6 +58,7 @@
 	err := c.do(ctx, call, sink)
 	if err != nil {
 		c.counters.failed.Inc(1)
+		c.report.record(call, err)
 		return err
 	}
 	return nil
--- a/io/httpcall/client.go
+++ b/io/httpcall/client.go
@@ -6,6 +6,7 @@
 import (
 	"sync"
 
+	"github.com/go-kit/log"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/rcrowley/go-metrics"
@@ -27,7 +28,9 @@
 	pollers  int
 	maxBytes int
 	registry metrics.Registry
+	log      log.Logger
 	counters clientMetrics
+	report   malformedReport
 
 	mu           sync.Mutex
 	closed       bool
@@ -50,6 +53,11 @@
 	return func(c *Client) { c.registry = r }
 }
 
+// WithLog sets the logger for malformed responses; by default there is none.
+func WithLog(l log.Logger) Option {
+	return func(c *Client) { c.log = log.With(l, "part", "HTTPCall") }
+}
+
 // WithMaxResponseBytes sets the maximum size of a response.
 func WithMaxResponseBytes(n int) Option {
 	return func(c *Client) { c.maxBytes = n }
@@ -57,7 +65,7 @@
 
 // New starts a client. Close stops it.
 func New(opts ...Option) (*Client, error) {
-	c := &Client{pollers: defaultPollers, maxBytes: defaultMaxResponseBytes, registry: metrics.NewRegistry()}
+	c := &Client{pollers: defaultPollers, maxBytes: defaultMaxResponseBytes, registry: metrics.NewRegistry(), log: log.NewNopLogger()}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -67,6 +75,7 @@
 		mismatched: metrics.GetOrRegisterCounter("HTTPCall.Crossed", c.registry),
 		dial:       metrics.GetOrRegisterTimer("HTTPCall.Dial", c.registry),
 	}
+	c.report = malformedReport{c.log, metrics.GetOrRegisterCounter("HTTPCall.Malformed", c.registry)}
 	c.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:           "HTTPCall",
 		NPoller:        c.pollers,
--- a/io/httpcall/headreader.go
+++ b/io/httpcall/headreader.go
@@ -49,16 +49,6 @@
 // end ends the head: bytes are read without a limit or a check from here on.
 func (r *headReader) end() { r.inHead = false }
 
-// malformedError returns the error for a response with a malformed line. Bytes that do not begin like
-// a response are none.
-func malformedError(problem http1.Problem) *fault.Error {
-	kind := fault.AnswerBroken
-	if problem == http1.InvalidStatusLine {
-		kind = fault.EndpointFailed
-	}
-	return fault.New(kind, "malformed response: %s", problem)
-}
-
 // headTooLargeError returns the error for a response whose head exceeds maxHeadBytes.
 func headTooLargeError() *fault.Error {
 	return fault.New(fault.AnswerBroken, "the head of the response is larger than %d bytes", maxHeadBytes)
--- /dev/null
+++ b/io/httpcall/malformed_test.go
@@ -0,0 +1,54 @@
+package httpcall
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
+
+	"monsoonfork/core/endpoint"
+)
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// TestMalformedResponseIsReported checks that an operator learns which endpoint sends malformed
+// responses, and that no byte of them gets into the log or the error.
+func TestMalformedResponseIsReported(t *testing.T) {
+	logs, registry := &logBuffer{}, metrics.NewRegistry()
+	logger := log.NewLogfmtLogger(logs)
+	pool := NewPool(registry, WithPoolLog(logger))
+	t.Cleanup(pool.Close)
+	for part, caller := range map[string]doer{
+		"HTTPCall": newClient(t, WithMetrics(registry), WithLog(logger)),
+		"HTTPPool": pool,
+	} {
+		for _, text := range []string{answerWith("X-secret secret: s"), wholeAnswer, bodilessAnswer[:20]} {
+			e := newEndpoint(t, writeAnswer(text))
+			err := caller.Do(context.Background(), postCall(e), endpoint.Sink{OnHead: func(endpoint.Head) error { return nil }})
+			want := "part=" + part + " msg=\"malformed answer of an endpoint\" request=r endpoint=" + string(e.address) + " problem=\"space or tab in the name of a field\""
+			if isMalformed := strings.Contains(text, "secret"); strings.Contains(logs.b.String(), want) != isMalformed {
+				t.Errorf("%q: error %v, log %q", text, err, logs.b.String())
+			}
+			if err != nil && strings.Contains(err.Error(), "secret") {
+				t.Errorf("error %v has bytes of the response", err)
+			}
+		}
+		if n := registry.Get(part + ".Malformed").(metrics.Counter).Count(); n != 1 || strings.Contains(logs.b.String(), "secret") {
+			t.Errorf("%s: %d responses counted, want 1; log %q", part, n, logs.b.String())
+		}
+	}
+}
--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonfork/core/endpoint"
@@ -31,7 +32,9 @@
 // is safe for concurrent use.
 type Pool struct {
 	maxBytes int64
+	log      log.Logger
 	counters poolMetrics
+	report   malformedReport
 
 	mu     sync.Mutex
 	idle   map[ident.Address][]*poolConn // The most recently used last.
@@ -47,10 +50,19 @@
 	mismatched metrics.Counter // Responses with the id of another request.
 }
 
+// PoolOption configures a Pool.
+type PoolOption func(*Pool)
+
+// WithPoolLog sets the logger for malformed responses; by default there is none.
+func WithPoolLog(l log.Logger) PoolOption {
+	return func(p *Pool) { p.log = log.With(l, "part", "HTTPPool") }
+}
+
 // NewPool returns a pool without connections.
-func NewPool(r metrics.Registry) *Pool {
-	return &Pool{
+func NewPool(r metrics.Registry, opts ...PoolOption) *Pool {
+	p := &Pool{
 		maxBytes: defaultMaxResponseBytes,
+		log:      log.NewNopLogger(),
 		idle:     make(map[ident.Address][]*poolConn),
 		inUse:    make(map[ident.Address]int),
 		counters: poolMetrics{
@@ -60,6 +72,11 @@
 			mismatched: metrics.GetOrRegisterCounter("HTTPPool.Crossed", r),
 		},
 	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	p.report = malformedReport{p.log, metrics.GetOrRegisterCounter("HTTPPool.Malformed", r)}
+	return p
 }
 
 // Close closes idle connections. Connections in use are closed after their call.
@@ -83,6 +100,7 @@
 	err := p.do(ctx, call, sink)
 	if err != nil {
 		p.counters.failed.Inc(1)
+		p.report.record(call, err)
 	}
 	return err
 }
