httpcall: lines about malformed answers of one endpoint are limited

Engines of the platform's stand-ins that answered everything with a malformed head made an instance write 992 lines in 1.7 s for twelve waiting requests: each reservation that one of them tries had one.

The limit of the lines about refusals (20 a second for one key, then a count) is now a package of its own, core/loglimit, and serves both; its logic stands once. TestRefusalLogIsBounded is as strict as before: that a window has ended now shows by the start of another one. TestMalformedResponseIsReported covers the new limit.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -52,6 +52,7 @@
 	EnginePauseIgnored     // invalid pause of an engine ignored
 	EngineLimited          // engine refuses at its limit
 	AnswerMalformed        // malformed answer of an endpoint
+	MalformedSuppressed    // malformed answers suppressed
 	PartHeld               // part of prompts held back from engines
 	PartTried              // part of prompts tried again
 	PartReleased           // part of prompts released
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -151,7 +151,7 @@
 	if f.Ran == fault.NotRun {
 		outcome = event.Refused
 		r.counters.refused.Inc(1)
-		if !r.refusalLog.shouldLog(refusalKey{f.Kind, j.organisation(), j.route.Name}) {
+		if !r.refusalLog.Allow(refusalKey{f.Kind, j.organisation(), j.route.Name}) {
 			return
 		}
 	} else {
--- a/core/forward/refusallog_test.go
+++ b/core/forward/refusallog_test.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log"
 
 	"monsoonfork/core/fault"
+	"monsoonfork/core/loglimit"
 )
 
 // TestRefusalLogIsBounded refuses one organisation 10,000 times within a window and
@@ -17,9 +18,9 @@
 	var out bytes.Buffer
 	var ends []func()
 	r := newRefusalLog(log.NewLogfmtLogger(&out))
-	r.afterFunc = func(d time.Duration, f func()) *time.Timer {
-		if d != refusalWindow {
-			t.Errorf("window of %v, want refusalWindow", d)
+	r.AfterFunc = func(d time.Duration, f func()) *time.Timer {
+		if d != loglimit.Window {
+			t.Errorf("window of %v, want loglimit.Window", d)
 		}
 		ends = append(ends, f)
 		return nil
@@ -27,12 +28,12 @@
 	frequent, rare := refusalKey{fault.RateExceeded, "frequent", "r"}, refusalKey{fault.RateExceeded, "rare", "r"}
 	lines := 0
 	for range 10_000 {
-		if r.shouldLog(frequent) {
+		if r.Allow(frequent) {
 			lines++
 		}
 	}
-	if lines != maxRefusalLines || !r.shouldLog(rare) {
-		t.Errorf("%d lines about the frequent organisation, want %d", lines, maxRefusalLines)
+	if lines != loglimit.MaxLines || !r.Allow(rare) {
+		t.Errorf("%d lines about the frequent organisation, want %d", lines, loglimit.MaxLines)
 	}
 	if len(ends) != 2 {
 		t.Fatalf("%d windows, want 2", len(ends))
@@ -44,7 +45,7 @@
 	if got := out.String(); !strings.Contains(got, want) || strings.Count(got, "\n") != 1 {
 		t.Errorf("logged %q, want one line with %s", got, want)
 	}
-	if !r.shouldLog(frequent) || len(r.counts) != 1 {
+	if !r.Allow(frequent) || len(ends) != 3 {
 		t.Error("the window did not end")
 	}
 }
--- a/core/forward/router.go
+++ b/core/forward/router.go
@@ -21,6 +21,7 @@
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/loglimit"
 	"monsoonfork/core/membudget"
 	"monsoonfork/core/quarantine"
 	"monsoonfork/core/subset"
@@ -160,7 +161,7 @@
 	reserveQueues   reserveQueues
 	counters        counters
 	retrySettings   RetryBudgetSettings
-	refusalLog      *refusalLog
+	refusalLog      *loglimit.Limit[refusalKey]
 	durations       durations
 	plainLimits     *concurrency.Limiter // Requests that the engines of plain services admit.
 	outputEstimates outputEstimates
@@ -278,7 +279,7 @@
 // logUnresolved logs a request that was refused before its route and its organisation
 // were found.
 func (r *Router) logUnresolved(q *Request, f *fault.Error) {
-	if r.refusalLog.shouldLog(refusalKey{kind: f.Kind}) {
+	if r.refusalLog.Allow(refusalKey{kind: f.Kind}) {
 		_ = level.Info(r.log).Log("msg", event.Refused, "request", q.ID, "kind", f.Kind, "host", q.Host, "path", q.Path, "err", f.Message)
 	}
 }
--- a/io/httpcall/client.go
+++ b/io/httpcall/client.go
@@ -30,7 +30,7 @@
 	registry metrics.Registry
 	log      log.Logger
 	counters clientMetrics
-	report   malformedReport
+	report   *malformedReport
 
 	mu           sync.Mutex
 	closed       bool
@@ -75,7 +75,7 @@
 		mismatched: metrics.GetOrRegisterCounter("HTTPCall.Crossed", c.registry),
 		dial:       metrics.GetOrRegisterTimer("HTTPCall.Dial", c.registry),
 	}
-	c.report = malformedReport{c.log, metrics.GetOrRegisterCounter("HTTPCall.Malformed", c.registry)}
+	c.report = newMalformedReport(c.log, metrics.GetOrRegisterCounter("HTTPCall.Malformed", c.registry))
 	c.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name:           "HTTPCall",
 		NPoller:        c.pollers,
--- a/io/httpcall/malformed.go
+++ b/io/httpcall/malformed.go
@@ -8,6 +8,8 @@
 
 	"monsoonfork/core/event"
 	"monsoonfork/core/fault"
+	"monsoonfork/core/ident"
+	"monsoonfork/core/loglimit"
 	"monsoonfork/io/http1"
 )
 
@@ -31,15 +33,27 @@
 // malformedReport logs and counts malformed responses.
 type malformedReport struct {
 	log     log.Logger
+	limit   *loglimit.Limit[ident.Address] // Of the log lines about an endpoint.
 	counter metrics.Counter
 }
 
+// newMalformedReport returns a report that has counted no responses.
+func newMalformedReport(logger log.Logger, counter metrics.Counter) *malformedReport {
+	limit := loglimit.New(func(a ident.Address, count int) {
+		_ = level.Warn(logger).Log("msg", event.MalformedSuppressed, "endpoint", string(a), "count", count, "window_ms", loglimit.Window.Milliseconds())
+	})
+	return &malformedReport{log: logger, limit: limit, counter: counter}
+}
+
 // record records the error of a call, if it is that of a malformed response.
-func (r malformedReport) record(call Call, err error) {
+func (r *malformedReport) record(call Call, err error) {
 	var malformed malformedResponse
 	if !errors.As(err, &malformed) {
 		return
 	}
 	r.counter.Inc(1)
+	if !r.limit.Allow(call.Address) {
+		return
+	}
 	_ = level.Warn(r.log).Log("msg", event.AnswerMalformed, "request", call.ID, "endpoint", string(call.Address), "problem", malformed.problem)
 }
--- a/io/httpcall/malformed_test.go
+++ b/io/httpcall/malformed_test.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"monsoonfork/core/endpoint"
+	"monsoonfork/core/loglimit"
 )
 
 // logBuffer collects log lines.
@@ -47,8 +48,16 @@
 				t.Errorf("error %v has bytes of the response", err)
 			}
 		}
-		if n := registry.Get(part + ".Malformed").(metrics.Counter).Count(); n != 1 || strings.Contains(logs.b.String(), "secret") {
-			t.Errorf("%s: %d responses counted, want 1; log %q", part, n, logs.b.String())
+		e := newEndpoint(t, writeAnswer(answerWith("X-secret secret: s")))
+		before := strings.Count(logs.b.String(), "\n")
+		for range 2 * loglimit.MaxLines {
+			_ = caller.Do(context.Background(), postCall(e), endpoint.Sink{OnHead: func(endpoint.Head) error { return nil }}) // Fails.
+		}
+		if lines := strings.Count(logs.b.String(), "\n") - before; lines != loglimit.MaxLines {
+			t.Errorf("%s: %d lines about one endpoint, want %d", part, lines, loglimit.MaxLines)
+		}
+		if n := registry.Get(part + ".Malformed").(metrics.Counter).Count(); n != 1+2*loglimit.MaxLines || strings.Contains(logs.b.String(), "secret") {
+			t.Errorf("%s: %d responses counted; log %q", part, n, logs.b.String())
 		}
 	}
 }
--- a/io/httpcall/pool.go
+++ b/io/httpcall/pool.go
@@ -34,7 +34,7 @@
 	maxBytes int64
 	log      log.Logger
 	counters poolMetrics
-	report   malformedReport
+	report   *malformedReport
 
 	mu     sync.Mutex
 	idle   map[ident.Address][]*poolConn // The most recently used last.
@@ -75,7 +75,7 @@
 	for _, opt := range opts {
 		opt(p)
 	}
-	p.report = malformedReport{p.log, metrics.GetOrRegisterCounter("HTTPPool.Malformed", r)}
+	p.report = newMalformedReport(p.log, metrics.GetOrRegisterCounter("HTTPPool.Malformed", r))
 	return p
 }
 
