Tests of malformed answers through instances; soaks and fuzz targets learn them

Stand-in engines, services and stores of both deployments now send malformed heads: control.MalformHead and the behaviour Malforming, with thirteen lines in turn or drawn, a header by which a caller knows such an answer, and everything else as in a good one.

TestNonIdempotentCallRunsAtMostOnce, TestIdempotentCallsFailOver and TestFailedDecodeIsResumed have a case each: idempotent calls and completions are tried elsewhere.

FuzzClientAnswer, FuzzPoolAnswer and FuzzEngineAnswer have these answers as seeds.

--- a/io/caller/completion_test.go
+++ b/io/caller/completion_test.go
@@ -64,6 +64,7 @@
 		"stalled":               {Kind: control.StallStream, AfterTokens: 7},
 		"closed before a token": {Kind: control.CutStream},
 		"id of another request": {Kind: control.CrossAnswer},
+		"malformed head":        {Kind: control.MalformHead, Path: "/v1/completions"},
 		"refused":               {Kind: control.Refuse},
 		"closed after the last": {Kind: control.CutStream, AfterTokens: 29},
 		"transfer stalled":      {Kind: control.StallTransfer},
--- a/io/caller/plain_test.go
+++ b/io/caller/plain_test.go
@@ -110,6 +110,7 @@
 		"failed before":         {control.Fault{Kind: control.FailBefore}, "may have run", 0},
 		"failed during":         {control.Fault{Kind: control.FailDuring, DelayMS: 1}, "may have run", 1},
 		"response lost":         {control.Fault{Kind: control.DropAnswer}, "may have run", 1},
+		"malformed head":        {control.Fault{Kind: control.MalformHead}, "may have run", 1},
 		"no response":           {control.Fault{Kind: control.NeverAnswer}, "may have run", 0},
 		"id of another request": {control.Fault{Kind: control.CrossAnswer}, "may have run", -1},
 	} {
@@ -193,12 +194,12 @@
 // when one fails.
 func TestIdempotentCallsFailOver(t *testing.T) {
 	r := newTestServer(t)
-	for _, kind := range []control.Kind{control.Refuse, control.FailBefore, control.DropAnswer} {
+	for _, kind := range []control.Kind{control.Refuse, control.FailBefore, control.DropAnswer, control.MalformHead} {
 		if err := r.services[0].Inject(control.Fault{Kind: kind}); err != nil {
 			t.Fatal(err)
 		}
 		for range 6 {
-			if a := r.do("GET", "/addresses/x", ""); a.status != 200 {
+			if a := r.do("GET", "/addresses/x", ""); a.status != 200 || a.header.Get(control.MalformedHeader) != "" {
 				t.Errorf("%v: %d %s", kind, a.status, a.body)
 			}
 		}
--- a/io/httpcall/fuzz_test.go
+++ b/io/httpcall/fuzz_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -190,7 +192,9 @@
 
 // addFuzzAnswers adds the seeds.
 func addFuzzAnswers(add func(answer []byte, partBytes uint16)) {
-	for _, a := range fuzzAnswers {
+	answers := slices.Concat(fuzzAnswers, slices.Collect(maps.Values(malformedAnswers)),
+		slices.Collect(maps.Values(malformedChunks)), slices.Collect(maps.Values(soundChunks)))
+	for _, a := range answers {
 		add([]byte(a), 1<<15)
 		add([]byte(a), 9)
 	}
--- a/io/standin/control/kind.go
+++ b/io/standin/control/kind.go
@@ -19,6 +19,7 @@
 	FailBefore                    // Closes the connection without processing the request.
 	FailDuring                    // Closes the connection DelayMS after processing began; processing continues.
 	DropAnswer                    // Processes the request, then closes the connection without a response.
+	MalformHead                   // Processes the request, then sends the response with a malformed line in its head.
 	LateAnswer                    // Processes the request, then sends the whole response after DelayMS.
 	NeverAnswer                   // Does not process the request and sends no response; the connection stays open.
 	Slow                          // Multiplies processing times by Factor.
--- a/io/standin/control/kind_string.go
+++ b/io/standin/control/kind_string.go
@@ -15,22 +15,23 @@
 	_ = x[FailBefore-4]
 	_ = x[FailDuring-5]
 	_ = x[DropAnswer-6]
-	_ = x[LateAnswer-7]
-	_ = x[NeverAnswer-8]
-	_ = x[Slow-9]
-	_ = x[StallStream-10]
-	_ = x[CutStream-11]
-	_ = x[StallTransfer-12]
-	_ = x[CrossAnswer-13]
-	_ = x[StallWatches-14]
-	_ = x[RateLimit-15]
-	_ = x[ListLag-16]
-	_ = x[kindCount-17]
+	_ = x[MalformHead-7]
+	_ = x[LateAnswer-8]
+	_ = x[NeverAnswer-9]
+	_ = x[Slow-10]
+	_ = x[StallStream-11]
+	_ = x[CutStream-12]
+	_ = x[StallTransfer-13]
+	_ = x[CrossAnswer-14]
+	_ = x[StallWatches-15]
+	_ = x[RateLimit-16]
+	_ = x[ListLag-17]
+	_ = x[kindCount-18]
 }
 
-const _Kind_name = "RefuseHangFreezeConnectionsDelayFailBeforeFailDuringDropAnswerLateAnswerNeverAnswerSlowStallStreamCutStreamStallTransferCrossAnswerStallWatchesRateLimitListLagkindCount"
+const _Kind_name = "RefuseHangFreezeConnectionsDelayFailBeforeFailDuringDropAnswerMalformHeadLateAnswerNeverAnswerSlowStallStreamCutStreamStallTransferCrossAnswerStallWatchesRateLimitListLagkindCount"
 
-var _Kind_index = [...]uint8{0, 6, 10, 27, 32, 42, 52, 62, 72, 83, 87, 98, 107, 120, 131, 143, 152, 159, 168}
+var _Kind_index = [...]uint8{0, 6, 10, 27, 32, 42, 52, 62, 73, 83, 94, 98, 109, 118, 131, 142, 154, 163, 170, 179}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/io/standin/control/middleware.go
+++ b/io/standin/control/middleware.go
@@ -34,6 +34,10 @@
 			handler.ServeHTTP(httptest.NewRecorder(), r)
 			panic(http.ErrAbortHandler)
 		}
+		if _, hit := s.Faults.Trigger(MalformHead, request); hit {
+			s.malformResponse(handler, w, r)
+			return
+		}
 		if f, hit := s.Faults.Trigger(LateAnswer, request); hit {
 			s.delayResponse(handler, w, r, f)
 			return
--- a/io/standin/control/server.go
+++ b/io/standin/control/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,6 +32,7 @@
 	Faults  *Faults
 	Capture *Capture
 
+	malformed        atomic.Int64 // Responses sent with a malformed head.
 	listener         *listener
 	controlListener  net.Listener
 	server           *http.Server
--- a/lab/load/attempt.go
+++ b/lab/load/attempt.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"monsoonfork/io/standin/control"
 	"monsoonfork/io/standin/engine"
 	"monsoonfork/io/standin/service"
 	"monsoonfork/lab/workload"
@@ -77,6 +78,8 @@
 		a.RetryAfter = time.Duration(seconds) * time.Second
 	}
 	switch {
+	case response.Header.Get(control.MalformedHeader) != "":
+		a.Outcome, a.Detail = Incorrect, "answer of an endpoint with a malformed head"
 	case response.StatusCode >= http.StatusMultipleChoices:
 		readError(response, &a)
 	case r.Kind == workload.Completion && r.Stream:
--- a/lab/platformsoak/table.go
+++ b/lab/platformsoak/table.go
@@ -58,6 +58,7 @@
 		{"EngineTurnsAway", engineTarget, engineFault(standin.TurningAway)},
 		{"EngineRepeatsRefusal", engineTarget, engineFault(standin.RepeatingRefusals)},
 		{"EngineWritesEndless", engineTarget, engineFault(standin.Endless)},
+		{"EngineMalforming", engineTarget, engineFault(standin.Malforming)},
 		{"EngineCut", engineTarget, linkFault(engineLink, (*relay.Relay).Cut)},
 		{"EngineCutOneWay", engineTarget, linkFault(engineLink, (*relay.Relay).CutResponses)},
 		{"EngineReset", engineTarget, linkFault(engineLink, (*relay.Relay).Reset)},
