httpcall: tests of answers share one call

The tests of malformed heads, sound heads and chunked bodies each made the same call and collected its answer in their own way.

--- a/io/httpcall/call_test.go
+++ b/io/httpcall/call_test.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// body returns the body of the response.
+func (a *recorder) body() string { return strings.Join(a.fragments, "") }
+
 // limitsWithin returns limits that all expire after d.
 func limitsWithin(d time.Duration) endpoint.Limits {
 	deadline := time.Now().Add(d)
--- a/io/httpcall/chunked_test.go
+++ b/io/httpcall/chunked_test.go
@@ -1,11 +1,9 @@
 package httpcall
 
 import (
-	"context"
 	"strings"
 	"testing"
 
-	"monsoonfork/core/endpoint"
 	"monsoonfork/core/fault"
 )
 
@@ -50,31 +48,24 @@
 
 // checkChunks makes calls to an endpoint that sends malformed and sound chunked bodies.
 func checkChunks(t *testing.T, caller doer) {
-	get := func(text string) (string, error) {
-		body := ""
-		err := caller.Do(context.Background(), postCall(newEndpoint(t, writeAnswer(text))), endpoint.Sink{
-			OnHead: func(endpoint.Head) error { return nil },
-			OnBody: func(b []byte) error { body += string(b); return nil },
-		})
-		return body, err
-	}
 	for name, text := range malformedChunks {
 		t.Run(name, func(t *testing.T) {
-			if body, err := get(text); !fault.Is(err, fault.AnswerBroken) || fault.From(err).Ran != fault.MayHaveRun {
-				t.Errorf("%q: body %q, %v; want AnswerBroken", text, body, err)
+			if a, err := callEndpoint(t, caller, text); !fault.Is(err, fault.AnswerBroken) || fault.From(err).Ran != fault.MayHaveRun {
+				t.Errorf("%q: body %q, %v; want AnswerBroken", text, a.body(), err)
 			}
 		})
 	}
 	for name, text := range soundChunks {
 		t.Run(name, func(t *testing.T) {
-			if body, err := get(text); err != nil || body != "ok" {
-				t.Errorf("%q: body %q, %v; want the body", text, body, err)
+			if a, err := callEndpoint(t, caller, text); err != nil || a.body() != "ok" {
+				t.Errorf("%q: body %q, %v; want the body", text, a.body(), err)
 			}
 		})
 	}
 	t.Run("large chunk", func(t *testing.T) {
-		if body, err := get(chunkedAnswer("", "bEeF\r\n"+largeChunk+"\r\n0\r\n\r\n")); err != nil || body != largeChunk {
-			t.Errorf("%d bytes, %v; want %d", len(body), err, len(largeChunk))
+		a, err := callEndpoint(t, caller, chunkedAnswer("", "bEeF\r\n"+largeChunk+"\r\n0\r\n\r\n"))
+		if err != nil || a.body() != largeChunk {
+			t.Errorf("%d bytes, %v; want %d", len(a.body()), err, len(largeChunk))
 		}
 	})
 }
--- a/io/httpcall/malformedhead_test.go
+++ b/io/httpcall/malformedhead_test.go
@@ -76,16 +76,21 @@
 	}
 }
 
+// callEndpoint makes a call to an endpoint that sends text, and returns what the sink got of it.
+func callEndpoint(t *testing.T, caller doer, text string) (recorder, error) {
+	t.Helper()
+	var a recorder
+	err := caller.Do(context.Background(), postCall(newEndpoint(t, writeAnswer(text))), a.sink())
+	return a, err
+}
+
 // checkMalformed makes a call to an endpoint that sends text. It must fail without a head.
 func checkMalformed(t *testing.T, caller doer, text string) {
 	t.Helper()
-	heads := 0
-	err := caller.Do(context.Background(), postCall(newEndpoint(t, writeAnswer(text))), endpoint.Sink{
-		OnHead: func(endpoint.Head) error { heads++; return nil },
-	})
+	a, err := callEndpoint(t, caller, text)
 	f := fault.From(err)
-	if isFailure := f.Kind == fault.AnswerBroken || f.Kind == fault.EndpointFailed; err == nil || !isFailure || f.Ran != fault.MayHaveRun || heads != 0 {
-		t.Errorf("%q: %v, %d heads; want a failure of the endpoint without a head", text, err, heads)
+	if isFailure := f.Kind == fault.AnswerBroken || f.Kind == fault.EndpointFailed; err == nil || !isFailure || f.Ran != fault.MayHaveRun || a.head.Header != nil {
+		t.Errorf("%q: %v, head %v; want a failure of the endpoint without a head", text, err, a.head)
 	}
 }
 
--- a/io/httpcall/soundhead_test.go
+++ b/io/httpcall/soundhead_test.go
@@ -1,11 +1,8 @@
 package httpcall
 
 import (
-	"context"
 	"net/http"
 	"testing"
-
-	"monsoonfork/core/endpoint"
 )
 
 // soundAnswer is a response that HTTP allows, and the value of X-Seal in it.
@@ -45,14 +42,9 @@
 // checkSound makes a call to an endpoint that sends an answer, which must arrive.
 func checkSound(t *testing.T, caller doer, a soundAnswer) {
 	t.Helper()
-	var head endpoint.Head
-	body := ""
-	err := caller.Do(context.Background(), postCall(newEndpoint(t, writeAnswer(a.text))), endpoint.Sink{
-		OnHead: func(h endpoint.Head) error { head = h; return nil },
-		OnBody: func(b []byte) error { body += string(b); return nil },
-	})
-	if err != nil || head.Status != http.StatusOK || body != "ok" || head.Header.Get("X-Seal") != a.seal {
-		t.Errorf("%q: %d, X-Seal %q, body %q, %v; want X-Seal %q and the body", a.text, head.Status, head.Header.Get("X-Seal"), body, err, a.seal)
+	got, err := callEndpoint(t, caller, a.text)
+	if err != nil || got.head.Status != http.StatusOK || got.body() != "ok" || got.head.Header.Get("X-Seal") != a.seal {
+		t.Errorf("%q: got %+v, %v; want X-Seal %q and the body", a.text, got, err, a.seal)
 	}
 }
 
