--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -32,7 +32,6 @@
 	headBytes     int  // Bytes read until the read in which the headers are complete.
 	headComplete  bool // The headers are complete.
 	chunked       bool
-	length        int // Content-Length, -1 if there is none.
 	bodyBytes     int
 	fragments     [][]byte
 	bufferedBytes int // Total length of fragments.
@@ -125,7 +124,6 @@
 		x.signal()
 		return
 	}
-	x.length = n
 	x.headComplete = true
 	switch {
 	case x.hasNoBody():
