--- a/io/caller/headerchecker.go
+++ b/io/caller/headerchecker.go
@@ -23,7 +23,7 @@
 			}
 			continue
 		}
-		if problem := h.fields.Next(b); problem != http1.NoProblem {
+		if problem := h.fields.CheckByte(b); problem != http1.NoProblem {
 			return malformedRequest(problem)
 		}
 	}
--- a/io/http1/chunkedbody.go
+++ b/io/http1/chunkedbody.go
@@ -11,13 +11,13 @@
 // The states of a chunked body.
 const (
 	atChunkSize chunkState = iota // Before or in the digits of a size.
-	behindSize                    // In the blanks behind the digits.
+	afterSize                     // In the blanks after the digits.
 	inExtension
-	atSizeEnd // Behind the carriage return of the line.
+	atSizeEnd // After the carriage return of the line.
 	inData
-	atDataEnd // Behind the data.
+	atDataEnd // After the data.
 	atDataLineFeed
-	inTrailers // Behind the last chunk.
+	inTrailers // After the last chunk.
 )
 
 // ChunkedBody checks a chunked body with its trailer section (RFC 9112, 7.1). The zero value is at the
@@ -35,9 +35,9 @@
 // InTrailers reports whether the next byte belongs to the trailer section, or the body has ended.
 func (c *ChunkedBody) InTrailers() bool { return c.state == inTrailers }
 
-// Next checks the next bytes of a connection, up to the trailer section or its end, and returns their
+// CheckPart checks the next bytes of a connection, up to the trailer section or its end, and returns their
 // number. The body must not have ended.
-func (c *ChunkedBody) Next(data []byte) (int, Problem) {
+func (c *ChunkedBody) CheckPart(data []byte) (int, Problem) {
 	inTrailersBefore := c.InTrailers()
 	for n := 0; n < len(data); {
 		if c.state == inData {
@@ -66,7 +66,7 @@
 // next checks the next byte, which is not of the data of a chunk.
 func (c *ChunkedBody) next(b byte) Problem {
 	switch c.state {
-	case atChunkSize, behindSize, inExtension:
+	case atChunkSize, afterSize, inExtension:
 		return c.nextInSizeLine(b)
 	case atSizeEnd:
 		return c.endSizeLine(b)
@@ -81,7 +81,7 @@
 		}
 		c.state, c.line = atChunkSize, 0
 	case inTrailers:
-		return c.trailers.Next(b)
+		return c.trailers.CheckByte(b)
 	case inData:
 	}
 	return NoProblem
@@ -104,7 +104,7 @@
 	case b == ';':
 		c.state = inExtension
 	case isBlank(b):
-		c.state = behindSize
+		c.state = afterSize
 	default:
 		return InvalidChunk
 	}
--- a/io/http1/chunkedbody_test.go
+++ b/io/http1/chunkedbody_test.go
@@ -32,7 +32,7 @@
 			problem := NoProblem
 			for data := text; len(data) > 0 && problem == NoProblem && !c.Ended(); {
 				var n int
-				n, problem = c.Next([]byte(data[:min(size, len(data))]))
+				n, problem = c.CheckPart([]byte(data[:min(size, len(data))]))
 				data = data[n:]
 			}
 			if problem != want || c.Ended() != (want == NoProblem) {
--- a/io/http1/fieldlines.go
+++ b/io/http1/fieldlines.go
@@ -7,12 +7,12 @@
 
 // The states of a section.
 const (
-	atLineStart   lineState = iota
-	inName                  // Behind the first byte of a name.
-	inValue                 // Behind the colon.
-	atLineEnd               // Behind the carriage return of a line.
-	atSectionEnd            // Behind the carriage return of the empty line.
-	behindSection           // Behind the empty line.
+	atLineStart  lineState = iota
+	inName                 // After the first byte of a name.
+	inValue                // After the colon.
+	atLineEnd              // After the carriage return of a line.
+	atSectionEnd           // After the carriage return of the empty line.
+	afterSection           // After the empty line.
 )
 
 // FieldLines checks the field lines of a section, which ends with an empty line, byte by byte
@@ -21,10 +21,10 @@
 type FieldLines struct{ state lineState }
 
 // Ended reports whether the empty line that ends the section was checked.
-func (f *FieldLines) Ended() bool { return f.state == behindSection }
+func (f *FieldLines) Ended() bool { return f.state == afterSection }
 
-// Next checks the next byte of the section.
-func (f *FieldLines) Next(b byte) Problem {
+// CheckByte checks the next byte of the section.
+func (f *FieldLines) CheckByte(b byte) Problem {
 	switch f.state {
 	case atLineStart:
 		return f.nextAtLineStart(b)
@@ -35,8 +35,8 @@
 	case atLineEnd:
 		return f.endLine(b, atLineStart)
 	case atSectionEnd:
-		return f.endLine(b, behindSection)
-	case behindSection:
+		return f.endLine(b, afterSection)
+	case afterSection:
 	}
 	return NoProblem
 }
@@ -49,7 +49,7 @@
 		table = &tokenTable
 	case inValue:
 		table = &textTable
-	case atLineStart, atLineEnd, atSectionEnd, behindSection:
+	case atLineStart, atLineEnd, atSectionEnd, afterSection:
 		return 0
 	}
 	for n, b := range data {
@@ -66,7 +66,7 @@
 	case b == '\r':
 		f.state = atSectionEnd
 	case b == '\n':
-		f.state = behindSection
+		f.state = afterSection
 	case isBlank(b):
 		return FoldedLine
 	case b == ':':
@@ -78,7 +78,7 @@
 	return NoProblem
 }
 
-// nextInName checks a byte of a name, or the colon behind it.
+// nextInName checks a byte of a name, or the colon after it.
 func (f *FieldLines) nextInName(b byte) Problem {
 	switch {
 	case tokenTable[b]:
@@ -109,7 +109,7 @@
 	return NoProblem
 }
 
-// endLine checks the byte behind a carriage return, and makes next the state.
+// endLine checks the byte after a carriage return, and makes next the state.
 func (f *FieldLines) endLine(b byte, next lineState) Problem {
 	if b != '\n' {
 		return ControlCharacter
--- a/io/http1/framing.go
+++ b/io/http1/framing.go
@@ -12,7 +12,7 @@
 type shortText struct {
 	bytes      [maxShortText]byte
 	size       int
-	endsBlank  bool // A blank was added behind the bytes.
+	endsBlank  bool // A blank was added after the bytes.
 	isUnusable bool // Too long, or with a blank inside, as no text that framing reads is.
 }
 
@@ -35,7 +35,7 @@
 // text returns the collected bytes.
 func (t *shortText) text() []byte { return t.bytes[:t.size] }
 
-// equals reports whether the text is s in any case.
+// equals reports whether the text is s, regardless of case.
 func (t *shortText) equals(s []byte) bool { return !t.isUnusable && bytes.EqualFold(t.text(), s) }
 
 // isNumber reports whether the text is a number that fits an int64.
--- a/io/http1/problem.go
+++ b/io/http1/problem.go
@@ -1,7 +1,6 @@
 // Package http1 checks heads and chunked bodies of HTTP/1 messages as their bytes arrive, before a parser
-// gets them.
-// Parsers accept lines that other implementations read differently, or take a malformed line for a
-// sound one.
+// gets them. Parsers accept lines that other implementations read differently, or take a malformed line
+// for a sound one.
 package http1
 
 //go:generate stringer -type=Problem -linecomment -output=problem_string.go
@@ -23,6 +22,6 @@
 	ConflictingLengths                // two different lengths
 	UnknownCoding                     // transfer coding other than chunked
 	CodingWithLength                  // length beside a transfer coding
-	InvalidChunk                      // malformed chunk
 	CodingInHTTP10                    // transfer coding in HTTP/1.0
+	InvalidChunk                      // malformed chunk
 )
--- a/io/http1/problem_string.go
+++ b/io/http1/problem_string.go
@@ -20,13 +20,13 @@
 	_ = x[ConflictingLengths-9]
 	_ = x[UnknownCoding-10]
 	_ = x[CodingWithLength-11]
-	_ = x[InvalidChunk-12]
-	_ = x[CodingInHTTP10-13]
+	_ = x[CodingInHTTP10-12]
+	_ = x[InvalidChunk-13]
 }
 
-const _Problem_name = "no problemcontrol character in a linefolded linespace or tab in the name of a fieldname of a field that is no tokenline without a colonmalformed status lineversion other than HTTP/1length that is not a numbertwo different lengthstransfer coding other than chunkedlength beside a transfer codingmalformed chunktransfer coding in HTTP/1.0"
+const _Problem_name = "no problemcontrol character in a linefolded linespace or tab in the name of a fieldname of a field that is no tokenline without a colonmalformed status lineversion other than HTTP/1length that is not a numbertwo different lengthstransfer coding other than chunkedlength beside a transfer codingtransfer coding in HTTP/1.0malformed chunk"
 
-var _Problem_index = [...]uint16{0, 10, 37, 48, 83, 115, 135, 156, 181, 208, 229, 263, 294, 309, 336}
+var _Problem_index = [...]uint16{0, 10, 37, 48, 83, 115, 135, 156, 181, 208, 229, 263, 294, 321, 336}
 
 func (i Problem) String() string {
 	idx := int(i) - 0
--- a/io/http1/responsehead.go
+++ b/io/http1/responsehead.go
@@ -13,7 +13,7 @@
 func (h *ResponseHead) Ended() bool { return h.ended }
 
 // InStatusLine reports whether the next byte belongs to a status line.
-func (h *ResponseHead) InStatusLine() bool { return !h.status.isEnded }
+func (h *ResponseHead) InStatusLine() bool { return !h.status.ended }
 
 // Status returns the status of the current response, once its status line has ended.
 func (h *ResponseHead) Status() int { return h.status.status }
@@ -58,11 +58,11 @@
 
 // next checks the next byte.
 func (h *ResponseHead) next(b byte) Problem {
-	if !h.status.isEnded {
+	if !h.status.ended {
 		return h.status.next(b)
 	}
 	before := h.fields.state
-	if problem := h.fields.Next(b); problem != NoProblem {
+	if problem := h.fields.CheckByte(b); problem != NoProblem {
 		return problem
 	}
 	switch {
--- a/io/http1/statusline.go
+++ b/io/http1/statusline.go
@@ -12,13 +12,13 @@
 )
 
 // statusLine checks a status line byte by byte (RFC 9112, 2.3 and 4). The space and the reason phrase
-// behind the status may be missing.
+// after the status may be missing.
 type statusLine struct {
 	size    int // Bytes that were checked.
 	minor   int // Minor version.
 	status  int
-	atEnd   bool // Behind a carriage return.
-	isEnded bool
+	afterCR bool // After a carriage return.
+	ended   bool
 }
 
 // next checks the next byte of the line.
@@ -29,11 +29,11 @@
 	case index < len(statusLineStart):
 		return l.nextOfStart(index, b)
 	case b == '\n':
-		l.isEnded = true
-	case l.atEnd:
+		l.ended = true
+	case l.afterCR:
 		return ControlCharacter
 	case b == '\r':
-		l.atEnd = true
+		l.afterCR = true
 	case index == len(statusLineStart) && b != ' ':
 		return InvalidStatusLine
 	case !textTable[b]:
--- a/io/httpcall/chunked_test.go
+++ b/io/httpcall/chunked_test.go
@@ -17,12 +17,12 @@
 	"space in a size":                   chunkedAnswer("", "0 2\r\n\r\nok\r\n0\r\n\r\n"),
 	"tab in a size":                     chunkedAnswer("", "0\t2\r\n\r\nok\r\n0\r\n\r\n"),
 	"prefix of a size":                  chunkedAnswer("", "0x2\r\n\r\nok\r\n0\r\n\r\n"),
-	"text behind a size":                chunkedAnswer("", "2ok\r\nok\r\n0\r\n\r\n"),
+	"text after a size":                 chunkedAnswer("", "2ok\r\nok\r\n0\r\n\r\n"),
 	"sign before a size":                chunkedAnswer("", "+2\r\nok\r\n0\r\n\r\n"),
 	"space before a size":               chunkedAnswer("", " 2\r\nok\r\n0\r\n\r\n"),
 	"no size":                           chunkedAnswer("", "\r\nok\r\n0\r\n\r\n"),
 	"size above all numbers":            chunkedAnswer("", "10000000000000002\r\nok\r\n0\r\n\r\n"),
-	"text behind a chunk":               chunkedAnswer("", "2\r\nokay\r\n0\r\n\r\n"),
+	"text after a chunk":                chunkedAnswer("", "2\r\nokay\r\n0\r\n\r\n"),
 	"space in the name of a trailer":    chunkedAnswer("", "2\r\nok\r\n0\r\nX T: 1\r\n\r\n"),
 	"space before a colon":              chunkedAnswer("Trailer: X-T\r\n", "2\r\nok\r\n0\r\nX-T : 1\r\n\r\n"),
 	"control byte in a trailer":         chunkedAnswer("Trailer: X-T\r\n", "2\r\nok\r\n0\r\nX-T: \x01\r\n\r\n"),
@@ -34,7 +34,7 @@
 // soundChunks are unusual responses to the call r, with the body ok, that HTTP allows.
 var soundChunks = map[string]string{
 	"extension":                    chunkedAnswer("", "2;a=b\r\nok\r\n0;c\r\n\r\n"),
-	"blanks behind a size":         chunkedAnswer("", "2 \t\r\nok\r\n0\r\n\r\n"),
+	"blanks after a size":          chunkedAnswer("", "2 \t\r\nok\r\n0\r\n\r\n"),
 	"leading zeros":                chunkedAnswer("", "0002\r\nok\r\n000\r\n\r\n"),
 	"two chunks":                   chunkedAnswer("", "1\r\no\r\n1\r\nk\r\n0\r\n\r\n"),
 	"declared trailer":             chunkedAnswer("Trailer: X-T\r\n", "2\r\nok\r\n0\r\nX-T: 1 2\r\n\r\n"),
--- a/io/httpcall/read.go
+++ b/io/httpcall/read.go
@@ -120,7 +120,7 @@
 // to be parsed, which is nothing of the trailers, and the remaining bytes.
 func (x *exchange) nextChunkPart(data []byte) (part, rest []byte, problem http1.Problem) {
 	inTrailers := x.chunks.InTrailers()
-	n, problem := x.chunks.Next(data)
+	n, problem := x.chunks.CheckPart(data)
 	switch {
 	case !inTrailers:
 		return data[:n], data[n:], problem
