--- a/io/http1/transport.go
+++ b/io/http1/transport.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -54,11 +55,15 @@
 	return CheckNames(res.Header)
 }
 
-// CheckNames checks the names of fields that net/http has read: it refuses all but blanks in them.
+// CheckNames checks the names of fields that net/http has read.
 func CheckNames(h map[string][]string) Problem {
 	for name := range h {
-		if !IsName(name) {
+		switch {
+		case IsName(name):
+		case strings.ContainsAny(name, " \t"):
 			return BlankInName
+		default:
+			return InvalidName
 		}
 	}
 	return NoProblem
--- a/io/standin/control/malformed.go
+++ b/io/standin/control/malformed.go
@@ -19,8 +19,8 @@
 	": 1", "X-Note", "X-Note: 1\r\n folded: 1", "X-Note: 1\rX-Other: 2", "Content-Length: +1", "Transfer-Encoding: chunked",
 }
 
-// WriteMalformed writes a response to the client of w whose head has a malformed line, drawn with n, and
-// closes the connection.
+// WriteMalformed writes a response to the client of w whose head has a malformed line, which n selects,
+// and closes the connection.
 func WriteMalformed(w http.ResponseWriter, res *http.Response, n int) error {
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
