httpcall: the result of a write on an ended connection is awaited

What callers would see: a complete answer without a length, to a large upload, is refused as broken.

Cause: an endpoint closes its side, which completes the answer, and resets the connection later. When the reader then finds both directions ended, the goroutine that writes the request decides whether that was orderly. It was waited for 25 ms; on a busy machine it may not have run by then.

Fix: the kernel's state says that the connection has ended, so that the write has failed or fails as soon as its goroutine runs; it is waited for, at most until the call's deadline, which the write has too. Only where the state can't be read, and the write may go on, the 25 ms stay. A reset is told from an orderly end as before.

--- a/io/httpcall/orderlyend.go
+++ b/io/httpcall/orderlyend.go
@@ -32,32 +32,41 @@
 	return fault.Wrap(err, fault.AnswerBroken, "the connection was reset within the response")
 }
 
-// errWriteNotEnded is the result of a write that does not return though its connection has ended.
+// errWriteNotEnded is the result of a write that goes on while it is not known whether its connection
+// has ended.
 var errWriteNotEnded = errors.New("the write of the request has not returned after the end of the connection")
 
 // writeErrorAtEnd returns the error of the concurrent write after the connection has ended. It is nil
 // while the endpoint has closed only its side and the write goes on.
 func (x *poolExchange) writeErrorAtEnd() error {
-	if !hasEnded(x.conn.Conn) {
+	ended, err := hasEnded(x.conn.Conn)
+	if err == nil && !ended {
 		return nil
 	}
-	timer := time.NewTimer(writeReportTime)
-	defer timer.Stop()
+	var expired <-chan time.Time // Never, if the connection has ended: the write has failed, or is about to.
+	if err != nil {
+		timer := time.NewTimer(writeReportTime)
+		defer timer.Stop()
+		expired = timer.C
+	}
 	select {
 	case res := <-x.writeDone:
 		x.writeDone <- res // For awaitWrite.
 		return res.err
-	case <-timer.C:
+	case <-expired:
 		return errWriteNotEnded
 	}
 }
 
 // hasEnded reports whether both directions of a connection have ended: a write to it fails at once.
-func hasEnded(conn net.Conn) bool {
-	ended := true
+func hasEnded(conn net.Conn) (bool, error) {
+	var info *unix.TCPInfo
+	var infoErr error
 	err := withDescriptor(conn, func(fd int) {
-		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-		ended = err != nil || info.State == unix.BPF_TCP_CLOSE
+		info, infoErr = unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	return err != nil || ended
+	if err = errors.CombineErrors(err, infoErr); err != nil {
+		return false, err
+	}
+	return info.State == unix.BPF_TCP_CLOSE, nil
 }
