--- a/review/rig2/drill.go
+++ b/review/rig2/drill.go
@@ -16,13 +16,14 @@
 // Times of the case "drill".
 const (
 	drills           = 5
-	bookingsPerSec   = 60
+	bookingsPerSec   = 100 // As on the sheet of the grown deployment.
 	bookingTimeout   = 1500 * time.Millisecond
 	copyBefore       = 1500 * time.Millisecond // The copy is so much older than the removal of the engine.
-	awayAfter        = 1200 * time.Millisecond // From the removal until the store is away.
+	awayAfter        = 1700 * time.Millisecond // From the removal until the store is away.
 	awayTime         = 800 * time.Millisecond  // The store is away for a moment.
 	heartbeat        = 1200 * time.Millisecond // heartbeat-ms: within it the engines have written again what was lost.
-	servesOn         = 3500 * time.Millisecond // The engine that has left serves for drain-ms and a little longer.
+	servesOn         = 3500 * time.Millisecond // The engine that has left serves for drain-ms and a little longer, at least this.
+	servesLonger     = 20 * time.Millisecond   // The engine of each drill serves so much longer than the one before.
 	betweenDrills    = 4 * time.Second
 	plainServiceName = "orders"
 )
@@ -185,7 +186,14 @@
 	time.Sleep(copyBefore)
 	e.leave()
 	removed := time.Now()
-	f.record.addf("the entry of %s is removed; it serves on for %v and says in its answers that it leaves", e.id, servesOn)
+	f.record.addf("the entry of %s is removed; it serves on for %v and says in its answers that it leaves", e.id, servesOn+time.Duration(n)*servesLonger)
+	exits := removed.Add(servesOn + time.Duration(n)*servesLonger)
+	exited := make(chan struct{})
+	go func() {
+		time.Sleep(time.Until(exits))
+		e.exit()
+		close(exited)
+	}()
 	time.Sleep(awayAfter)
 	if trouble {
 		f.store.SetFault(standin.StoreUnresponsive)
@@ -198,8 +206,7 @@
 		f.store.DeleteEngine(e.id)
 		f.record.addf("the removal of %s is written again", e.id)
 	}
-	time.Sleep(time.Until(removed.Add(servesOn)))
-	e.exit()
+	<-exited
 	for _, a := range e.seen() {
 		by := b.of(a.id)
 		passed, learned := b.passedAt(by.instance, e.id), f.learnedAt(by.instance, e.id)
--- a/review/rig2/plain.go
+++ b/review/rig2/plain.go
@@ -74,7 +74,7 @@
 func (e *plainEngine) exit() {
 	e.mu.Lock()
 	for id := range e.running {
-		e.fleet.record.addf("engine %s exits while it runs %s", e.id, id)
+		e.fleet.record.addf("engine %s exits while it runs %s, which is lost: it may run once", e.id, id)
 	}
 	e.mu.Unlock()
 	_ = e.server.Close()
