--- a/review/rig2/drill.go
+++ b/review/rig2/drill.go
@@ -36,7 +36,7 @@
 			"name": "r-book", "host": host, "prefix": "/book/", "kind": kind, "timeout-ms": bookingTimeout.Milliseconds(), "target-latency-ms": 300,
 			"priority": 2, "service": plainServiceName, "attempts": attempts, "public": false, "sticky": false, "can-resume": false,
 		}},
-		"services": []any{map[string]any{"name": plainServiceName, "health-path": "/healthz", "max-connections": plainConnections, "protocol": "h1", "tls": false}},
+		"services": []any{map[string]any{"name": plainServiceName, "health-path": healthPath, "max-connections": plainConnections, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"tenants":  []any{map[string]any{"name": "one", "api-keys": []any{"key-one"}, "priority": 1, "unit": "token_stream", "plain-tokens": 200, "rate-per-s": 0, "burst": 0}},
 	}
--- a/review/rig2/plain.go
+++ b/review/rig2/plain.go
@@ -14,6 +14,8 @@
 // Figures of the engines of a plain service.
 const (
 	plainSlots       = 6
+	plainQueue       = 2 // Further requests that wait for a slot.
+	healthPath       = "/healthz"
 	plainConnections = 100
 	plainWork        = 60 * time.Millisecond // As on the sheet of the large deployment.
 )
@@ -39,6 +41,8 @@
 	leaving  bool // It says in all its answers that it leaves.
 	arrivals []arrival
 	running  map[string]bool
+	slots    chan struct{} // Holds one element for each request that runs.
+	waiting  int
 }
 
 // startPlain starts an engine and registers it as ready.
@@ -47,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &plainEngine{fleet: f, id: id, zone: zone, address: listener.Addr().String(), service: service, born: time.Now().UnixMilli(), running: make(map[string]bool)}
+	e := &plainEngine{fleet: f, id: id, zone: zone, address: listener.Addr().String(), service: service, born: time.Now().UnixMilli(), running: make(map[string]bool), slots: make(chan struct{}, plainSlots)}
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() { _ = e.server.Serve(listener) }()
 	f.record.addf("engine %s of %s starts in zone %s", id, service, zone)
@@ -88,14 +92,28 @@
 	if id != "" {
 		w.Header().Set(wire.HeaderRequestID, id)
 	}
+	if r.URL.Path == healthPath {
+		e.answerHealth(w)
+		return
+	}
 	if want := r.Header.Get(wire.HeaderExpectInstance); want != "" && want != e.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		e.refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || id == "" {
-		w.WriteHeader(http.StatusBadRequest)
+		e.refuse(w, http.StatusBadRequest)
+		return
+	}
+	if !e.takeSlot() {
+		e.refuse(w, http.StatusServiceUnavailable)
 		return
 	}
+	defer func() { <-e.slots }()
+	e.run(w, id)
+}
+
+// run runs a request and answers it.
+func (e *plainEngine) run(w http.ResponseWriter, id string) {
 	e.mu.Lock()
 	e.arrivals = append(e.arrivals, arrival{id, time.Now()})
 	e.running[id] = true
@@ -104,20 +122,62 @@
 	time.Sleep(plainWork)
 	e.mu.Lock()
 	delete(e.running, id)
-	if e.leaving {
-		w.Header().Set(wire.HeaderLeaving, wire.LeavingValue)
-	}
 	e.mu.Unlock()
 	status, body := http.StatusOK, "status 200"
 	if e.answer != nil {
 		status, body = e.answer(id)
 	}
+	e.announce(w)
 	w.Header().Set(wire.HeaderSeal, "seal-"+e.id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, body) // A failure means that the router has closed the channel.
 }
 
+// takeSlot waits for a slot. It returns false if too many requests wait already.
+func (e *plainEngine) takeSlot() bool {
+	e.mu.Lock()
+	if len(e.slots) == plainSlots && e.waiting >= plainQueue {
+		e.mu.Unlock()
+		return false
+	}
+	e.waiting++
+	e.mu.Unlock()
+	e.slots <- struct{}{}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	return true
+}
+
+// announce adds to an answer that the engine leaves, if it does.
+func (e *plainEngine) announce(w http.ResponseWriter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.leaving {
+		w.Header().Set(wire.HeaderLeaving, wire.LeavingValue)
+		w.Header().Set("Connection", "close")
+	}
+}
+
+// refuse answers that a request was not run.
+func (e *plainEngine) refuse(w http.ResponseWriter, status int) {
+	e.announce(w)
+	w.Header().Set(wire.HeaderNotExecuted, "1")
+	w.WriteHeader(status)
+}
+
+// answerHealth answers a health probe: good until the engine leaves.
+func (e *plainEngine) answerHealth(w http.ResponseWriter) {
+	e.mu.Lock()
+	leaving := e.leaving
+	e.mu.Unlock()
+	e.announce(w)
+	if leaving {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
 // seen returns the requests that have reached the engine.
 func (e *plainEngine) seen() []arrival {
 	e.mu.Lock()
