engines: log and count engines that are listed as ready after they left

The logs showed only "engine changed", so that an entry of an older copy could not be told from a new engine, nor whether the feed had held an entry back.

The role logs both as "engine that has left is listed as ready" with the outcome, and counts them. No behaviour changes.

--- a/core/engines/announcement.go
+++ b/core/engines/announcement.go
@@ -15,6 +15,13 @@
 	e.announcedLeaving = true
 }
 
+// hasAnnouncedLeaving reports whether the engine has announced in an answer that it leaves.
+func (e *Engine) hasAnnouncedLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.announcedLeaving
+}
+
 // PauseUntil records that the engine has asked for no calls until a time.
 func (e *Engine) PauseUntil(until, now time.Time) {
 	if latest := now.Add(maxPause); until.After(latest) {
--- a/core/engines/engine.go
+++ b/core/engines/engine.go
@@ -258,11 +258,6 @@
 	return entry
 }
 
-// sameRun reports whether an entry describes the same run of the engine.
-func (e *Engine) sameRun(other Entry) bool {
-	return e.Started == other.Started && e.Address == other.Address && e.Service == other.Service && e.Domain == other.Domain && e.Slots == other.Slots
-}
-
 // update applies a newer entry of the same run, and reports whether the engine's state
 // or stage changed, or it has become cold again.
 func (e *Engine) update(newer Entry) bool {
@@ -278,6 +273,13 @@
 	return changed
 }
 
+// hasLeft reports whether the list shows the engine as leaving, or no longer.
+func (e *Engine) hasLeft() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.removed || e.state == Leaving
+}
+
 // markRemoved marks an engine that is no longer listed or was replaced by a new run.
 func (e *Engine) markRemoved() {
 	e.mu.Lock()
--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -113,7 +113,7 @@
 	hold, reset := f.holdsRemovals(), f.Now().Before(f.resetUntil)
 	var applicable []Change
 	for _, c := range changes {
-		if c.Removed && hold || reset && f.Table.isReturn(c) {
+		if c.Removed && hold || reset && f.delaysReturn(c) {
 			if f.held == nil {
 				f.held = make(map[ident.EndpointID]Change)
 			}
@@ -128,6 +128,19 @@
 	return f.Table.Apply(applicable)
 }
 
+// delaysReturn reports whether a change is a return of an engine that is still listed, and reports it as
+// delayed.
+func (f *Feed) delaysReturn(c Change) bool {
+	t := f.Table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.isReturn(c) || t.engines[c.Entry.ID] == nil {
+		return false
+	}
+	t.reportReturns([]Return{t.newReturn(c.Entry, ReturnDelayed)})
+	return true
+}
+
 // applyHeld applies the delayed changes, unless the delay was extended.
 func (f *Feed) applyHeld() {
 	f.mu.Lock()
--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -25,10 +25,12 @@
 	mu             sync.Mutex
 	engines        map[ident.EndpointID]*Engine
 	removed        map[ident.EndpointID]removal // The newest removals of engines that have not returned.
-	revision       int64                        // Highest revision of the list that was applied.
-	complete       bool                         // A complete list was applied.
-	sequence       int64                        // Number of changes applied to this table.
-	changeSequence map[ident.EndpointID]int64   // Sequence number of the last change of each listed engine.
+	ended          endedRuns
+	onReturns      func([]Return)             // See SetOnReturns.
+	revision       int64                      // Highest revision of the list that was applied.
+	complete       bool                       // A complete list was applied.
+	sequence       int64                      // Number of changes applied to this table.
+	changeSequence map[ident.EndpointID]int64 // Sequence number of the last change of each listed engine.
 	partitionSums  Checksums
 	engineSums     map[ident.EndpointID]uint32 // Checksum of each engine.
 	changeSignal   chan struct{}               // Closed at the next change.
@@ -52,6 +54,7 @@
 	t := &Table{
 		engines:        make(map[ident.EndpointID]*Engine),
 		removed:        make(map[ident.EndpointID]removal),
+		ended:          newEndedRuns(),
 		changeSequence: make(map[ident.EndpointID]int64),
 		engineSums:     make(map[ident.EndpointID]uint32),
 		changeSignal:   make(chan struct{}),
@@ -176,12 +179,20 @@
 // mu.
 func (t *Table) apply(changes []Change) []Change {
 	var applied []Change
+	var returns []Return
 	for _, c := range changes {
-		if t.applyOne(c) {
-			applied = append(applied, c)
-			t.revision = max(t.revision, c.Entry.ListRevision)
+		isReturn := t.isReturn(c)
+		ret := t.newReturn(c.Entry, ReturnApplied)
+		if !t.applyOne(c) {
+			continue
+		}
+		applied = append(applied, c)
+		t.revision = max(t.revision, c.Entry.ListRevision)
+		if isReturn {
+			returns = append(returns, ret)
 		}
 	}
+	t.reportReturns(returns)
 	if len(applied) > 0 {
 		close(t.changeSignal)
 		t.changeSignal = make(chan struct{})
@@ -204,7 +215,7 @@
 		t.sequence++
 		t.recordRemoval(id, c.Entry.ListRevision)
 		t.setChecksum(id, 0)
-		old.markRemoved()
+		t.end(old)
 		delete(t.engines, id)
 		return true
 	}
@@ -221,7 +232,7 @@
 	t.changeSequence[id] = t.sequence
 	t.setChecksum(id, c.Entry.checksum())
 	if old != nil {
-		old.markRemoved()
+		t.end(old)
 	}
 	delete(t.removed, id) // The new entry has a higher revision.
 	t.engines[id] = &Engine{
@@ -231,12 +242,10 @@
 	return true
 }
 
-// isReturn reports whether a change makes an engine ready whose present run is leaving.
-func (t *Table) isReturn(c Change) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.engines[c.Entry.ID]
-	return e != nil && !c.Removed && c.Entry.State == Ready && e.sameRun(c.Entry) && e.CurrentEntry().State == Leaving
+// end marks the end of an engine's run. The caller must hold mu.
+func (t *Table) end(e *Engine) {
+	e.markRemoved()
+	t.ended.add(e)
 }
 
 // maxRemovals is the largest number of removals that a table keeps. It is more than twice the
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -46,6 +46,8 @@
 	EngineChanged          // engine changed
 	EngineListChanged      // engine list changed
 	EngineAnnouncedLeaving // engine announced that it leaves
+	EngineReturn           // engine that has left is listed as ready
+	EngineReturns          // engines that have left are listed as ready
 	EvacuationChanged      // evacuation of a failure domain changed
 	EvacuationIgnored      // evacuation of an unknown failure domain ignored
 	EnginePaused           // engine paused
