engines: an announcement holds for its run, whether or not the run is listed

What callers saw: an engine that had said in its answers that it leaves got new requests once its entry was back, after a lapse or with an older copy of the store.

Cause: announcements and pauses were kept in the record of the listed engine. The removal dropped the record, an answer after the removal found none to write to, and the same run, listed again, got a new record. An announcement was also ignored while the entry said that the engine leaves, so that a later Ready entry made it usable.

Fix: the table keeps the engine of an ended run and uses it again when the same run is listed, with its load, pace and announcements; announcements also apply to ended runs. A run whose start is not known can't be told from a later one and begins without them.

--- a/core/engines/announcement.go
+++ b/core/engines/announcement.go
@@ -8,7 +8,7 @@
 
 // MarkLeaving records that the engine has announced, in one of its answers, that it
 // leaves. The announcement holds until the engine ends, whatever the list says: the list
-// may lag, and an engine has no way to take the announcement back.
+// may lag or come back from an older copy, and an engine has no way to take the announcement back.
 func (e *Engine) MarkLeaving() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -22,6 +22,14 @@
 	return e.announcedLeaving
 }
 
+// announcements returns whether the engine has announced that it leaves, and until when it has asked for
+// no calls.
+func (e *Engine) announcements() (leaving bool, pausedUntil time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.announcedLeaving, e.pausedUntil
+}
+
 // PauseUntil records that the engine has asked for no calls until a time.
 func (e *Engine) PauseUntil(until, now time.Time) {
 	if latest := now.Add(maxPause); until.After(latest) {
@@ -70,29 +78,30 @@
 	return earliest
 }
 
-// MarkLeaving records the announcement of an engine that it leaves; see
-// Engine.MarkLeaving. It reports whether this was not known before. The announcement of an
-// earlier run of the engine is ignored.
+// MarkLeaving records the announcement of an engine that it leaves; see Engine.MarkLeaving. It reports
+// whether this was not known before. It also holds for a run that is no longer listed, which may be
+// listed again; the announcement of an earlier run of a listed engine does not apply to the present one.
 func (t *Table) MarkLeaving(run Entry) bool {
-	e := t.run(run)
-	if e == nil || e.IsLeaving() {
+	e := t.knownRun(run)
+	if e == nil {
 		return false
 	}
+	known := e.IsLeaving()
 	e.MarkLeaving()
-	return true
+	return !known
 }
 
-// PauseUntil records that an engine has asked for no calls until a time; see
-// Engine.PauseUntil. The request of an earlier run of the engine is ignored.
+// PauseUntil records that an engine has asked for no calls until a time; see Engine.PauseUntil. Like
+// MarkLeaving it applies to this run of the engine alone.
 func (t *Table) PauseUntil(run Entry, until, now time.Time) {
-	if e := t.run(run); e != nil {
+	if e := t.knownRun(run); e != nil {
 		e.PauseUntil(until, now)
 	}
 }
 
 // Paused reports whether an engine has asked for no calls at the given time.
 func (t *Table) Paused(run Entry, now time.Time) bool {
-	e := t.run(run)
+	e := t.knownRun(run)
 	return e != nil && !e.PausedUntil(now).IsZero()
 }
 
@@ -101,6 +110,23 @@
 func (t *Table) run(entry Entry) *Engine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.listedRun(entry)
+}
+
+// knownRun returns the engine of the run that an entry describes, listed or ended, or nil if it is not
+// known.
+func (t *Table) knownRun(entry Entry) *Engine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.listedRun(entry); e != nil {
+		return e
+	}
+	return t.ended.get(entry.Run())
+}
+
+// listedRun returns the listed engine of the run that an entry describes, or nil. The caller must hold
+// mu.
+func (t *Table) listedRun(entry Entry) *Engine {
 	e := t.engines[entry.ID]
 	if e == nil || !e.sameRun(entry) {
 		return nil
--- a/core/engines/engine.go
+++ b/core/engines/engine.go
@@ -273,16 +273,21 @@
 	return changed
 }
 
-// hasLeft reports whether the list shows the engine as leaving, or no longer.
-func (e *Engine) hasLeft() bool {
+// markRemoved marks an engine that is no longer listed or was replaced by a new run.
+func (e *Engine) markRemoved() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.removed || e.state == Leaving
+	e.removed = true
 }
 
-// markRemoved marks an engine that is no longer listed or was replaced by a new run.
-func (e *Engine) markRemoved() {
+// relist applies an entry by which a run that had ended is listed again. What it has announced holds,
+// unless its start is not known: it may be another run then.
+func (e *Engine) relist(newer Entry) {
+	e.update(newer)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.removed = true
+	e.removed = false
+	if newer.Started == 0 {
+		e.announcedLeaving, e.pausedUntil = false, time.Time{}
+	}
 }
--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -134,7 +134,7 @@
 	t := f.Table
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.isReturn(c) || t.engines[c.Entry.ID] == nil {
+	if !t.isReturn(c) || t.listedRun(c.Entry) == nil {
 		return false
 	}
 	t.reportReturns([]Return{t.newReturn(c.Entry, ReturnDelayed)})
--- a/core/engines/return.go
+++ b/core/engines/return.go
@@ -30,7 +30,7 @@
 
 // newReturn describes an entry that isReturn accepts. The caller must hold mu.
 func (t *Table) newReturn(e Entry, outcome ReturnOutcome) Return {
-	known := t.knownRun(e)
+	known := t.leftRun(e)
 	return Return{Entry: e, Outcome: outcome, Announced: known != nil && known.hasAnnouncedLeaving()}
 }
 
@@ -41,21 +41,22 @@
 	}
 }
 
-// knownRun returns the engine of the run that an entry describes, listed or ended, or nil if it is not
-// known. The caller must hold mu.
-func (t *Table) knownRun(e Entry) *Engine {
-	if listed := t.engines[e.ID]; listed != nil && listed.sameRun(e) {
-		return listed
-	}
-	return t.ended.get(e.Run())
-}
-
 // isReturn reports whether a change makes an engine ready whose run is leaving or known to have ended.
 // The caller must hold mu.
 func (t *Table) isReturn(c Change) bool {
-	if c.Removed || c.Entry.State != Ready {
-		return false
+	return !c.Removed && c.Entry.State == Ready && t.leftRun(c.Entry) != nil
+}
+
+// leftRun returns the engine of the run that an entry describes if it is leaving or has ended, as far as
+// known; otherwise nil. The caller must hold mu.
+func (t *Table) leftRun(entry Entry) *Engine {
+	listed := t.engines[entry.ID]
+	switch {
+	case listed == nil || listed.Run() != entry.Run():
+		return t.ended.get(entry.Run())
+	case listed.CurrentEntry().State != Leaving:
+		return nil
+	default:
+		return listed
 	}
-	e := t.knownRun(c.Entry)
-	return e != nil && e.hasLeft()
 }
--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -235,13 +235,29 @@
 		t.end(old)
 	}
 	delete(t.removed, id) // The new entry has a higher revision.
-	t.engines[id] = &Engine{
-		Entry: c.Entry, state: c.Entry.State, stage: c.Entry.Stage, revision: c.Entry.ListRevision,
-		evacuated: t.evacuated[c.Entry.Domain], cold: c.Entry.Cold, coldUntil: t.newColdUntil(c.Entry, old != nil),
-	}
+	t.engines[id] = t.newRun(c.Entry, old != nil)
 	return true
 }
 
+// newRun returns the engine of an entry whose run is not listed yet. A run that was listed before keeps
+// what this instance knows of it, or at least what it has announced. The caller must hold mu.
+func (t *Table) newRun(e Entry, restarted bool) *Engine {
+	ended := t.ended.take(e.Run())
+	if ended != nil && ended.sameRun(e) {
+		ended.relist(e)
+		ended.setEvacuated(t.evacuated[e.Domain])
+		return ended
+	}
+	listed := &Engine{
+		Entry: e, state: e.State, stage: e.Stage, revision: e.ListRevision,
+		evacuated: t.evacuated[e.Domain], cold: e.Cold, coldUntil: t.newColdUntil(e, restarted),
+	}
+	if ended != nil && e.Started != 0 {
+		listed.announcedLeaving, listed.pausedUntil = ended.announcements()
+	}
+	return listed
+}
+
 // end marks the end of an engine's run. The caller must hold mu.
 func (t *Table) end(e *Engine) {
 	e.markRemoved()
