engines: an engine that has left stays out while its removal is written again

After a drill, an engine that had been removed and had said in its answers that it leaves got requests again, 3.4 s after the instance had passed that on (2 s are allowed).

Cause: Feed.apply held an entry back only where Table.isReturn found the engine, leaving, among the listed ones. A removed engine was known in Table.removed alone, by the revision of its removal, and an entry of the copy has a higher ordered revision, that of the later era. So it was applied as a new engine. Entries from other instances went to the table without the feed, with the same result.

Ruled out: a late removal (the removal is logged 3.4 s before), the delay of removals (no removal was pending), and the announcement alone (an engine that says nothing comes back too, TestRemovedEngineStaysOut...).

Fix: after a new era the table leaves out returns, which are Ready entries of a run that is leaving or known to have ended, whichever way they come. The feed keeps those of the list and applies them at the end of the delay of 2.2 s, unless a later change has replaced them. Those from other instances are compared anew at its end, by one pull with checksums. A removal that is written again replaces the earlier one, so that the copy's entry is outdated from then on. A run with another start or address is used at once, and an entry that stands at the end of the delay is in force. As an outage within the delay extends the delay of removals, it extends this one too. Two more faults of the delay go with it: of two held changes of an engine the last to arrive replaced the newer one, and DiscardHeldRemovals dropped held returns for good.

--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -12,32 +12,39 @@
 // again within this time.
 const removalHoldTime = 2200 * time.Millisecond
 
-// Feed applies the platform's list to a table. After an outage of the store it delays
-// removals by removalHoldTime, in which the store stays reachable. After the return of the store
-// from an older copy it also delays entries by which a leaving engine would be ready again, as the
-// copy may be older than its departure.
+// Feed applies the platform's list to a table. After an outage of the store it delays removals by
+// removalHoldTime, in which the store stays reachable. After the return of the store from an older copy
+// it also delays returns, which are entries by which an engine that has left is ready again: the copy
+// may be older than its departure. The table then leaves out returns that come from other instances too.
 type Feed struct {
 	Table *Table
 	Now   func() time.Time
-
-	mu         sync.Mutex
-	storeLost  bool      // The store doesn't answer; changes that are delayed stay so.
-	holdUntil  time.Time // Removals are delayed until this time.
-	resetUntil time.Time // Leaving engines stay so until this time.
-	held       map[ident.EndpointID]Change
+	// OnApplied is called with the changes that were applied at the end of a delay. May be nil.
+	OnApplied func([]Change)
+	// OnReturnsAccepted is called at the end of a delay of returns. Those that came from other
+	// instances were left out, so that the whole table is to be compared. May be nil.
+	OnReturnsAccepted func()
+
+	mu           sync.Mutex
+	storeLost    bool                        // The store doesn't answer; changes that are delayed stay so.
+	holdUntil    time.Time                   // Removals are delayed until this time.
+	returnsUntil time.Time                   // Returns are delayed until this time, and until removals are not.
+	held         map[ident.EndpointID]Change // The newest delayed change of each engine.
 }
 
-// DiscardHeldRemovals drops the delayed removals. It is called when this instance stops
-// following the store: from then on the entries come from other instances, and what they
-// apply to the table does not cancel a removal that is held here.
-func (f *Feed) DiscardHeldRemovals() {
+// DiscardHeld drops the delayed changes. It is called when this instance stops following the store:
+// from then on the entries come from other instances, and what they apply to the table does not cancel
+// a change that is held here. The table leaves out returns for as long as before.
+func (f *Feed) DiscardHeld() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.storeLost {
+		f.delayReturns(f.Now())
+	}
 	f.held, f.storeLost = nil, false
 }
 
-// StoreLost extends a delay of removals: engines can't register while the store is away
-// again.
+// StoreLost extends the delays: engines can't register while the store is away again.
 func (f *Feed) StoreLost() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -49,46 +56,69 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeLost = false
-	f.hold(at)
+	f.delayRemovals(at)
 }
 
-// StoreReset starts the delay of removals, after the store has come back from an older copy: entries
-// that are not in the copy are missing until their engines have registered again.
+// StoreReset starts the delays of removals and of returns, after the store has come back from an older
+// copy: what is not in the copy is missing until it has been written again.
 func (f *Feed) StoreReset(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.resetUntil = at.Add(removalHoldTime)
-	f.hold(at)
+	f.Table.delayReturns()
+	f.delayReturns(at)
+	f.delayRemovals(at)
 }
 
-// hold starts the delay of removals. The caller must hold mu.
-func (f *Feed) hold(at time.Time) {
+// delayRemovals starts or extends the delay of removals. The caller must hold mu.
+func (f *Feed) delayRemovals(at time.Time) {
 	f.holdUntil = at.Add(removalHoldTime)
 	time.AfterFunc(removalHoldTime, f.applyHeld)
 }
 
+// delayReturns extends the delay of returns. The caller must hold mu.
+func (f *Feed) delayReturns(at time.Time) {
+	f.returnsUntil = at.Add(removalHoldTime)
+	time.AfterFunc(removalHoldTime, f.applyHeld)
+}
+
 // ReplaceAll applies a complete list as of a revision, and returns the changes applied.
 func (f *Feed) ReplaceAll(entries []Entry, revision int64) []Change {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.holdsRemovals() {
 		f.held = nil
-		return f.Table.Replace(entries, revision)
+		r := f.Table.replaceAll(entries, revision)
+		f.hold(r.delayed)
+		return r.applied
 	}
+	applied := f.apply(f.listChanges(entries, revision))
+	f.Table.MarkComplete(revision)
+	return applied
+}
+
+// listChanges returns the changes to a complete list as of a revision: its entries, and the removals of
+// engines that it lacks. The caller must hold mu.
+func (f *Feed) listChanges(entries []Entry, revision int64) []Change {
 	changes := make([]Change, 0, len(entries))
 	listed := make(map[ident.EndpointID]bool, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
 		changes = append(changes, Change{Entry: e})
 	}
+	remove := func(id ident.EndpointID) {
+		if !listed[id] {
+			changes = append(changes, Change{Entry: Entry{ID: id, ListRevision: revision}, Removed: true})
+		}
+	}
 	for _, e := range f.Table.All() {
-		if !listed[e.ID] {
-			changes = append(changes, Change{Entry: Entry{ID: e.ID, ListRevision: revision}, Removed: true})
+		remove(e.ID)
+	}
+	for id, c := range f.held {
+		if !c.Removed {
+			remove(id)
 		}
 	}
-	applied := f.apply(changes)
-	f.Table.MarkComplete(revision)
-	return applied
+	return changes
 }
 
 // ApplyChanges applies changes of the list, and returns those that changed the table.
@@ -110,48 +140,86 @@
 
 // apply applies changes, except those that are delayed. The caller must hold mu.
 func (f *Feed) apply(changes []Change) []Change {
-	hold, reset := f.holdsRemovals(), f.Now().Before(f.resetUntil)
-	var applicable []Change
+	var applicable, delayed []Change
 	for _, c := range changes {
-		if c.Removed && hold || reset && f.delaysReturn(c) {
-			if f.held == nil {
-				f.held = make(map[ident.EndpointID]Change)
-			}
-			f.held[c.Entry.ID] = c
+		if c.Removed && f.holdsRemovals() {
+			delayed = append(delayed, c)
 			continue
 		}
-		if old, ok := f.held[c.Entry.ID]; ok && old.Entry.ListRevision <= c.Entry.ListRevision {
-			delete(f.held, c.Entry.ID)
-		}
+		f.dropOlder(c)
 		applicable = append(applicable, c)
 	}
-	return f.Table.Apply(applicable)
+	r := f.Table.applyAll(applicable)
+	f.hold(delayed)
+	f.hold(r.delayed)
+	return r.applied
+}
+
+// hold delays changes. Of two changes of one engine the newer one is kept, whichever arrives first. The
+// caller must hold mu.
+func (f *Feed) hold(changes []Change) {
+	if f.held == nil {
+		f.held = make(map[ident.EndpointID]Change)
+	}
+	for _, c := range changes {
+		f.dropOlder(c)
+		if _, newer := f.held[c.Entry.ID]; !newer {
+			f.held[c.Entry.ID] = c
+		}
+	}
 }
 
-// delaysReturn reports whether a change is a return of an engine that is still listed, and reports it as
-// delayed.
-func (f *Feed) delaysReturn(c Change) bool {
-	t := f.Table
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if !t.isReturn(c) || t.listedRun(c.Entry) == nil {
-		return false
+// dropOlder forgets the delayed change of an engine if another one is not older. The caller must hold
+// mu.
+func (f *Feed) dropOlder(c Change) {
+	old, ok := f.held[c.Entry.ID]
+	if !ok || old.Entry.ListRevision > c.Entry.ListRevision {
+		return
+	}
+	delete(f.held, c.Entry.ID)
+	listedAgain := !c.Removed && c.Entry.State == Ready && c.Entry.Run() == old.Entry.Run()
+	if !old.Removed && !listedAgain {
+		f.Table.reportCancelled(old.Entry)
 	}
-	t.reportReturns([]Return{t.newReturn(c.Entry, ReturnDelayed)})
-	return true
 }
 
 // applyHeld applies the delayed changes, unless the delay was extended.
 func (f *Feed) applyHeld() {
+	applied, accepted := f.releaseHeld()
+	if len(applied) > 0 && f.OnApplied != nil {
+		f.OnApplied(applied)
+	}
+	if accepted && f.OnReturnsAccepted != nil {
+		f.OnReturnsAccepted()
+	}
+}
+
+// releaseHeld applies the delayed changes whose delay has ended. It reports whether a delay of returns
+// has ended.
+func (f *Feed) releaseHeld() (applied []Change, returnsAccepted bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.holdsRemovals() {
-		return
+		return nil, false
 	}
-	var changes []Change
-	for _, c := range f.held {
-		changes = append(changes, c)
+	// Removals come first: one that is written again makes the entries of the older copy outdated.
+	applied = f.Table.Apply(f.takeHeld(func(c Change) bool { return c.Removed }))
+	if wait := f.returnsUntil.Sub(f.Now()); wait > 0 {
+		time.AfterFunc(wait, f.applyHeld)
+		return applied, false
+	}
+	returnsAccepted = f.Table.acceptReturns()
+	return append(applied, f.Table.Apply(f.takeHeld(func(Change) bool { return true }))...), returnsAccepted
+}
+
+// takeHeld returns the delayed changes that match, and forgets them. The caller must hold mu.
+func (f *Feed) takeHeld(match func(Change) bool) []Change {
+	var taken []Change
+	for id, c := range f.held {
+		if match(c) {
+			taken = append(taken, c)
+			delete(f.held, id)
+		}
 	}
-	f.held = nil
-	f.Table.Apply(changes)
+	return taken
 }
--- a/core/engines/partitions.go
+++ b/core/engines/partitions.go
@@ -112,5 +112,5 @@
 	for _, p := range partitions {
 		replaced[p] = true
 	}
-	return t.replace(entries, revision, func(id ident.EndpointID) bool { return replaced[partitionOf(id)] })
+	return t.replace(entries, revision, func(id ident.EndpointID) bool { return replaced[partitionOf(id)] }).applied
 }
--- a/core/engines/return.go
+++ b/core/engines/return.go
@@ -5,10 +5,10 @@
 // ReturnOutcome tells what became of an entry by which an engine that has left is ready again.
 type ReturnOutcome int
 
-// The outcomes of such an entry. Those of the list may be delayed first, and are applied or cancelled
-// later.
+// The outcomes of such an entry. It may be delayed first, and applied or cancelled later.
 const (
-	ReturnDelayed ReturnOutcome = iota // It waits until engines have registered again.
+	ReturnDelayed   ReturnOutcome = iota // It waits until what the store has lost is written again.
+	ReturnCancelled                      // A later change of the engine has replaced it within the delay.
 
 	ReturnApplied // It is in force.
 )
@@ -28,12 +28,6 @@
 	t.onReturns = onReturns
 }
 
-// newReturn describes an entry that isReturn accepts. The caller must hold mu.
-func (t *Table) newReturn(e Entry, outcome ReturnOutcome) Return {
-	known := t.leftRun(e)
-	return Return{Entry: e, Outcome: outcome, Announced: known != nil && known.hasAnnouncedLeaving()}
-}
-
 // reportReturns passes returns on. The caller must hold mu.
 func (t *Table) reportReturns(list []Return) {
 	if len(list) > 0 && t.onReturns != nil {
@@ -41,6 +35,36 @@
 	}
 }
 
+// delayReturns makes the table leave out entries by which engines that have left are ready again, until
+// acceptReturns is called.
+func (t *Table) delayReturns() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.delaysReturns = true
+}
+
+// acceptReturns ends what delayReturns began, and reports whether it had begun.
+func (t *Table) acceptReturns() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delayed := t.delaysReturns
+	t.delaysReturns = false
+	return delayed
+}
+
+// reportCancelled reports a delayed return that is not applied.
+func (t *Table) reportCancelled(e Entry) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reportReturns([]Return{t.newReturn(e, ReturnCancelled)})
+}
+
+// newReturn describes a return. The caller must hold mu.
+func (t *Table) newReturn(e Entry, outcome ReturnOutcome) Return {
+	known := t.leftRun(e)
+	return Return{Entry: e, Outcome: outcome, Announced: known != nil && known.hasAnnouncedLeaving()}
+}
+
 // isReturn reports whether a change makes an engine ready whose run is leaving or known to have ended.
 // The caller must hold mu.
 func (t *Table) isReturn(c Change) bool {
--- a/core/engines/returnoutcome_string.go
+++ b/core/engines/returnoutcome_string.go
@@ -9,12 +9,13 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[ReturnDelayed-0]
-	_ = x[ReturnApplied-1]
+	_ = x[ReturnCancelled-1]
+	_ = x[ReturnApplied-2]
 }
 
-const _ReturnOutcome_name = "DelayedApplied"
+const _ReturnOutcome_name = "DelayedCancelledApplied"
 
-var _ReturnOutcome_index = [...]uint8{0, 7, 14}
+var _ReturnOutcome_index = [...]uint8{0, 7, 16, 23}
 
 func (i ReturnOutcome) String() string {
 	idx := int(i) - 0
--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -27,6 +27,7 @@
 	removed        map[ident.EndpointID]removal // The newest removals of engines that have not returned.
 	ended          endedRuns
 	onReturns      func([]Return)             // See SetOnReturns.
+	delaysReturns  bool                       // See delayReturns.
 	revision       int64                      // Highest revision of the list that was applied.
 	complete       bool                       // A complete list was applied.
 	sequence       int64                      // Number of changes applied to this table.
@@ -99,29 +100,39 @@
 // Apply applies changes and returns those that changed the table. Changes that are older
 // than the entry of their engine, or not newer than its removal, are ignored.
 func (t *Table) Apply(changes []Change) []Change {
+	return t.applyAll(changes).applied
+}
+
+// applyAll is Apply with all that became of the changes.
+func (t *Table) applyAll(changes []Change) result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	applied := t.apply(changes)
-	if len(applied) > 0 {
+	r := t.apply(changes)
+	if len(r.applied) > 0 {
 		t.publishView()
 	}
-	return applied
+	return r
 }
 
 // Replace applies a complete list as of a revision. Engines that are not in the list are
 // removed, unless they changed after the revision. It returns the changes applied.
 func (t *Table) Replace(entries []Entry, revision int64) []Change {
+	return t.replaceAll(entries, revision).applied
+}
+
+// replaceAll is Replace with all that became of the changes.
+func (t *Table) replaceAll(entries []Entry, revision int64) result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	applied := t.replace(entries, revision, func(ident.EndpointID) bool { return true })
+	r := t.replace(entries, revision, func(ident.EndpointID) bool { return true })
 	t.complete = true
 	t.revision = max(t.revision, revision)
-	return applied
+	return r
 }
 
 // replace applies a complete list of the engines whose ids are in scope. The caller must
 // hold mu.
-func (t *Table) replace(entries []Entry, revision int64, inScope func(ident.EndpointID) bool) []Change {
+func (t *Table) replace(entries []Entry, revision int64, inScope func(ident.EndpointID) bool) result {
 	listed := make(map[ident.EndpointID]bool, len(entries))
 	changes := make([]Change, 0, len(entries))
 	for _, e := range entries {
@@ -133,9 +144,9 @@
 			changes = append(changes, Change{Entry: Entry{ID: id, ListRevision: revision}, Removed: true})
 		}
 	}
-	applied := t.apply(changes)
+	r := t.apply(changes)
 	t.publishView()
-	return applied
+	return r
 }
 
 // MarkComplete records that a complete list as of a revision was applied.
@@ -175,62 +186,69 @@
 	return n
 }
 
-// apply applies changes and returns those that changed the table. The caller must hold
-// mu.
-func (t *Table) apply(changes []Change) []Change {
-	var applied []Change
-	var returns []Return
+// result is what became of changes.
+type result struct {
+	applied []Change // Those that changed the table.
+	delayed []Change // Returns that were left out; see delayReturns.
+}
+
+// apply applies changes. The caller must hold mu.
+func (t *Table) apply(changes []Change) result {
+	var r result
+	var delayed, returned []Return
 	for _, c := range changes {
+		if t.isOutdated(c) {
+			continue
+		}
 		isReturn := t.isReturn(c)
-		ret := t.newReturn(c.Entry, ReturnApplied)
-		if !t.applyOne(c) {
+		if isReturn && t.delaysReturns {
+			r.delayed = append(r.delayed, c)
+			delayed = append(delayed, t.newReturn(c.Entry, ReturnDelayed))
 			continue
 		}
-		applied = append(applied, c)
-		t.revision = max(t.revision, c.Entry.ListRevision)
 		if isReturn {
-			returns = append(returns, ret)
+			returned = append(returned, t.newReturn(c.Entry, ReturnApplied))
+		}
+		if t.applyOne(c) {
+			r.applied = append(r.applied, c)
+			t.revision = max(t.revision, c.Entry.ListRevision)
 		}
 	}
-	t.reportReturns(returns)
-	if len(applied) > 0 {
+	t.reportReturns(delayed)
+	t.reportReturns(returned)
+	if len(r.applied) > 0 {
 		close(t.changeSignal)
 		t.changeSignal = make(chan struct{})
 	}
-	return applied
+	return r
 }
 
-// applyOne applies a change and reports whether it changed the table. The caller must
-// hold mu.
+// isOutdated reports whether a change is older than the entry of its engine, or not newer than its
+// removal. The caller must hold mu.
+func (t *Table) isOutdated(c Change) bool {
+	if c.Entry.ListRevision <= t.removed[c.Entry.ID].revision {
+		return true
+	}
+	listed := t.engines[c.Entry.ID]
+	return listed != nil && c.Entry.ListRevision < listed.Revision()
+}
+
+// applyOne applies a change that is not outdated, and reports whether it changed the table. The caller
+// must hold mu.
 func (t *Table) applyOne(c Change) bool {
 	id := c.Entry.ID
 	old := t.engines[id]
-	if c.Entry.ListRevision <= t.removed[id].revision || (old != nil && c.Entry.ListRevision < old.Revision()) {
-		return false
-	}
 	if c.Removed {
-		if old == nil {
-			return false
-		}
-		t.sequence++
-		t.recordRemoval(id, c.Entry.ListRevision)
-		t.setChecksum(id, 0)
-		t.end(old)
-		delete(t.engines, id)
-		return true
+		return t.remove(c.Entry)
 	}
 	if old != nil && old.sameRun(c.Entry) {
 		if !old.update(c.Entry) {
 			return false
 		}
-		t.sequence++
-		t.changeSequence[id] = t.sequence
-		t.setChecksum(id, c.Entry.checksum())
+		t.recordChange(c.Entry)
 		return true
 	}
-	t.sequence++
-	t.changeSequence[id] = t.sequence
-	t.setChecksum(id, c.Entry.checksum())
+	t.recordChange(c.Entry)
 	if old != nil {
 		t.end(old)
 	}
@@ -239,6 +257,32 @@
 	return true
 }
 
+// recordChange records that a new or changed entry is applied. The caller must hold mu.
+func (t *Table) recordChange(e Entry) {
+	t.sequence++
+	t.changeSequence[e.ID] = t.sequence
+	t.setChecksum(e.ID, e.checksum())
+}
+
+// remove applies the removal of an engine, of which only the id and the revision are given. A removal
+// that is written again, after the store has lost it, replaces the earlier one, so that entries of the
+// store's older copy are outdated from then on. The caller must hold mu.
+func (t *Table) remove(e Entry) bool {
+	old := t.engines[e.ID]
+	_, removed := t.removed[e.ID]
+	if old == nil && (!removed || !t.delaysReturns) {
+		return false
+	}
+	t.sequence++
+	t.recordRemoval(e.ID, e.ListRevision)
+	if old != nil {
+		t.setChecksum(e.ID, 0)
+		t.end(old)
+		delete(t.engines, e.ID)
+	}
+	return true
+}
+
 // newRun returns the engine of an entry whose run is not listed yet. A run that was listed before keeps
 // what this instance knows of it, or at least what it has announced. The caller must hold mu.
 func (t *Table) newRun(e Entry, restarted bool) *Engine {
--- a/core/replication/era_test.go
+++ b/core/replication/era_test.go
@@ -82,6 +82,39 @@
 	}
 }
 
+// TestEngineThatLeftIsComparedAgainAfterTheDelay guards against an engine that has left and is used again
+// since another instance believes an older copy of the store; and against one that runs and stays out of
+// use, as the other instance does not send its unchanged entry again.
+func TestEngineThatLeftIsComparedAgainAfterTheDelay(t *testing.T) {
+	const delay = 3 * time.Second // More than the feed's.
+	fleet := make(map[ident.InstanceID]*instance)
+	member := newEraInstance(t, fleet, "m", 1, ordered(t, 1, 50))
+	_ = newEraInstance(t, fleet, "believer", 1, ordered(t, 2, 10))
+	feed := &engines.Feed{Table: member.Table, Now: time.Now, OnReturnsAccepted: member.CompareTables}
+	member.eras.OnRise = func(_, _ int64) {
+		feed.StoreReset(time.Now())
+		member.StoreReset()
+	}
+	member.Table.Apply([]engines.Change{{Entry: engines.Entry{ID: "e0", ListRevision: ordered(t, 1, 51)}, Removed: true}})
+	pull := func() {
+		t.Helper()
+		for range 2 {
+			if _, err := member.pull(t.Context(), "believer", withoutWait); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	pull()
+	if n := len(member.Table.All()); n != 0 {
+		t.Errorf("%d engines within the delay, want none", n)
+	}
+	time.Sleep(delay)
+	pull()
+	if n := len(member.Table.All()); n != 1 {
+		t.Errorf("%d engines after the delay, want the listed one", n)
+	}
+}
+
 // TestOldProcessGetsRevisionsOfTheStore guards against a process from before eras that ignores what it
 // reads from the store itself, as it got larger revisions with an era from other instances.
 func TestOldProcessGetsRevisionsOfTheStore(t *testing.T) {
--- a/core/replication/pull.go
+++ b/core/replication/pull.go
@@ -59,7 +59,7 @@
 	req := &PullRequest{Of: string(s.sequenceOwner), Sequence: s.sequence, Version: int64(s.Version()), OrderedRevisions: true}
 	_, req.NoticeRevision = s.Notice()
 	req.EvacuationRevision = proto.Int64(s.evacuationRevision())
-	pulledAt, resets := s.pulledAt, s.storeResets
+	pulledAt, comparisons := s.pulledAt, s.comparisons
 	s.mu.Unlock()
 	// A callee whose copy is newer replies at once, and a caller without an age has no copy.
 	if age, known := s.Age(); known && wait == untilChange {
@@ -77,7 +77,7 @@
 	s.applyReplyConfig(from, reply)
 	used := s.ObserveRevision(reply.GetRevision())
 	if used {
-		s.applyReply(from, reply, calledAt, resets)
+		s.applyReply(from, reply, calledAt, comparisons)
 	}
 	if len(reply.GetConfiguration()) > 0 && int64(s.Version()) == req.GetVersion() {
 		// The configuration was rejected here, and the next reply has it again.
@@ -102,9 +102,9 @@
 }
 
 // applyReply applies the evacuations, the engines and the notice of a reply, and records when it
-// arrived, up to which sequence number, and when its contents were current. resets is the number of
-// times that the store had come back from an older copy when the pull began, as far as known here.
-func (s *Replicator) applyReply(from ident.InstanceID, r *PullReply, calledAt boottime.Instant, resets int) {
+// arrived, up to which sequence number, and when its contents were current. comparisons is the number of
+// calls of CompareTables before the pull.
+func (s *Replicator) applyReply(from ident.InstanceID, r *PullReply, calledAt boottime.Instant, comparisons int) {
 	s.applyEvacuations(r)
 	changes := make([]engines.Change, 0, len(r.GetEngines()))
 	for _, e := range r.GetEngines() {
@@ -132,7 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sequenceOwner, s.sequence, s.pulledAt, s.incomplete = from, r.GetSequence(), now, r.GetMore()
-	if s.incomplete || s.storeResets != resets {
+	if s.incomplete || s.comparisons != comparisons {
 		s.sequenceOwner = ""
 	}
 	if !r.GetHealthy() || s.BootTime().Sub(s.fresh.currentAt) > s.confirmTime() {
--- a/core/replication/replication.go
+++ b/core/replication/replication.go
@@ -117,7 +117,7 @@
 	sequence            int64              // Sequence number up to which the changes of that table were applied here.
 	pulledAt            time.Time          // Last reply of any instance.
 	incomplete          bool               // The last reply did not contain all that is missing.
-	storeResets         int                // Calls of StoreReset.
+	comparisons         int                // Calls of CompareTables.
 	listBy              time.Time          // See ListBy.
 	stopFollowing       context.CancelFunc // Nil while this instance does not follow the store.
 	followDone          chan struct{}      // Closed when Follow has returned.
@@ -200,11 +200,17 @@
 // StoreReset is called when the store is known to have come back from an older copy. What was pulled
 // until then may be from before, so the next pull compares the whole table.
 func (s *Replicator) StoreReset() {
+	s.CompareTables()
+	s.NotifyChange()
+}
+
+// CompareTables makes the next pull compare the whole table instead of asking for the changes since the
+// last one. It is called when the table may lack entries that the other instance has sent before.
+func (s *Replicator) CompareTables() {
 	s.mu.Lock()
-	s.storeResets++
+	defer s.mu.Unlock()
+	s.comparisons++
 	s.sequenceOwner = ""
-	s.mu.Unlock()
-	s.NotifyChange()
 }
 
 // IsFirstRanked reports whether the instance of a view ranks first in its domain. The first
