engines: an outage after a drill extends the delay of returns at every instance

What callers could see: requests to an engine that has left, where the store is away again within 2.2 s of its return from an older copy.

Cause: an instance that pulls from others does not call the store, so that its delay of returns ended while the removal could not be written again. It then believed an instance that had no such delay, such as a follower that has just started.

Fix: replies say whether the callee delays removals, as it does in an outage and for 2.2 s after. That extends the delay of returns by 1.5 s, more than the time between two replies, and a reply without it ends that at once. It is looked at before the engines of the reply. No message is added.

--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -12,6 +12,10 @@
 // again within this time.
 const removalHoldTime = 2200 * time.Millisecond
 
+// othersHoldTime is how long it holds that another instance delays removals. Instances that rely on
+// another one get its replies more often.
+const othersHoldTime = 1500 * time.Millisecond
+
 // Feed applies the platform's list to a table. After an outage of the store it delays removals by
 // removalHoldTime, in which the store stays reachable. After the return of the store from an older copy
 // it also delays returns, which are entries by which an engine that has left is ready again: the copy
@@ -29,6 +33,7 @@
 	storeLost    bool                        // The store doesn't answer; changes that are delayed stay so.
 	holdUntil    time.Time                   // Removals are delayed until this time.
 	returnsUntil time.Time                   // Returns are delayed until this time, and until removals are not.
+	othersUntil  time.Time                   // Another instance that follows the store delays removals until this time.
 	held         map[ident.EndpointID]Change // The newest delayed change of each engine.
 }
 
@@ -69,6 +74,22 @@
 	f.delayRemovals(at)
 }
 
+// SetOthersHold records whether another instance that follows the store delays removals, as it does
+// after an outage. What the store has lost can't be written again in an outage, so that a delay of
+// returns goes on.
+func (f *Feed) SetOthersHold(held bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if held {
+		f.othersUntil = f.Now().Add(othersHoldTime)
+		return
+	}
+	if !f.othersUntil.IsZero() {
+		f.othersUntil = time.Time{}
+		time.AfterFunc(0, f.applyHeld)
+	}
+}
+
 // delayRemovals starts or extends the delay of removals. The caller must hold mu.
 func (f *Feed) delayRemovals(at time.Time) {
 	f.holdUntil = at.Add(removalHoldTime)
@@ -138,6 +159,14 @@
 // holdsRemovals reports whether removals are delayed now. The caller must hold mu.
 func (f *Feed) holdsRemovals() bool { return f.storeLost || f.Now().Before(f.holdUntil) }
 
+// returnsEnd returns when the delay of returns ends at the earliest. The caller must hold mu.
+func (f *Feed) returnsEnd() time.Time {
+	if f.othersUntil.After(f.returnsUntil) {
+		return f.othersUntil
+	}
+	return f.returnsUntil
+}
+
 // apply applies changes, except those that are delayed. The caller must hold mu.
 func (f *Feed) apply(changes []Change) []Change {
 	var applicable, delayed []Change
@@ -204,7 +233,7 @@
 	}
 	// Removals come first: one that is written again makes the entries of the older copy outdated.
 	applied = f.Table.Apply(f.takeHeld(func(c Change) bool { return c.Removed }))
-	if wait := f.returnsUntil.Sub(f.Now()); wait > 0 {
+	if wait := f.returnsEnd().Sub(f.Now()); wait > 0 {
 		time.AfterFunc(wait, f.applyHeld)
 		return applied, false
 	}
--- a/core/engines/return_test.go
+++ b/core/engines/return_test.go
@@ -157,6 +157,30 @@
 	f.check(t, "after the removal is written again", "[e-2]")
 }
 
+// TestDelayOfOthersExtendsTheDelayOfReturns guards against an instance that pulls from others and, as it
+// does not call the store, ends its delay while the store is away for all.
+func TestDelayOfOthersExtendsTheDelayOfReturns(t *testing.T) {
+	f := newResetTestFeed()
+	f.ApplyChanges([]Change{removed("1", 11)})
+	accepted := 0
+	f.OnReturnsAccepted = func() { accepted++ }
+	f.StoreReset(f.now)
+	for range 4 {
+		f.wait(othersHoldTime / 2)
+		f.SetOthersHold(true)
+	}
+	f.wait(othersHoldTime / 2)
+	f.Table.Apply([]Change{{Entry: entry("1", era+1)}})
+	f.check(t, "while others delay removals", "[e-2]")
+	f.SetOthersHold(false)
+	f.wait(0)
+	f.Table.Apply([]Change{{Entry: entry("1", era+1)}})
+	f.check(t, "after the others' delay", "[e-1 e-2]")
+	if accepted != 1 {
+		t.Errorf("the end of the delay was reported %d times, want once", accepted)
+	}
+}
+
 // TestReturnFromAnotherInstanceIsLeftOut guards against an engine that has left and is used again since
 // another instance, which does not know of it, believes the older copy; in changes and in whole
 // partitions.
--- a/core/replication/pull.go
+++ b/core/replication/pull.go
@@ -105,6 +105,10 @@
 // arrived, up to which sequence number, and when its contents were current. comparisons is the number of
 // calls of CompareTables before the pull.
 func (s *Replicator) applyReply(from ident.InstanceID, r *PullReply, calledAt boottime.Instant, comparisons int) {
+	// A follower that the store does not answer may be the first to know of an outage.
+	if r.GetHealthy() || r.GetHoldsRemovals() {
+		s.SetOutage(r.GetHoldsRemovals())
+	}
 	s.applyEvacuations(r)
 	changes := make([]engines.Change, 0, len(r.GetEngines()))
 	for _, e := range r.GetEngines() {
@@ -124,10 +128,6 @@
 		age := max(time.Duration(r.GetAgeUs())*time.Microsecond, -s.BootTime().Sub(calledAt))
 		s.confirm(calledAt.Add(-age))
 	}
-	// A follower that the store does not answer may be the first to know of an outage.
-	if r.GetHealthy() || r.GetHoldsRemovals() {
-		s.SetOutage(r.GetHoldsRemovals())
-	}
 	now := s.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
