evacuation: an outage after a drill keeps the evacuations in force

What callers could see: requests to engines of an evacuated failure domain, where the store comes back from a copy without the evacuation and is away again before the operator has written it again.

Cause: evacuations are held for 3 s from the return, whether or not the store can be written to meanwhile; the same as for engines that have left.

Fix: at the end of that time the board asks whether the store is awaited, which is the feed's knowledge of the outage, its own or that of the instance it relies on, and holds for as long again.

TestOutageAfterOlderCopyKeepsTheEvacuation fails with the former reset.go (no domain is evacuated while the store is away) and passes with this one.

--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -156,6 +156,14 @@
 	return f.holdsRemovals()
 }
 
+// AwaitsStore reports whether this instance or one that it relies on delays removals, as the store is away
+// or was so shortly before.
+func (f *Feed) AwaitsStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.holdsRemovals() || f.Now().Before(f.othersUntil)
+}
+
 // holdsRemovals reports whether removals are delayed now. The caller must hold mu.
 func (f *Feed) holdsRemovals() bool { return f.storeLost || f.Now().Before(f.holdUntil) }
 
--- a/core/evacuation/evacuation.go
+++ b/core/evacuation/evacuation.go
@@ -30,6 +30,9 @@
 	// not call the board.
 	Exclude  func(Set)
 	OnChange func() // Called after a set has become the current one. May be nil.
+	// AwaitsStore reports whether the store has been away since shortly before, so that the operator can't
+	// have written again what it has lost. It must not call the board. Nil for never.
+	AwaitsStore func() bool
 
 	mu      sync.Mutex
 	known   bool // A set has been received.
--- a/core/evacuation/reset.go
+++ b/core/evacuation/reset.go
@@ -13,27 +13,34 @@
 const resetHoldTime = 3 * time.Second
 
 // StoreReset keeps the evacuations that are in force now for resetHoldTime, whatever sets are
-// received meanwhile. It is called when the store has come back from an older copy, which may
-// lack them.
+// received meanwhile, and for as long again if AwaitsStore then says so. It is called when the store has
+// come back from an older copy, which may lack them.
 func (b *Board) StoreReset() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.held = b.inForce().Domains
 	b.resets++
-	reset := b.resets
+	b.releaseLater(b.resets)
+}
+
+// releaseLater calls releaseHeld after resetHoldTime.
+func (b *Board) releaseLater(reset int) {
 	time.AfterFunc(resetHoldTime, func() { b.releaseHeld(reset) })
 }
 
 // releaseHeld puts the current set in force, unless the store has come back once more since the
-// given reset.
+// given reset, or is awaited.
 func (b *Board) releaseHeld(reset int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if reset != b.resets || len(b.held) == 0 {
-		return
+	switch {
+	case reset != b.resets || len(b.held) == 0:
+	case b.AwaitsStore != nil && b.AwaitsStore():
+		b.releaseLater(reset)
+	default:
+		b.held = nil
+		b.Exclude(b.current)
 	}
-	b.held = nil
-	b.Exclude(b.current)
 }
 
 // inForce returns the current set with the domains that are held. The caller must hold mu.
--- a/core/evacuation/reset_test.go
+++ b/core/evacuation/reset_test.go
@@ -34,3 +34,28 @@
 		}
 	})
 }
+
+// TestOutageAfterOlderCopyKeepsTheEvacuation guards against requests to an evacuated domain since the
+// store is away again before the operator could write the evacuation again.
+func TestOutageAfterOlderCopyKeepsTheEvacuation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		away := false
+		var excluded Set
+		b := &Board{Exclude: func(s Set) { excluded = s }, AwaitsStore: func() bool { return away }}
+		b.Put(Set{Revision: 7, Domains: []ident.DomainID{"a"}})
+		b.StoreReset()
+		b.Put(Set{Revision: 100})
+		away = true
+		time.Sleep(5 * resetHoldTime)
+		synctest.Wait()
+		if len(excluded.Domains) != 1 {
+			t.Errorf("domains %v are evacuated while the store is away, want a", excluded.Domains)
+		}
+		away = false
+		time.Sleep(2 * resetHoldTime)
+		synctest.Wait()
+		if len(excluded.Domains) != 0 {
+			t.Errorf("domains %v are evacuated after the delay, want none", excluded.Domains)
+		}
+	})
+}
