engines: an older copy of the store makes no engine cold again

What callers could see: after a drill, requests wait or are refused for as long as the entries of engines say that they are cold after their start, as each engine with such an entry counts as cold again.

Cause: an entry of the same run with a cold time and a higher revision means that the engine has become cold again. In a later era each entry of the copy has a higher ordered revision.

Fix: an entry of a later era with the known cold time changes nothing. One with another cold time, or written again within the era, counts as before. It still reaches the other instances, as the checksum of a cold engine has its revision.

TestOlderCopyMakesNoEngineCold fails with the former cold.go (the engine is cold after the copy is listed) and passes with this one.

--- a/core/engines/cold.go
+++ b/core/engines/cold.go
@@ -5,6 +5,7 @@
 
 	"monsoonfork/core/boottime"
 	"monsoonfork/core/ident"
+	"monsoonfork/core/storeera"
 )
 
 // maxColdTime is the longest time for which an engine counts as cold, whatever its entry says.
@@ -92,9 +93,13 @@
 }
 
 // becomesCold reports whether a newer entry of the same run says that the engine has become
-// cold again. The caller must hold mu.
+// cold again. Where the store has come back from an older copy, the entry that is known has a newer
+// revision without having been written again. The caller must hold mu.
 func (e *Engine) becomesCold(newer Entry) bool {
-	return newer.Cold > 0 && newer.ListRevision > e.revision
+	era, _ := storeera.Split(newer.ListRevision)
+	knownEra, _ := storeera.Split(e.revision)
+	listedAgain := era > knownEra && newer.Cold == e.cold
+	return newer.Cold > 0 && newer.ListRevision > e.revision && !listedAgain
 }
 
 // remainingCold returns how long the engine is still cold. The caller must hold mu.
--- a/core/engines/cold_test.go
+++ b/core/engines/cold_test.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// TestOlderCopyMakesNoEngineCold guards against engines of which all count as cold, so that requests wait
+// or are refused, since the store has come back from an older copy with the entries that are known.
+func TestOlderCopyMakesNoEngineCold(t *testing.T) {
+	const coldTime = 20 * time.Millisecond
+	table := NewTable()
+	table.Apply([]Change{coldEntry(2, coldTime)})
+	time.Sleep(coldTime)
+	sums := table.Checksums()
+	table.Apply([]Change{coldEntry(era+2, coldTime)})
+	checkCold(t, table, "with the copy", "[]")
+	if table.Checksums() == sums {
+		t.Error("the checksums are those of the earlier entry")
+	}
+	table.Apply([]Change{coldEntry(era+3, coldTime)})
+	checkCold(t, table, "after it has become cold again", "[e-1]")
+}
+
 // TestEngineThatStartsDuringTrafficIsCold guards against a normal rate of requests to an engine
 // that has just started, or whose failure domain was evacuated; and against limits for engines that
 // start together with the instances, or are only listed again.
--- a/core/engines/engine.go
+++ b/core/engines/engine.go
@@ -264,8 +264,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	changed := e.state != newer.State || e.stage != newer.Stage || e.cold != newer.Cold
-	if e.becomesCold(newer) {
+	if newer.Cold > 0 && newer.ListRevision > e.revision {
 		changed = true
+	}
+	if e.becomesCold(newer) {
 		e.coldUntil = max(e.coldUntil, boottime.Now().Add(newer.ColdRemaining))
 	}
 	e.cold = newer.Cold
