--- a/core/admission/admission_test.go
+++ b/core/admission/admission_test.go
@@ -46,7 +46,7 @@
 }
 
 // TestWaitingExpires guards against less urgent requests that are held back for requests that wait
-// no more, or by an instance that is not heard of any more.
+// no more, or by an instance that no longer reports.
 func TestWaitingExpires(t *testing.T) {
 	now := time.Now()
 	p := NewPressure(func() time.Time { return now })
--- a/core/engineload/sweep.go
+++ b/core/engineload/sweep.go
@@ -1,6 +1,6 @@
 package engineload
 
-// sweep is the progress of messages that contain what has changed. Each message goes on at the
+// sweep is the progress of messages that contain what has changed. Each message continues at the
 // engine where the last one has ended, and a sweep ends after the last engine. An engine is
 // contained if it has changed since the sweep before began, as it may have changed after that
 // sweep had passed it.
--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -76,7 +76,7 @@
 
 // SetOthersHold records whether another instance that follows the store delays removals, as it does
 // after an outage. What the store has lost can't be written again in an outage, so that a delay of
-// returns goes on.
+// returns continues.
 func (f *Feed) SetOthersHold(held bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/core/engines/silence.go
+++ b/core/engines/silence.go
@@ -70,7 +70,7 @@
 	return e.silence.awaitsLateAnswer()
 }
 
-// BeginLateCall is to be called for a call that goes on after its caller has stopped waiting
+// BeginLateCall is to be called for a call that continues after its caller has stopped waiting
 // for it, until the returned function is called. While there is one, a silent engine gets no
 // other call: its answer shows when the silence ends.
 func (e *Engine) BeginLateCall() (end func()) {
--- a/core/engines/silence_test.go
+++ b/core/engines/silence_test.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// TestSilentEngineIsNotTriedDuringLateCall has a call to a silent engine go on. Its answer
+// TestSilentEngineIsNotTriedDuringLateCall has a call to a silent engine continue. Its answer
 // will show when the silence ends, so that no other call is needed until it has ended.
 func TestSilentEngineIsNotTriedDuringLateCall(t *testing.T) {
 	e := &Engine{}
--- a/core/evacuation/evacuation_test.go
+++ b/core/evacuation/evacuation_test.go
@@ -7,7 +7,7 @@
 	"monsoonfork/core/ident"
 )
 
-// TestNewestSetIsInForce guards against an evacuation that is lost, or goes on after its end,
+// TestNewestSetIsInForce guards against an evacuation that is lost, or continues after its end,
 // because an instance pulls from one that has an older set; and against one that is missed because
 // it was written while the pages of a list were read: the list shows a later one, and its revision
 // is that of its first page.
--- a/core/follow/follow_test.go
+++ b/core/follow/follow_test.go
@@ -143,7 +143,7 @@
 	}
 }
 
-// TestListAfterEndOfEra guards against a follower that goes on with what it had before the store came
+// TestListAfterEndOfEra guards against a follower that continues with what it had before the store came
 // back from an older copy, or that reports an outage for it.
 func TestListAfterEndOfEra(t *testing.T) {
 	s := &scriptedSource{
--- a/core/follow/restart_test.go
+++ b/core/follow/restart_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// TestOutageAtStartIsReported guards against an outage that nobody hears of, as it began
+// TestOutageAtStartIsReported guards against an outage that is not reported, as it began
 // before Run: each Run reports it once, and its end once.
 func TestOutageAtStartIsReported(t *testing.T) {
 	listErr := errors.New("down")
--- a/core/forward/backup.go
+++ b/core/forward/backup.go
@@ -50,7 +50,7 @@
 	candidates := s.rank(func(e *engines.Engine) (float64, bool) {
 		rank, ok := need.rank(e, now)
 		if e.Domain != s.router.domain {
-			rank -= remoteDomainPenalty // The run goes on there only after a failure.
+			rank -= remoteDomainPenalty // The run continues there only after a failure.
 		}
 		return rank, ok
 	})
@@ -114,7 +114,7 @@
 	}
 }
 
-// mayContinue reports whether a run that has failed with err may go on at its backup engine. Without
+// mayContinue reports whether a run that has failed with err may continue at its backup engine. Without
 // an event that the caller has received, the engine would take the request for a new run. A part of
 // the retry budget is kept for a permitted continuation until it is sent.
 func (s *stream) mayContinue(ctx context.Context, err error) bool {
--- a/core/forward/backup_test.go
+++ b/core/forward/backup_test.go
@@ -151,7 +151,7 @@
 	}
 }
 
-// TestBackupsEndWithMemory guards against backups that go on to take memory while requests wait for
+// TestBackupsEndWithMemory guards against backups that continue to take memory while requests wait for
 // reservations, and against less urgent requests that get them until then.
 func TestBackupsEndWithMemory(t *testing.T) {
 	for _, c := range []struct {
--- a/core/forward/configretry_test.go
+++ b/core/forward/configretry_test.go
@@ -9,7 +9,7 @@
 )
 
 // TestRefusalWithoutConfigurationTellsWhenItIsExpected guards against callers that use up their
-// retries while all instances start: they were told to come back sooner than any configuration can
+// retries while all instances start: their Retry-After ended sooner than any configuration can
 // be there.
 func TestRefusalWithoutConfigurationTellsWhenItIsExpected(t *testing.T) {
 	h := newHarness(t)
--- a/core/forward/contain_test.go
+++ b/core/forward/contain_test.go
@@ -19,7 +19,7 @@
 
 // TestPanicInPlainCallEndsOnlyTheCall guards against a process that ends, with all requests in
 // progress, because of an odd answer to a call. The request is repeated if it may be, and
-// otherwise its caller is told that it may have run.
+// otherwise its caller learns that it may have run.
 func TestPanicInPlainCallEndsOnlyTheCall(t *testing.T) {
 	for route, wantCalls := range map[string]int64{"safe": 2, "once": 1} {
 		h := newHarness(t)
--- a/core/forward/crash.go
+++ b/core/forward/crash.go
@@ -97,7 +97,7 @@
 	return quarantine.Prompt{Scope: quarantine.Scope{Service: s.service.Name, Model: s.Model}, Parts: s.Parts}
 }
 
-// recordProgress records that data of the answer has arrived. An engine that goes on writing has
+// recordProgress records that data of the answer has arrived. An engine that continues writing has
 // not crashed under the prompt.
 func (s *stream) recordProgress(now time.Time) {
 	s.progress.recordData(now)
--- a/core/forward/hedge_test.go
+++ b/core/forward/hedge_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// TestPanicEndsPlainCalls guards against a call of a hedged request that goes on, and may
+// TestPanicEndsPlainCalls guards against a call of a hedged request that continues, and may
 // write to the caller, after the handler of the request has ended with a panic.
 func TestPanicEndsPlainCalls(t *testing.T) {
 	h := newHarness(t)
--- a/core/forward/heldcall_test.go
+++ b/core/forward/heldcall_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestRetryWithoutReservationIsNotCharged guards against a retry budget that is used up by
-// retries of which no engine has heard: no other engine grants a reservation.
+// retries that have reached no engine: no other engine grants a reservation.
 func TestRetryWithoutReservationIsNotCharged(t *testing.T) {
 	t.Parallel()
 	h := newHarness(t)
@@ -30,7 +30,7 @@
 
 // TestReplacementThatLeavesIsNotCharged guards against a retry budget that is used up by a
 // replacement of a stalled stream whose engine announces that it leaves before the stream is
-// sent to it. The stream goes on at the engine that stalled, which is one extra call, besides
+// sent to it. The stream continues at the engine that stalled, which is one extra call, besides
 // the second prefill.
 func TestReplacementThatLeavesIsNotCharged(t *testing.T) {
 	t.Parallel()
--- a/core/forward/job.go
+++ b/core/forward/job.go
@@ -37,7 +37,7 @@
 	eventCount   int                       // Number of events of the answer so far.
 	reserveCalls int                       // Number of reservations requested.
 	logFields    []any                     // Keys and values for the log line of the request.
-	afterEnd     func()                    // Work that is left when the caller has been told the end; nil if there is none.
+	afterEnd     func()                    // Work that is left when the caller has received the end; nil if there is none.
 }
 
 // logStage adds a completed stage, its engine and its duration to the log line of the
--- a/core/forward/move.go
+++ b/core/forward/move.go
@@ -15,7 +15,7 @@
 type Move struct {
 	Request ident.RequestID
 	To      ident.Address
-	Last    bool // The run stops before the copy is made; otherwise it goes on.
+	Last    bool // The run stops before the copy is made; otherwise it continues.
 }
 
 // MoveReply is an engine's answer to a Move.
@@ -58,7 +58,7 @@
 	return err
 }
 
-// mayContinueMoved reports whether a moved run is to go on. A part of the retry budget is kept for
+// mayContinueMoved reports whether a moved run is to continue. A part of the retry budget is kept for
 // a permitted continuation until it is sent; the run has stopped, so that it does not depend on
 // what is left.
 func (s *stream) mayContinueMoved(ctx context.Context, err error) bool {
--- a/core/forward/move_test.go
+++ b/core/forward/move_test.go
@@ -12,7 +12,7 @@
 )
 
 // moveHarness is a harness whose engines move runs. The first engine sends two events and leaves
-// or changes its stage. It sends the others after 600 ms, unless it is told to stop the run.
+// or changes its stage. It sends the others after 600 ms, unless it is ordered to stop the run.
 type moveHarness struct {
 	*harness
 	source  *engines.Engine // The engine of the first call.
--- a/core/forward/movechoice.go
+++ b/core/forward/movechoice.go
@@ -10,7 +10,7 @@
 
 const (
 	// stageChangeLead is how long an engine that is about to change its stage serves its streams at
-	// least: instances are told of an order before it is sent.
+	// least: instances are notified of an order before it is sent.
 	stageChangeLead = time.Second
 	// moveMargin is how long before the end of its engine a stream is expected to end, for it to
 	// stay there. It allows for the time until this instance learns that the engine leaves.
@@ -34,7 +34,7 @@
 
 // rank returns the rank of an engine as the destination, the lowest being the best, and whether it
 // can be one: it has room, and the transfer may be complete before the source ends. A source that
-// serves its streams for longer than it has to is taken to go on for moveMargin.
+// serves its streams for longer than it has to is taken to continue for moveMargin.
 func (n moveNeed) rank(e *engines.Engine, now time.Time) (rank float64, ok bool) {
 	if e == n.source || e.CurrentStage() == engines.Prefill || e.IsChangingStage(now) || e.IsSilent(now) || !e.HasCapacity(n.size, now) {
 		return 0, false
--- a/core/forward/moveend_test.go
+++ b/core/forward/moveend_test.go
@@ -7,7 +7,7 @@
 	"monsoonfork/core/fault"
 )
 
-// TestStreamEndsWhileMoveIsRefused guards against a stream whose engine fails while it is told to stop
+// TestStreamEndsWhileMoveIsRefused guards against a stream whose engine fails while it is ordered to stop
 // the run lasting until its deadline.
 func TestStreamEndsWhileMoveIsRefused(t *testing.T) {
 	ended := make(chan struct{})
--- a/core/forward/movewatch.go
+++ b/core/forward/movewatch.go
@@ -28,7 +28,7 @@
 )
 
 // moveWatch moves the run of a call to another engine if its engine leaves, or is about to change
-// its stage, before the expected end of the stream. The run goes on while its memory is copied,
+// its stage, before the expected end of the stream. The run continues while its memory is copied,
 // and stops only for the rest.
 type moveWatch struct {
 	stream  *stream
@@ -41,7 +41,7 @@
 
 	mu       sync.Mutex
 	ended    bool // The call has ended: the run is not stopped any more.
-	stopping bool // The engine has been told to stop the run.
+	stopping bool // The engine has been ordered to stop the run.
 
 	moved *movedRun // Set if the run has stopped.
 }
@@ -59,7 +59,7 @@
 }
 
 // endMoves ends the watch of a call that has ended with err, and waits for it. If the engine has
-// been told to stop the run, its answer tells where the run goes on.
+// been ordered to stop the run, its answer tells where the run continues.
 func (s *stream) endMoves(ctx context.Context, w *moveWatch, err error) {
 	w.mu.Lock()
 	w.ended = true
@@ -75,7 +75,7 @@
 	}
 }
 
-// isStopping reports whether the engine has been told to stop the run.
+// isStopping reports whether the engine has been ordered to stop the run.
 func (w *moveWatch) isStopping() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -187,7 +187,7 @@
 	return s.router.Calls.Move(ctx, w.source.Entry, Move{Request: s.ID, To: to.Address, Last: last}, s.router.now().Add(connectTimeout))
 }
 
-// beginStop records that the engine is about to be told to stop the run. It returns false if the
+// beginStop records that the engine is about to be ordered to stop the run. It returns false if the
 // call has ended.
 func (w *moveWatch) beginStop() bool {
 	w.mu.Lock()
--- a/core/forward/panic_test.go
+++ b/core/forward/panic_test.go
@@ -72,7 +72,7 @@
 	h.checkNothingHeld(granted())
 }
 
-// TestPanicEndsStallMonitor guards against a stall monitor that goes on, and reserves memory,
+// TestPanicEndsStallMonitor guards against a stall monitor that continues, and reserves memory,
 // after a panic in the call that it monitors.
 func TestPanicEndsStallMonitor(t *testing.T) {
 	t.Parallel()
--- a/core/forward/plain.go
+++ b/core/forward/plain.go
@@ -62,7 +62,7 @@
 	defer p.buffered.Close()
 	ended := false
 	defer func() {
-		if !ended { // A panic: the calls must not go on without the handler.
+		if !ended { // A panic: the calls must not continue without the handler.
 			cancel()
 			p.drain()
 		}
--- a/core/forward/prefillroom_test.go
+++ b/core/forward/prefillroom_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// TestPrefillEndsWithReservation guards against a prefill that goes on after the reservation at the
+// TestPrefillEndsWithReservation guards against a prefill that continues after the reservation at the
 // decode engine has ended, and against its engine counting as silent for that.
 func TestPrefillEndsWithReservation(t *testing.T) {
 	newHarness(t) // A goroutine of go-metrics, which starts with the first meter, must not be in the bubble.
--- a/core/forward/reserve.go
+++ b/core/forward/reserve.go
@@ -207,7 +207,7 @@
 	panic *contain.Panic // The call has panicked.
 }
 
-// callReserve asks an engine for a reservation. The call goes on after its timeout, since
+// callReserve asks an engine for a reservation. The call continues after its timeout, since
 // the engine may have made the reservation: if it answers then, the reservation is released.
 func (j *job) callReserve(ctx context.Context, e *engines.Engine, size ident.Tokens) (string, error) {
 	r := j.router
--- a/core/forward/silence_test.go
+++ b/core/forward/silence_test.go
@@ -97,7 +97,7 @@
 	return time.Since(silenceEnds)
 }
 
-// TestDecodeEngineIsUsedAfterItsSilence has a decode engine pause for a second and go on. It
+// TestDecodeEngineIsUsedAfterItsSilence has a decode engine pause for a second and continue. It
 // must not be left out for longer than it was silent.
 func TestDecodeEngineIsUsedAfterItsSilence(t *testing.T) {
 	t.Parallel()
@@ -117,7 +117,7 @@
 	}
 }
 
-// TestPrefillEngineIsUsedAfterItsSilence has a prefill engine pause and go on, for a time after
+// TestPrefillEngineIsUsedAfterItsSilence has a prefill engine pause and continue, for a time after
 // which its calls have timed out or not. It must not be left out for longer than it was silent.
 func TestPrefillEngineIsUsedAfterItsSilence(t *testing.T) {
 	t.Parallel()
--- a/core/forward/silencewatch.go
+++ b/core/forward/silencewatch.go
@@ -14,7 +14,7 @@
 	// minSilentGaps is how many times the average pause between the events of a run a silence is
 	// at least. A shorter one may be the pace of the engine.
 	minSilentGaps = 4
-	// silenceChecks is how often within the timeout the watch looks whether a silence can be told.
+	// silenceChecks is how often within the timeout the watch looks whether a silence can be detected.
 	silenceChecks = 4
 	// reachTimeout is how long opening a connection to a silent engine may take. What is left of the
 	// time for which the copy of its run is kept is for the continuation.
@@ -31,7 +31,7 @@
 // silenceWatch cancels the call of a run with a backup if its engine falls silent between two
 // events. The copy is kept only for a short time after its last part, so that a silence has to be
 // noticed earlier than by stallMonitor. The call is cancelled only if the engine can be reached:
-// otherwise the close of the connection would not reach it, and it might go on with the run.
+// otherwise the close of the connection would not reach it, and it might continue with the run.
 type silenceWatch struct {
 	stream     *stream
 	backup     *backup    // Nil if the run is not watched.
@@ -106,7 +106,7 @@
 }
 
 // silentFrom returns the time from which the engine counts as silent unless it completes an event
-// before, and the time of the last event. It returns false if no silence can be told: two events
+// before, and the time of the last event. It returns false if no silence can be detected: two events
 // are needed, and pauses that are shorter than the timeout.
 func (w *silenceWatch) silentFrom() (at, lastEvent time.Time, ok bool) {
 	w.mu.Lock()
@@ -118,7 +118,7 @@
 	return w.eventAt.Add(w.timeout), w.eventAt, minSilentGaps*pause <= w.timeout
 }
 
-// run waits for silences. A silence after which the call goes on is not handled again.
+// run waits for silences. A silence after which the call continues is not handled again.
 func (w *silenceWatch) run(ctx context.Context) {
 	var handled time.Time
 	for ctx.Err() == nil {
--- a/core/forward/stall_test.go
+++ b/core/forward/stall_test.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// silence is the length of the silence of a simulated engine that then goes on. It is
+	// silence is the length of the silence of a simulated engine that then continues. It is
 	// longer than minStallTimeout.
 	silence = minStallTimeout + 300*time.Millisecond
 	// streamEvents is the number of events of a simulated stream.
@@ -79,7 +79,7 @@
 }
 
 // TestSilentStreamIsKeptWithoutEnginesLeft has the last engine that the route allows fall
-// silent and go on. The answer must not be aborted.
+// silent and continue. The answer must not be aborted.
 func TestSilentStreamIsKeptWithoutEnginesLeft(t *testing.T) {
 	t.Parallel()
 	h := newStallHarness(t, 2)
@@ -96,7 +96,7 @@
 	}
 }
 
-// TestSilentStreamIsKeptWithoutRetryBudget has an engine fall silent and go on while the
+// TestSilentStreamIsKeptWithoutRetryBudget has an engine fall silent and continue while the
 // retry budget is used up. The answer must not be aborted, also if it has not begun.
 func TestSilentStreamIsKeptWithoutRetryBudget(t *testing.T) {
 	t.Parallel()
@@ -115,7 +115,7 @@
 	}
 }
 
-// TestSilentStreamIsKeptWithoutReservation has an engine fall silent and go on while no
+// TestSilentStreamIsKeptWithoutReservation has an engine fall silent and continue while no
 // other decode engine grants a reservation. The answer must not be aborted.
 func TestSilentStreamIsKeptWithoutReservation(t *testing.T) {
 	t.Parallel()
--- a/core/membudget/stalled.go
+++ b/core/membudget/stalled.go
@@ -4,7 +4,7 @@
 
 const (
 	// stallTime is how long a holder must have made no progress before it may be ended. It is
-	// longer than a pause of a peer that goes on afterwards.
+	// longer than a pause of a peer that continues afterwards.
 	stallTime = 5 * time.Second
 	// maxCheckGap is the longest time between two calls of EndStalled after which the time
 	// without progress counts. After a longer one this process was suspended, and a lack of
--- a/core/replication/evacuations_test.go
+++ b/core/replication/evacuations_test.go
@@ -36,7 +36,7 @@
 }
 
 // TestEvacuationReachesAllInstances guards against instances that learn of an evacuation late,
-// lose it when they pull from another instance, or go on with it after its end; and against one
+// lose it when they pull from another instance, or continue with it after its end; and against one
 // that starts and has engines to call before it knows which of them are evacuated.
 func TestEvacuationReachesAllInstances(t *testing.T) {
 	st := &fakeStore{version: 1, followers: make(map[ident.InstanceID]bool), engineCount: 300}
--- a/core/replication/following.go
+++ b/core/replication/following.go
@@ -62,7 +62,7 @@
 	case !following && due:
 		s.setFollowing(ctx, true, "no instance has confirmed the copy")
 	case rank < followersPerDomain:
-		// The first of a domain goes on, also while the store does not answer.
+		// The first of a domain continues, also while the store does not answer.
 	case following && storeFails:
 		s.setFollowing(ctx, false, "the store does not answer")
 	case following && steady:
--- a/core/replication/leftalone_test.go
+++ b/core/replication/leftalone_test.go
@@ -140,7 +140,7 @@
 	return list
 }
 
-// TestInstanceLeftAloneKeepsTheBound guards against an instance that goes on with an old
+// TestInstanceLeftAloneKeepsTheBound guards against an instance that continues with an old
 // configuration and an old list of engines, because those from which it had them no longer answer or
 // no longer have them: whichever rank it has, and however the others are lost.
 func TestInstanceLeftAloneKeepsTheBound(t *testing.T) {
--- a/core/replication/replication.go
+++ b/core/replication/replication.go
@@ -85,7 +85,7 @@
 	HoldsRemovals func() bool
 	SetOutage     func(outage bool)
 	// ApplyTime is how long after the store has accepted a change it must be in force here. No
-	// instance that reaches the store may go on with an older copy.
+	// instance that reaches the store may continue with an older copy.
 	ApplyTime  time.Duration
 	SettleTime time.Duration          // How long after its start the member table of an instance is complete.
 	FirstPeers func() []ident.Address // Addresses at which instances that start look for others.
--- a/core/replication/sources.go
+++ b/core/replication/sources.go
@@ -62,7 +62,7 @@
 
 // pullAny pulls from instances in turn until one replies as healthy, and reports whether one did.
 // It asks the next one as soon as one doesn't reply in time, and at once if one did not reply the
-// last time. Pulls that have not ended then go on.
+// last time. Pulls that have not ended then continue.
 func (s *Replicator) pullAny(ctx context.Context, ids []ident.InstanceID) bool {
 	healthy := make(chan struct{}, len(ids))
 	for _, id := range ids {
--- a/core/share/bucket.go
+++ b/core/share/bucket.go
@@ -46,7 +46,7 @@
 }
 
 // refill adds the tokens accrued since the last call. It uses the monotonic clock,
-// so that no tokens accrue while the machine is suspended. While nothing is heard of the
+// so that no tokens accrue while the machine is suspended. While nothing is received from the
 // others, they are taken to use what accrues, as far as they are asked for it.
 func (b *bucket) refill(now time.Time) {
 	if elapsed := now.Sub(b.refilledAt).Seconds(); elapsed > 0 {
--- a/core/share/classes_test.go
+++ b/core/share/classes_test.go
@@ -138,7 +138,7 @@
 }
 
 // TestIsolatedInstanceReservesForUrgentRequests guards against an instance that admits urgent
-// requests no more often than others because it hears of no other instance.
+// requests no more often than others because it knows of no other instance.
 func TestIsolatedInstanceReservesForUrgentRequests(t *testing.T) {
 	f := newFleet(1, 2)
 	f.isolated["a0"] = true
--- a/core/share/fuzz_test.go
+++ b/core/share/fuzz_test.go
@@ -95,7 +95,7 @@
 }
 
 // TestExchangedMembersDoNotOverflow guards against a number of members of another domain whose
-// sum with the own ones overflows, so that the members are told a share that is no fraction, which
+// sum with the own ones overflows, so that the members receive a share that is no fraction, which
 // they refuse: they then use only what an instance may alone.
 func TestExchangedMembersDoNotOverflow(t *testing.T) {
 	s := newFuzzedShares(time.Now, nil)
--- a/core/share/silence_test.go
+++ b/core/share/silence_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// silentFor returns a bucket with a tenth of its burst, at a time at which it has heard nothing of
+// silentFor returns a bucket with a tenth of its burst, at a time at which it has received nothing from
 // the others for a while. They are asked for three times the rate.
 func silentFor(silence time.Duration) (*bucket, time.Time) {
 	now := time.Now()
--- a/io/caller/connclose.go
+++ b/io/caller/connclose.go
@@ -24,7 +24,7 @@
 
 // isLastResponse reports whether the connection is closed after the response being written.
 // With drain it stops accepting requests, unless others have arrived already: a caller that
-// is told of the close does not read their responses. The request itself may still count
+// is notified of the close does not read their responses. The request itself may still count
 // as input being read, as its handler starts before the poller has returned; so it waits until
 // the poller has returned or has begun to parse another request.
 func (c *conn) isLastResponse(drain bool) bool {
--- a/io/caller/discard.go
+++ b/io/caller/discard.go
@@ -9,7 +9,7 @@
 )
 
 // markClosedIdle records that a drain closes the connection without having announced it in a
-// response, unless the caller was told. The caller must hold c.mu.
+// response, unless the caller was notified. The caller must hold c.mu.
 func (c *conn) markClosedIdle(now time.Time) {
 	if !c.lastRequest {
 		c.closedIdleAt = now
--- a/io/caller/drainclose_test.go
+++ b/io/caller/drainclose_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestDrainServesRequestsBehindUndeliveredAnswer drains a server while an answer is not yet
-// delivered, and sends a second request on its connection. The caller has not been told that
+// delivered, and sends a second request on its connection. The caller has not been notified that
 // the connection ends, so that the request must get an answer.
 func TestDrainServesRequestsBehindUndeliveredAnswer(t *testing.T) {
 	for path, undelivered := range map[string]func(*Server, *conn) bool{
@@ -190,7 +190,7 @@
 }
 
 // TestOnlyLastAnswerAnnouncesClose sends two requests at once, of which the second has
-// "Connection: close" or a drain has begun. A caller that is told to close by the first
+// "Connection: close" or a drain has begun. A caller that is asked to close by the first
 // answer does not read the second.
 func TestOnlyLastAnswerAnnouncesClose(t *testing.T) {
 	for name, second := range map[string]string{
--- a/io/caller/handler.go
+++ b/io/caller/handler.go
@@ -237,7 +237,7 @@
 
 // maxWriteBytes is the largest piece of a body that is passed to nbhttp at once. With a
 // piece of 64 KB or more in chunked coding, nbhttp v1.6.8 frees its buffer, which other
-// responses use too, and goes on using it.
+// responses use too, and continues using it.
 const maxWriteBytes = 32 << 10
 
 // sendsBody reports whether the response may have a body. nbhttp would send one that a
--- a/io/caller/heldrequests_test.go
+++ b/io/caller/heldrequests_test.go
@@ -133,7 +133,7 @@
 	}
 }
 
-// TestPipelinedRequestsAreBoundedInSum goes on sending requests on a connection whose first
+// TestPipelinedRequestsAreBoundedInSum continues sending requests on a connection whose first
 // request is handled. Each of them is read and queued.
 func TestPipelinedRequestsAreBoundedInSum(t *testing.T) {
 	handle, _ := holdRequests(t)
@@ -170,7 +170,7 @@
 }
 
 // TestRefusalForLackOfMemoryIsTrue fills the memory with requests that are handled. A further
-// request must be told that it has not run and when to try again, and none that is handled may
+// request must learn that it has not run and when to try again, and none that is handled may
 // end.
 func TestRefusalForLackOfMemoryIsTrue(t *testing.T) {
 	handle, waiting := holdRequests(t)
--- a/io/caller/lastresponse_test.go
+++ b/io/caller/lastresponse_test.go
@@ -18,7 +18,7 @@
 }
 
 // TestRequestBeingReadIsNotInputBehindItself writes the head of an answer during a drain before
-// the poller has returned from reading its request. The caller must be told of the close:
+// the poller has returned from reading its request. The caller must be notified of the close:
 // otherwise it sends a request on the connection just when that is closed.
 func TestRequestBeingReadIsNotInputBehindItself(t *testing.T) {
 	c, _ := unreadConn(t)
--- a/io/caller/pipelinememory_test.go
+++ b/io/caller/pipelinememory_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// TestPipeliningLeavesMemoryToOthers guards against one connection that goes on sending while its
+// TestPipeliningLeavesMemoryToOthers guards against one connection that continues sending while its
 // first request is handled, and so uses up the memory for requests of all others.
 func TestPipeliningLeavesMemoryToOthers(t *testing.T) {
 	const bodyBytes = 1 << 20
--- a/io/httpcall/exchange.go
+++ b/io/httpcall/exchange.go
@@ -14,7 +14,7 @@
 )
 
 // exchange buffers the response of a call. The poller fills it through the methods of
-// nbhttp.Processor; Do removes fragments of the body from it. The parser goes on behind the
+// nbhttp.Processor; Do removes fragments of the body from it. The parser continues behind the
 // end of the response: what follows it is another response, which belongs to no call.
 type exchange struct {
 	*nbhttp.EmptyProcessor
--- a/io/httpcall/orderlyend.go
+++ b/io/httpcall/orderlyend.go
@@ -32,12 +32,12 @@
 	return fault.Wrap(err, fault.AnswerBroken, "the connection was reset within the response")
 }
 
-// errWriteNotEnded is the result of a write that goes on while it is not known whether its connection
+// errWriteNotEnded is the result of a write that continues while it is not known whether its connection
 // has ended.
 var errWriteNotEnded = errors.New("the write of the request has not returned after the end of the connection")
 
 // writeErrorAtEnd returns the error of the concurrent write after the connection has ended. It is nil
-// while the endpoint has closed only its side and the write goes on.
+// while the endpoint has closed only its side and the write continues.
 func (x *poolExchange) writeErrorAtEnd() error {
 	ended, err := hasEnded(x.conn.Conn)
 	if err == nil && !ended {
--- a/io/httpcall/silence_test.go
+++ b/io/httpcall/silence_test.go
@@ -81,7 +81,7 @@
 }
 
 // TestEndpointThatDoesNotReadForAWhileIsAnswered has an endpoint without a fault not read
-// for a while and then go on. The kernel must not end the connection meanwhile.
+// for a while and then continue. The kernel must not end the connection meanwhile.
 func TestEndpointThatDoesNotReadForAWhileIsAnswered(t *testing.T) {
 	t.Parallel()
 	for _, size := range []int{100, largeBodyBytes} {
@@ -128,7 +128,7 @@
 }
 
 // TestDeliveryTimeoutSparesSilentEndpoint has an endpoint not read a call with a delivery
-// timeout for longer than that: its host has acknowledged the bytes, so the call goes on.
+// timeout for longer than that: its host has acknowledged the bytes, so the call continues.
 func TestDeliveryTimeoutSparesSilentEndpoint(t *testing.T) {
 	t.Parallel()
 	e := serveAccepted(t, func(net.Conn) { time.Sleep(longestPause) })
--- a/io/httpcall/slowsink_test.go
+++ b/io/httpcall/slowsink_test.go
@@ -15,7 +15,7 @@
 )
 
 // TestSlowSinkIsNoSilence has a sink take longer than the read timeout for a part of a response,
-// as for a caller that does not read. The endpoint goes on, and the call must not fail.
+// as for a caller that does not read. The endpoint continues, and the call must not fail.
 func TestSlowSinkIsNoSilence(t *testing.T) {
 	const readTimeout = 100 * time.Millisecond
 	for name, caller := range map[string]doer{"pool": newTestPool(t), "client": newClient(t)} {
--- a/io/httpcall/unbounded_test.go
+++ b/io/httpcall/unbounded_test.go
@@ -46,7 +46,7 @@
 }
 
 // checkEndlessHeads calls endpoints whose response head does not end. The call has to fail
-// before its deadline as broken and close its connection, and other calls have to go on.
+// before its deadline as broken and close its connection, and other calls have to continue.
 func checkEndlessHeads(t *testing.T, caller doer) {
 	t.Helper()
 	sound := newEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
--- a/io/operator/client_test.go
+++ b/io/operator/client_test.go
@@ -8,7 +8,7 @@
 	"monsoonfork/core/fault"
 )
 
-// TestErrorResponseKeepsRanAndRetryAfter guards against an operator who is told that an edit
+// TestErrorResponseKeepsRanAndRetryAfter guards against an operator who reads that an edit
 // has not run although the daemon said that it may have.
 func TestErrorResponseKeepsRanAndRetryAfter(t *testing.T) {
 	for body, want := range map[string]struct {
--- a/io/peer/fuzz_test.go
+++ b/io/peer/fuzz_test.go
@@ -69,7 +69,7 @@
 
 // FuzzServedConnection guards against bytes of another instance that panic this one, keep a
 // connection from ending or make it allocate by the lengths that they announce, and checks
-// that other links go on.
+// that other links continue.
 func FuzzServedConnection(f *testing.F) {
 	for _, data := range fuzzSessions() {
 		f.Add(data)
--- a/lab/matrix/event.go
+++ b/lab/matrix/event.go
@@ -32,9 +32,9 @@
 	ManyRoutes                        // Many routes are added.
 	ConfigurationStorm                // Configurations and SIGHUP come in quick succession.
 	Hangup                            // SIGHUP.
-	StopRequested                     // SIGTERM; the requests go on soon after it.
-	StopDraining                      // SIGTERM; the requests go on when the instance drains.
-	StopOutlasted                     // SIGTERM; the engines do not go on before the instance has ended.
+	StopRequested                     // SIGTERM; the requests continue soon after it.
+	StopDraining                      // SIGTERM; the requests continue when the instance drains.
+	StopOutlasted                     // SIGTERM; the engines do not continue before the instance has ended.
 	StopDuringChange                  // SIGTERM together with RouteMoved.
 	ChangeStoreAway                   // A change, and the store is away from then on.
 	ChangeStoreSlow                   // A change while the store is slow.
@@ -44,7 +44,7 @@
 	EngineRemoved                     // The entries of engines that hold requests are removed.
 	EngineSilent                      // All engines send nothing for 1.5 s.
 	Suspended                         // The process is suspended for 2 s.
-	SuspendedAmidAnswers              // The same, and the engines go on meanwhile.
+	SuspendedAmidAnswers              // The same, and the engines continue meanwhile.
 
 	eventCount
 )
@@ -71,12 +71,12 @@
 )
 
 // steps are the steps of an event. Between begin and end what is missing of the requests is
-// sent; after end the engines go on.
+// sent; after end the engines continue.
 type steps struct {
 	begin func(ctx context.Context, f *fleet) error
 	end   func(f *fleet) error // Nil for none.
 
-	enginesFirst bool // The engines go on before end.
+	enginesFirst bool // The engines continue before end.
 }
 
 // eventSteps returns the steps of an event.
--- a/lab/matrix/pair.go
+++ b/lab/matrix/pair.go
@@ -21,7 +21,7 @@
 	maxPairRelease = 2500 * time.Millisecond
 )
 
-// DrawPair draws two events that can overlap. StopOutlasted is not drawn: the engines go on before
+// DrawPair draws two events that can overlap. StopOutlasted is not drawn: the engines continue before
 // the instance has ended, so that what this event allows would be too much.
 func DrawPair(random *rand.Rand) Events {
 	for {
@@ -51,7 +51,7 @@
 }
 
 // overlap lets the events happen, sends what is missing of the requests, and lets the engines
-// go on, at drawn times. Errors of an event are ignored if the other stops the instance, which
+// continue, at drawn times. Errors of an event are ignored if the other stops the instance, which
 // may have ended.
 func (f *fleet) overlap(ctx context.Context, pair Events, calls []*call, random *rand.Rand) error {
 	var happening sync.WaitGroup
--- a/lab/matrix/run.go
+++ b/lab/matrix/run.go
@@ -118,7 +118,7 @@
 }
 
 // runEvent lets the event happen, sends what is missing of the requests, and lets the engines
-// go on.
+// continue.
 func (f *fleet) runEvent(ctx context.Context, e Event, calls []*call) error {
 	s := e.eventSteps()
 	if err := s.begin(ctx, f); err != nil {
@@ -141,7 +141,7 @@
 	return nil
 }
 
-// releaseEngines lets the engines go on, and the callers read that did not.
+// releaseEngines lets the engines continue, and the callers read that did not.
 func (f *fleet) releaseEngines(calls []*call) {
 	f.engines.Holds.Release()
 	for _, e := range f.full {
