--- a/core/engines/feed.go
+++ b/core/engines/feed.go
@@ -96,7 +96,7 @@
 	time.AfterFunc(removalHoldTime, f.applyHeld)
 }
 
-// delayReturns extends the delay of returns. The caller must hold mu.
+// delayReturns starts or extends the delay of returns. The caller must hold mu.
 func (f *Feed) delayReturns(at time.Time) {
 	f.returnsUntil = at.Add(removalHoldTime)
 	time.AfterFunc(removalHoldTime, f.applyHeld)
@@ -112,34 +112,23 @@
 		f.hold(r.delayed)
 		return r.applied
 	}
-	applied := f.apply(f.listChanges(entries, revision))
+	applied := f.apply(listChanges(entries, revision, f.knownEngines()))
 	f.Table.MarkComplete(revision)
 	return applied
 }
 
-// listChanges returns the changes to a complete list as of a revision: its entries, and the removals of
-// engines that it lacks. The caller must hold mu.
-func (f *Feed) listChanges(entries []Entry, revision int64) []Change {
-	changes := make([]Change, 0, len(entries))
-	listed := make(map[ident.EndpointID]bool, len(entries))
-	for _, e := range entries {
-		listed[e.ID] = true
-		changes = append(changes, Change{Entry: e})
-	}
-	remove := func(id ident.EndpointID) {
-		if !listed[id] {
-			changes = append(changes, Change{Entry: Entry{ID: id, ListRevision: revision}, Removed: true})
-		}
-	}
+// knownEngines returns the listed engines, and those whose return is delayed. The caller must hold mu.
+func (f *Feed) knownEngines() []ident.EndpointID {
+	var known []ident.EndpointID
 	for _, e := range f.Table.All() {
-		remove(e.ID)
+		known = append(known, e.ID)
 	}
 	for id, c := range f.held {
 		if !c.Removed {
-			remove(id)
+			known = append(known, id)
 		}
 	}
-	return changes
+	return known
 }
 
 // ApplyChanges applies changes of the list, and returns those that changed the table.
--- a/core/engines/return.go
+++ b/core/engines/return.go
@@ -9,8 +9,7 @@
 const (
 	ReturnDelayed   ReturnOutcome = iota // It waits until what the store has lost is written again.
 	ReturnCancelled                      // A later change of the engine has replaced it within the delay.
-
-	ReturnApplied // It is in force.
+	ReturnApplied                        // It is in force.
 )
 
 // Return is an entry by which an engine that is leaving, or whose run has ended, is ready again.
@@ -20,8 +19,8 @@
 	Announced bool // The engine has announced in an answer that it leaves, so that it gets no requests anyway.
 }
 
-// SetOnReturns sets the function that is called with returns of engines that have the same outcome. It must not call the
-// table, and is set before the first engines are applied.
+// SetOnReturns sets the function that is called with returns of engines that have the same outcome. It
+// must not call the table, and is set before the first engines are applied.
 func (t *Table) SetOnReturns(onReturns func([]Return)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/core/engines/table.go
+++ b/core/engines/table.go
@@ -133,20 +133,32 @@
 // replace applies a complete list of the engines whose ids are in scope. The caller must
 // hold mu.
 func (t *Table) replace(entries []Entry, revision int64, inScope func(ident.EndpointID) bool) result {
+	var known []ident.EndpointID
+	for id := range t.engines {
+		if inScope(id) {
+			known = append(known, id)
+		}
+	}
+	r := t.apply(listChanges(entries, revision, known))
+	t.publishView()
+	return r
+}
+
+// listChanges returns the changes to a complete list as of a revision: its entries, and the removals of
+// the known engines that it lacks.
+func listChanges(entries []Entry, revision int64, known []ident.EndpointID) []Change {
 	listed := make(map[ident.EndpointID]bool, len(entries))
 	changes := make([]Change, 0, len(entries))
 	for _, e := range entries {
 		listed[e.ID] = true
 		changes = append(changes, Change{Entry: e})
 	}
-	for id, e := range t.engines {
-		if !listed[id] && inScope(id) && e.Revision() <= revision {
+	for _, id := range known {
+		if !listed[id] {
 			changes = append(changes, Change{Entry: Entry{ID: id, ListRevision: revision}, Removed: true})
 		}
 	}
-	r := t.apply(changes)
-	t.publishView()
-	return r
+	return changes
 }
 
 // MarkComplete records that a complete list as of a revision was applied.
