--- a/core/evacuation/reset_test.go
+++ b/core/evacuation/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,23 +40,23 @@
 // store is away again before the operator could write the evacuation again.
 func TestOutageAfterOlderCopyKeepsTheEvacuation(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		away := false
-		var excluded Set
-		b := &Board{Exclude: func(s Set) { excluded = s }, AwaitsStore: func() bool { return away }}
+		var away atomic.Bool
+		var excluded atomic.Int64 // Number of domains that are excluded.
+		b := &Board{Exclude: func(s Set) { excluded.Store(int64(len(s.Domains))) }, AwaitsStore: away.Load}
 		b.Put(Set{Revision: 7, Domains: []ident.DomainID{"a"}})
 		b.StoreReset()
 		b.Put(Set{Revision: 100})
-		away = true
+		away.Store(true)
 		time.Sleep(5 * resetHoldTime)
 		synctest.Wait()
-		if len(excluded.Domains) != 1 {
-			t.Errorf("domains %v are evacuated while the store is away, want a", excluded.Domains)
+		if n := excluded.Load(); n != 1 {
+			t.Errorf("%d domains are evacuated while the store is away, want 1", n)
 		}
-		away = false
+		away.Store(false)
 		time.Sleep(2 * resetHoldTime)
 		synctest.Wait()
-		if len(excluded.Domains) != 0 {
-			t.Errorf("domains %v are evacuated after the delay, want none", excluded.Domains)
+		if n := excluded.Load(); n != 0 {
+			t.Errorf("%d domains are evacuated after the delay, want none", n)
 		}
 	})
 }
