--- a/review/rig3/llm.go
+++ b/review/rig3/llm.go
@@ -20,7 +20,8 @@
 	goesOn          bool      // It goes on with a run of another engine.
 	began, ended    time.Time // The end is zero while the engine works on it.
 	events          int       // Number of the last event that was made.
-	handle          string    // Of its memory, once it was copied.
+	handle          string    // Of its memory, once it was copied; empty again when that was used.
+	to              string    // The address of the engine with the copy.
 	stopped         bool      // It was stopped to go on elsewhere.
 	stop            chan struct{}
 }
@@ -38,7 +39,8 @@
 	mu       sync.Mutex
 	runs     []*run
 	number   int
-	prefills map[string]bool // Handles of prompts that were read.
+	prefills map[string]bool        // Handles of prompts that were read.
+	links    map[string]*sync.Mutex // Of the engines: moves run one after another.
 }
 
 // nextNumber returns a number that was not returned before.
@@ -51,7 +53,7 @@
 
 // start starts engines of both stages.
 func (m *llm) start(prefill, decode int) error {
-	m.prefills = make(map[string]bool)
+	m.prefills, m.links = make(map[string]bool), make(map[string]*sync.Mutex)
 	for i := range prefill + decode {
 		stage := "decode"
 		if i < prefill {
@@ -102,7 +104,7 @@
 			return
 		}
 		if isRun := strings.HasSuffix(req.URL.Path, "/x") && req.Header.Get("X-Serving-Stage") == "" && stage == "decode"; isRun && isFor(req, engine) {
-			if refusal, ok := m.checkSource(req); !ok {
+			if refusal, ok := m.checkSource(engine, c.LocalAddr().String(), req); !ok {
 				if !refusal.writeTo(c) {
 					return
 				}
@@ -139,7 +141,7 @@
 	case path == "/order", path == "/healthz", strings.HasPrefix(path, "/hold-drop/"), strings.HasPrefix(path, "/kv-handle/"):
 		return answer{status: http.StatusOK, fields: "X-Instance-Id: " + engine + "\r\n"}
 	case stage == "prefill" && req.Header.Get("X-Serving-Stage") == "prefill":
-		return answer{status: http.StatusOK, id: id, body: map[string]any{"transfer-handle": m.prefill(), "tokens": 1000, "version": 1}}
+		return answer{status: http.StatusOK, id: id, body: map[string]any{"transfer-handle": m.prefill(), "tokens": 400, "version": 1}}
 	}
 	return misdirected
 }
@@ -154,8 +156,9 @@
 	return handle
 }
 
-// checkSource takes the memory with which a request is to be run. It returns a refusal if there is none.
-func (m *llm) checkSource(req *http.Request) (answer, bool) {
+// checkSource takes the memory with which a request is to be run: a prompt that was read elsewhere, a copy
+// at this engine, or that of a run that has stopped here. It returns a refusal if there is none.
+func (m *llm) checkSource(engine, address string, req *http.Request) (answer, bool) {
 	source := req.Header.Get("X-Kv-Source")
 	_, handle, _ := strings.Cut(source, "/")
 	m.mu.Lock()
@@ -163,18 +166,22 @@
 	known := m.prefills[handle]
 	delete(m.prefills, handle)
 	for _, w := range m.runs {
-		if w.handle == handle && w.stopped {
+		if handle != "" && w.handle == handle && (w.to == address || w.engine == engine && w.stopped) {
 			known, w.handle = true, ""
 		}
 	}
 	if source == "" || known {
 		return answer{}, true
 	}
+	m.b.note("%s has no memory %s for %s", engine, handle, req.Header.Get("X-Request-Id"))
 	return answer{status: http.StatusServiceUnavailable, id: req.Header.Get("X-Request-Id"), fields: "X-Not-Executed: 1\r\n"}, false
 }
 
-// copyTime is how long a copy of a run's memory takes.
-const copyTime = 4 * time.Millisecond
+// The times of a copy of a run's memory on the link of its engine, which makes one copy after another.
+const (
+	firstCopyTime = 4 * time.Millisecond
+	restCopyTime  = 3 * time.Millisecond // Of what is new since the copy before.
+)
 
 // move copies the memory of a run, which it stops first if that is asked for.
 func (m *llm) move(engine string, body []byte) answer {
@@ -190,19 +197,44 @@
 	if w == nil {
 		return answer{status: http.StatusNotFound}
 	}
-	time.Sleep(copyTime)
-	handle := fmt.Sprint("c", m.nextNumber())
+	length := firstCopyTime
+	if order.Last {
+		m.stopRun(w)
+		length = restCopyTime
+	}
+	link := m.linkOf(engine)
+	link.Lock()
+	time.Sleep(length)
+	link.Unlock()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !w.ended.IsZero() {
+	if !w.ended.IsZero() && !w.stopped {
 		return answer{status: http.StatusNotFound}
 	}
-	w.handle = handle
-	if order.Last {
-		w.stopped = true
-		close(w.stop)
+	if w.handle == "" {
+		m.number++
+		w.handle = fmt.Sprint("c", m.number)
+	}
+	w.to = order.To
+	return answer{status: http.StatusOK, body: map[string]any{"transfer-handle": w.handle, "create-revision": w.events}}
+}
+
+// stopRun stops a run, whose stream ends without its end.
+func (m *llm) stopRun(w *run) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w.stopped = true
+	close(w.stop)
+}
+
+// linkOf returns the link of an engine.
+func (m *llm) linkOf(engine string) *sync.Mutex {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.links[engine] == nil {
+		m.links[engine] = &sync.Mutex{}
 	}
-	return answer{status: http.StatusOK, body: map[string]any{"transfer-handle": handle, "create-revision": w.events}}
+	return m.links[engine]
 }
 
 // running returns the run of a request at an engine, or nil if there is none. A request runs from its
@@ -225,11 +257,11 @@
 	runs := []any{}
 	for _, w := range m.runs {
 		if w.engine == engine && w.ended.IsZero() {
-			runs = append(runs, []any{w.request, 1000, 0, 5})
+			runs = append(runs, []any{w.request, 400, w.events, 5})
 		}
 	}
 	return map[string]any{
-		"stage": stage, "models": []any{}, "busy": false, "sequence": 0, "waiting": 0, "running": len(runs), "kv-used": 1000 * len(runs),
+		"stage": stage, "models": []any{}, "busy": false, "sequence": 0, "waiting": 0, "running": len(runs), "kv-used": 400 * len(runs),
 		"kv-total": 54104, "handles": 0, "pinned": 0, "held": 0, "state": "ready", "next": 0, "runs": runs,
 	}
 }
@@ -303,8 +335,8 @@
 	if err := c.SetDeadline(time.Now().Add(wait + time.Second)); err != nil {
 		return 0, false
 	}
-	body := strings.Repeat("p", 5000)
-	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Count: 1000,100\r\nX-Prompt-Prefix: aa:200,%x:800\r\nX-Deadline-Ms: %d\r\nX-Credential: key-1\r\nContent-Length: %d\r\n\r\n%s",
+	body := strings.Repeat("p", 400)
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Model: m\r\nX-Token-Count: 400,100\r\nX-Prompt-Prefix: aa:200,%x:200\r\nX-Deadline-Ms: %d\r\nX-Credential: key-1\r\nContent-Length: %d\r\n\r\n%s",
 		path, host, id, id, wait.Milliseconds(), len(body), body)
 	if err != nil {
 		return 0, false
